--- /dev/null
+++ b/include/citronsill/api.h
@@ -0,0 +1,47 @@
+/// HTTP addresses for callers, operators and the load balancer.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "citronsill/http.h"
+#include "citronsill/result.h"
+
+namespace citronsill {
+
+struct ApiHooks {
+  /// Takes a checked request; `done` is called once with the final answer.
+  std::function<void(schema::Request, std::function<void(schema::Answer)> done)> submit;
+  /// @param done gets the state of a request, or CODE_NOT_FOUND.
+  std::function<void(const std::string& id, std::function<void(Result<schema::Answer>)> done)>
+      status;
+  std::function<void(const std::string& id, std::function<void(Result<schema::Answer>)> done)>
+      cancel;
+  /// @returns whether the instance can take requests.
+  std::function<bool()> is_ready;
+  /// Starts draining.
+  std::function<void()> drain;
+  /// @returns metrics in the Prometheus text format.
+  std::function<std::string()> metrics;
+};
+
+class Api {
+ public:
+  static Result<std::unique_ptr<Api>> Create(ApiHooks hooks);
+
+  /// Answers one HTTP request; for `HttpServer`.
+  void Handle(const HttpRequest& request, const HttpReply& reply) const;
+
+ private:
+  explicit Api(ApiHooks hooks);
+  ApiHooks m_hooks;
+};
+
+/// @returns the HTTP response for an answer, with its status and Retry-After.
+HttpResponse ToResponse(const schema::Answer& answer);
+
+/// @returns the HTTP response for an error.
+HttpResponse ToResponse(const Error& error);
+
+}  // namespace citronsill
--- /dev/null
+++ b/include/citronsill/config.h
@@ -0,0 +1,57 @@
+/// Limits and fixed intervals of the library. Every constant carries its unit in its type or name.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace citronsill {
+
+// Sizes of messages.
+inline constexpr std::size_t kMaxHttpBodyBytes = 1U << 20;
+inline constexpr std::size_t kMaxHttpHeaderBytes = 8U << 10;
+inline constexpr std::size_t kMaxPeerFrameBytes = 1U << 20;
+inline constexpr int kMaxJsonDepth = 32;
+
+// Sizes of single fields of a request.
+inline constexpr std::size_t kMaxNameBytes = 128;
+inline constexpr std::size_t kMaxKeyBytes = 256;
+inline constexpr std::size_t kMaxPayloadBytes = 256U << 10;
+inline constexpr std::uint32_t kMaxTaskCount = 1024;
+
+// Connections.
+inline constexpr std::size_t kMaxHttpConnections = 2048;
+inline constexpr std::size_t kMaxPeerConnections = 256;
+inline constexpr std::chrono::seconds kHttpReadTimeout{10};
+inline constexpr std::chrono::seconds kHttpIdleTimeout{60};
+inline constexpr std::chrono::seconds kHttpWriteTimeout{10};
+inline constexpr std::chrono::seconds kPeerIdleTimeout{30};
+inline constexpr std::chrono::milliseconds kConnectTimeout{1000};
+
+// Calls to other systems.
+inline constexpr std::chrono::milliseconds kTableTimeout{2000};
+inline constexpr std::chrono::milliseconds kDirectoryTimeout{2000};
+inline constexpr std::chrono::milliseconds kWorkerTimeout{2000};
+inline constexpr std::chrono::milliseconds kPeerTimeout{1000};
+
+// Periods of the background work.
+inline constexpr std::chrono::milliseconds kGossipPeriod{500};
+inline constexpr std::chrono::milliseconds kOwnershipPeriod{500};
+inline constexpr std::chrono::milliseconds kHeartbeatPeriod{2000};
+inline constexpr std::chrono::milliseconds kDirectoryPeriod{2000};
+inline constexpr std::chrono::milliseconds kWorkerSyncWait{1000};
+inline constexpr std::chrono::milliseconds kDispatchPeriod{50};
+inline constexpr std::chrono::milliseconds kDeliverRetryPeriod{300};
+
+// Limits on what an instance keeps in memory.
+inline constexpr std::size_t kMaxPendingRequests = 20000;
+inline constexpr std::size_t kMaxFinishedRequests = 20000;
+inline constexpr std::size_t kGossipFanout = 5;
+inline constexpr std::size_t kMaxJournalBatchEntries = 256;
+inline constexpr std::size_t kStateShards = 16;
+
+// A gap of more than this between two ticks of a timer means that the process was paused, and that
+// ownership has to be checked again before anything is done under it.
+inline constexpr std::chrono::milliseconds kPauseThreshold{2000};
+
+}  // namespace citronsill
--- /dev/null
+++ b/include/citronsill/runtime.h
@@ -0,0 +1,46 @@
+/// Threads and event loop of a process.
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <memory>
+
+#include "citronsill/result.h"
+#include "citronsill/types.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace citronsill {
+
+/// Runs the event loop on a fixed number of threads.
+class Runtime {
+ public:
+  /// @param threads number of threads, 1 to 64.
+  static Result<std::unique_ptr<Runtime>> Create(unsigned threads);
+  ~Runtime();
+
+  /// Starts the threads and returns.
+  void Start();
+
+  /// Stops the event loop and joins the threads.
+  void Stop();
+
+  /// Runs `work` on one of the threads.
+  void Post(std::function<void()> work);
+
+  /// Calls `handler` once with the signal number when SIGINT or SIGTERM arrives, and again for each
+  /// further one.
+  void OnTerminate(std::function<void(int)> handler);
+
+  /// @returns the event loop, for modules that use Asio.
+  boost::asio::io_context& Context();
+
+ private:
+  struct Impl;
+  explicit Runtime(unsigned threads);
+  std::unique_ptr<Impl> m_impl;
+};
+
+}  // namespace citronsill
--- /dev/null
+++ b/include/citronsill/timer.h
@@ -0,0 +1,41 @@
+/// Timer service that parts of the process subscribe to.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+#include "citronsill/runtime.h"
+#include "citronsill/types.h"
+
+namespace citronsill {
+
+/// Handle of a subscription; 0 is none.
+struct TimerId {
+  std::uint64_t value = 0;
+};
+
+/// Calls subscribers on the threads of the runtime.
+class TimerService {
+ public:
+  static Result<std::unique_ptr<TimerService>> Create(Runtime& runtime);
+  ~TimerService();
+
+  /// Calls `handler` every `period` until cancelled. Calls of one subscription never overlap; after
+  /// a pause of the process, missed calls are dropped.
+  TimerId Every(std::chrono::milliseconds period, std::function<void(SteadyTime)> handler);
+
+  /// Calls `handler` once after `delay`.
+  TimerId After(std::chrono::milliseconds delay, std::function<void(SteadyTime)> handler);
+
+  /// Cancels a subscription. A call that has begun still ends.
+  void Cancel(TimerId id);
+
+ private:
+  struct Impl;
+  explicit TimerService(Runtime& runtime);
+  std::shared_ptr<Impl> m_impl;
+};
+
+}  // namespace citronsill
--- /dev/null
+++ b/include/citronsill/types.h
@@ -0,0 +1,79 @@
+/// Plain types that every module shares.
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace citronsill {
+
+/// Time of the process, or model time in tests. Never compared between processes.
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+/// Time of day, for people and reports only.
+using WallTime = std::chrono::system_clock::time_point;
+
+/// Number of a partition, the unit of ownership.
+struct PartitionId {
+  std::uint32_t value = 0;
+  auto operator<=>(const PartitionId&) const = default;
+};
+
+/// Processors in thousandths, memory in MiB, whole accelerators.
+struct Resources {
+  std::int64_t processors_milli = 0;
+  std::int64_t memory_mb = 0;
+  std::int64_t accelerators = 0;
+
+  auto operator<=>(const Resources&) const = default;
+
+  Resources& operator+=(const Resources& other) {
+    processors_milli += other.processors_milli;
+    memory_mb += other.memory_mb;
+    accelerators += other.accelerators;
+    return *this;
+  }
+
+  Resources& operator-=(const Resources& other) {
+    processors_milli -= other.processors_milli;
+    memory_mb -= other.memory_mb;
+    accelerators -= other.accelerators;
+    return *this;
+  }
+
+  /// @returns whether `other` fits into this in every dimension.
+  [[nodiscard]] bool Covers(const Resources& other) const {
+    return processors_milli >= other.processors_milli && memory_mb >= other.memory_mb &&
+           accelerators >= other.accelerators;
+  }
+};
+
+/// One start of one task of a request.
+struct TaskKey {
+  std::string request_id;
+  std::uint32_t index = 0;
+  std::uint32_t attempt = 0;
+  auto operator<=>(const TaskKey&) const = default;
+};
+
+/// How an attempt ended.
+enum class TaskOutcome {
+  kSucceeded,
+  kFailed,      ///< The task ran and failed.
+  kStopped,     ///< The task was stopped by the scheduler.
+  kLapsed,      ///< The worker stopped the task when its lease lapsed.
+  kNotStarted,  ///< The worker confirmed that the task was not started.
+  kLost,        ///< It is not known whether the task ran or still runs.
+};
+
+}  // namespace citronsill
+
+template <>
+struct std::hash<citronsill::TaskKey> {
+  std::size_t operator()(const citronsill::TaskKey& key) const noexcept {
+    return std::hash<std::string>{}(key.request_id) ^
+           (static_cast<std::size_t>(key.index) * 0x9E3779B97F4A7C15ULL + key.attempt);
+  }
+};
--- /dev/null
+++ b/include/citronsill/worker.h
@@ -0,0 +1,42 @@
+/// Link to one worker.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "citronsill/result.h"
+#include "citronsill/runtime.h"
+
+namespace citronsill {
+
+/// Calls to one worker. Every call carries the epoch of its owner; the worker rejects lower ones
+/// than it has seen with CODE_STALE_EPOCH.
+class WorkerLink {
+ public:
+  virtual ~WorkerLink() = default;
+
+  /// Starts a task.
+  /// @param done gets the worker's verdict, or an error when it is not known whether the task was
+  /// started.
+  virtual void Start(schema::WorkerStart start,
+                     std::function<void(Result<schema::WorkerResult>)> done) = 0;
+
+  /// Stops, throttles or checkpoints a task. Idempotent.
+  virtual void Control(schema::WorkerControl control,
+                       std::function<void(Result<schema::WorkerResult>)> done) = 0;
+
+  /// Renews leases, acknowledges results, and gets reports. The worker answers at once when a
+  /// result is ready, else after the wait that the message names.
+  virtual void Sync(schema::WorkerSync sync,
+                    std::function<void(Result<schema::WorkerSyncResult>)> done) = 0;
+};
+
+/// Makes the link to the worker at `address`; a hook of `Dispatcher`.
+using WorkerLinkFactory =
+    std::function<Result<std::unique_ptr<WorkerLink>>(const std::string& address)>;
+
+/// HTTP back end.
+WorkerLinkFactory HttpWorkerLinks(Runtime& runtime);
+
+}  // namespace citronsill
--- /dev/null
+++ b/scripts/cell.sh
@@ -0,0 +1,84 @@
+#!/usr/bin/env bash
+# Starts one embedded cell (stand-ins included) for trials and tests, and stops it.
+#   scripts/cell.sh start DIR DEPLOYMENT [INSTANCES] [WORKERS]   DEPLOYMENT is horseshoe or shipyard
+#   scripts/cell.sh stop DIR
+# DIR gets the settings, logs and process ids. BUILD names the build folder (default: build).
+set -euo pipefail
+root=$(cd "$(dirname "$0")/.." && pwd)
+build=${BUILD:-$root/build}
+
+start() {
+  local dir=$1 deployment=$2 instances=${3:-3} workers=${4:-10}
+  local base platform size
+  case $deployment in
+    horseshoe) base=${BASE_PORT:-21000}; size=(--processors 32 --memory-mb 131072 --per-rack 6 --domains 4) ;;
+    shipyard) base=${BASE_PORT:-22000}; size=(--processors 16 --memory-mb 32768 --per-rack 8 --domains 3) ;;
+    *) echo "cell.sh: unknown deployment $deployment" >&2; exit 2 ;;
+  esac
+  platform=127.0.0.1:$base
+  mkdir -p "$dir"
+  echo "$platform" > "$dir/platform"
+  run platform "$build/platform_standin" --address "$platform"
+  await "$base"
+  run workers "$build/worker_standin" --platform "$platform" --prefix "$deployment" \
+    --first-port $((base + 100)) --count "$workers" "${size[@]}"
+  : > "$dir/api"
+  local entries=()
+  for ((i = 0; i < instances; i++)); do
+    sed -e "s/\"instance_id\": *\"[^\"]*\"/\"instance_id\": \"$deployment-$i\"/" \
+      -e "s/\"failure_domain\": *\"[^\"]*\"/\"failure_domain\": \"domain-$((i % 3))\"/" \
+      -e "s/\"api_address\": *\"[^\"]*\"/\"api_address\": \"127.0.0.1:$((base + 10 + i))\"/" \
+      -e "s/\"peer_address\": *\"[^\"]*\"/\"peer_address\": \"127.0.0.1:$((base + 40 + i))\"/" \
+      -e "s/\"\(table\|directory\|objects\)_address\": *\"[^\"]*\"/\"\1_address\": \"$platform\"/" \
+      "$root/examples/$deployment.json" > "$dir/$deployment-$i.json"
+    entries+=("{\"id\":\"$deployment-$i\",\"address\":\"127.0.0.1:$((base + 40 + i))\"}")
+    echo "127.0.0.1:$((base + 10 + i))" >> "$dir/api"
+  done
+  post "$platform" /directory/add "{\"instances\":[$(IFS=,; echo "${entries[*]}")]}"
+  for ((i = 0; i < instances; i++)); do
+    run "$deployment-$i" "$build/citronsilld" --settings "$dir/$deployment-$i.json"
+  done
+}
+
+run() {
+  local name=$1
+  shift
+  "$@" > "$dir/$name.log" 2>&1 &
+  echo $! > "$dir/$name.pid"
+}
+
+# Waits until a port accepts connections.
+await() {
+  for _ in $(seq 100); do
+    (exec 3<> "/dev/tcp/127.0.0.1/$1") 2> /dev/null && return 0
+    sleep 0.05
+  done
+  echo "cell.sh: nothing listens on port $1" >&2
+  exit 1
+}
+
+# Sends one HTTP request with bash alone.
+post() {
+  local host=${1%:*} port=${1#*:}
+  exec 3<> "/dev/tcp/$host/$port"
+  printf 'POST %s HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s' "$2" "${#3}" "$3" >&3
+  cat <&3 > /dev/null
+  exec 3>&-
+}
+
+stop() {
+  local dir=$1 pid
+  for file in "$dir"/*.pid; do
+    pid=$(cat "$file")
+    kill -KILL "$pid" 2> /dev/null || true
+    rm -f "$file"
+  done
+}
+
+command=${1:-}
+shift || true
+case $command in
+  start) dir=$1; start "$@" ;;
+  stop) stop "$@" ;;
+  *) sed -n '2,6p' "$0" >&2; exit 2 ;;
+esac
--- /dev/null
+++ b/src/http_server.cc
@@ -0,0 +1,206 @@
+#include "citronsill/http.h"
+#include "internal.h"
+
+namespace citronsill {
+
+namespace http = beast::http;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using Stream = beast::tcp_stream;
+
+struct Session {
+  explicit Session(Tcp::socket socket) : stream(std::move(socket)) {}
+  Stream stream;
+  beast::flat_buffer buffer;
+  std::atomic<bool> silenced{false};
+};
+
+HttpResponse ErrorResponse(unsigned status, schema::Code code, const std::string& message) {
+  schema::Answer answer;
+  answer.set_state(schema::STATE_REFUSED);
+  answer.set_code(code);
+  answer.set_message(message);
+  answer.set_not_run(true);
+  HttpResponse response;
+  response.status = status;
+  response.body = ToJson(answer);
+  return response;
+}
+
+}  // namespace
+
+struct HttpServer::Impl : std::enable_shared_from_this<Impl> {
+  Impl(Runtime& runtime, HttpServerOptions server_options, HttpHandler request_handler)
+      : context(runtime.Context()),
+        acceptor(context),
+        options(std::move(server_options)),
+        handler(std::move(request_handler)) {}
+
+  asio::io_context& context;
+  Tcp::acceptor acceptor;
+  HttpServerOptions options;
+  HttpHandler handler;
+  std::mutex mutex;
+  std::unordered_set<std::shared_ptr<Session>> sessions;
+
+  Result<void> Listen() {
+    BOOST_OUTCOME_TRY(auto endpoint, ParseAddress(options.address));
+    boost::system::error_code error;
+    acceptor.open(endpoint.protocol(), error);
+    if (!error) acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    if (!error) acceptor.bind(endpoint, error);
+    if (!error) acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error) {
+      return Error{schema::CODE_SETTINGS_INVALID,
+                   "cannot listen on " + options.address + ": " + error.message()};
+    }
+    return Success();
+  }
+
+  Task<void> Accept() {
+    while (acceptor.is_open()) {
+      boost::system::error_code error;
+      Tcp::socket socket(asio::make_strand(context));
+      co_await acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
+      if (error == asio::error::operation_aborted) co_return;
+      if (error) {
+        // Out of descriptors: waiting avoids a busy loop on accept.
+        co_await Sleep(std::chrono::milliseconds(50));
+        continue;
+      }
+      Add(std::move(socket));
+    }
+  }
+
+  void Add(Tcp::socket socket) {
+    boost::system::error_code ignored;
+    socket.set_option(Tcp::no_delay(true), ignored);
+    auto executor = socket.get_executor();
+    auto session = std::make_shared<Session>(std::move(socket));
+    {
+      std::lock_guard lock(mutex);
+      if (sessions.size() >= options.max_connections) return;
+      sessions.insert(session);
+    }
+    asio::co_spawn(
+        executor,
+        [self = shared_from_this(), session]() -> Task<void> {
+          co_await self->Serve(session);
+          std::lock_guard lock(self->mutex);
+          self->sessions.erase(session);
+        },
+        asio::detached);
+  }
+
+  Task<void> Serve(std::shared_ptr<Session> session) {
+    bool first = true;
+    while (true) {
+      http::request_parser<http::string_body> parser;
+      parser.body_limit(options.max_body_bytes);
+      parser.header_limit(kMaxHttpHeaderBytes);
+      boost::system::error_code error;
+      // An idle connection may wait longer than a request that has begun may take.
+      session->stream.expires_after(first ? kHttpReadTimeout : kHttpIdleTimeout);
+      first = false;
+      co_await http::async_read_header(session->stream, session->buffer, parser,
+                                       asio::redirect_error(asio::use_awaitable, error));
+      if (!error) {
+        session->stream.expires_after(kHttpReadTimeout);
+        co_await http::async_read(session->stream, session->buffer, parser,
+                                  asio::redirect_error(asio::use_awaitable, error));
+      }
+      if (error) {
+        co_await Reject(session, error);
+        break;
+      }
+      const bool keep_alive = parser.get().keep_alive();
+      HttpResponse response = co_await Handle(parser.release());
+      if (session->silenced) {
+        co_await Sleep(std::chrono::hours(1));
+        break;
+      }
+      if (!co_await Write(session, response, keep_alive)) break;
+    }
+    boost::system::error_code ignored;
+    session->stream.socket().shutdown(Tcp::socket::shutdown_both, ignored);
+    session->stream.close();
+  }
+
+  Task<void> Reject(const std::shared_ptr<Session>& session, boost::system::error_code error) {
+    if (error == http::error::end_of_stream || error == asio::error::eof ||
+        error == beast::error::timeout || error == asio::error::connection_reset) {
+      co_return;
+    }
+    const bool too_large = error == http::error::body_limit || error == http::error::header_limit;
+    const auto response =
+        too_large ? ErrorResponse(413, schema::CODE_TOO_LARGE, "the message is too large")
+                  : ErrorResponse(400, schema::CODE_MALFORMED, "not HTTP: " + error.message());
+    co_await Write(session, response, false);
+  }
+
+  Task<HttpResponse> Handle(http::request<http::string_body> message) {
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    request.authorization = std::string(message[http::field::authorization]);
+    request.accept = std::string(message[http::field::accept]);
+    request.body = std::move(message.body());
+    auto start = [this,
+                  request = std::move(request)](std::function<void(Result<HttpResponse>)> done) {
+      handler(request, [done](HttpResponse response) { done(std::move(response)); });
+    };
+    auto result = co_await AwaitResult<HttpResponse>(std::move(start));
+    co_return std::move(result).value();
+  }
+
+  Task<bool> Write(const std::shared_ptr<Session>& session, const HttpResponse& response,
+                   bool keep_alive) {
+    http::response<http::string_body> message(static_cast<http::status>(response.status), 11);
+    message.set(http::field::server, "citronsill");
+    message.set(http::field::content_type, response.content_type);
+    if (response.retry_after) {
+      // Retry-After has whole seconds; rounding up keeps callers from coming back too early.
+      const auto seconds = std::chrono::ceil<std::chrono::seconds>(*response.retry_after);
+      message.set(http::field::retry_after, std::to_string(seconds.count()));
+    }
+    message.keep_alive(keep_alive);
+    message.body() = response.body;
+    message.prepare_payload();
+    boost::system::error_code error;
+    session->stream.expires_after(kHttpWriteTimeout);
+    co_await http::async_write(session->stream, message,
+                               asio::redirect_error(asio::use_awaitable, error));
+    co_return !error && keep_alive;
+  }
+};
+
+Result<std::unique_ptr<HttpServer>> HttpServer::Create(Runtime& runtime, HttpServerOptions options,
+                                                       HttpHandler handler) {
+  auto impl = std::make_shared<Impl>(runtime, std::move(options), std::move(handler));
+  BOOST_OUTCOME_TRY(impl->Listen());
+  asio::co_spawn(
+      impl->context, [impl]() -> Task<void> { co_await impl->Accept(); }, asio::detached);
+  return std::unique_ptr<HttpServer>(new HttpServer(std::move(impl)));
+}
+
+HttpServer::HttpServer(std::shared_ptr<Impl> impl) : m_impl(std::move(impl)) {}
+
+HttpServer::~HttpServer() { Close(); }
+
+std::uint16_t HttpServer::Port() const { return m_impl->acceptor.local_endpoint().port(); }
+
+void HttpServer::Close() {
+  asio::post(m_impl->context, [impl = m_impl] {
+    boost::system::error_code ignored;
+    impl->acceptor.close(ignored);
+  });
+}
+
+void HttpServer::SilenceOpenConnections() {
+  std::lock_guard lock(m_impl->mutex);
+  for (const auto& session : m_impl->sessions) session->silenced = true;
+}
+
+}  // namespace citronsill
--- /dev/null
+++ b/src/instance.cc
@@ -0,0 +1,469 @@
+#include "citronsill/instance.h"
+
+#include "citronsill/api.h"
+#include "citronsill/directory.h"
+#include "citronsill/dispatcher.h"
+#include "citronsill/entry.h"
+#include "citronsill/home.h"
+#include "citronsill/http.h"
+#include "citronsill/journal.h"
+#include "citronsill/ledger.h"
+#include "citronsill/membership.h"
+#include "citronsill/ownership.h"
+#include "citronsill/peer.h"
+#include "citronsill/table.h"
+#include "citronsill/timer.h"
+#include "internal.h"
+
+namespace citronsill {
+namespace {
+
+// An entry instance that cannot be reached for this many tries has failed; its caller asks again.
+constexpr int kMaxDeliverTries = 20;
+constexpr std::chrono::milliseconds kDrainCheckPeriod{200};
+
+template <class Message>
+Result<Message> ParseMessage(const Result<std::string>& json) {
+  if (!json) return json.error();
+  Message message;
+  BOOST_OUTCOME_TRY(FromJson(json.value(), UnknownFields::kIgnore, &message));
+  return message;
+}
+
+}  // namespace
+
+struct Instance::Impl : std::enable_shared_from_this<Impl> {
+  Impl(Runtime& process_runtime, schema::Settings instance_settings)
+      : runtime(process_runtime), settings(std::move(instance_settings)) {}
+
+  Runtime& runtime;
+  schema::Settings settings;
+  std::uint64_t incarnation = 0;
+  std::string peer_address;
+  std::unique_ptr<TimerService> timers;
+  std::unique_ptr<Table> table;
+  std::unique_ptr<InstanceDirectory> directory;
+  std::unique_ptr<PeerServer> peer_server;
+  std::unique_ptr<PeerClient> peer_client;
+  std::unique_ptr<Membership> membership;
+  std::unique_ptr<Ownership> ownership;
+  std::unique_ptr<Journal> journal;
+  std::unique_ptr<Ledger> ledger;
+  std::unique_ptr<Dispatcher> dispatcher;
+  std::unique_ptr<Home> home;
+  std::unique_ptr<Entry> entry;
+  std::unique_ptr<Api> api;
+  std::unique_ptr<HttpServer> api_server;
+  std::vector<TimerId> subscriptions;
+
+  std::mutex mutex;
+  schema::Directory last_directory;
+  std::size_t next_peer = 0;
+  std::atomic<bool> draining{false};
+
+  static SteadyTime Now() { return std::chrono::steady_clock::now(); }
+
+  PartitionId Partition(const std::string& id) const {
+    return PartitionOf(id, settings.partition_count());
+  }
+
+  Result<void> Build() {
+    incarnation = RandomId();
+    BOOST_OUTCOME_TRY(timers, TimerService::Create(runtime));
+    BOOST_OUTCOME_TRY(table, CreateHttpTable(runtime, settings.table_address()));
+    BOOST_OUTCOME_TRY(directory, CreateHttpDirectory(runtime, settings.directory_address()));
+    BOOST_OUTCOME_TRY(peer_server, PeerServer::Create(runtime, settings.peer_address()));
+    BOOST_OUTCOME_TRY(peer_client, PeerClient::Create(runtime));
+    BOOST_OUTCOME_TRY(ledger, Ledger::Create(kMaxFinishedRequests));
+    BOOST_OUTCOME_TRY(BuildMembership());
+    BOOST_OUTCOME_TRY(BuildOwnership());
+    BOOST_OUTCOME_TRY(BuildJournal());
+    BOOST_OUTCOME_TRY(BuildDispatcher());
+    BOOST_OUTCOME_TRY(BuildHome());
+    BOOST_OUTCOME_TRY(BuildEntry());
+    BOOST_OUTCOME_TRY(BuildApi());
+    RegisterMethods();
+    peer_server->Start();
+    Subscribe();
+    return Success();
+  }
+
+  Result<void> BuildMembership() {
+    schema::MemberState self;
+    self.set_id(settings.instance_id());
+    self.set_incarnation(incarnation);
+    self.set_peer_address(settings.peer_address());
+    self.set_failure_domain(settings.failure_domain());
+    BOOST_OUTCOME_TRY(membership, Membership::Create(self, MembershipOptions{}));
+    return Success();
+  }
+
+  Result<void> BuildOwnership() {
+    schema::InstanceRow self;
+    self.set_id(settings.instance_id());
+    self.set_incarnation(incarnation);
+    self.set_peer_address(settings.peer_address());
+    self.set_api_address(settings.api_address());
+    self.set_failure_domain(settings.failure_domain());
+    OwnershipOptions options;
+    options.partition_count = settings.partition_count();
+    options.owner_timeout = ToMilliseconds(settings.owner_timeout());
+    OwnershipHooks hooks;
+    hooks.on_gained = [this](PartitionId partition, std::uint64_t epoch,
+                             const std::vector<std::string>& streams) {
+      spdlog::info("event=partition_gained partition={} epoch={}", partition.value, epoch);
+      home->OnGained(partition, streams);
+      RefreshWorkers();
+    };
+    hooks.on_lost = [this](PartitionId partition) {
+      spdlog::info("event=partition_lost partition={}", partition.value);
+      home->OnLost(partition);
+      RefreshWorkers();
+    };
+    hooks.live_members = [this] {
+      std::vector<std::string> ids;
+      for (const schema::MemberState& member : membership->Live(Now())) {
+        if (!member.leaving()) ids.push_back(member.id());
+      }
+      return ids;
+    };
+    BOOST_OUTCOME_TRY(ownership, Ownership::Create(*table, self, options, std::move(hooks)));
+    return Success();
+  }
+
+  Result<void> BuildJournal() {
+    JournalOptions options;
+    options.stream = settings.instance_id() + "." + Hex64(incarnation);
+    options.interval = ToMilliseconds(settings.journal_interval());
+    options.max_batch_entries = kMaxJournalBatchEntries;
+    JournalHooks hooks;
+    hooks.owned_version = [this](PartitionId partition) {
+      return ownership->OwnedVersion(partition);
+    };
+    hooks.on_fenced = [this](PartitionId partition) { ownership->OnFenced(partition); };
+    BOOST_OUTCOME_TRY(journal, Journal::Create(*table, *timers, options, std::move(hooks)));
+    return Success();
+  }
+
+  Result<void> BuildDispatcher() {
+    DispatcherOptions options;
+    options.instance = settings.instance_id();
+    options.task_lease = ToMilliseconds(settings.task_lease());
+    options.sync_wait = kWorkerSyncWait;
+    DispatcherHooks hooks;
+    hooks.before_start = [this](const Action& action, const std::function<void(bool)>& go) {
+      home->BeforeStart(action, go);
+    };
+    hooks.on_event = [this](const TaskEvent& event, const std::function<void()>& done) {
+      home->OnTaskEvent(event, done);
+    };
+    hooks.on_give_up = [this](const Action& action) { home->OnGiveUp(action); };
+    hooks.on_stale_epoch = [this](const std::string& worker) {
+      ownership->OnFenced(Partition(worker));
+    };
+    hooks.find_request = [this](const std::string& id) { return home->FindRequest(id); };
+    EngineOptions engine_options;
+    engine_options.seed = incarnation;
+    engine_options.max_waiting_jobs = kMaxPendingRequests;
+    BOOST_OUTCOME_TRY(dispatcher, Dispatcher::Create(runtime, *timers, HttpWorkerLinks(runtime),
+                                                     options, engine_options, std::move(hooks)));
+    return Success();
+  }
+
+  Result<void> BuildHome() {
+    HomeOptions options;
+    options.partition_count = settings.partition_count();
+    HomeHooks hooks;
+    hooks.owns = [this](PartitionId partition) {
+      return ownership->OwnedEpoch(partition).has_value();
+    };
+    hooks.deliver = [this](const Waiter& waiter, std::shared_ptr<const schema::Answer> answer) {
+      Deliver(waiter, std::move(answer), 0);
+    };
+    hooks.submit = [this](const JobSpec& job) { return dispatcher->Submit(job); };
+    hooks.cancel = [this](const std::string& id) { return dispatcher->Cancel(id); };
+    hooks.find_class = [this](const std::string& name) -> std::optional<schema::WorkClass> {
+      for (const schema::WorkClass& work_class : settings.classes()) {
+        if (work_class.name() == name) return work_class;
+      }
+      return std::nullopt;
+    };
+    BOOST_OUTCOME_TRY(home, Home::Create(*ledger, *journal, options, std::move(hooks)));
+    return Success();
+  }
+
+  Result<void> BuildEntry() {
+    EntryOptions options;
+    options.instance = settings.instance_id();
+    options.peer_address = settings.peer_address();
+    options.default_deadline = ToMilliseconds(settings.default_deadline());
+    EntryHooks hooks;
+    hooks.forward = [this](const schema::Forward& forward,
+                           std::function<void(Result<schema::Ack>)> done) {
+      Forward(forward, std::move(done));
+    };
+    BOOST_OUTCOME_TRY(entry, Entry::Create(*timers, options, std::move(hooks)));
+    return Success();
+  }
+
+  Result<void> BuildApi() {
+    ApiHooks hooks;
+    hooks.submit = [this](schema::Request request, std::function<void(schema::Answer)> done) {
+      entry->Submit(std::move(request), std::move(done));
+    };
+    hooks.status = [this](const std::string& id, std::function<void(Result<schema::Answer>)> done) {
+      AskOwner(id, "status", std::move(done));
+    };
+    hooks.cancel = [this](const std::string& id, std::function<void(Result<schema::Answer>)> done) {
+      AskOwner(id, "cancel", std::move(done));
+    };
+    hooks.is_ready = [this] { return IsReady(); };
+    hooks.drain = [this] { StartDraining(); };
+    hooks.metrics = [this] { return Metrics(); };
+    BOOST_OUTCOME_TRY(api, Api::Create(std::move(hooks)));
+    HttpServerOptions options;
+    options.address = settings.api_address();
+    BOOST_OUTCOME_TRY(
+        api_server, HttpServer::Create(runtime, options,
+                                       [this](const HttpRequest& request, const HttpReply& reply) {
+                                         api->Handle(request, reply);
+                                       }));
+    return Success();
+  }
+
+  // Registers a peer method that takes and returns schema messages.
+  template <class Input, class Output>
+  void Register(const std::string& method, std::function<Result<Output>(const Input&)> handler) {
+    peer_server->Handle(method, [handler](const std::string& params) -> Result<std::string> {
+      Input input;
+      BOOST_OUTCOME_TRY(FromJson(params, UnknownFields::kIgnore, &input));
+      BOOST_OUTCOME_TRY(const auto output, handler(input));
+      return ToJson(output);
+    });
+  }
+
+  void RegisterMethods() {
+    Register<schema::Gossip, schema::Gossip>(
+        "gossip", [this](const schema::Gossip& gossip) -> Result<schema::Gossip> {
+          MergeGossip(gossip);
+          return MakeGossip();
+        });
+    Register<schema::Forward, schema::Ack>(
+        "forward", [this](const schema::Forward& forward) -> Result<schema::Ack> {
+          return home->OnForward(forward);
+        });
+    Register<schema::Deliver, schema::Ack>(
+        "deliver", [this](const schema::Deliver& deliver) -> Result<schema::Ack> {
+          entry->OnDeliver(deliver.answer());
+          return schema::Ack();
+        });
+    for (const char* method : {"status", "cancel"}) {
+      Register<schema::RequestId, schema::Answer>(
+          method,
+          [this, method](const schema::RequestId& id) { return AnswerLocally(id.id(), method); });
+    }
+  }
+
+  void Subscribe() {
+    const auto every = [this](std::chrono::milliseconds period, void (Impl::*member)()) {
+      subscriptions.push_back(timers->Every(period, [weak = weak_from_this(), member](SteadyTime) {
+        if (auto self = weak.lock()) (*self.*member)();
+      }));
+    };
+    every(kGossipPeriod, &Impl::Gossip);
+    every(kOwnershipPeriod, &Impl::TickOwnership);
+    every(kDirectoryPeriod, &Impl::RefreshDirectory);
+    runtime.Post([self = shared_from_this()] { self->RefreshDirectory(); });
+  }
+
+  void TickOwnership() { ownership->Tick(Now()); }
+
+  schema::Gossip MakeGossip() {
+    schema::Gossip gossip;
+    for (schema::MemberState& member : membership->Digest(Now())) {
+      *gossip.add_members() = std::move(member);
+    }
+    for (schema::PartitionOwner& owner : ownership->Owners()) {
+      *gossip.add_owners() = std::move(owner);
+    }
+    return gossip;
+  }
+
+  void MergeGossip(const schema::Gossip& gossip) {
+    membership->Merge({gossip.members().begin(), gossip.members().end()}, Now());
+    ownership->MergeOwners({gossip.owners().begin(), gossip.owners().end()});
+  }
+
+  // The next few known peers in turn, from gossip and from the platform's list.
+  std::vector<std::string> GossipTargets() {
+    std::set<std::string> addresses;
+    for (const schema::MemberState& member : membership->Digest(Now())) {
+      addresses.insert(member.peer_address());
+    }
+    std::lock_guard lock(mutex);
+    for (const schema::DirectoryEntry& instance : last_directory.instances()) {
+      addresses.insert(instance.address());
+    }
+    addresses.erase(settings.peer_address());
+    addresses.erase("");
+    const std::vector<std::string> all(addresses.begin(), addresses.end());
+    std::vector<std::string> targets;
+    for (std::size_t i = 0; i < std::min(kGossipFanout, all.size()); ++i) {
+      targets.push_back(all[next_peer++ % all.size()]);
+    }
+    return targets;
+  }
+
+  void Gossip() {
+    const EngineStats stats = dispatcher->Stats();
+    schema::MemberState load;
+    load.set_leaving(draining);
+    load.set_free_slots(stats.free_slots);
+    load.set_waiting(static_cast<std::uint32_t>(stats.waiting_jobs));
+    membership->Beat(load);
+    const std::string message = ToJson(MakeGossip());
+    for (const std::string& address : GossipTargets()) {
+      peer_client->Call(address, "gossip", message, kPeerTimeout,
+                        [weak = weak_from_this()](const Result<std::string>& result) {
+                          auto gossip = ParseMessage<schema::Gossip>(result);
+                          if (auto self = weak.lock(); self && gossip) {
+                            self->MergeGossip(gossip.value());
+                          }
+                        });
+    }
+  }
+
+  void RefreshDirectory() {
+    directory->List([weak = weak_from_this()](const Result<schema::Directory>& list) {
+      auto self = weak.lock();
+      if (!self || !list) return;
+      {
+        std::lock_guard lock(self->mutex);
+        self->last_directory = list.value();
+      }
+      self->RefreshWorkers();
+    });
+  }
+
+  void RefreshWorkers() {
+    std::vector<OwnedWorker> workers;
+    {
+      std::lock_guard lock(mutex);
+      for (const schema::DirectoryEntry& worker : last_directory.workers()) {
+        const auto epoch = ownership->OwnedEpoch(Partition(worker.id()));
+        if (epoch) workers.push_back({worker.id(), worker.address(), *epoch, worker.leaving()});
+      }
+    }
+    dispatcher->SetWorkers(workers);
+  }
+
+  // Finds the address of the owner of a request's partition; empty for this instance.
+  Result<std::string> OwnerAddress(const std::string& id) {
+    const PartitionId partition = Partition(id);
+    if (ownership->OwnedEpoch(partition)) return std::string();
+    const auto owner = ownership->OwnerOf(partition);
+    if (!owner || owner->owner() == settings.instance_id()) {
+      return Error{schema::CODE_NO_OWNER, "the partition has no owner at the moment"};
+    }
+    const auto member = membership->Find(owner->owner());
+    if (!member || !membership->IsLive(owner->owner(), Now())) {
+      return Error{schema::CODE_NO_OWNER, "the owner " + owner->owner() + " does not answer"};
+    }
+    return member->peer_address();
+  }
+
+  void Forward(const schema::Forward& forward, std::function<void(Result<schema::Ack>)> done) {
+    auto address = OwnerAddress(forward.id());
+    if (!address) return done(address.error());
+    if (address.value().empty()) return done(home->OnForward(forward));
+    peer_client->Call(
+        address.value(), "forward", ToJson(forward), kPeerTimeout,
+        [done](const Result<std::string>& result) { done(ParseMessage<schema::Ack>(result)); });
+  }
+
+  void Deliver(const Waiter& waiter, std::shared_ptr<const schema::Answer> answer, int tries) {
+    if (waiter.instance.empty()) return;
+    auto message = std::make_shared<schema::Deliver>();
+    *message->mutable_answer() = *answer;
+    message->mutable_answer()->set_home(settings.instance_id());
+    if (waiter.instance == settings.instance_id()) {
+      runtime.Post(
+          [self = shared_from_this(), message] { self->entry->OnDeliver(message->answer()); });
+      return;
+    }
+    peer_client->Call(
+        waiter.address, "deliver", ToJson(*message), kPeerTimeout,
+        [weak = weak_from_this(), waiter, answer, tries](const Result<std::string>& result) {
+          auto self = weak.lock();
+          if (!self || result || tries >= kMaxDeliverTries) return;
+          self->timers->After(kDeliverRetryPeriod, [weak, waiter, answer, tries](SteadyTime) {
+            if (auto again = weak.lock()) again->Deliver(waiter, answer, tries + 1);
+          });
+        });
+  }
+
+  Result<schema::Answer> AnswerLocally(const std::string& id, const std::string& method) {
+    if (method == "cancel") {
+      BOOST_OUTCOME_TRY(home->Cancel(id));
+    }
+    if (auto answer = home->Status(id)) return std::move(*answer);
+    return Error{schema::CODE_NOT_FOUND, "no request " + id};
+  }
+
+  void AskOwner(const std::string& id, const std::string& method,
+                std::function<void(Result<schema::Answer>)> done) {
+    auto address = OwnerAddress(id);
+    if (!address) return done(address.error());
+    if (address.value().empty()) return done(AnswerLocally(id, method));
+    schema::RequestId message;
+    message.set_id(id);
+    peer_client->Call(
+        address.value(), method, ToJson(message), kPeerTimeout,
+        [done](const Result<std::string>& result) { done(ParseMessage<schema::Answer>(result)); });
+  }
+
+  bool IsReady() const { return !draining && !ownership->Owners().empty(); }
+
+  std::string Metrics() const {
+    const EngineStats stats = dispatcher->Stats();
+    return fmt::format(
+        "citronsill_waiting_jobs {}\ncitronsill_running_tasks {}\ncitronsill_owned_workers {}\n",
+        stats.waiting_jobs, stats.running_tasks, stats.workers);
+  }
+
+  void StartDraining() {
+    if (draining.exchange(true)) return;
+    entry->Drain();
+    ownership->Leave();
+  }
+
+  void CheckDrained(const std::function<void()>& done) {
+    const EngineStats stats = dispatcher->Stats();
+    if (entry->Waiting() == 0 && ledger->Pending() == 0 && stats.running_tasks == 0 &&
+        ownership->Owned().empty()) {
+      return done();
+    }
+    timers->After(kDrainCheckPeriod,
+                  [self = shared_from_this(), done](SteadyTime) { self->CheckDrained(done); });
+  }
+};
+
+Result<std::unique_ptr<Instance>> Instance::Create(Runtime& runtime,
+                                                   const schema::Settings& settings) {
+  auto impl = std::make_shared<Impl>(runtime, settings);
+  BOOST_OUTCOME_TRY(impl->Build());
+  return std::unique_ptr<Instance>(new Instance(std::move(impl)));
+}
+
+Instance::Instance(std::shared_ptr<Impl> impl) : m_impl(std::move(impl)) {}
+
+Instance::~Instance() {
+  for (const TimerId id : m_impl->subscriptions) m_impl->timers->Cancel(id);
+}
+
+void Instance::Drain(std::function<void()> done) {
+  m_impl->StartDraining();
+  m_impl->CheckDrained(done);
+}
+
+}  // namespace citronsill
--- /dev/null
+++ b/tests/assign_test.cc
@@ -0,0 +1,43 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <set>
+
+#include "citronsill/ownership.h"
+
+namespace citronsill {
+namespace {
+
+std::vector<std::string> Members(unsigned count) {
+  std::vector<std::string> members;
+  for (unsigned i = 0; i < count; ++i) members.push_back("instance-" + std::to_string(i));
+  return members;
+}
+
+// Guards against an instance that is given far more partitions than the others.
+TEST_CASE("partitions are spread evenly") {
+  for (const unsigned count : {1U, 2U, 7U, 8U, 30U}) {
+    const auto members = Members(count);
+    std::vector<unsigned> load(count, 0);
+    for (const std::size_t owner : AssignPartitions(members, 64)) ++load[owner];
+    CHECK(*std::max_element(load.begin(), load.end()) <= (64 + count - 1) / count);
+  }
+}
+
+// Guards against a failure of one instance that moves the partitions of all the others.
+TEST_CASE("the loss of one member moves few other partitions") {
+  auto members = Members(8);
+  const auto before = AssignPartitions(members, 64);
+  const std::string gone = members[3];
+  const auto all = members;
+  members.erase(members.begin() + 3);
+  const auto after = AssignPartitions(members, 64);
+  unsigned moved = 0;
+  for (unsigned p = 0; p < 64; ++p) {
+    if (all[before[p]] != gone && all[before[p]] != members[after[p]]) ++moved;
+  }
+  CHECK(moved <= 16);
+}
+
+}  // namespace
+}  // namespace citronsill
--- /dev/null
+++ b/tools/platform_standin.cc
@@ -0,0 +1,191 @@
+// Stand-in of the platform: table service and list of instances and workers, over HTTP.
+#include <spdlog/spdlog.h>
+
+#include <boost/program_options.hpp>
+#include <condition_variable>
+#include <iostream>
+#include <mutex>
+
+#include "citronsill/codec.h"
+#include "citronsill/http.h"
+#include "citronsill/timer.h"
+#include "standin_table.h"
+
+namespace options = boost::program_options;
+
+namespace citronsill {
+namespace {
+
+HttpResponse Status(unsigned status) {
+  HttpResponse response;
+  response.status = status;
+  response.body = "{}";
+  return response;
+}
+
+class Platform {
+ public:
+  explicit Platform(TimerService& timers) : m_timers(timers) {}
+
+  void Handle(const HttpRequest& request, const HttpReply& reply) {
+    if (m_delay.load().count() > 0 && request.target.starts_with("/table/")) {
+      m_timers.After(m_delay, [this, request, reply](SteadyTime) { Route(request, reply); });
+      return;
+    }
+    Route(request, reply);
+  }
+
+ private:
+  void Route(const HttpRequest& request, const HttpReply& reply) {
+    if (request.target == "/table/read") return Read(request, reply);
+    if (request.target == "/table/scan") return Scan(request, reply);
+    if (request.target == "/table/commit") return Commit(request, reply);
+    if (request.target == "/directory") return List(reply);
+    if (request.target == "/directory/add") return Add(request, reply);
+    if (request.target.starts_with("/fault/")) return SetFault(request.target.substr(7), reply);
+    if (request.target == "/counts") return Counts(reply);
+    reply(Status(404));
+  }
+
+  template <class Message>
+  static void Send(const Result<Message>& result, const HttpReply& reply) {
+    if (!result) {
+      // A lost answer never reaches the caller, whose call then misses its deadline.
+      if (result.error().code == schema::CODE_TABLE_UNAVAILABLE) reply(Status(503));
+      return;
+    }
+    HttpResponse response;
+    response.body = ToJson(result.value());
+    reply(response);
+  }
+
+  void Read(const HttpRequest& request, const HttpReply& reply) {
+    schema::TableRow query;
+    if (!FromJson(request.body, UnknownFields::kReject, &query)) return reply(Status(400));
+    m_table.Read(query.key(), [reply](const Result<schema::TableRow>& row) { Send(row, reply); });
+  }
+
+  void Scan(const HttpRequest& request, const HttpReply& reply) {
+    schema::TableRow query;
+    if (!FromJson(request.body, UnknownFields::kReject, &query)) return reply(Status(400));
+    m_table.Scan(query.key(), [reply](const Result<std::vector<schema::TableRow>>& rows) {
+      if (!rows) return Send<schema::TableScanResult>(rows.error(), reply);
+      schema::TableScanResult result;
+      for (const schema::TableRow& row : rows.value()) *result.add_rows() = row;
+      Send<schema::TableScanResult>(std::move(result), reply);
+    });
+  }
+
+  void Commit(const HttpRequest& request, const HttpReply& reply) {
+    schema::TableTransaction transaction;
+    if (!FromJson(request.body, UnknownFields::kReject, &transaction)) return reply(Status(400));
+    m_table.Commit(transaction, [reply](const Result<schema::TableCommitResult>& result) {
+      Send(result, reply);
+    });
+  }
+
+  void List(const HttpReply& reply) {
+    std::lock_guard lock(m_mutex);
+    HttpResponse response;
+    response.body = ToJson(m_directory);
+    reply(response);
+  }
+
+  void Add(const HttpRequest& request, const HttpReply& reply) {
+    schema::Directory added;
+    if (!FromJson(request.body, UnknownFields::kReject, &added)) return reply(Status(400));
+    std::lock_guard lock(m_mutex);
+    Merge(added.instances(), m_directory.mutable_instances());
+    Merge(added.workers(), m_directory.mutable_workers());
+    reply(Status(200));
+  }
+
+  template <class Entries>
+  static void Merge(const Entries& added, Entries* entries) {
+    for (const schema::DirectoryEntry& entry : added) {
+      const auto same = [&](const schema::DirectoryEntry& one) { return one.id() == entry.id(); };
+      const auto found = std::find_if(entries->begin(), entries->end(), same);
+      if (found != entries->end()) {
+        *found = entry;
+      } else {
+        *entries->Add() = entry;
+      }
+    }
+  }
+
+  void SetFault(const std::string& fault, const HttpReply& reply) {
+    if (fault == "none") {
+      m_table.SetFault(TableFault::kNone);
+      m_delay = std::chrono::milliseconds(0);
+    } else if (fault == "down") {
+      m_table.SetFault(TableFault::kDown);
+    } else if (fault == "lose") {
+      m_table.SetFault(TableFault::kLoseAnswers);
+    } else if (fault == "slow") {
+      m_delay = std::chrono::milliseconds(1000);
+    } else {
+      return reply(Status(404));
+    }
+    reply(Status(200));
+  }
+
+  void Counts(const HttpReply& reply) {
+    HttpResponse response;
+    response.body = "{\"reads\":" + std::to_string(m_table.Reads()) +
+                    ",\"writes\":" + std::to_string(m_table.Writes()) + "}";
+    reply(response);
+  }
+
+  TimerService& m_timers;
+  StandinTable m_table;
+  std::atomic<std::chrono::milliseconds> m_delay{std::chrono::milliseconds(0)};
+  std::mutex m_mutex;
+  schema::Directory m_directory;
+};
+
+int Serve(const std::string& address) {
+  auto runtime = Runtime::Create(2);
+  auto timers = TimerService::Create(*runtime.value());
+  Platform platform(*timers.value());
+  HttpServerOptions server_options;
+  server_options.address = address;
+  server_options.max_body_bytes = 64 * kMaxHttpBodyBytes;
+  auto server = HttpServer::Create(
+      *runtime.value(), server_options,
+      [&](const HttpRequest& request, const HttpReply& reply) { platform.Handle(request, reply); });
+  if (!server) {
+    std::cerr << Describe(server.error()) << '\n';
+    return 1;
+  }
+  std::mutex mutex;
+  std::condition_variable changed;
+  bool stopped = false;
+  runtime.value()->OnTerminate([&](int) {
+    std::lock_guard lock(mutex);
+    stopped = true;
+    changed.notify_all();
+  });
+  runtime.value()->Start();
+  std::unique_lock lock(mutex);
+  changed.wait(lock, [&] { return stopped; });
+  lock.unlock();
+  runtime.value()->Stop();
+  return 0;
+}
+
+}  // namespace
+}  // namespace citronsill
+
+int main(int argc, char** argv) {
+  options::options_description description(
+      "platform_standin: table service and directory in memory");
+  description.add_options()("help", "show this text")(
+      "address", options::value<std::string>()->default_value("127.0.0.1:9000"), "IP:port");
+  options::variables_map values;
+  options::store(options::parse_command_line(argc, argv, description), values);
+  if (values.contains("help")) {
+    std::cout << description;
+    return 0;
+  }
+  return citronsill::Serve(values["address"].as<std::string>());
+}
--- /dev/null
+++ b/tools/standin_table.h
@@ -0,0 +1,133 @@
+/// In-memory stand-in of the table service, with switches that bring about its failures. Used by
+/// platform_standin over HTTP and by tests directly.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "citronsill/table.h"
+#include "schema/citronsill.pb.h"
+
+namespace citronsill {
+
+/// How the table treats calls.
+enum class TableFault {
+  kNone,
+  kDown,         ///< Every call is refused and has no effect.
+  kLoseAnswers,  ///< Commits take effect, but their answers are lost.
+};
+
+/// Thread-safe. Callbacks run on the calling thread, after the lock is released.
+class StandinTable : public Table {
+ public:
+  void SetFault(TableFault fault) {
+    std::lock_guard lock(m_mutex);
+    m_fault = fault;
+  }
+
+  [[nodiscard]] TableFault Fault() const {
+    std::lock_guard lock(m_mutex);
+    return m_fault;
+  }
+
+  [[nodiscard]] std::uint64_t Reads() const {
+    std::lock_guard lock(m_mutex);
+    return m_reads;
+  }
+
+  [[nodiscard]] std::uint64_t Writes() const {
+    std::lock_guard lock(m_mutex);
+    return m_writes;
+  }
+
+  void Read(std::string key, std::function<void(Result<schema::TableRow>)> done) override {
+    std::unique_lock lock(m_mutex);
+    if (m_fault == TableFault::kDown) {
+      lock.unlock();
+      return done(Unavailable());
+    }
+    ++m_reads;
+    schema::TableRow row = Find(key);
+    lock.unlock();
+    done(std::move(row));
+  }
+
+  void Scan(std::string prefix,
+            std::function<void(Result<std::vector<schema::TableRow>>)> done) override {
+    std::unique_lock lock(m_mutex);
+    if (m_fault == TableFault::kDown) {
+      lock.unlock();
+      return done(Unavailable());
+    }
+    ++m_reads;
+    std::vector<schema::TableRow> rows;
+    for (auto row = m_rows.lower_bound(prefix); row != m_rows.end(); ++row) {
+      if (!row->first.starts_with(prefix)) break;
+      rows.push_back(row->second);
+    }
+    lock.unlock();
+    done(std::move(rows));
+  }
+
+  void Commit(schema::TableTransaction transaction,
+              std::function<void(Result<schema::TableCommitResult>)> done) override {
+    std::unique_lock lock(m_mutex);
+    if (m_fault == TableFault::kDown) {
+      lock.unlock();
+      return done(Unavailable());
+    }
+    ++m_writes;
+    schema::TableCommitResult result = Apply(transaction);
+    const bool lost = m_fault == TableFault::kLoseAnswers;
+    lock.unlock();
+    if (lost) return done(Error{schema::CODE_COMMIT_UNKNOWN, "the answer was lost"});
+    done(std::move(result));
+  }
+
+ private:
+  static Error Unavailable() { return Error{schema::CODE_TABLE_UNAVAILABLE, "the table is down"}; }
+
+  schema::TableRow Find(const std::string& key) const {
+    if (const auto found = m_rows.find(key); found != m_rows.end()) return found->second;
+    schema::TableRow missing;
+    missing.set_key(key);
+    return missing;
+  }
+
+  schema::TableCommitResult Apply(const schema::TableTransaction& transaction) {
+    schema::TableCommitResult result;
+    for (const schema::TableCondition& condition : transaction.conditions()) {
+      const schema::TableRow row = Find(condition.key());
+      if (row.version() != condition.version()) *result.add_rows() = row;
+    }
+    if (result.rows_size() > 0) return result;
+    result.set_committed(true);
+    for (const schema::TableWrite& write : transaction.writes()) {
+      if (write.erase()) {
+        m_rows.erase(write.key());
+        continue;
+      }
+      schema::TableRow& row = m_rows[write.key()];
+      row.set_key(write.key());
+      row.set_value(write.value());
+      // Versions come from one counter, so that a row made again never has an old version.
+      row.set_version(++m_last_version);
+      *result.add_rows() = row;
+    }
+    return result;
+  }
+
+  mutable std::mutex m_mutex;
+  TableFault m_fault = TableFault::kNone;
+  std::map<std::string, schema::TableRow> m_rows;
+  std::uint64_t m_last_version = 0;
+  std::uint64_t m_reads = 0;
+  std::uint64_t m_writes = 0;
+};
+
+}  // namespace citronsill
--- /dev/null
+++ b/tools/standin_worker.h
@@ -0,0 +1,227 @@
+/// Stand-in of a worker: runs tasks in model time under leases. No threads and no clock of its own;
+/// used by worker_standin over HTTP and by tests directly.
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "citronsill/codec.h"
+#include "citronsill/types.h"
+#include "schema/citronsill.pb.h"
+
+namespace citronsill {
+
+/// One entry of a worker's own history, for the check of the invariants.
+struct WorkerHistoryEntry {
+  SteadyTime time;
+  TaskKey task;
+  bool started = false;  ///< Else ended.
+  schema::TaskEnd end = schema::TASK_END_NONE;
+  std::uint64_t epoch = 0;
+  Resources used;  ///< Of the whole worker, after the event.
+};
+
+class StandinWorker {
+ public:
+  explicit StandinWorker(schema::WorkerInfo info) : m_info(std::move(info)) {}
+
+  void SetFailAll(bool fail) { m_fail_all = fail; }
+  void SetLeaving(bool leaving) { m_leaving = leaving; }
+
+  /// Ends tasks that are done or whose lease has lapsed.
+  void Advance(SteadyTime now) {
+    for (auto entry = m_running.begin(); entry != m_running.end();) {
+      const auto& [task, running] = *entry;
+      const bool lapsed = running.lease_until <= now && running.lease_until < running.done_at;
+      if (!lapsed && running.done_at > now) {
+        ++entry;
+        continue;
+      }
+      const SteadyTime at = lapsed ? running.lease_until : running.done_at;
+      const schema::TaskEnd end = lapsed       ? schema::TASK_END_LAPSED
+                                  : m_fail_all ? schema::TASK_END_FAILED
+                                               : schema::TASK_END_SUCCEEDED;
+      const TaskKey ended = task;
+      ++entry;
+      End(ended, end, at);
+    }
+  }
+
+  schema::WorkerResult Start(const schema::WorkerStart& start, SteadyTime now) {
+    Advance(now);
+    if (start.epoch() < m_epoch) return Reject(schema::CODE_STALE_EPOCH, "a higher epoch was seen");
+    m_epoch = start.epoch();
+    const TaskKey task = Key(start.task());
+    if (m_seen.contains(task)) return Reject(schema::CODE_WORKER_REJECTED, "seen before");
+    const Resources size = Size(start.size());
+    Resources needed = m_used;
+    needed += size;
+    if (!Size(m_info.capacity()).Covers(needed) || m_running.size() >= m_info.slots()) {
+      return Reject(schema::CODE_WORKER_REJECTED, "over capacity");
+    }
+    m_seen[task] = true;
+    m_used = needed;
+    RunningTask running;
+    running.size = size;
+    running.payload = start.payload();
+    running.work_class = start.work_class();
+    running.done_at = now + ToMilliseconds(start.run_time());
+    running.lease_until = now + ToMilliseconds(start.lease());
+    m_running[task] = std::move(running);
+    Record(task, true, schema::TASK_END_NONE, now);
+    schema::WorkerResult result;
+    result.set_epoch(m_epoch);
+    return result;
+  }
+
+  schema::WorkerResult Control(const schema::WorkerControl& control, SteadyTime now) {
+    Advance(now);
+    if (control.epoch() < m_epoch) {
+      return Reject(schema::CODE_STALE_EPOCH, "a higher epoch was seen");
+    }
+    m_epoch = control.epoch();
+    const TaskKey task = Key(control.task());
+    const auto found = m_running.find(task);
+    if (found != m_running.end() && control.operation() == "throttle") {
+      found->second.done_at += (found->second.done_at - now);
+    } else if (found != m_running.end()) {
+      End(task, schema::TASK_END_STOPPED, now);
+    }
+    schema::WorkerResult result;
+    result.set_epoch(m_epoch);
+    return result;
+  }
+
+  /// @returns the answer; `HasNews` tells whether it should be sent before the wait is over.
+  schema::WorkerSyncResult Sync(const schema::WorkerSync& sync, SteadyTime now) {
+    Advance(now);
+    schema::WorkerSyncResult result;
+    if (sync.epoch() < m_epoch) {
+      result.set_code(schema::CODE_STALE_EPOCH);
+      result.set_epoch(m_epoch);
+      return result;
+    }
+    m_epoch = sync.epoch();
+    for (const schema::TaskRef& ref : sync.renew()) {
+      if (auto found = m_running.find(Key(ref)); found != m_running.end()) {
+        found->second.lease_until = now + ToMilliseconds(sync.lease());
+      }
+    }
+    for (const schema::TaskRef& ref : sync.acknowledge()) m_ended.erase(Key(ref));
+    if (sync.attach()) {
+      for (auto& [task, ended] : m_ended) ended.reported = false;
+    }
+    return result;
+  }
+
+  /// @returns whether results wait that were not reported since the last attach.
+  [[nodiscard]] bool HasNews() const {
+    return std::any_of(m_ended.begin(), m_ended.end(),
+                       [](const auto& entry) { return !entry.second.reported; });
+  }
+
+  /// Fills in the reports of an accepted sync.
+  void Report(schema::WorkerSyncResult* result) {
+    result->set_epoch(m_epoch);
+    *result->mutable_info() = m_info;
+    result->set_leaving(m_leaving);
+    for (const auto& [task, running] : m_running) {
+      schema::TaskReport* report = result->add_tasks();
+      SetRef(task, report->mutable_task());
+      SetSize(running.size, report->mutable_size());
+      SetSize(running.size, report->mutable_used());
+    }
+    for (auto& [task, ended] : m_ended) {
+      if (ended.reported) continue;
+      ended.reported = true;
+      schema::TaskReport* report = result->add_tasks();
+      SetRef(task, report->mutable_task());
+      report->set_end(ended.end);
+      report->set_result(ended.result);
+    }
+  }
+
+  [[nodiscard]] const schema::WorkerInfo& Info() const { return m_info; }
+  [[nodiscard]] const std::vector<WorkerHistoryEntry>& History() const { return m_history; }
+  [[nodiscard]] std::size_t Running() const { return m_running.size(); }
+
+ private:
+  struct RunningTask {
+    Resources size;
+    std::string payload;
+    std::string work_class;
+    SteadyTime done_at;
+    SteadyTime lease_until;
+  };
+
+  struct EndedTask {
+    schema::TaskEnd end = schema::TASK_END_NONE;
+    std::string result;
+    bool reported = false;
+  };
+
+  static TaskKey Key(const schema::TaskRef& ref) {
+    return {ref.request_id(), ref.index(), ref.attempt()};
+  }
+
+  static void SetRef(const TaskKey& task, schema::TaskRef* ref) {
+    ref->set_request_id(task.request_id);
+    ref->set_index(task.index);
+    ref->set_attempt(task.attempt);
+  }
+
+  static Resources Size(const schema::Resources& size) {
+    return {static_cast<std::int64_t>(size.processors() * 1000.0),
+            static_cast<std::int64_t>(size.memory_mb()),
+            static_cast<std::int64_t>(size.accelerators())};
+  }
+
+  static void SetSize(const Resources& size, schema::Resources* message) {
+    message->set_processors(static_cast<double>(size.processors_milli) / 1000.0);
+    message->set_memory_mb(static_cast<std::uint64_t>(size.memory_mb));
+    message->set_accelerators(static_cast<std::uint32_t>(size.accelerators));
+  }
+
+  schema::WorkerResult Reject(schema::Code code, const std::string& message) const {
+    schema::WorkerResult result;
+    result.set_code(code);
+    result.set_epoch(m_epoch);
+    result.set_message(message);
+    return result;
+  }
+
+  void End(const TaskKey& task, schema::TaskEnd end, SteadyTime at) {
+    const auto found = m_running.find(task);
+    EndedTask ended;
+    ended.end = end;
+    if (end == schema::TASK_END_SUCCEEDED) {
+      ended.result = found->second.work_class + " done: " + found->second.payload;
+    }
+    m_used -= found->second.size;
+    m_running.erase(found);
+    m_ended[task] = std::move(ended);
+    Record(task, false, end, at);
+  }
+
+  void Record(const TaskKey& task, bool started, schema::TaskEnd end, SteadyTime at) {
+    m_history.push_back({at, task, started, end, m_epoch, m_used});
+  }
+
+  schema::WorkerInfo m_info;
+  bool m_fail_all = false;
+  bool m_leaving = false;
+  std::uint64_t m_epoch = 0;
+  Resources m_used;
+  std::map<TaskKey, bool> m_seen;
+  std::map<TaskKey, RunningTask> m_running;
+  std::map<TaskKey, EndedTask> m_ended;
+  std::vector<WorkerHistoryEntry> m_history;
+};
+
+}  // namespace citronsill
