--- a/include/citronsill/engine.h
+++ b/include/citronsill/engine.h
@@ -108,13 +108,22 @@
   void AdoptTask(const JobSpec& job, const TaskKey& task, const std::string& worker,
                  SteadyTime now);
 
-  /// Admits a job into the queue or refuses it.
+  /// Admits a job into the queue or refuses it. A job that is known gets further tasks: parts of a
+  /// larger job may arrive one by one.
   Admission Submit(const JobSpec& job, SteadyTime now);
 
   /// Cancels a job: waiting tasks are dropped, running ones get a stop action.
   /// @returns whether the job was known.
   bool Cancel(const std::string& job, SteadyTime now);
 
+  /// @returns up to `max` tasks that are due but have no room here, in the order of their turn,
+  /// each as a job of one task. Gang jobs are left out.
+  [[nodiscard]] std::vector<JobSpec> WaitingTasks(std::size_t max, SteadyTime now) const;
+
+  /// Takes a waiting task away, because another instance runs it.
+  /// @returns false when it does not wait any more.
+  bool Withdraw(const TaskKey& task, SteadyTime now);
+
   /// The worker confirmed the start.
   void OnStarted(const TaskKey& task, SteadyTime now);
 
--- a/src/engine.cc
+++ b/src/engine.cc
@@ -146,6 +146,31 @@
   return true;
 }
 
+std::vector<JobSpec> Engine::WaitingTasks(std::size_t max, SteadyTime) const {
+  std::vector<JobSpec> tasks;
+  for (const std::string& id : m_impl->queue) {
+    const auto found = m_impl->jobs.find(id);
+    if (found == m_impl->jobs.end() || found->second.spec.all_at_once) continue;
+    for (const TaskKey& task : found->second.waiting) {
+      if (tasks.size() >= max) return tasks;
+      JobSpec part = found->second.spec;
+      part.task_count = 1;
+      part.first_index = task.index;
+      part.first_attempt = task.attempt;
+      tasks.push_back(std::move(part));
+    }
+  }
+  return tasks;
+}
+
+bool Engine::Withdraw(const TaskKey& task, SteadyTime) {
+  const auto found = m_impl->jobs.find(task.request_id);
+  if (found == m_impl->jobs.end()) return false;
+  if (std::erase(found->second.waiting, task) == 0) return false;
+  if (found->second.waiting.empty() && found->second.running == 0) m_impl->jobs.erase(found);
+  return true;
+}
+
 void Engine::OnStarted(const TaskKey&, SteadyTime) {}
 
 bool Engine::OnEnded(const TaskKey& task, TaskOutcome outcome, SteadyTime) {
