Hand tasks without room to other instances and report to their homes

An instance that owns no worker, or only full ones, could not serve what it was home of. Waiting tasks are now withdrawn from the engine and handed to the instance with the most free slots (place); every worker's owner reports on tasks to the home of their request (task_update), until the home no longer needs the report.

Starts carry the number of the owner's last attach. A start that was held up on a connection and arrives after a later attach is rejected by the worker, so that a task that the worker does not report was certainly never started. Renewals are not sent with attaches, so that leases on a silent worker lapse.

Not done: a task that must not run twice, handed to an instance that then failed, is not yet looked for (hook investigate).

--- a/include/citronsill/dispatcher.h
+++ b/include/citronsill/dispatcher.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,29 +27,51 @@
 struct TaskEvent {
   TaskKey task;
   std::string worker;
+  std::uint64_t worker_incarnation = 0;
   bool ended = false;
   TaskOutcome outcome = TaskOutcome::kNotStarted;
   bool again = false;  ///< The engine starts another attempt.
   std::string result;
 };
 
+/// What has to be known of a task to start it and to act when its worker does not answer.
+struct TaskJob {
+  std::shared_ptr<const schema::Request> request;  ///< With the defaults of its class filled in.
+  bool idempotent = false;
+  bool exclusive = true;
+  bool interactive = false;
+};
+
+/// What the dispatcher knows of a task.
+enum class TaskKnowledge {
+  kUnknown,       ///< A worker that may have the task is not attached.
+  kRunning,       ///< It waits, is being started, or runs.
+  kEnded,         ///< It ended; the report is on its way to the home.
+  kNeverStarted,  ///< It was not started, and a late start would be rejected.
+  kLost,          ///< The worker restarted since.
+};
+
 struct DispatcherHooks {
   /// Called before a start is sent; the start is sent if `go` gets true, and dropped otherwise.
-  std::function<void(const Action& start, std::function<void(bool)> go)> before_start;
+  std::function<void(const Action& start, std::uint64_t worker_incarnation,
+                     std::function<void(bool)> go)>
+      before_start;
   /// @param done is called once the home has taken the event; the worker then drops the result.
   std::function<void(const TaskEvent&, std::function<void()> done)> on_event;
   /// The engine gave a job up.
   std::function<void(const Action&)> on_give_up;
   /// A worker knows a higher epoch than ours.
   std::function<void(const std::string& worker)> on_stale_epoch;
-  /// @returns the request behind a task, for its payload.
-  std::function<std::optional<schema::Request>(const std::string& request_id)> find_request;
+  /// @returns the job behind a task, if this instance knows it.
+  std::function<std::optional<TaskJob>(const std::string& request_id)> find_job;
 };
 
 struct DispatcherOptions {
   std::string instance;  ///< Id of this instance.
   std::chrono::milliseconds task_lease{30000};
   std::chrono::milliseconds sync_wait{1000};
+  /// A worker that has not answered for this long gets no new work.
+  std::chrono::milliseconds unreachable_after{3000};
 };
 
 /// Thread-safe; the engine is under one lock.
@@ -61,11 +84,22 @@
                                                     DispatcherHooks hooks);
   ~Dispatcher();
 
-  /// Sets the workers that this instance owns: new ones are attached, others are let go.
+  /// Sets the workers that this instance owns: new ones are attached, others are let go without a
+  /// word, because their next owner reports on their tasks.
   void SetWorkers(const std::vector<OwnedWorker>& workers);
 
+  /// The platform removed a worker: its tasks are lost.
+  void RemoveWorker(const std::string& worker);
+
   Admission Submit(const JobSpec& job);
   bool Cancel(const std::string& job);
+
+  /// Takes up to `max` waiting tasks without room away, because other instances run them.
+  std::vector<JobSpec> TakeWaiting(std::size_t max);
+
+  [[nodiscard]] TaskKnowledge Query(const TaskKey& task, const std::string& worker,
+                                    std::uint64_t worker_incarnation) const;
+
   [[nodiscard]] EngineStats Stats() const;
 
  private:
--- a/include/citronsill/engine.h
+++ b/include/citronsill/engine.h
@@ -124,6 +124,9 @@
   /// @returns false when it does not wait any more.
   bool Withdraw(const TaskKey& task, SteadyTime now);
 
+  /// Queues a task again that was on a removed worker, as its next attempt, when the job allows it.
+  void Requeue(const TaskKey& task, SteadyTime now);
+
   /// The worker confirmed the start.
   void OnStarted(const TaskKey& task, SteadyTime now);
 
--- a/include/citronsill/home.h
+++ b/include/citronsill/home.h
@@ -42,7 +42,9 @@
   schema::Ack OnForward(const schema::Forward& forward);
 
   /// Writes what has to be durable before a task starts.
-  void BeforeStart(const Action& start, std::function<void(bool)> go);
+  /// @param worker_incarnation 0 when another instance chooses the worker.
+  void BeforeStart(const Action& start, std::uint64_t worker_incarnation,
+                   std::function<void(bool)> go);
 
   /// @param done is called once the worker may drop the result.
   void OnTaskEvent(const TaskEvent& event, std::function<void()> done);
@@ -53,8 +55,8 @@
   void OnGained(PartitionId partition, const std::vector<std::string>& streams);
   void OnLost(PartitionId partition);
 
-  /// @returns a request with the defaults of its work class filled in.
-  [[nodiscard]] std::optional<schema::Request> FindRequest(const std::string& request_id) const;
+  /// @returns the job of a request that is homed here.
+  [[nodiscard]] std::optional<TaskJob> FindJob(const std::string& request_id) const;
 
   Result<void> Cancel(const std::string& request_id);
   [[nodiscard]] std::optional<schema::Answer> Status(const std::string& request_id) const;
--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -1,58 +1,35 @@
 #include "citronsill/dispatcher.h"
 
+#include "citronsill/convert.h"
 #include "internal.h"
 
 namespace citronsill {
 namespace {
 
-// A worker that has not answered for this long gets no new work.
-constexpr std::chrono::milliseconds kUnreachableAfter{3000};
 constexpr std::chrono::milliseconds kSyncRetryPeriod{200};
+constexpr std::chrono::milliseconds kWatchPeriod{500};
 
-schema::TaskRef ToRef(const TaskKey& task) {
-  schema::TaskRef ref;
-  ref.set_request_id(task.request_id);
-  ref.set_index(task.index);
-  ref.set_attempt(task.attempt);
-  return ref;
-}
-
-TaskKey ToKey(const schema::TaskRef& ref) { return {ref.request_id(), ref.index(), ref.attempt()}; }
-
-Resources ToResources(const schema::Resources& resources) {
-  return {static_cast<std::int64_t>(resources.processors() * 1000.0),
-          static_cast<std::int64_t>(resources.memory_mb()),
-          static_cast<std::int64_t>(resources.accelerators())};
-}
-
-void SetResources(const Resources& resources, schema::Resources* message) {
-  message->set_processors(static_cast<double>(resources.processors_milli) / 1000.0);
-  message->set_memory_mb(static_cast<std::uint64_t>(resources.memory_mb));
-  message->set_accelerators(static_cast<std::uint32_t>(resources.accelerators));
-}
-
-TaskOutcome ToOutcome(schema::TaskEnd end) {
-  switch (end) {
-    case schema::TASK_END_SUCCEEDED:
-      return TaskOutcome::kSucceeded;
-    case schema::TASK_END_STOPPED:
-      return TaskOutcome::kStopped;
-    case schema::TASK_END_LAPSED:
-      return TaskOutcome::kLapsed;
-    default:
-      return TaskOutcome::kFailed;
-  }
-}
+// Added to the lease before a task on a silent worker counts as stopped: a renewal may have reached
+// the worker as late as its call's deadline.
+constexpr std::chrono::milliseconds kLeaseMargin = kWorkerTimeout + std::chrono::milliseconds(3000);
 
 }  // namespace
 
 struct Dispatcher::Impl : std::enable_shared_from_this<Impl> {
+  struct AssignedTask {
+    bool confirmed = false;  // The worker said that it started the task.
+    bool given_up = false;   // Another attempt may have taken its place.
+    SteadyTime renewed;      // When the last renewal was sent.
+  };
+
   struct Worker {
     OwnedWorker owned;
     std::unique_ptr<WorkerLink> link;
-    std::set<TaskKey> tasks;        // Started or found running; their leases are renewed.
-    std::set<TaskKey> acknowledge;  // Ends that the home has taken.
-    std::set<TaskKey> reported;     // Ends handed to the home.
+    std::map<TaskKey, AssignedTask> tasks;  // Their leases are renewed.
+    std::set<TaskKey> acknowledge;          // Ends that the home has taken.
+    std::set<TaskKey> reported;             // Ends handed to the home.
+    std::uint64_t session = 0;              // Raised with each attach.
+    std::uint64_t incarnation = 0;
     bool attached = false;
     bool closed = false;
     SteadyTime last_answer;
@@ -72,12 +49,16 @@
   DispatcherOptions options;
   DispatcherHooks hooks;
   TimerId poll_timer;
+  TimerId watch_timer;
   mutable std::mutex mutex;
   std::unique_ptr<Engine> engine;
   std::map<std::string, std::shared_ptr<Worker>> workers;
+  std::set<TaskKey> starting;  // Decided, but not yet sent.
 
   static SteadyTime Now() { return std::chrono::steady_clock::now(); }
 
+  // ---- Set of workers ----
+
   void SetWorkers(const std::vector<OwnedWorker>& wanted) {
     std::vector<std::shared_ptr<Worker>> added;
     {
@@ -126,16 +107,50 @@
   }
 
   // Requires the mutex.
-  void Close(Worker& worker) {
+  std::vector<TaskKey> Close(Worker& worker) {
     worker.closed = true;
-    engine->RemoveWorker(worker.owned.id, Now());
+    return engine->RemoveWorker(worker.owned.id, Now());
+  }
+
+  void RemoveWorker(const std::string& id) {
+    std::vector<TaskEvent> events;
+    std::shared_ptr<Worker> worker;
+    {
+      std::lock_guard lock(mutex);
+      const auto found = workers.find(id);
+      if (found == workers.end()) return;
+      worker = found->second;
+      workers.erase(found);
+      for (const TaskKey& task : Close(*worker)) {
+        const auto job = hooks.find_job(task.request_id);
+        TaskEvent event = EventOf(*worker, task);
+        event.ended = true;
+        event.outcome = TaskOutcome::kLost;
+        event.again = job && job->idempotent;
+        if (event.again) engine->Requeue(task, Now());
+        events.push_back(std::move(event));
+      }
+    }
+    spdlog::warn("event=worker_removed worker={} tasks={}", id, events.size());
+    for (const TaskEvent& event : events) hooks.on_event(event, [] {});
+    Poll();
   }
 
-  static bool IsAccepting(const Worker& worker, SteadyTime now) {
+  bool IsAccepting(const Worker& worker, SteadyTime now) const {
     return worker.attached && !worker.closed && !worker.owned.leaving &&
-           now - worker.last_answer < kUnreachableAfter;
+           now - worker.last_answer < options.unreachable_after;
+  }
+
+  static TaskEvent EventOf(const Worker& worker, const TaskKey& task) {
+    TaskEvent event;
+    event.task = task;
+    event.worker = worker.owned.id;
+    event.worker_incarnation = worker.incarnation;
+    return event;
   }
 
+  // ---- Sync with a worker ----
+
   void Sync(const std::shared_ptr<Worker>& worker) {
     schema::WorkerSync sync;
     {
@@ -144,7 +159,10 @@
       sync.set_epoch(worker->owned.epoch);
       sync.set_owner(options.instance);
       sync.set_attach(!worker->attached);
-      for (const TaskKey& task : worker->tasks) *sync.add_renew() = ToRef(task);
+      if (sync.attach()) ++worker->session;
+      sync.set_session(worker->session);
+      // An attach renews nothing, so that leases on a worker that does not answer surely lapse.
+      if (!sync.attach()) AddRenewals(*worker, &sync);
       for (const TaskKey& task : worker->acknowledge) *sync.add_acknowledge() = ToRef(task);
     }
     SetDuration(options.task_lease, sync.mutable_lease());
@@ -156,32 +174,38 @@
         });
   }
 
+  // Requires the mutex.
+  static void AddRenewals(Worker& worker, schema::WorkerSync* sync) {
+    const SteadyTime now = Now();
+    for (auto& [task, assigned] : worker.tasks) {
+      if (assigned.given_up) continue;
+      assigned.renewed = now;
+      *sync->add_renew() = ToRef(task);
+    }
+  }
+
   void OnSynced(const std::shared_ptr<Worker>& worker, const schema::WorkerSync& sync,
                 const Result<schema::WorkerSyncResult>& result) {
-    if (!result || (result.value().code() != schema::CODE_OK &&
-                    result.value().code() != schema::CODE_STALE_EPOCH)) {
-      OnSyncFailed(worker);
-      return;
-    }
-    if (result.value().code() == schema::CODE_STALE_EPOCH) {
+    if (result && result.value().code() == schema::CODE_STALE_EPOCH) {
       spdlog::warn("event=worker_stale_epoch worker={} epoch={} highest={}", worker->owned.id,
                    sync.epoch(), result.value().epoch());
       hooks.on_stale_epoch(worker->owned.id);
       return;
     }
+    if (!result || result.value().code() != schema::CODE_OK) return OnSyncFailed(worker);
     std::vector<TaskEvent> events;
     {
       std::lock_guard lock(mutex);
       if (worker->closed) return;
       worker->last_answer = Now();
-      if (sync.attach()) Attach(*worker, result.value());
       worker->owned.leaving = worker->owned.leaving || result.value().leaving();
+      if (sync.attach()) Attach(*worker, result.value(), events);
       for (const schema::TaskRef& ref : sync.acknowledge()) {
         worker->acknowledge.erase(ToKey(ref));
         worker->reported.erase(ToKey(ref));
       }
       for (const schema::TaskReport& report : result.value().tasks()) {
-        if (auto event = TakeReport(*worker, report)) events.push_back(std::move(*event));
+        TakeReport(*worker, report, events);
       }
       engine->SetAccepting(worker->owned.id, IsAccepting(*worker, Now()), Now());
     }
@@ -202,8 +226,12 @@
   }
 
   // Requires the mutex.
-  void Attach(Worker& worker, const schema::WorkerSyncResult& result) {
+  void Attach(Worker& worker, const schema::WorkerSyncResult& result,
+              std::vector<TaskEvent>& events) {
+    const bool restarted = worker.incarnation != 0 && worker.incarnation != result.incarnation();
     worker.attached = true;
+    worker.incarnation = result.incarnation();
+    worker.reported.clear();
     WorkerSpec spec;
     spec.id = worker.owned.id;
     spec.rack = result.info().rack();
@@ -211,55 +239,121 @@
     spec.capacity = ToResources(result.info().capacity());
     spec.slots = result.info().slots();
     engine->PutWorker(spec, Now());
-    worker.reported.clear();
+    std::set<TaskKey> known;
     for (const schema::TaskReport& report : result.tasks()) {
-      if (report.end() != schema::TASK_END_NONE) continue;
-      JobSpec job;
-      job.id = report.task().request_id();
-      job.size = ToResources(report.size());
-      engine->AdoptTask(job, ToKey(report.task()), worker.owned.id, Now());
-      worker.tasks.insert(ToKey(report.task()));
+      known.insert(ToKey(report.task()));
+      if (report.end() == schema::TASK_END_NONE) Adopt(worker, report, events);
+    }
+    EndMissing(worker, known, restarted, events);
+  }
+
+  // Requires the mutex.
+  void Adopt(Worker& worker, const schema::TaskReport& report, std::vector<TaskEvent>& events) {
+    const TaskKey task = ToKey(report.task());
+    JobSpec job;
+    job.id = task.request_id;
+    job.size = ToResources(report.size());
+    engine->AdoptTask(job, task, worker.owned.id, Now());
+    auto [found, added] = worker.tasks.try_emplace(task);
+    found->second.confirmed = true;
+    found->second.renewed = Now();
+    events.push_back(EventOf(worker, task));
+  }
+
+  // Tasks that the worker does not know were never started, as starts of earlier sessions are
+  // rejected; or they were lost when it restarted. Requires the mutex.
+  void EndMissing(Worker& worker, const std::set<TaskKey>& known, bool restarted,
+                  std::vector<TaskEvent>& events) {
+    for (auto entry = worker.tasks.begin(); entry != worker.tasks.end();) {
+      if (known.contains(entry->first)) {
+        ++entry;
+        continue;
+      }
+      TaskEvent event = EventOf(worker, entry->first);
+      event.ended = true;
+      const bool started = restarted || entry->second.confirmed;
+      event.outcome = started ? TaskOutcome::kLapsed : TaskOutcome::kNotStarted;
+      if (restarted) event.outcome = TaskOutcome::kLost;
+      // The room is free either way: the worker does not run the task.
+      event.again =
+          engine->OnEnded(event.task, restarted ? TaskOutcome::kLapsed : event.outcome, Now());
+      events.push_back(std::move(event));
+      entry = worker.tasks.erase(entry);
     }
   }
 
   // Requires the mutex.
-  std::optional<TaskEvent> TakeReport(Worker& worker, const schema::TaskReport& report) {
+  void TakeReport(Worker& worker, const schema::TaskReport& report,
+                  std::vector<TaskEvent>& events) {
     const TaskKey task = ToKey(report.task());
     if (report.end() == schema::TASK_END_NONE) {
       engine->OnUsage(task, ToResources(report.used()), Now());
-      return std::nullopt;
+      return;
     }
     worker.tasks.erase(task);
-    if (!worker.reported.insert(task).second) return std::nullopt;
-    TaskEvent event;
-    event.task = task;
-    event.worker = worker.owned.id;
+    if (!worker.reported.insert(task).second) return;
+    TaskEvent event = EventOf(worker, task);
     event.ended = true;
     event.outcome = ToOutcome(report.end());
     event.result = report.result();
-    EndInEngine(event);
-    return event;
-  }
-
-  // Requires the mutex.
-  void EndInEngine(TaskEvent& event) {
     event.again = engine->OnEnded(event.task, event.outcome, Now());
+    events.push_back(std::move(event));
   }
 
   void Report(const std::shared_ptr<Worker>& worker, const TaskEvent& event) {
-    hooks.on_event(event, [weak = weak_from_this(), worker, task = event.task] {
-      if (auto self = weak.lock()) {
-        std::lock_guard lock(self->mutex);
-        worker->acknowledge.insert(task);
-      }
+    hooks.on_event(event, [weak = weak_from_this(), worker, event] {
+      auto self = weak.lock();
+      if (!self || !event.ended) return;
+      std::lock_guard lock(self->mutex);
+      worker->acknowledge.insert(event.task);
     });
   }
 
+  // ---- Workers that do not answer ----
+
+  void Watch(SteadyTime now) {
+    std::vector<TaskEvent> events;
+    {
+      std::lock_guard lock(mutex);
+      for (const auto& [id, worker] : workers) {
+        if (now - worker->last_answer < options.unreachable_after) continue;
+        engine->SetAccepting(id, false, now);
+        GiveUpTasks(*worker, now, events);
+      }
+    }
+    for (const TaskEvent& event : events) hooks.on_event(event, [] {});
+    if (!events.empty()) Poll();
+  }
+
+  // Requires the mutex.
+  void GiveUpTasks(Worker& worker, SteadyTime now, std::vector<TaskEvent>& events) {
+    for (auto& [task, assigned] : worker.tasks) {
+      if (assigned.given_up) continue;
+      const auto job = hooks.find_job(task.request_id);
+      if (!job || !job->idempotent)
+        continue;  // Its outcome stays unknown until the worker answers.
+      const bool lapsed = now - assigned.renewed > options.task_lease + kLeaseMargin;
+      const bool at_once = job->interactive && !job->exclusive;
+      if (!lapsed && !at_once) continue;
+      assigned.given_up = true;
+      TaskEvent event = EventOf(worker, task);
+      event.ended = true;
+      event.outcome = lapsed ? TaskOutcome::kLapsed : TaskOutcome::kLost;
+      event.again = engine->OnEnded(task, event.outcome, now);
+      events.push_back(std::move(event));
+    }
+  }
+
+  // ---- Actions ----
+
   void Poll() {
     std::vector<Action> actions;
     {
       std::lock_guard lock(mutex);
       actions = engine->Poll(Now());
+      for (const Action& action : actions) {
+        if (action.kind == ActionKind::kStart) starting.insert(action.task);
+      }
     }
     for (const Action& action : actions) CarryOut(action);
   }
@@ -267,13 +361,7 @@
   void CarryOut(const Action& action) {
     switch (action.kind) {
       case ActionKind::kStart:
-        hooks.before_start(action, [self = shared_from_this(), action](bool go) {
-          if (go) {
-            self->Start(action);
-          } else {
-            self->EndStart(action, TaskOutcome::kNotStarted, "");
-          }
-        });
+        Prepare(action);
         break;
       case ActionKind::kGiveUp:
         hooks.on_give_up(action);
@@ -290,6 +378,23 @@
     }
   }
 
+  void Prepare(const Action& action) {
+    const auto worker = FindWorker(action.worker);
+    if (!worker) return EndStart(action, "the worker is no longer owned");
+    std::uint64_t incarnation = 0;
+    {
+      std::lock_guard lock(mutex);
+      incarnation = worker->incarnation;
+    }
+    hooks.before_start(action, incarnation, [self = shared_from_this(), action](bool go) {
+      if (go) {
+        self->Start(action);
+      } else {
+        self->EndStart(action, "the start was not recorded");
+      }
+    });
+  }
+
   std::shared_ptr<Worker> FindWorker(const std::string& id) {
     std::lock_guard lock(mutex);
     const auto found = workers.find(id);
@@ -298,20 +403,29 @@
 
   void Start(const Action& action) {
     const auto worker = FindWorker(action.worker);
-    const auto request = hooks.find_request(action.task.request_id);
-    if (!worker || !request) return EndStart(action, TaskOutcome::kNotStarted, "");
+    const auto job = hooks.find_job(action.task.request_id);
+    if (!worker || !job) return EndStart(action, "the worker or the request is no longer owned");
+    if (action.latest_start && *action.latest_start <= Now() + std::chrono::milliseconds(1)) {
+      return EndStart(action, "the latest start has passed");
+    }
     schema::WorkerStart start;
-    start.set_epoch(worker->owned.epoch);
+    {
+      std::lock_guard lock(mutex);
+      starting.erase(action.task);
+      worker->tasks[action.task].renewed = Now();
+      start.set_epoch(worker->owned.epoch);
+      start.set_session(worker->session);
+    }
     *start.mutable_task() = ToRef(action.task);
     SetResources(action.size, start.mutable_size());
-    start.set_payload(request->payload());
-    start.set_work_class(request->work_class());
-    *start.mutable_run_time() = request->run_time();
+    start.set_payload(job->request->payload());
+    start.set_work_class(job->request->work_class());
+    *start.mutable_run_time() = job->request->run_time();
     SetDuration(options.task_lease, start.mutable_lease());
     if (action.latest_start) {
-      const auto left =
-          std::chrono::duration_cast<std::chrono::milliseconds>(*action.latest_start - Now());
-      SetDuration(std::max(left, std::chrono::milliseconds(1)), start.mutable_start_within());
+      SetDuration(
+          std::chrono::duration_cast<std::chrono::milliseconds>(*action.latest_start - Now()),
+          start.mutable_start_within());
     }
     worker->link->Start(
         start, [self = shared_from_this(), worker, action](Result<schema::WorkerResult> result) {
@@ -321,36 +435,40 @@
 
   void OnStarted(const std::shared_ptr<Worker>& worker, const Action& action,
                  const Result<schema::WorkerResult>& result) {
+    std::unique_lock lock(mutex);
+    const auto found = worker->tasks.find(action.task);
+    if (found == worker->tasks.end()) return;  // Its end was reported first.
     if (!result) {
-      // The task may be running: the next sync attaches and tells.
-      std::lock_guard lock(mutex);
-      worker->tasks.insert(action.task);
-      worker->attached = false;
+      worker->attached = false;  // The task may be running; attaching tells.
+      engine->SetAccepting(worker->owned.id, false, Now());
       return;
     }
-    if (result.value().code() != schema::CODE_OK) {
-      spdlog::warn("event=start_rejected request={} worker={} code={} reason=\"{}\"",
-                   action.task.request_id, action.worker, static_cast<int>(result.value().code()),
-                   result.value().message());
-      EndStart(action, TaskOutcome::kNotStarted, result.value().message());
-      if (result.value().code() == schema::CODE_STALE_EPOCH) hooks.on_stale_epoch(action.worker);
+    if (result.value().code() == schema::CODE_OK) {
+      found->second.confirmed = true;
+      engine->OnStarted(action.task, Now());
       return;
     }
-    std::lock_guard lock(mutex);
-    worker->tasks.insert(action.task);
-    engine->OnStarted(action.task, Now());
+    worker->tasks.erase(found);
+    lock.unlock();
+    spdlog::warn("event=start_rejected request={} worker={} code={} reason=\"{}\"",
+                 action.task.request_id, action.worker, static_cast<int>(result.value().code()),
+                 result.value().message());
+    EndStart(action, result.value().message());
+    if (result.value().code() == schema::CODE_STALE_EPOCH) hooks.on_stale_epoch(action.worker);
   }
 
-  void EndStart(const Action& action, TaskOutcome outcome, const std::string& reason) {
+  // The task was certainly not started.
+  void EndStart(const Action& action, const std::string& reason) {
     TaskEvent event;
     event.task = action.task;
     event.worker = action.worker;
     event.ended = true;
-    event.outcome = outcome;
+    event.outcome = TaskOutcome::kNotStarted;
     event.result = reason;
     {
       std::lock_guard lock(mutex);
-      EndInEngine(event);
+      starting.erase(action.task);
+      event.again = engine->OnEnded(event.task, event.outcome, Now());
     }
     hooks.on_event(event, [] {});
     runtime.Post([self = shared_from_this()] { self->Poll(); });
@@ -365,6 +483,39 @@
     *control.mutable_task() = ToRef(action.task);
     worker->link->Control(control, [](Result<schema::WorkerResult>) {});
   }
+
+  // ---- Questions ----
+
+  TaskKnowledge Query(const TaskKey& task, const std::string& worker,
+                      std::uint64_t incarnation) const {
+    std::lock_guard lock(mutex);
+    if (starting.contains(task)) return TaskKnowledge::kRunning;
+    if (worker.empty()) return QueryAll(task);
+    const auto found = workers.find(worker);
+    if (found == workers.end()) return TaskKnowledge::kUnknown;
+    return QueryOne(*found->second, task, incarnation);
+  }
+
+  // Requires the mutex.
+  static TaskKnowledge QueryOne(const Worker& worker, const TaskKey& task,
+                                std::uint64_t incarnation) {
+    if (worker.tasks.contains(task)) return TaskKnowledge::kRunning;
+    if (worker.reported.contains(task)) return TaskKnowledge::kEnded;
+    if (!worker.attached) return TaskKnowledge::kUnknown;
+    if (incarnation != 0 && incarnation != worker.incarnation) return TaskKnowledge::kLost;
+    return TaskKnowledge::kNeverStarted;
+  }
+
+  // Requires the mutex.
+  TaskKnowledge QueryAll(const TaskKey& task) const {
+    TaskKnowledge known = TaskKnowledge::kNeverStarted;
+    for (const auto& [id, worker] : workers) {
+      const TaskKnowledge one = QueryOne(*worker, task, 0);
+      if (one == TaskKnowledge::kRunning || one == TaskKnowledge::kEnded) return one;
+      if (one == TaskKnowledge::kUnknown) known = one;
+    }
+    return known;
+  }
 };
 
 Result<std::unique_ptr<Dispatcher>> Dispatcher::Create(Runtime& runtime, TimerService& timers,
@@ -377,17 +528,25 @@
   impl->poll_timer = timers.Every(kDispatchPeriod, [weak = std::weak_ptr(impl)](SteadyTime) {
     if (auto self = weak.lock()) self->Poll();
   });
+  impl->watch_timer = timers.Every(kWatchPeriod, [weak = std::weak_ptr(impl)](SteadyTime now) {
+    if (auto self = weak.lock()) self->Watch(now);
+  });
   return std::unique_ptr<Dispatcher>(new Dispatcher(std::move(impl)));
 }
 
 Dispatcher::Dispatcher(std::shared_ptr<Impl> impl) : m_impl(std::move(impl)) {}
 
-Dispatcher::~Dispatcher() { m_impl->timers.Cancel(m_impl->poll_timer); }
+Dispatcher::~Dispatcher() {
+  m_impl->timers.Cancel(m_impl->poll_timer);
+  m_impl->timers.Cancel(m_impl->watch_timer);
+}
 
 void Dispatcher::SetWorkers(const std::vector<OwnedWorker>& workers) {
   m_impl->SetWorkers(workers);
 }
 
+void Dispatcher::RemoveWorker(const std::string& worker) { m_impl->RemoveWorker(worker); }
+
 Admission Dispatcher::Submit(const JobSpec& job) {
   Admission admission;
   {
@@ -408,6 +567,20 @@
   return known;
 }
 
+std::vector<JobSpec> Dispatcher::TakeWaiting(std::size_t max) {
+  std::lock_guard lock(m_impl->mutex);
+  std::vector<JobSpec> tasks = m_impl->engine->WaitingTasks(max, Impl::Now());
+  std::erase_if(tasks, [&](const JobSpec& job) {
+    return !m_impl->engine->Withdraw({job.id, job.first_index, job.first_attempt}, Impl::Now());
+  });
+  return tasks;
+}
+
+TaskKnowledge Dispatcher::Query(const TaskKey& task, const std::string& worker,
+                                std::uint64_t worker_incarnation) const {
+  return m_impl->Query(task, worker, worker_incarnation);
+}
+
 EngineStats Dispatcher::Stats() const {
   std::lock_guard lock(m_impl->mutex);
   return m_impl->engine->Stats();
--- a/src/engine.cc
+++ b/src/engine.cc
@@ -163,6 +163,13 @@
   return tasks;
 }
 
+void Engine::Requeue(const TaskKey& task, SteadyTime) {
+  const auto found = m_impl->jobs.find(task.request_id);
+  if (found == m_impl->jobs.end() || found->second.cancelled) return;
+  found->second.waiting.push_back(TaskKey{task.request_id, task.index, task.attempt + 1});
+  m_impl->queue.push_back(task.request_id);
+}
+
 bool Engine::Withdraw(const TaskKey& task, SteadyTime) {
   const auto found = m_impl->jobs.find(task.request_id);
   if (found == m_impl->jobs.end()) return false;
--- a/src/home.cc
+++ b/src/home.cc
@@ -1,33 +1,12 @@
 #include "citronsill/home.h"
 
+#include "citronsill/convert.h"
 #include "citronsill/ownership.h"
 #include "internal.h"
 
 namespace citronsill {
 namespace {
 
-Resources SizeOf(const schema::Request& request, const schema::WorkClass& work_class) {
-  const schema::Resources& size = request.has_size() ? request.size() : work_class.default_size();
-  return {static_cast<std::int64_t>(size.processors() * 1000.0),
-          static_cast<std::int64_t>(size.memory_mb()),
-          static_cast<std::int64_t>(size.accelerators())};
-}
-
-SchedulingPolicy PolicyOf(schema::Policy policy) {
-  switch (policy) {
-    case schema::POLICY_BATCH:
-      return SchedulingPolicy::kBatch;
-    case schema::POLICY_SERVICE:
-      return SchedulingPolicy::kService;
-    default:
-      return SchedulingPolicy::kInteractive;
-  }
-}
-
-bool IsIdempotent(const schema::Request& request, const schema::WorkClass& work_class) {
-  return request.has_idempotent() ? request.idempotent() : work_class.idempotent();
-}
-
 // Work whose second run would do harm, or whose caller does not wait, is written to the journal.
 bool IsDurable(const schema::Request& request, const schema::WorkClass& work_class) {
   return work_class.durable() || work_class.exclusive() || request.no_wait() ||
@@ -39,25 +18,6 @@
   return work_class.exclusive() || !IsIdempotent(request, work_class);
 }
 
-JobSpec MakeJob(const std::string& id, const schema::Request& request,
-                const schema::WorkClass& work_class) {
-  JobSpec job;
-  job.id = id;
-  job.work_class = request.work_class();
-  job.team = request.team();
-  job.policy = PolicyOf(work_class.policy());
-  job.size = SizeOf(request, work_class);
-  job.run_time =
-      ToMilliseconds(request.has_run_time() ? request.run_time() : work_class.default_run_time());
-  job.task_count = std::max(1U, request.task_count());
-  job.all_at_once = request.all_at_once();
-  job.urgent = request.urgency() == schema::URGENCY_URGENT;
-  job.idempotent = IsIdempotent(request, work_class);
-  job.exclusive = work_class.exclusive();
-  job.max_attempts = std::max(1U, work_class.max_attempts());
-  return job;
-}
-
 }  // namespace
 
 struct Home::Impl : std::enable_shared_from_this<Impl> {
@@ -185,7 +145,8 @@
     });
   }
 
-  void BeforeStart(const Action& start, const std::function<void(bool)>& go) {
+  void BeforeStart(const Action& start, std::uint64_t worker_incarnation,
+                   const std::function<void(bool)>& go) {
     const auto request = ledger.Find(start.task.request_id);
     const auto work_class = request ? hooks.find_class(request->work_class()) : std::nullopt;
     if (!request || !work_class || !Serves(Partition(start.task.request_id))) return go(false);
@@ -198,6 +159,7 @@
     entry.set_partition(Partition(start.task.request_id).value);
     entry.set_request_id(start.task.request_id);
     entry.set_worker(start.worker);
+    entry.set_worker_incarnation(worker_incarnation);
     entry.set_task_index(start.task.index);
     entry.set_attempt(start.task.attempt);
     journal.Append({entry},
@@ -286,8 +248,9 @@
 
 schema::Ack Home::OnForward(const schema::Forward& forward) { return m_impl->OnForward(forward); }
 
-void Home::BeforeStart(const Action& start, std::function<void(bool)> go) {
-  m_impl->BeforeStart(start, go);
+void Home::BeforeStart(const Action& start, std::uint64_t worker_incarnation,
+                       std::function<void(bool)> go) {
+  m_impl->BeforeStart(start, worker_incarnation, go);
 }
 
 void Home::OnTaskEvent(const TaskEvent& event, std::function<void()> done) {
@@ -311,14 +274,19 @@
       [this, partition](const std::string& id) { return m_impl->Partition(id) == partition; });
 }
 
-std::optional<schema::Request> Home::FindRequest(const std::string& request_id) const {
+std::optional<TaskJob> Home::FindJob(const std::string& request_id) const {
   auto request = m_impl->ledger.Find(request_id);
   if (!request) return std::nullopt;
-  if (const auto work_class = m_impl->hooks.find_class(request->work_class()); work_class) {
-    if (!request->has_run_time()) *request->mutable_run_time() = work_class->default_run_time();
-    if (!request->has_size()) *request->mutable_size() = work_class->default_size();
-  }
-  return request;
+  const auto work_class = m_impl->hooks.find_class(request->work_class());
+  if (!work_class) return std::nullopt;
+  if (!request->has_run_time()) *request->mutable_run_time() = work_class->default_run_time();
+  if (!request->has_size()) *request->mutable_size() = work_class->default_size();
+  TaskJob job;
+  job.idempotent = IsIdempotent(*request, *work_class);
+  job.exclusive = work_class->exclusive();
+  job.interactive = work_class->policy() == schema::POLICY_INTERACTIVE;
+  job.request = std::make_shared<schema::Request>(std::move(*request));
+  return job;
 }
 
 Result<void> Home::Cancel(const std::string& request_id) {
--- a/src/instance.cc
+++ b/src/instance.cc
@@ -11,6 +11,7 @@
 #include "citronsill/membership.h"
 #include "citronsill/ownership.h"
 #include "citronsill/peer.h"
+#include "citronsill/router.h"
 #include "citronsill/table.h"
 #include "citronsill/timer.h"
 #include "internal.h"
@@ -21,6 +22,7 @@
 // An entry instance that cannot be reached for this many tries has failed; its caller asks again.
 constexpr int kMaxDeliverTries = 20;
 constexpr std::chrono::milliseconds kDrainCheckPeriod{200};
+constexpr std::chrono::milliseconds kCheckPlacedPeriod{1000};
 
 template <class Message>
 Result<Message> ParseMessage(const Result<std::string>& json) {
@@ -50,6 +52,7 @@
   std::unique_ptr<Journal> journal;
   std::unique_ptr<Ledger> ledger;
   std::unique_ptr<Dispatcher> dispatcher;
+  std::unique_ptr<TaskRouter> router;
   std::unique_ptr<Home> home;
   std::unique_ptr<Entry> entry;
   std::unique_ptr<Api> api;
@@ -78,6 +81,7 @@
     BOOST_OUTCOME_TRY(BuildMembership());
     BOOST_OUTCOME_TRY(BuildOwnership());
     BOOST_OUTCOME_TRY(BuildJournal());
+    BOOST_OUTCOME_TRY(BuildRouter());
     BOOST_OUTCOME_TRY(BuildDispatcher());
     BOOST_OUTCOME_TRY(BuildHome());
     BOOST_OUTCOME_TRY(BuildEntry());
@@ -151,17 +155,18 @@
     options.task_lease = ToMilliseconds(settings.task_lease());
     options.sync_wait = kWorkerSyncWait;
     DispatcherHooks hooks;
-    hooks.before_start = [this](const Action& action, const std::function<void(bool)>& go) {
-      home->BeforeStart(action, go);
+    hooks.before_start = [this](const Action& action, std::uint64_t incarnation_of_worker,
+                                const std::function<void(bool)>& go) {
+      router->BeforeStart(action, incarnation_of_worker, go);
     };
     hooks.on_event = [this](const TaskEvent& event, const std::function<void()>& done) {
-      home->OnTaskEvent(event, done);
+      router->OnEvent(event, done);
     };
-    hooks.on_give_up = [this](const Action& action) { home->OnGiveUp(action); };
+    hooks.on_give_up = [this](const Action& action) { router->OnGiveUp(action); };
     hooks.on_stale_epoch = [this](const std::string& worker) {
       ownership->OnFenced(Partition(worker));
     };
-    hooks.find_request = [this](const std::string& id) { return home->FindRequest(id); };
+    hooks.find_job = [this](const std::string& id) { return router->FindJob(id); };
     EngineOptions engine_options;
     engine_options.seed = incarnation;
     engine_options.max_waiting_jobs = kMaxPendingRequests;
@@ -170,6 +175,53 @@
     return Success();
   }
 
+  Result<void> BuildRouter() {
+    RouterOptions options;
+    options.instance = settings.instance_id();
+    RouterHooks hooks;
+    hooks.is_home = [this](const std::string& id) {
+      return ownership->OwnedEpoch(Partition(id)).has_value();
+    };
+    hooks.owns_worker = hooks.is_home;
+    hooks.home_address = [this](const std::string& id) { return OwnerAddress(id); };
+    hooks.peers = [this] { return Peers(); };
+    hooks.call = [this](const std::string& address, const std::string& method, std::string params,
+                        std::function<void(Result<std::string>)> done) {
+      peer_client->Call(address, method, std::move(params), kPeerTimeout, std::move(done));
+    };
+    hooks.submit = [this](const JobSpec& job) { return dispatcher->Submit(job); };
+    hooks.take_waiting = [this](std::size_t max) { return dispatcher->TakeWaiting(max); };
+    hooks.stats = [this] { return dispatcher->Stats(); };
+    hooks.to_home = [this](const TaskEvent& event, const std::function<void()>& done) {
+      home->OnTaskEvent(event, done);
+    };
+    hooks.before_start = [this](const Action& action, std::uint64_t incarnation_of_worker,
+                                const std::function<void(bool)>& go) {
+      home->BeforeStart(action, incarnation_of_worker, go);
+    };
+    hooks.find_home_job = [this](const std::string& id) { return home->FindJob(id); };
+    hooks.give_up = [this](const Action& action) { home->OnGiveUp(action); };
+    hooks.find_class = [this](const std::string& name) { return FindClass(name); };
+    hooks.investigate = [](const TaskKey&) {};
+    BOOST_OUTCOME_TRY(router, TaskRouter::Create(*timers, options, std::move(hooks)));
+    return Success();
+  }
+
+  std::vector<schema::MemberState> Peers() const {
+    std::vector<schema::MemberState> peers = membership->Live(Now());
+    std::erase_if(peers, [this](const schema::MemberState& member) {
+      return member.id() == settings.instance_id();
+    });
+    return peers;
+  }
+
+  std::optional<schema::WorkClass> FindClass(const std::string& name) const {
+    for (const schema::WorkClass& work_class : settings.classes()) {
+      if (work_class.name() == name) return work_class;
+    }
+    return std::nullopt;
+  }
+
   Result<void> BuildHome() {
     HomeOptions options;
     options.partition_count = settings.partition_count();
@@ -182,12 +234,7 @@
     };
     hooks.submit = [this](const JobSpec& job) { return dispatcher->Submit(job); };
     hooks.cancel = [this](const std::string& id) { return dispatcher->Cancel(id); };
-    hooks.find_class = [this](const std::string& name) -> std::optional<schema::WorkClass> {
-      for (const schema::WorkClass& work_class : settings.classes()) {
-        if (work_class.name() == name) return work_class;
-      }
-      return std::nullopt;
-    };
+    hooks.find_class = [this](const std::string& name) { return FindClass(name); };
     BOOST_OUTCOME_TRY(home, Home::Create(*ledger, *journal, options, std::move(hooks)));
     return Success();
   }
@@ -257,6 +304,14 @@
           entry->OnDeliver(deliver.answer());
           return schema::Ack();
         });
+    Register<schema::Place, schema::PlaceResult>(
+        "place", [this](const schema::Place& place) -> Result<schema::PlaceResult> {
+          return router->OnPlace(place);
+        });
+    Register<schema::TaskUpdate, schema::Ack>(
+        "task_update", [this](const schema::TaskUpdate& update) -> Result<schema::Ack> {
+          return router->OnTaskUpdate(update);
+        });
     for (const char* method : {"status", "cancel"}) {
       Register<schema::RequestId, schema::Answer>(
           method,
@@ -273,10 +328,14 @@
     every(kGossipPeriod, &Impl::Gossip);
     every(kOwnershipPeriod, &Impl::TickOwnership);
     every(kDirectoryPeriod, &Impl::RefreshDirectory);
+    every(kDispatchPeriod, &Impl::OffloadTasks);
+    every(kCheckPlacedPeriod, &Impl::CheckPlacedTasks);
     runtime.Post([self = shared_from_this()] { self->RefreshDirectory(); });
   }
 
   void TickOwnership() { ownership->Tick(Now()); }
+  void OffloadTasks() { router->Offload(); }
+  void CheckPlacedTasks() { router->CheckPlaced(); }
 
   schema::Gossip MakeGossip() {
     schema::Gossip gossip;
@@ -434,6 +493,7 @@
   void StartDraining() {
     if (draining.exchange(true)) return;
     entry->Drain();
+    router->Drain();
     ownership->Leave();
   }
 
--- a/tools/standin_worker.h
+++ b/tools/standin_worker.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "citronsill/codec.h"
+#include "citronsill/convert.h"
 #include "citronsill/types.h"
 #include "schema/citronsill.pb.h"
 
@@ -29,7 +30,9 @@
 
 class StandinWorker {
  public:
-  explicit StandinWorker(schema::WorkerInfo info) : m_info(std::move(info)) {}
+  /// @param incarnation differs for each start of the worker.
+  explicit StandinWorker(schema::WorkerInfo info, std::uint64_t incarnation = 1)
+      : m_info(std::move(info)), m_incarnation(incarnation) {}
 
   void SetFailAll(bool fail) { m_fail_all = fail; }
   void SetLeaving(bool leaving) { m_leaving = leaving; }
@@ -56,13 +59,17 @@
   schema::WorkerResult Start(const schema::WorkerStart& start, SteadyTime now) {
     Advance(now);
     if (start.epoch() < m_epoch) return Reject(schema::CODE_STALE_EPOCH, "a higher epoch was seen");
+    if (start.epoch() == m_epoch && start.session() < m_session) {
+      return Reject(schema::CODE_WORKER_REJECTED, "the owner has attached again since");
+    }
+    if (start.epoch() > m_epoch) m_session = start.session();
     m_epoch = start.epoch();
-    const TaskKey task = Key(start.task());
+    const TaskKey task = ToKey(start.task());
     if (m_seen.contains(task)) return Reject(schema::CODE_WORKER_REJECTED, "seen before");
-    const Resources size = Size(start.size());
+    const Resources size = ToResources(start.size());
     Resources needed = m_used;
     needed += size;
-    if (!Size(m_info.capacity()).Covers(needed) || m_running.size() >= m_info.slots()) {
+    if (!ToResources(m_info.capacity()).Covers(needed) || m_running.size() >= m_info.slots()) {
       return Reject(schema::CODE_WORKER_REJECTED, "over capacity");
     }
     m_seen[task] = true;
@@ -86,7 +93,7 @@
       return Reject(schema::CODE_STALE_EPOCH, "a higher epoch was seen");
     }
     m_epoch = control.epoch();
-    const TaskKey task = Key(control.task());
+    const TaskKey task = ToKey(control.task());
     const auto found = m_running.find(task);
     if (found != m_running.end() && control.operation() == "throttle") {
       found->second.done_at += (found->second.done_at - now);
@@ -107,13 +114,15 @@
       result.set_epoch(m_epoch);
       return result;
     }
+    if (sync.epoch() > m_epoch) m_session = 0;
     m_epoch = sync.epoch();
+    m_session = std::max(m_session, sync.session());
     for (const schema::TaskRef& ref : sync.renew()) {
-      if (auto found = m_running.find(Key(ref)); found != m_running.end()) {
+      if (auto found = m_running.find(ToKey(ref)); found != m_running.end()) {
         found->second.lease_until = now + ToMilliseconds(sync.lease());
       }
     }
-    for (const schema::TaskRef& ref : sync.acknowledge()) m_ended.erase(Key(ref));
+    for (const schema::TaskRef& ref : sync.acknowledge()) m_ended.erase(ToKey(ref));
     if (sync.attach()) {
       for (auto& [task, ended] : m_ended) ended.reported = false;
     }
@@ -129,19 +138,20 @@
   /// Fills in the reports of an accepted sync.
   void Report(schema::WorkerSyncResult* result) {
     result->set_epoch(m_epoch);
+    result->set_incarnation(m_incarnation);
     *result->mutable_info() = m_info;
     result->set_leaving(m_leaving);
     for (const auto& [task, running] : m_running) {
       schema::TaskReport* report = result->add_tasks();
-      SetRef(task, report->mutable_task());
-      SetSize(running.size, report->mutable_size());
-      SetSize(running.size, report->mutable_used());
+      *report->mutable_task() = ToRef(task);
+      SetResources(running.size, report->mutable_size());
+      SetResources(running.size, report->mutable_used());
     }
     for (auto& [task, ended] : m_ended) {
       if (ended.reported) continue;
       ended.reported = true;
       schema::TaskReport* report = result->add_tasks();
-      SetRef(task, report->mutable_task());
+      *report->mutable_task() = ToRef(task);
       report->set_end(ended.end);
       report->set_result(ended.result);
     }
@@ -166,28 +176,6 @@
     bool reported = false;
   };
 
-  static TaskKey Key(const schema::TaskRef& ref) {
-    return {ref.request_id(), ref.index(), ref.attempt()};
-  }
-
-  static void SetRef(const TaskKey& task, schema::TaskRef* ref) {
-    ref->set_request_id(task.request_id);
-    ref->set_index(task.index);
-    ref->set_attempt(task.attempt);
-  }
-
-  static Resources Size(const schema::Resources& size) {
-    return {static_cast<std::int64_t>(size.processors() * 1000.0),
-            static_cast<std::int64_t>(size.memory_mb()),
-            static_cast<std::int64_t>(size.accelerators())};
-  }
-
-  static void SetSize(const Resources& size, schema::Resources* message) {
-    message->set_processors(static_cast<double>(size.processors_milli) / 1000.0);
-    message->set_memory_mb(static_cast<std::uint64_t>(size.memory_mb));
-    message->set_accelerators(static_cast<std::uint32_t>(size.accelerators));
-  }
-
   schema::WorkerResult Reject(schema::Code code, const std::string& message) const {
     schema::WorkerResult result;
     result.set_code(code);
@@ -214,9 +202,11 @@
   }
 
   schema::WorkerInfo m_info;
+  std::uint64_t m_incarnation;
   bool m_fail_all = false;
   bool m_leaving = false;
   std::uint64_t m_epoch = 0;
+  std::uint64_t m_session = 0;
   Resources m_used;
   std::map<TaskKey, bool> m_seen;
   std::map<TaskKey, RunningTask> m_running;
--- a/tools/worker_standin.cc
+++ b/tools/worker_standin.cc
@@ -33,7 +33,9 @@
 // One worker with its syncs that wait for news.
 class ServedWorker {
  public:
-  explicit ServedWorker(const schema::WorkerInfo& info) : m_worker(info) {}
+  explicit ServedWorker(const schema::WorkerInfo& info)
+      : m_worker(info, static_cast<std::uint64_t>(
+                           std::chrono::steady_clock::now().time_since_epoch().count())) {}
 
   void Handle(const HttpRequest& request, const HttpReply& reply) {
     std::lock_guard lock(m_mutex);
