Load tool that behaves as callers do and checks the invariants

citronsill_load sends a mixed load of a deployment, asks again with the same key after a failed connection, polls accepted work until its outcome, and then compares what callers were told with the histories of the workers.

--- /dev/null
+++ b/tools/citronsill_load.cc
@@ -0,0 +1,395 @@
+// Load generator and experiment tool: sends a mixed load like that of a deployment to the entry
+// instances, behaves as their callers do, and checks the invariants over the workers' histories.
+#include <algorithm>
+#include <boost/program_options.hpp>
+#include <condition_variable>
+#include <iostream>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <set>
+#include <sstream>
+
+#include "citronsill/codec.h"
+#include "citronsill/http.h"
+#include "citronsill/ledger.h"
+#include "citronsill/timer.h"
+#include "history_check.h"
+#include "schema/citronsill.pb.h"
+
+namespace options = boost::program_options;
+
+namespace citronsill {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kCallerRetryPeriod{250};
+constexpr milliseconds kPollPeriod{500};
+
+// One kind of work in the mix.
+struct Kind {
+  std::string work_class;
+  double weight = 0.0;
+  milliseconds run_time{0};
+  milliseconds deadline{0};
+  bool idempotent = true;
+  bool exclusive = false;
+  bool no_wait = false;
+  std::uint32_t task_count = 1;
+};
+
+std::vector<Kind> MixOf(const std::string& deployment) {
+  if (deployment == "shipyard") {
+    return {{"cut-list", 65, milliseconds(60), milliseconds(4000)},
+            {"lashing-check", 20, milliseconds(200), milliseconds(8000), false, true},
+            {"hull-fairing", 15, milliseconds(1000), milliseconds(60000), true, false, true}};
+  }
+  return {{"quick-quote", 70, milliseconds(50), milliseconds(4000)},
+          {"order", 15, milliseconds(80), milliseconds(8000), false},
+          {"fitting-batch", 10, milliseconds(300), milliseconds(20000), true, true},
+          {"forge-plan", 5, milliseconds(800), milliseconds(60000), true, false, true, 2}};
+}
+
+struct Plan {
+  std::vector<std::string> entries;
+  std::string platform;
+  std::string deployment;
+  std::string prefix;
+  double rate = 50.0;
+  double straggler_share = 0.01;
+  double straggler_factor = 20.0;
+  std::chrono::seconds duration{10};
+  std::chrono::seconds settle{40};
+  std::uint64_t seed = 1;
+  bool check = true;
+};
+
+// One request of a caller, from its first try to its outcome.
+struct Caller {
+  Kind kind;
+  schema::Request request;
+  std::string id;
+  SteadyTime begin;
+  SteadyTime answered;
+  int tries = 0;
+  bool is_final = false;
+  bool accepted = false;
+  bool unknown = false;  // An answer or the lack of one left the outcome open.
+  schema::Answer answer;
+};
+
+class Load {
+ public:
+  Load(Runtime& runtime, TimerService& timers, Plan plan)
+      : m_runtime(runtime), m_timers(timers), m_plan(std::move(plan)), m_random(m_plan.seed) {}
+
+  Result<void> Open() {
+    for (const std::string& entry : m_plan.entries) {
+      HttpClientOptions client_options;
+      client_options.address = entry;
+      client_options.max_connections = 256;
+      client_options.max_waiting = 100000;
+      BOOST_OUTCOME_TRY(auto client, HttpClient::Create(m_runtime, client_options));
+      m_clients.push_back(std::move(client));
+    }
+    return Success();
+  }
+
+  void Run() {
+    const SteadyTime begin = std::chrono::steady_clock::now();
+    std::exponential_distribution<double> gap(m_plan.rate);
+    SteadyTime next = begin;
+    while (next < begin + m_plan.duration) {
+      std::this_thread::sleep_until(next);
+      Send(MakeCaller());
+      next += std::chrono::duration_cast<SteadyTime::duration>(
+          std::chrono::duration<double>(gap(m_random)));
+    }
+    std::unique_lock lock(m_mutex);
+    m_changed.wait_for(lock, m_plan.settle, [this] { return m_open == 0; });
+  }
+
+  nlohmann::json Summary() {
+    std::lock_guard lock(m_mutex);
+    nlohmann::json summary;
+    std::map<std::string, std::vector<double>> waits;
+    std::map<std::string, std::uint64_t> outcomes;
+    std::uint64_t retries = 0;
+    for (const auto& caller : m_callers) {
+      const std::string outcome =
+          caller->is_final ? std::string(CodeName(caller->answer.code())) : "NO_OUTCOME";
+      ++outcomes[caller->kind.work_class + "." + outcome];
+      retries += static_cast<std::uint64_t>(caller->tries - 1);
+      if (caller->answer.code() != schema::CODE_OK || !caller->is_final) continue;
+      waits[caller->kind.work_class].push_back(
+          std::chrono::duration<double, std::milli>(caller->answered - caller->begin).count());
+    }
+    for (auto& [work_class, values] : waits) {
+      std::sort(values.begin(), values.end());
+      summary["latency_ms"][work_class] = {{"p50", values[values.size() / 2]},
+                                           {"p99", values[values.size() * 99 / 100]},
+                                           {"max", values.back()}};
+    }
+    summary["sent"] = m_callers.size();
+    summary["without_outcome"] = m_open;
+    summary["retries"] = retries;
+    summary["outcomes"] = outcomes;
+    return summary;
+  }
+
+  std::vector<CallerRecord> Records() {
+    std::lock_guard lock(m_mutex);
+    std::vector<CallerRecord> records;
+    for (const auto& caller : m_callers) {
+      CallerRecord record;
+      record.request = caller->id;
+      record.work_class = caller->kind.work_class;
+      record.payload = caller->request.payload();
+      record.task_count = caller->kind.task_count;
+      record.idempotent = caller->kind.idempotent;
+      record.exclusive = caller->kind.exclusive;
+      record.accepted = caller->accepted;
+      record.final = caller->is_final;
+      record.succeeded = caller->is_final && caller->answer.code() == schema::CODE_OK;
+      record.not_run = caller->is_final && caller->answer.not_run();
+      record.results.assign(caller->answer.results().begin(), caller->answer.results().end());
+      records.push_back(std::move(record));
+    }
+    return records;
+  }
+
+ private:
+  std::shared_ptr<Caller> MakeCaller() {
+    const std::vector<Kind> mix = MixOf(m_plan.deployment);
+    std::vector<double> weights;
+    for (const Kind& kind : mix) weights.push_back(kind.weight);
+    std::discrete_distribution<std::size_t> choose(weights.begin(), weights.end());
+    std::lognormal_distribution<double> spread(0.0, 0.3);
+    std::bernoulli_distribution straggles(m_plan.straggler_share);
+    auto caller = std::make_shared<Caller>();
+    caller->kind = mix[choose(m_random)];
+    const double factor = spread(m_random) * (straggles(m_random) ? m_plan.straggler_factor : 1.0);
+    const milliseconds run_time(
+        static_cast<std::int64_t>(static_cast<double>(caller->kind.run_time.count()) * factor));
+    schema::Request& request = caller->request;
+    request.set_work_class(caller->kind.work_class);
+    request.set_team("team-" + std::to_string(m_random() % 4));
+    request.set_key(m_plan.prefix + "-" + std::to_string(++m_last));
+    request.set_payload("item " + std::to_string(m_last));
+    request.set_task_count(caller->kind.task_count);
+    request.set_all_at_once(caller->kind.task_count > 1);
+    request.set_no_wait(caller->kind.no_wait);
+    SetDuration(run_time, request.mutable_run_time());
+    SetDuration(caller->kind.deadline, request.mutable_deadline());
+    caller->id = RequestIdOf(request.team(), request.key());
+    caller->begin = std::chrono::steady_clock::now();
+    std::lock_guard lock(m_mutex);
+    m_callers.push_back(caller);
+    ++m_open;
+    return caller;
+  }
+
+  HttpClient& AnyClient() {
+    std::lock_guard lock(m_mutex);
+    return *m_clients[m_random() % m_clients.size()];
+  }
+
+  void Send(const std::shared_ptr<Caller>& caller) {
+    ++caller->tries;
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/v1/requests";
+    request.body = ToJson(caller->request);
+    AnyClient().Send(
+        request, caller->kind.deadline + milliseconds(1000),
+        [this, caller](const Result<HttpResponse>& response) { OnAnswer(caller, response); });
+  }
+
+  void Poll(const std::shared_ptr<Caller>& caller) {
+    HttpRequest request;
+    request.target = "/v1/requests/" + caller->id;
+    AnyClient().Send(
+        request, milliseconds(3000),
+        [this, caller](const Result<HttpResponse>& response) { OnPolled(caller, response); });
+  }
+
+  // A caller whose connection failed asks again, with the same key, at any instance.
+  void OnAnswer(const std::shared_ptr<Caller>& caller, const Result<HttpResponse>& response) {
+    schema::Answer answer;
+    const bool parsed =
+        response && FromJson(response.value().body, UnknownFields::kIgnore, &answer).has_value();
+    if (!parsed || answer.code() == schema::CODE_DRAINING) {
+      m_timers.After(kCallerRetryPeriod, [this, caller](SteadyTime) { Send(caller); });
+      return;
+    }
+    if (answer.code() == schema::CODE_OUTCOME_UNKNOWN && answer.state() == schema::STATE_UNKNOWN) {
+      caller->unknown = true;
+      return PollLater(caller);
+    }
+    const bool pending =
+        answer.state() == schema::STATE_WAITING || answer.state() == schema::STATE_RUNNING;
+    if (answer.code() == schema::CODE_OK && pending) {
+      caller->accepted = true;
+      return PollLater(caller);
+    }
+    Finish(caller, answer);
+  }
+
+  void OnPolled(const std::shared_ptr<Caller>& caller, const Result<HttpResponse>& response) {
+    schema::Answer answer;
+    const bool parsed =
+        response && FromJson(response.value().body, UnknownFields::kIgnore, &answer).has_value();
+    const bool is_final =
+        parsed &&
+        (answer.state() == schema::STATE_SUCCEEDED || answer.state() == schema::STATE_FAILED ||
+         answer.state() == schema::STATE_CANCELLED ||
+         (answer.state() == schema::STATE_REFUSED && !answer.id().empty()));
+    if (is_final) return Finish(caller, answer);
+    // An idempotent request that was not accepted is simply asked for again.
+    const bool forgotten = parsed && answer.code() == schema::CODE_NOT_FOUND;
+    if (forgotten && !caller->accepted && caller->kind.idempotent) return Send(caller);
+    PollLater(caller);
+  }
+
+  void PollLater(const std::shared_ptr<Caller>& caller) {
+    m_timers.After(kPollPeriod, [this, caller](SteadyTime) { Poll(caller); });
+  }
+
+  void Finish(const std::shared_ptr<Caller>& caller, const schema::Answer& answer) {
+    std::lock_guard lock(m_mutex);
+    if (caller->is_final) return;
+    caller->is_final = true;
+    caller->answer = answer;
+    caller->answered = std::chrono::steady_clock::now();
+    --m_open;
+    m_changed.notify_all();
+  }
+
+  Runtime& m_runtime;
+  TimerService& m_timers;
+  Plan m_plan;
+  std::mutex m_mutex;
+  std::condition_variable m_changed;
+  std::mt19937_64 m_random;
+  std::vector<std::unique_ptr<HttpClient>> m_clients;
+  std::vector<std::shared_ptr<Caller>> m_callers;
+  std::size_t m_open = 0;
+  std::uint64_t m_last = 0;
+};
+
+// Gets one address and waits for it.
+Result<std::string> Get(Runtime& runtime, const std::string& address, const std::string& target) {
+  HttpClientOptions client_options;
+  client_options.address = address;
+  BOOST_OUTCOME_TRY(auto client, HttpClient::Create(runtime, client_options));
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::optional<Result<HttpResponse>> result;
+  HttpRequest request;
+  request.target = target;
+  client->Send(request, std::chrono::seconds(20), [&](Result<HttpResponse> response) {
+    std::lock_guard lock(mutex);
+    result.emplace(std::move(response));
+    changed.notify_all();
+  });
+  std::unique_lock lock(mutex);
+  changed.wait(lock, [&] { return result.has_value(); });
+  if (!*result) return result->error();
+  return result->value().body;
+}
+
+// Reads the histories of all workers. Adds a line to `violations` for each start over capacity.
+Result<std::vector<HistoryEvent>> ReadHistories(Runtime& runtime, const std::string& platform,
+                                                std::vector<std::string>& violations) {
+  BOOST_OUTCOME_TRY(const std::string list, Get(runtime, platform, "/directory"));
+  schema::Directory directory;
+  BOOST_OUTCOME_TRY(FromJson(list, UnknownFields::kIgnore, &directory));
+  std::vector<HistoryEvent> events;
+  for (const schema::DirectoryEntry& worker : directory.workers()) {
+    BOOST_OUTCOME_TRY(const std::string body, Get(runtime, worker.address(), "/history"));
+    const nlohmann::json history = nlohmann::json::parse(body);
+    if (history["over_capacity"].get<std::uint64_t>() > 0) {
+      violations.push_back(
+          worker.id() + ": was sent starts over its capacity: " + history["over_capacity"].dump());
+    }
+    for (const nlohmann::json& event : history["events"]) {
+      events.push_back({event["at_us"].get<std::int64_t>(), worker.id(),
+                        event["request"].get<std::string>(), event["index"].get<std::uint32_t>(),
+                        event["attempt"].get<std::uint32_t>(), event["started"].get<bool>()});
+    }
+  }
+  return events;
+}
+
+int Execute(const Plan& plan) {
+  auto runtime = Runtime::Create(4);
+  auto timers = TimerService::Create(*runtime.value());
+  Load load(*runtime.value(), *timers.value(), plan);
+  if (auto opened = load.Open(); !opened) {
+    std::cerr << Describe(opened.error()) << '\n';
+    return 2;
+  }
+  runtime.value()->Start();
+  load.Run();
+  nlohmann::json summary = load.Summary();
+  std::vector<std::string> violations;
+  if (plan.check) {
+    auto events = ReadHistories(*runtime.value(), plan.platform, violations);
+    if (!events) {
+      std::cerr << Describe(events.error()) << '\n';
+      return 2;
+    }
+    for (std::string& line : CheckHistory(events.value(), load.Records())) {
+      violations.push_back(std::move(line));
+    }
+    summary["starts"] = std::count_if(events.value().begin(), events.value().end(),
+                                      [](const HistoryEvent& event) { return event.started; });
+  }
+  summary["violations"] = violations;
+  std::cout << summary.dump(2) << '\n';
+  runtime.value()->Stop();
+  return violations.empty() ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace citronsill
+
+int main(int argc, char** argv) {
+  citronsill::Plan plan;
+  std::string entries;
+  long duration = 0;
+  long settle = 0;
+  options::options_description description(
+      "citronsill_load: mixed load and check of the invariants\n"
+      "exit codes: 0 all invariants held, 1 one was violated, 2 the run failed");
+  auto add = description.add_options();
+  add("help", "show this text");
+  add("entries", options::value(&entries)->required(), "IP:port[,IP:port...] of entry instances");
+  add("platform", options::value(&plan.platform)->required(), "IP:port of the platform stand-in");
+  add("deployment", options::value(&plan.deployment)->default_value("horseshoe"),
+      "horseshoe or shipyard");
+  add("prefix", options::value(&plan.prefix)->default_value("load"), "start of the keys");
+  add("rate", options::value(&plan.rate)->default_value(50), "requests a second");
+  add("seconds", options::value(&duration)->default_value(10), "time of sending");
+  add("settle", options::value(&settle)->default_value(40), "longest wait for the last outcomes");
+  add("stragglers", options::value(&plan.straggler_share)->default_value(0.01), "share, 0 to 1");
+  add("seed", options::value(&plan.seed)->default_value(1), "seed of the random numbers");
+  options::variables_map values;
+  try {
+    options::store(options::parse_command_line(argc, argv, description), values);
+    if (values.contains("help")) {
+      std::cout << description;
+      return 0;
+    }
+    options::notify(values);
+  } catch (const options::error& error) {
+    std::cerr << "citronsill_load: " << error.what() << '\n';
+    return 2;
+  }
+  plan.duration = std::chrono::seconds(duration);
+  plan.settle = std::chrono::seconds(settle);
+  std::stringstream list(entries);
+  for (std::string entry; std::getline(list, entry, ',');) plan.entries.push_back(entry);
+  return citronsill::Execute(plan);
+}
--- /dev/null
+++ b/tools/history_check.h
@@ -0,0 +1,113 @@
+/// Check of the invariants over what the workers saw, not over what the product says of itself.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace citronsill {
+
+/// One run of one attempt on one worker.
+struct HistoryEvent {
+  std::int64_t at_us = 0;
+  std::string worker;
+  std::string request;
+  std::uint32_t index = 0;
+  std::uint32_t attempt = 0;
+  bool started = false;  ///< Else ended.
+};
+
+/// What a caller knows of one of its requests at the end of a run.
+struct CallerRecord {
+  std::string request;
+  std::string work_class;
+  std::string payload;
+  std::uint32_t task_count = 1;
+  bool idempotent = true;
+  bool exclusive = false;
+  bool accepted = false;   ///< The caller was told that the request is accepted.
+  bool succeeded = false;  ///< The caller got an answer.
+  bool final = false;      ///< The caller got a final outcome.
+  bool not_run = false;    ///< The caller was told that the request was not run.
+  std::vector<std::string> results;
+};
+
+namespace history_detail {
+
+using TaskId = std::pair<std::string, std::uint32_t>;
+
+struct Run {
+  std::string worker;
+  std::int64_t from = 0;
+  std::int64_t until = INT64_MAX;  ///< Still running when the history was taken.
+};
+
+inline std::map<TaskId, std::vector<Run>> CollectRuns(const std::vector<HistoryEvent>& events) {
+  std::map<TaskId, std::vector<Run>> runs;
+  std::map<std::pair<TaskId, std::pair<std::string, std::uint32_t>>, std::size_t> open;
+  for (const HistoryEvent& event : events) {
+    const TaskId task{event.request, event.index};
+    const auto key = std::make_pair(task, std::make_pair(event.worker, event.attempt));
+    if (event.started) {
+      open[key] = runs[task].size();
+      runs[task].push_back({event.worker, event.at_us});
+    } else if (const auto found = open.find(key); found != open.end()) {
+      runs[task][found->second].until = event.at_us;
+    }
+  }
+  return runs;
+}
+
+inline bool Overlap(const std::vector<Run>& runs) {
+  for (std::size_t i = 0; i < runs.size(); ++i) {
+    for (std::size_t j = i + 1; j < runs.size(); ++j) {
+      if (runs[i].from < runs[j].until && runs[j].from < runs[i].until) return true;
+    }
+  }
+  return false;
+}
+
+inline bool IsComplete(const CallerRecord& record) {
+  if (record.results.size() != record.task_count) return false;
+  for (const std::string& result : record.results) {
+    if (result != record.work_class + " done: " + record.payload) return false;
+  }
+  return true;
+}
+
+}  // namespace history_detail
+
+/// @param events of all workers, in the order of each worker.
+/// @returns one line for each violation; empty when every invariant holds.
+inline std::vector<std::string> CheckHistory(const std::vector<HistoryEvent>& events,
+                                             const std::vector<CallerRecord>& records) {
+  using history_detail::TaskId;
+  const auto runs = history_detail::CollectRuns(events);
+  std::vector<std::string> violations;
+  for (const CallerRecord& record : records) {
+    const std::string name = record.work_class + " " + record.request;
+    for (std::uint32_t index = 0; index < record.task_count; ++index) {
+      const auto found = runs.find(TaskId{record.request, index});
+      if (found == runs.end()) continue;
+      if (!record.idempotent && found->second.size() > 1) {
+        violations.push_back(name + ": not idempotent, but started " +
+                             std::to_string(found->second.size()) + " times");
+      }
+      if (record.exclusive && history_detail::Overlap(found->second)) {
+        violations.push_back(name + ": exclusive, but ran in two places at once");
+      }
+      if (record.not_run) violations.push_back(name + ": reported as not run, but was started");
+    }
+    if (record.succeeded && !history_detail::IsComplete(record)) {
+      violations.push_back(name + ": the answer is not complete or belongs to another request");
+    }
+    if (record.accepted && !record.final) {
+      violations.push_back(name + ": accepted, but has no final outcome");
+    }
+  }
+  return violations;
+}
+
+}  // namespace citronsill
--- a/tools/standin_worker.h
+++ b/tools/standin_worker.h
@@ -70,6 +70,7 @@
     Resources needed = m_used;
     needed += size;
     if (!ToResources(m_info.capacity()).Covers(needed) || m_running.size() >= m_info.slots()) {
+      ++m_over_capacity;
       return Reject(schema::CODE_WORKER_REJECTED, "over capacity");
     }
     m_seen[task] = true;
@@ -159,6 +160,8 @@
 
   [[nodiscard]] const schema::WorkerInfo& Info() const { return m_info; }
   [[nodiscard]] const std::vector<WorkerHistoryEntry>& History() const { return m_history; }
+  /// @returns how many starts were rejected because the worker had no room for them.
+  [[nodiscard]] std::uint64_t OverCapacity() const { return m_over_capacity; }
   [[nodiscard]] std::size_t Running() const { return m_running.size(); }
 
  private:
@@ -207,6 +210,7 @@
   bool m_leaving = false;
   std::uint64_t m_epoch = 0;
   std::uint64_t m_session = 0;
+  std::uint64_t m_over_capacity = 0;
   Resources m_used;
   std::map<TaskKey, bool> m_seen;
   std::map<TaskKey, RunningTask> m_running;
--- a/tools/worker_standin.cc
+++ b/tools/worker_standin.cc
@@ -5,7 +5,7 @@
 #include <condition_variable>
 #include <iostream>
 #include <mutex>
-#include <sstream>
+#include <nlohmann/json.hpp>
 
 #include "citronsill/http.h"
 #include "citronsill/timer.h"
@@ -95,24 +95,22 @@
   }
 
   void History(const HttpReply& reply) const {
-    std::ostringstream out;
-    out << "[";
-    const char* separator = "";
+    nlohmann::json history;
+    history["worker"] = m_worker.Info().id();
+    history["over_capacity"] = m_worker.OverCapacity();
+    nlohmann::json events = nlohmann::json::array();
     for (const WorkerHistoryEntry& entry : m_worker.History()) {
-      out << separator << "{\"time_us\":"
-          << std::chrono::duration_cast<std::chrono::microseconds>(entry.time.time_since_epoch())
-                 .count()
-          << ",\"request\":\"" << entry.task.request_id << "\",\"index\":" << entry.task.index
-          << ",\"attempt\":" << entry.task.attempt << ",\"started\":" << entry.started
-          << ",\"end\":" << static_cast<int>(entry.end) << ",\"epoch\":" << entry.epoch
-          << ",\"processors_milli\":" << entry.used.processors_milli
-          << ",\"memory_mb\":" << entry.used.memory_mb
-          << ",\"accelerators\":" << entry.used.accelerators << "}";
-      separator = ",\n";
+      const auto at =
+          std::chrono::duration_cast<std::chrono::microseconds>(entry.time.time_since_epoch());
+      events.push_back({{"at_us", at.count()},
+                        {"request", entry.task.request_id},
+                        {"index", entry.task.index},
+                        {"attempt", entry.task.attempt},
+                        {"started", entry.started}});
     }
-    out << "]\n";
+    history["events"] = std::move(events);
     HttpResponse response;
-    response.body = out.str();
+    response.body = history.dump();
     reply(response);
   }
 
