Failure tests across processes, with a relay that loses traffic

tests/failures.sh runs a cell under load through one failure in each case: kill, second kill, freeze past the lease, table down, lost answers, silent connections, one-way loss, all instances replaced in turn, a failing worker. A case passes when the workers' histories and what callers were told agree with every invariant and no request is without outcome.

--- a/scripts/cell.sh
+++ b/scripts/cell.sh
@@ -1,8 +1,10 @@
 #!/usr/bin/env bash
 # Starts one embedded cell (stand-ins included) for trials and tests, and stops it.
 #   scripts/cell.sh start DIR DEPLOYMENT [INSTANCES] [WORKERS]   DEPLOYMENT is horseshoe or shipyard
+#   scripts/cell.sh restart DIR NAME
 #   scripts/cell.sh stop DIR
-# DIR gets the settings, logs and process ids. BUILD names the build folder (default: build).
+# DIR gets the settings, logs and process ids. BUILD names the build folder (default: build). With RELAY=1 the
+# instances reach one another through relay_standin, whose control address is in DIR/relay.
 set -euo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
 build=${BUILD:-$root/build}
@@ -23,17 +25,26 @@
   run workers "$build/worker_standin" --platform "$platform" --prefix "$deployment" \
     --first-port $((base + 100)) --count "$workers" "${size[@]}"
   : > "$dir/api"
-  local entries=()
+  local entries=() maps=() peer_base=$((base + 40))
+  [ -z "${RELAY:-}" ] || peer_base=$((base + 70))
   for ((i = 0; i < instances; i++)); do
     sed -e "s/\"instance_id\": *\"[^\"]*\"/\"instance_id\": \"$deployment-$i\"/" \
       -e "s/\"failure_domain\": *\"[^\"]*\"/\"failure_domain\": \"domain-$((i % 3))\"/" \
       -e "s/\"api_address\": *\"[^\"]*\"/\"api_address\": \"127.0.0.1:$((base + 10 + i))\"/" \
       -e "s/\"peer_address\": *\"[^\"]*\"/\"peer_address\": \"127.0.0.1:$((base + 40 + i))\"/" \
+      -e "s/\"threads\"/\"peer_advertise_address\": \"127.0.0.1:$((peer_base + i))\", \"threads\"/" \
+      -e "s/\"task_lease\": *\"[^\"]*\"/\"task_lease\": \"${TASK_LEASE:-30s}\"/" \
       -e "s/\"\(table\|directory\|objects\)_address\": *\"[^\"]*\"/\"\1_address\": \"$platform\"/" \
       "$root/examples/$deployment.json" > "$dir/$deployment-$i.json"
-    entries+=("{\"id\":\"$deployment-$i\",\"address\":\"127.0.0.1:$((base + 40 + i))\"}")
+    entries+=("{\"id\":\"$deployment-$i\",\"address\":\"127.0.0.1:$((peer_base + i))\"}")
+    maps+=("127.0.0.1:$((base + 70 + i))=127.0.0.1:$((base + 40 + i))")
     echo "127.0.0.1:$((base + 10 + i))" >> "$dir/api"
   done
+  if [ -n "${RELAY:-}" ]; then
+    run relay "$build/relay_standin" --control "127.0.0.1:$((base + 1))" --map "${maps[@]}"
+    echo "127.0.0.1:$((base + 1))" > "$dir/relay"
+    await $((base + 70))
+  fi
   post "$platform" /directory/add "{\"instances\":[$(IFS=,; echo "${entries[*]}")]}"
   for ((i = 0; i < instances; i++)); do
     run "$deployment-$i" "$build/citronsilld" --settings "$dir/$deployment-$i.json"
@@ -43,7 +54,7 @@
 run() {
   local name=$1
   shift
-  "$@" > "$dir/$name.log" 2>&1 &
+  "$@" >> "$dir/$name.log" 2>&1 &
   echo $! > "$dir/$name.pid"
 }
 
@@ -75,10 +86,17 @@
   done
 }
 
+# Starts one instance of a running cell again.
+restart() {
+  local dir=$1 name=$2
+  run "$name" "$build/citronsilld" --settings "$dir/$name.json"
+}
+
 command=${1:-}
 shift || true
 case $command in
   start) dir=$1; start "$@" ;;
   stop) stop "$@" ;;
-  *) sed -n '2,6p' "$0" >&2; exit 2 ;;
+  restart) dir=$1; restart "$@" ;;
+  *) sed -n '2,8p' "$0" >&2; exit 2 ;;
 esac
--- a/src/instance.cc
+++ b/src/instance.cc
@@ -41,7 +41,6 @@
   Runtime& runtime;
   schema::Settings settings;
   std::uint64_t incarnation = 0;
-  std::string peer_address;
   std::unique_ptr<TimerService> timers;
   std::unique_ptr<Table> table;
   std::unique_ptr<InstanceDirectory> directory;
@@ -66,6 +65,11 @@
 
   static SteadyTime Now() { return std::chrono::steady_clock::now(); }
 
+  const std::string& AdvertisedAddress() const {
+    return settings.peer_advertise_address().empty() ? settings.peer_address()
+                                                     : settings.peer_advertise_address();
+  }
+
   PartitionId Partition(const std::string& id) const {
     return PartitionOf(id, settings.partition_count());
   }
@@ -96,7 +100,7 @@
     schema::MemberState self;
     self.set_id(settings.instance_id());
     self.set_incarnation(incarnation);
-    self.set_peer_address(settings.peer_address());
+    self.set_peer_address(AdvertisedAddress());
     self.set_failure_domain(settings.failure_domain());
     BOOST_OUTCOME_TRY(membership, Membership::Create(self, MembershipOptions{}));
     return Success();
@@ -106,7 +110,7 @@
     schema::InstanceRow self;
     self.set_id(settings.instance_id());
     self.set_incarnation(incarnation);
-    self.set_peer_address(settings.peer_address());
+    self.set_peer_address(AdvertisedAddress());
     self.set_api_address(settings.api_address());
     self.set_failure_domain(settings.failure_domain());
     OwnershipOptions options;
@@ -242,7 +246,7 @@
   Result<void> BuildEntry() {
     EntryOptions options;
     options.instance = settings.instance_id();
-    options.peer_address = settings.peer_address();
+    options.peer_address = AdvertisedAddress();
     options.default_deadline = ToMilliseconds(settings.default_deadline());
     EntryHooks hooks;
     hooks.forward = [this](const schema::Forward& forward,
@@ -363,7 +367,7 @@
     for (const schema::DirectoryEntry& instance : last_directory.instances()) {
       addresses.insert(instance.address());
     }
-    addresses.erase(settings.peer_address());
+    addresses.erase(AdvertisedAddress());
     addresses.erase("");
     const std::vector<std::string> all(addresses.begin(), addresses.end());
     std::vector<std::string> targets;
--- /dev/null
+++ b/tests/failures.sh
@@ -0,0 +1,99 @@
+#!/usr/bin/env bash
+# Failures across real processes: a cell of several instances under load, one kind of failure in each case. Each case
+# passes when the workers' own histories and what the callers were told agree with every invariant, and every request
+# has got its outcome. Prints "ok NAME" or "not ok NAME" for each. Arguments name the cases to run (default: all).
+set -uo pipefail
+cd "$(dirname "$0")/.."
+export BUILD=${BUILD:-build}
+work=$(mktemp -d)
+trap 'for cell in "$work"/*/; do scripts/cell.sh stop "$cell"; done; rm -rf "$work"' EXIT
+
+pid() { cat "$cell/$1.pid"; }
+fault() { curl -s -m 5 -X POST "http://$1" > "/dev/null"; }
+platform() { fault "127.0.0.1:$base/fault/$1"; }
+relay() { fault "127.0.0.1:$((base + 1))/$1"; }
+each_worker() { for ((w = 0; w < workers; w++)); do fault "127.0.0.1:$((base + 100 + w))/fault/$1"; done; }
+
+# Faults. Each runs beside the load and ends by itself.
+healthy() { :; }
+# Guards against accepted work that is lost with its owner.
+kill_one() { sleep 3; kill -KILL "$(pid "$name-1")"; }
+# Guards against a second failure while the first is being recovered from.
+kill_twice() { sleep 3; kill -KILL "$(pid "$name-1")"; sleep 4; kill -KILL "$(pid "$name-2")"; }
+# Guards against an owner that goes on after its partitions were taken over.
+freeze() { sleep 3; kill -STOP "$(pid "$name-1")"; sleep 12; kill -CONT "$(pid "$name-1")"; }
+# Guards against work that is accepted or lost while the table is down for longer than every lease.
+table_down() { sleep 3; platform down; sleep 14; platform none; }
+# Guards against writes that take effect while their answers are lost.
+lost_answers() { sleep 3; platform lose; sleep 6; platform none; }
+# Guards against a death that nobody can take over from until the table is back.
+kill_and_table_down() { sleep 3; platform down; kill -KILL "$(pid "$name-1")"; sleep 8; platform none; }
+# Guards against open connections that are silent for good while new ones work.
+silence() { sleep 3; relay silence; platform silence; each_worker silence; sleep 3; relay silence; }
+# Guards against an instance that is heard by the others but does not hear them, and the other way round.
+one_way() { sleep 3; relay 'forward?1'; sleep 8; relay 'backward?1'; sleep 8; relay none; }
+# Guards against work that is lost or cut while all instances are replaced in turn.
+replace_all() {
+  local i
+  sleep 2
+  for ((i = 0; i < instances; i++)); do
+    kill -TERM "$(pid "$name-$i")"
+    for _ in $(seq 150); do kill -0 "$(pid "$name-$i")" 2> /dev/null || break; sleep 0.1; done
+    kill -KILL "$(pid "$name-$i")" 2> /dev/null
+    scripts/cell.sh restart "$cell" "$name-$i"
+    sleep 2
+  done
+}
+# Guards against a worker that fails everything and takes work from the healthy ones.
+failing_worker() { sleep 2; fault "127.0.0.1:$((base + 100))/fault/fail"; }
+
+instances=5
+workers=12
+
+run_case() {
+  local case=$1 base=$2 name=$3 seconds=${4:-15}
+  local cell=$work/$case
+  BASE_PORT=$base RELAY=1 TASK_LEASE=8s scripts/cell.sh start "$cell" "$name" $instances $workers
+  local entries
+  entries=$(paste -sd, "$cell/api")
+  for _ in $(seq 200); do
+    curl -sf -m 2 "http://${entries%%,*}/readyz" > "/dev/null" && break
+    sleep 0.1
+  done
+  sleep 2
+  "$case" &
+  local fault=$!
+  if "$BUILD/citronsill_load" --entries "$entries" --platform "127.0.0.1:$base" --deployment "$name" \
+    --rate 30 --seconds "$seconds" --settle 90 --prefix "$case" > "$cell/load.json" 2> "$cell/load.err" &&
+    grep -q '"without_outcome": 0' "$cell/load.json"; then
+    echo "ok failures: $case ($name)" > "$work/$case.result"
+  else
+    echo "not ok failures: $case ($name)" > "$work/$case.result"
+    { cat "$cell/load.json" "$cell/load.err"; grep -h -E 'level=(warn|error)' "$cell"/*.log | tail -n 20; } \
+      >> "$work/$case.detail"
+  fi
+  wait "$fault"
+  scripts/cell.sh stop "$cell"
+  if [ -n "${KEEP:-}" ]; then mkdir -p "$KEEP" && cp -r "$cell" "$work/$case".* "$KEEP/"; fi
+}
+
+cases=("$@")
+if [ ${#cases[@]} -eq 0 ]; then
+  cases=(healthy kill_one kill_twice freeze table_down lost_answers kill_and_table_down silence one_way replace_all
+    failing_worker)
+fi
+base=27000
+for case in "${cases[@]}"; do
+  deployment=horseshoe
+  case $case in silence | one_way | kill_and_table_down | failing_worker) deployment=shipyard ;; esac
+  seconds=15
+  case $case in replace_all | freeze | table_down | one_way) seconds=25 ;; esac
+  # A few cases at a time: more would make the machine's load the cause of late answers.
+  while [ "$(jobs -rp | wc -l)" -ge 3 ]; do sleep 0.2; done
+  run_case "$case" $base $deployment $seconds &
+  base=$((base + 300))
+done
+wait
+cat "$work"/*.result
+cat "$work"/*.detail 2> "/dev/null" || true
+! grep -q '^not ok' "$work"/*.result
--- a/tools/citronsill_load.cc
+++ b/tools/citronsill_load.cc
@@ -163,6 +163,7 @@
   std::shared_ptr<Caller> MakeCaller() {
     const std::vector<Kind> mix = MixOf(m_plan.deployment);
     std::vector<double> weights;
+    weights.reserve(mix.size());
     for (const Kind& kind : mix) weights.push_back(kind.weight);
     std::discrete_distribution<std::size_t> choose(weights.begin(), weights.end());
     std::lognormal_distribution<double> spread(0.0, 0.3);
--- a/tools/platform_standin.cc
+++ b/tools/platform_standin.cc
@@ -35,6 +35,9 @@
     Route(request, reply);
   }
 
+  // Makes the connections that are open now fall silent.
+  void OnSilence(std::function<void()> silence) { m_silence = std::move(silence); }
+
  private:
   void Route(const HttpRequest& request, const HttpReply& reply) {
     if (request.target == "/table/read") return Read(request, reply);
@@ -123,6 +126,9 @@
       m_table.SetFault(TableFault::kLoseAnswers);
     } else if (fault == "slow") {
       m_delay = std::chrono::milliseconds(1000);
+    } else if (fault == "silence" && m_silence) {
+      reply(Status(200));
+      return m_silence();
     } else {
       return reply(Status(404));
     }
@@ -137,6 +143,7 @@
   }
 
   TimerService& m_timers;
+  std::function<void()> m_silence;
   StandinTable m_table;
   std::atomic<std::chrono::milliseconds> m_delay{std::chrono::milliseconds(0)};
   std::mutex m_mutex;
@@ -157,6 +164,7 @@
     std::cerr << Describe(server.error()) << '\n';
     return 1;
   }
+  platform.OnSilence([open = server.value().get()] { open->SilenceOpenConnections(); });
   std::mutex mutex;
   std::condition_variable changed;
   bool stopped = false;
--- a/tools/worker_standin.cc
+++ b/tools/worker_standin.cc
@@ -54,10 +54,18 @@
     if (request.target == "/fault/fail") return SetFault(reply, true, false);
     if (request.target == "/fault/leave") return SetFault(reply, false, true);
     if (request.target == "/fault/none") return SetFault(reply, false, false);
+    if (request.target == "/fault/silence") {
+      reply(HttpResponse{});
+      if (m_silence) m_silence();
+      return;
+    }
     if (request.target == "/history") return History(reply);
     reply(BadRequest());
   }
 
+  // Makes the connections that are open now fall silent.
+  void OnSilence(std::function<void()> silence) { m_silence = std::move(silence); }
+
   // Ends what is due and answers the syncs whose wait is over or that have news.
   void Advance(SteadyTime now) {
     std::lock_guard lock(m_mutex);
@@ -115,6 +123,7 @@
   }
 
   std::mutex m_mutex;
+  std::function<void()> m_silence;
   StandinWorker m_worker;
   std::vector<Waiting> m_waiting;
 };
@@ -178,6 +187,7 @@
       return 1;
     }
     servers.push_back(std::move(server).value());
+    workers.back()->OnSilence([open = servers.back().get()] { open->SilenceOpenConnections(); });
   }
   timers.value()->Every(kAdvancePeriod, [&](SteadyTime now) {
     for (const auto& worker : workers) worker->Advance(now);
