--- a/include/citronsill/config.h
+++ b/include/citronsill/config.h
@@ -50,6 +50,14 @@
 inline constexpr std::size_t kMaxJournalBatchEntries = 256;
 inline constexpr std::size_t kStateShards = 16;
 
+// A journal row may be larger only when a single entry is; a snapshot above this goes to the object
+// store.
+inline constexpr std::size_t kMaxJournalRowBytes = 64U << 10;
+// Rows of the own stream at which it is compacted: about 10 s of full group commit.
+inline constexpr std::size_t kMaxJournalRows = 1024;
+// Ended requests are kept this long for repeats of their key.
+inline constexpr std::chrono::minutes kKeepFinished{10};
+
 // A gap of more than this between two ticks of a timer means that the process was paused, and that
 // ownership has to be checked again before anything is done under it.
 inline constexpr std::chrono::milliseconds kPauseThreshold{2000};
--- a/include/citronsill/home.h
+++ b/include/citronsill/home.h
@@ -1,6 +1,8 @@
 /// Home role: owns requests of the partitions that this instance owns, from arrival to answer.
 #pragma once
 
+#include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -15,18 +17,47 @@
 
 namespace citronsill {
 
+/// What the owner of a worker knows about an attempt that was assigned to it.
+enum class TaskKnowledge {
+  kRunning,       ///< The worker runs it.
+  kEnded,         ///< The worker has its result, which is reported as a task event.
+  kNeverStarted,  ///< The worker is attached under the current epoch and does not know the task; a
+                  ///< late start is rejected because of its lower epoch.
+  kUnknown,       ///< The worker cannot be reached.
+};
+
 struct HomeHooks {
-  /// @returns whether this instance owns the partition.
-  std::function<bool(PartitionId)> owns;
+  /// @returns the epoch under which this instance owns the partition.
+  std::function<std::optional<std::uint64_t>(PartitionId)> owned_epoch;
   /// Sends an answer to the entry instance that waits for it.
   std::function<void(const Waiter&, std::shared_ptr<const schema::Answer>)> deliver;
   std::function<Admission(const JobSpec&)> submit;
   std::function<bool(const std::string& request_id)> cancel;
   std::function<std::optional<schema::WorkClass>(const std::string& name)> find_class;
+  Delay after;
+  /// Asks the owner of a worker about an attempt; kUnknown when empty.
+  std::function<void(const TaskKey&, const std::string& worker,
+                     std::function<void(Result<TaskKnowledge>)> done)>
+      query_task;
+  /// @returns whether the worker was removed from the target list for good; false when empty.
+  std::function<bool(const std::string& worker)> is_removed;
+  /// Takes streams out of the row of a partition; all that they have of it was copied. Idempotent.
+  std::function<void(PartitionId, const std::vector<std::string>& streams)> retire_streams;
+  /// Clocks; those of the system when empty.
+  std::function<SteadyTime()> now;
+  std::function<std::int64_t()> unix_ms;
 };
 
 struct HomeOptions {
   std::uint32_t partition_count = 64;
+  std::size_t max_pending = 20000;  ///< Requests that have not ended; more are refused.
+  std::size_t max_rows = 1024;      ///< Rows of the own stream at which it is compacted.
+  /// Time in which a start can share a batch with the accepted entry.
+  std::chrono::milliseconds accept_delay{5};
+  /// Work that may run twice is submitted again only after this time, in which workers report what
+  /// still runs.
+  std::chrono::milliseconds recovery_grace{2000};
+  std::chrono::milliseconds maintain_period{5000};
 };
 
 /// Thread-safe.
@@ -42,10 +73,15 @@
   schema::Ack OnForward(const schema::Forward& forward);
 
   /// Writes what has to be durable before a task starts.
+  /// @remarks After `go(false)` the task must be reported as ended with kNotStarted.
   void BeforeStart(const Action& start, std::function<void(bool)> go);
 
-  /// @param done is called once the worker may drop the result.
-  void OnTaskEvent(const TaskEvent& event, std::function<void()> done);
+  /// Takes what the owner of a worker reports: a task that runs, or one that ended. Events may be
+  /// late, repeated and out of order.
+  /// @param done is called once the worker may drop the result. It is not called when the partition
+  /// is lost before that; the worker then reports to the next owner.
+  /// @returns CODE_OK when taken, CODE_NOT_OWNER when the partition is not owned.
+  schema::Code OnTaskEvent(const TaskEvent& event, std::function<void()> done);
 
   void OnGiveUp(const Action& action);
 
@@ -59,6 +95,9 @@
   Result<void> Cancel(const std::string& request_id);
   [[nodiscard]] std::optional<schema::Answer> Status(const std::string& request_id) const;
 
+  /// @returns whether the partition was recovered and is served.
+  [[nodiscard]] bool Serves(PartitionId partition) const;
+
  private:
   struct Impl;
   explicit Home(std::shared_ptr<Impl> impl);
--- a/src/instance.cc
+++ b/src/instance.cc
@@ -9,6 +9,7 @@
 #include "citronsill/journal.h"
 #include "citronsill/ledger.h"
 #include "citronsill/membership.h"
+#include "citronsill/objects.h"
 #include "citronsill/ownership.h"
 #include "citronsill/peer.h"
 #include "citronsill/table.h"
@@ -42,6 +43,7 @@
   std::string peer_address;
   std::unique_ptr<TimerService> timers;
   std::unique_ptr<Table> table;
+  std::unique_ptr<ObjectStore> objects;
   std::unique_ptr<InstanceDirectory> directory;
   std::unique_ptr<PeerServer> peer_server;
   std::unique_ptr<PeerClient> peer_client;
@@ -71,6 +73,9 @@
     incarnation = RandomId();
     BOOST_OUTCOME_TRY(timers, TimerService::Create(runtime));
     BOOST_OUTCOME_TRY(table, CreateHttpTable(runtime, settings.table_address()));
+    if (!settings.objects_address().empty()) {
+      BOOST_OUTCOME_TRY(objects, CreateHttpObjects(runtime, settings.objects_address()));
+    }
     BOOST_OUTCOME_TRY(directory, CreateHttpDirectory(runtime, settings.directory_address()));
     BOOST_OUTCOME_TRY(peer_server, PeerServer::Create(runtime, settings.peer_address()));
     BOOST_OUTCOME_TRY(peer_client, PeerClient::Create(runtime));
@@ -131,17 +136,27 @@
     return Success();
   }
 
+  Delay MakeDelay() {
+    return [this](std::chrono::milliseconds delay, std::function<void()> work) {
+      timers->After(delay, [work = std::move(work)](SteadyTime) { work(); });
+    };
+  }
+
   Result<void> BuildJournal() {
     JournalOptions options;
     options.stream = settings.instance_id() + "." + Hex64(incarnation);
     options.interval = ToMilliseconds(settings.journal_interval());
     options.max_batch_entries = kMaxJournalBatchEntries;
     JournalHooks hooks;
-    hooks.owned_version = [this](PartitionId partition) {
-      return ownership->OwnedVersion(partition);
+    hooks.owned = [this](PartitionId partition) -> std::optional<OwnedPartition> {
+      const auto epoch = ownership->OwnedEpoch(partition);
+      const auto version = ownership->OwnedVersion(partition);
+      if (!epoch || !version || ownership->OwnedEpoch(partition) != epoch) return std::nullopt;
+      return OwnedPartition{*epoch, *version};
     };
     hooks.on_fenced = [this](PartitionId partition) { ownership->OnFenced(partition); };
-    BOOST_OUTCOME_TRY(journal, Journal::Create(*table, *timers, options, std::move(hooks)));
+    hooks.after = MakeDelay();
+    BOOST_OUTCOME_TRY(journal, Journal::Create(*table, objects.get(), options, std::move(hooks)));
     return Success();
   }
 
@@ -174,9 +189,8 @@
     HomeOptions options;
     options.partition_count = settings.partition_count();
     HomeHooks hooks;
-    hooks.owns = [this](PartitionId partition) {
-      return ownership->OwnedEpoch(partition).has_value();
-    };
+    hooks.owned_epoch = [this](PartitionId partition) { return ownership->OwnedEpoch(partition); };
+    hooks.after = MakeDelay();
     hooks.deliver = [this](const Waiter& waiter, std::shared_ptr<const schema::Answer> answer) {
       Deliver(waiter, std::move(answer), 0);
     };
--- a/src/journal.cc
+++ b/src/journal.cc
@@ -1,191 +1,431 @@
 #include "citronsill/journal.h"
 
+#include "citronsill/snapshot.h"
 #include "internal.h"
 
 namespace citronsill {
 namespace {
 
-std::string RowKey(const std::string& stream, std::uint64_t sequence) {
-  return fmt::format("journal/{}/{:012}", stream, sequence);
-}
-
 // Waits between two tries to find out whether a batch took effect.
 constexpr std::chrono::milliseconds kResolvePeriod{200};
 
+std::string PartitionKey(PartitionId partition) {
+  return fmt::format("partition/{:04}", partition.value);
+}
+
 }  // namespace
 
 struct Journal::Impl : std::enable_shared_from_this<Impl> {
-  struct Append {
+  struct Item {
     std::vector<schema::JournalEntry> entries;
+    std::map<PartitionId, std::uint64_t> epochs;  // When the item was added.
+    std::function<void(Result<void>)> done;
+  };
+
+  struct Compaction {
+    std::function<JournalSnapshot()> take;
     std::function<void(Result<void>)> done;
   };
 
-  Impl(Table& platform_table, TimerService& timer_service, const JournalOptions& journal_options,
+  // One transaction, which is sent again unchanged until it is known whether it took effect.
+  struct Batch {
+    std::vector<Item> items;
+    std::uint64_t sequence = 0;
+    std::map<PartitionId, OwnedPartition> partitions;
+    std::vector<schema::JournalBatch> rows;
+    bool snapshot = false;
+    std::vector<schema::JournalEntry> entries;  // Of a snapshot.
+    std::set<PartitionId> carried;  // Lost partitions whose new owner may have yet to read them.
+    std::vector<std::uint64_t> erased;  // Rows that the snapshot replaces.
+  };
+  using BatchPtr = std::shared_ptr<Batch>;
+
+  struct Row {
+    std::set<PartitionId> partitions;
+    std::string object;
+  };
+
+  Impl(Table& platform_table, ObjectStore* object_store, JournalOptions journal_options,
        JournalHooks journal_hooks)
       : table(platform_table),
-        timers(timer_service),
-        options(journal_options),
+        objects(object_store),
+        options(std::move(journal_options)),
         hooks(std::move(journal_hooks)) {}
 
   Table& table;
-  TimerService& timers;
+  ObjectStore* objects;
   JournalOptions options;
   JournalHooks hooks;
   std::mutex mutex;
-  std::vector<Append> pending;
+  std::deque<Item> pending;
   std::size_t pending_entries = 0;
+  std::optional<Compaction> compaction;
+  std::map<std::uint64_t, Row> rows;  // Of the own stream.
+  std::vector<std::string> stale_objects;
   std::uint64_t next_sequence = 1;
   bool committing = false;
   bool scheduled = false;
+  bool unreachable = false;  // A batch is unresolved, and the table cannot be read.
 
-  void Add(Append append) {
-    bool schedule = false;
-    {
-      std::lock_guard lock(mutex);
-      pending_entries += append.entries.size();
-      pending.push_back(std::move(append));
-      schedule = !scheduled && !committing;
-      scheduled = scheduled || schedule;
-    }
-    if (schedule) {
-      timers.After(options.interval, [weak = weak_from_this()](SteadyTime) {
-        if (auto self = weak.lock()) self->Flush();
-      });
+  void Add(Item item) {
+    for (const schema::JournalEntry& entry : item.entries) {
+      const PartitionId partition{entry.partition()};
+      const auto owned = hooks.owned(partition);
+      if (!owned) return item.done(Error{schema::CODE_NOT_OWNER, "the partition is not owned"});
+      item.epochs[partition] = owned->epoch;
+    }
+    std::unique_lock lock(mutex);
+    if (unreachable) {
+      lock.unlock();
+      return item.done(Error{schema::CODE_TABLE_UNAVAILABLE, "the table cannot be reached"});
+    }
+    if (pending_entries + item.entries.size() > options.max_pending_entries ||
+        pending.size() >= options.max_pending_entries) {
+      lock.unlock();
+      return item.done(Error{schema::CODE_OVERLOADED, "too many entries wait for the journal"});
     }
+    pending_entries += item.entries.size();
+    pending.push_back(std::move(item));
+    Schedule(std::move(lock));
+  }
+
+  void Schedule(std::unique_lock<std::mutex> lock) {
+    if (scheduled || committing) return;
+    scheduled = true;
+    lock.unlock();
+    hooks.after(options.interval, [weak = weak_from_this()] {
+      if (auto self = weak.lock()) self->Flush();
+    });
   }
 
   void Flush() {
-    std::vector<Append> batch;
-    std::uint64_t sequence = 0;
+    auto batch = std::make_shared<Batch>();
+    std::optional<Compaction> compact;
     {
       std::lock_guard lock(mutex);
       scheduled = false;
-      if (committing || pending.empty()) return;
-      std::size_t entries = 0;
-      std::size_t count = 0;
-      while (count < pending.size() &&
-             (count == 0 || entries + pending[count].entries.size() <= options.max_batch_entries)) {
-        entries += pending[count++].entries.size();
-      }
-      const auto end = pending.begin() + static_cast<std::ptrdiff_t>(count);
-      batch.assign(std::make_move_iterator(pending.begin()), std::make_move_iterator(end));
-      pending.erase(pending.begin(), end);
-      pending_entries -= entries;
+      if (committing || (pending.empty() && !compaction)) return;
       committing = true;
-      sequence = next_sequence++;
+      batch->sequence = next_sequence++;
+      compact.swap(compaction);
+      if (!compact) TakeItems(*batch);
+    }
+    if (compact) return StartSnapshot(batch, std::move(*compact));
+    for (Item& item : std::exchange(batch->items, {})) {
+      if (AddPartitions(*batch, item.epochs)) {
+        batch->items.push_back(std::move(item));
+      } else {
+        item.done(Error{schema::CODE_NOT_OWNER, "the partition was lost"});
+      }
     }
-    Commit(std::move(batch), sequence);
+    SendItems(batch);
   }
 
-  void Commit(std::vector<Append> batch, std::uint64_t sequence) {
-    std::vector<Append> kept;
-    std::map<std::uint32_t, std::uint64_t> versions;
-    for (Append& append : batch) {
-      if (AddVersions(append, versions)) {
-        kept.push_back(std::move(append));
-      } else {
-        append.done(Error{schema::CODE_NOT_OWNER, "the partition is not owned"});
+  // Requires the mutex.
+  void TakeItems(Batch& batch) {
+    std::size_t entries = 0;
+    while (!pending.empty() && (entries == 0 || entries + pending.front().entries.size() <=
+                                                    options.max_batch_entries)) {
+      entries += pending.front().entries.size();
+      batch.items.push_back(std::move(pending.front()));
+      pending.pop_front();
+    }
+    pending_entries -= entries;
+  }
+
+  bool AddPartitions(Batch& batch, const std::map<PartitionId, std::uint64_t>& epochs) {
+    std::map<PartitionId, OwnedPartition> found;
+    for (const auto& [partition, epoch] : epochs) {
+      const auto owned = hooks.owned(partition);
+      if (!owned || owned->epoch != epoch) return false;
+      found[partition] = *owned;
+    }
+    batch.partitions.merge(found);
+    return true;
+  }
+
+  void SendItems(const BatchPtr& batch) {
+    schema::JournalBatch row;
+    for (const Item& item : batch->items) {
+      for (const schema::JournalEntry& entry : item.entries) *row.add_entries() = entry;
+    }
+    if (row.entries_size() == 0) return Complete(batch, Success());
+    batch->rows = {std::move(row)};
+    Send(batch);
+  }
+
+  void StartSnapshot(const BatchPtr& batch, Compaction compact) {
+    JournalSnapshot snapshot = compact.take();
+    batch->snapshot = true;
+    batch->entries = std::move(snapshot.entries);
+    batch->items.push_back({{}, snapshot.epochs, std::move(compact.done)});
+    if (!AddPartitions(*batch, snapshot.epochs)) {
+      return Complete(batch, Error{schema::CODE_NOT_OWNER, "a partition was lost"});
+    }
+    {
+      std::lock_guard lock(mutex);
+      for (const auto& [sequence, row] : rows) {
+        batch->erased.push_back(sequence);
+        for (const PartitionId partition : row.partitions) {
+          if (!batch->partitions.contains(partition)) batch->carried.insert(partition);
+        }
       }
     }
-    if (kept.empty()) return Finish();
-    schema::TableTransaction transaction = MakeTransaction(kept, versions, sequence);
-    auto shared = std::make_shared<std::vector<Append>>(std::move(kept));
-    table.Commit(transaction, [self = shared_from_this(), shared, sequence,
-                               versions](Result<schema::TableCommitResult> result) {
-      self->OnCommitted(shared, sequence, versions, result);
+    if (batch->carried.empty()) return WriteSnapshot(batch);
+    table.Scan("partition/", [self = shared_from_this(),
+                              batch](const Result<std::vector<schema::TableRow>>& scanned) {
+      if (!scanned) return self->Complete(batch, scanned.error());
+      for (const schema::TableRow& row : scanned.value()) {
+        schema::PartitionRow parsed;
+        if (!parsed.ParseFromString(row.value())) continue;
+        const PartitionId partition{parsed.partition()};
+        if (!Names(parsed, self->options.stream) && !self->hooks.owned(partition)) {
+          batch->carried.erase(partition);
+        }
+      }
+      if (batch->carried.empty()) return self->WriteSnapshot(batch);
+      self->CarryOver(batch);
     });
   }
 
-  bool AddVersions(const Append& append, std::map<std::uint32_t, std::uint64_t>& versions) {
-    for (const schema::JournalEntry& entry : append.entries) {
-      const auto version = hooks.owned_version(PartitionId{entry.partition()});
-      if (!version) return false;
-      versions[entry.partition()] = *version;
+  // Entries of lost partitions are copied as they are.
+  void CarryOver(const BatchPtr& batch) {
+    ReadStream(
+        table, objects, options.stream,
+        [self = shared_from_this(), batch](const Result<std::vector<schema::JournalEntry>>& read) {
+          if (!read) return self->Complete(batch, read.error());
+          for (const schema::JournalEntry& entry : read.value()) {
+            if (batch->carried.contains(PartitionId{entry.partition()})) {
+              batch->entries.push_back(entry);
+            }
+          }
+          self->WriteSnapshot(batch);
+        });
+  }
+
+  void WriteSnapshot(const BatchPtr& batch) {
+    batch->rows = SplitIntoRows(batch->entries);
+    if (batch->rows.size() == 1 || objects == nullptr) return SendSnapshot(batch);
+    schema::JournalBatch whole;
+    for (const schema::JournalEntry& entry : batch->entries) *whole.add_entries() = entry;
+    const std::string key = RowKey(options.stream, batch->sequence);
+    objects->Put(key, whole.SerializeAsString(),
+                 [self = shared_from_this(), batch, key](const Result<void>& put) {
+                   if (put) {
+                     batch->rows.assign(1, {});
+                     batch->rows.front().set_object(key);
+                   }
+                   // Without the object store the snapshot takes several rows.
+                   self->SendSnapshot(batch);
+                 });
+  }
+
+  void SendSnapshot(const BatchPtr& batch) {
+    {
+      std::lock_guard lock(mutex);
+      next_sequence += batch->rows.size() - 1;
     }
-    return true;
+    Send(batch);
   }
 
-  schema::TableTransaction MakeTransaction(const std::vector<Append>& appends,
-                                           const std::map<std::uint32_t, std::uint64_t>& versions,
-                                           std::uint64_t sequence) {
+  schema::TableTransaction MakeTransaction(const Batch& batch) const {
     schema::TableTransaction transaction;
-    for (const auto& [partition, version] : versions) {
+    for (const auto& [partition, owned] : batch.partitions) {
       auto* condition = transaction.add_conditions();
-      condition->set_key(fmt::format("partition/{:04}", partition));
-      condition->set_version(version);
+      condition->set_key(PartitionKey(partition));
+      condition->set_version(owned.version);
     }
     auto* absent = transaction.add_conditions();
-    absent->set_key(RowKey(options.stream, sequence));
-    schema::JournalBatch rows;
-    for (const Append& append : appends) {
-      for (const schema::JournalEntry& entry : append.entries) *rows.add_entries() = entry;
-    }
-    auto* write = transaction.add_writes();
-    write->set_key(RowKey(options.stream, sequence));
-    write->set_value(rows.SerializeAsString());
+    absent->set_key(RowKey(options.stream, batch.sequence));
+    for (std::size_t i = 0; i < batch.rows.size(); ++i) {
+      auto* write = transaction.add_writes();
+      write->set_key(RowKey(options.stream, batch.sequence + i));
+      write->set_value(batch.rows[i].SerializeAsString());
+    }
+    for (const std::uint64_t sequence : batch.erased) {
+      auto* write = transaction.add_writes();
+      write->set_key(RowKey(options.stream, sequence));
+      write->set_erase(true);
+    }
     return transaction;
   }
 
-  void OnCommitted(const std::shared_ptr<std::vector<Append>>& batch, std::uint64_t sequence,
-                   const std::map<std::uint32_t, std::uint64_t>& versions,
-                   const Result<schema::TableCommitResult>& result) {
-    if (!result && result.error().code != schema::CODE_TABLE_UNAVAILABLE) {
-      return Resolve(batch, sequence);
-    }
-    if (!result) {
-      for (Append& append : *batch) append.done(result.error());
-      return Finish();
+  void Send(const BatchPtr& batch) {
+    table.Commit(MakeTransaction(*batch), [self = shared_from_this(),
+                                           batch](const Result<schema::TableCommitResult>& result) {
+      self->OnCommitted(batch, result);
+    });
+  }
+
+  void OnCommitted(const BatchPtr& batch, const Result<schema::TableCommitResult>& result) {
+    if (!result && result.error().code != schema::CODE_TABLE_UNAVAILABLE) return Resolve(batch);
+    if (!result) return Complete(batch, result.error());
+    if (result.value().committed()) return Complete(batch, Success());
+    const std::string own_key = RowKey(options.stream, batch->sequence);
+    for (const schema::TableRow& row : result.value().rows()) {
+      // An earlier try took effect after its row had been looked for.
+      if (row.key() == own_key && row.version() != 0) return Complete(batch, Success());
     }
-    if (!result.value().committed()) {
-      for (const schema::TableRow& row : result.value().rows()) {
-        for (const auto& [partition, version] : versions) {
-          if (row.key() == fmt::format("partition/{:04}", partition)) {
-            hooks.on_fenced(PartitionId{partition});
-          }
+    OnConflict(batch, result.value());
+  }
+
+  // No earlier try can take effect any more: the versions that it asks for are gone.
+  void OnConflict(const BatchPtr& batch, const schema::TableCommitResult& result) {
+    std::set<PartitionId> lost;
+    for (const schema::TableRow& row : result.rows()) {
+      for (auto& [partition, owned] : batch->partitions) {
+        if (row.key() != PartitionKey(partition)) continue;
+        schema::PartitionRow parsed;
+        if (parsed.ParseFromString(row.value()) && parsed.epoch() == owned.epoch) {
+          owned.version = row.version();  // Only the list of streams changed.
+        } else {
+          lost.insert(partition);
         }
       }
-      // Batches that lost only some of their partitions are sent again without them.
-      return Commit(std::move(*batch), sequence);
     }
-    for (Append& append : *batch) append.done(Success());
-    Finish();
+    for (const PartitionId partition : lost) hooks.on_fenced(partition);
+    if (lost.empty()) return Send(batch);
+    const Error error{schema::CODE_NOT_OWNER, "the partition was lost"};
+    if (batch->snapshot) return Complete(batch, error);
+    for (const PartitionId partition : lost) batch->partitions.erase(partition);
+    for (Item& item : std::exchange(batch->items, {})) {
+      const bool kept = std::none_of(item.epochs.begin(), item.epochs.end(),
+                                     [&](const auto& one) { return lost.contains(one.first); });
+      if (kept) {
+        batch->items.push_back(std::move(item));
+      } else {
+        item.done(error);
+      }
+    }
+    SendItems(batch);
   }
 
   // The answer was lost: the own row tells whether the batch took effect.
-  void Resolve(const std::shared_ptr<std::vector<Append>>& batch, std::uint64_t sequence) {
-    table.Read(RowKey(options.stream, sequence),
-               [self = shared_from_this(), batch, sequence](Result<schema::TableRow> row) {
-                 if (!row) {
-                   self->timers.After(kResolvePeriod, [self, batch, sequence](SteadyTime) {
-                     self->Resolve(batch, sequence);
-                   });
-                   return;
+  void Resolve(const BatchPtr& batch) {
+    table.Read(RowKey(options.stream, batch->sequence),
+               [self = shared_from_this(), batch](const Result<schema::TableRow>& row) {
+                 if (!row) return self->OnUnreachable(batch);
+                 {
+                   std::lock_guard lock(self->mutex);
+                   self->unreachable = false;
                  }
-                 if (row.value().version() == 0) return self->Commit(std::move(*batch), sequence);
-                 for (Append& append : *batch) append.done(Success());
-                 self->Finish();
+                 if (row.value().version() == 0) return self->Send(batch);
+                 self->Complete(batch, Success());
                });
   }
 
-  void Finish() {
-    bool more = false;
+  // Items that wait were never sent, so they certainly are not in the table.
+  void OnUnreachable(const BatchPtr& batch) {
+    std::deque<Item> refused;
+    {
+      std::lock_guard lock(mutex);
+      unreachable = true;
+      refused.swap(pending);
+      pending_entries = 0;
+    }
+    for (const Item& item : refused) {
+      item.done(Error{schema::CODE_TABLE_UNAVAILABLE, "the table cannot be reached"});
+    }
+    hooks.after(kResolvePeriod, [weak = weak_from_this(), batch] {
+      if (auto self = weak.lock()) self->Resolve(batch);
+    });
+  }
+
+  void Complete(const BatchPtr& batch, const Result<void>& result) {
+    if (result && !batch->rows.empty()) RecordRows(*batch);
+    for (const Item& item : batch->items) item.done(result);
+    std::unique_lock lock(mutex);
+    committing = false;
+    if (!pending.empty() || compaction) Schedule(std::move(lock));
+  }
+
+  void RecordRows(const Batch& batch) {
+    std::vector<std::string> stale;
     {
       std::lock_guard lock(mutex);
-      committing = false;
-      more = !pending.empty();
+      for (const std::uint64_t sequence : batch.erased) {
+        if (const std::string& object = rows[sequence].object; !object.empty()) {
+          stale_objects.push_back(object);
+        }
+        rows.erase(sequence);
+      }
+      for (std::size_t i = 0; i < batch.rows.size(); ++i) {
+        Row& row = rows[batch.sequence + i];
+        for (const auto& [partition, owned] : batch.partitions) row.partitions.insert(partition);
+        row.partitions.insert(batch.carried.begin(), batch.carried.end());
+        row.object = batch.rows[i].object();
+      }
+      stale.swap(stale_objects);
+    }
+    for (const std::string& object : stale) {
+      objects->Delete(object, [weak = weak_from_this(), object](const Result<void>& deleted) {
+        auto self = weak.lock();
+        if (deleted || !self) return;
+        std::lock_guard lock(self->mutex);
+        self->stale_objects.push_back(object);  // With the next batch.
+      });
     }
-    if (more) Flush();
+  }
+
+  void EraseStream(const std::string& stream, std::function<void(bool)> done) {
+    // Rows are read before the partitions: a row that no partition named after it was read holds
+    // nothing that lives.
+    table.Scan(StreamPrefix(stream), [self = shared_from_this(), stream,
+                                      done](const Result<std::vector<schema::TableRow>>& found) {
+      if (!found) return done(false);
+      self->table.Scan("partition/", [self, stream, done, found = found.value()](
+                                         const Result<std::vector<schema::TableRow>>& partitions) {
+        if (!partitions || IsNamed(partitions.value(), stream)) return done(false);
+        EraseRows(self->table, self->objects, found,
+                  [done](const Result<void>& erased) { done(erased.has_value()); });
+      });
+    });
+  }
+
+  static bool IsNamed(const std::vector<schema::TableRow>& partitions, const std::string& stream) {
+    return std::any_of(partitions.begin(), partitions.end(), [&](const schema::TableRow& row) {
+      schema::PartitionRow parsed;
+      return !parsed.ParseFromString(row.value()) || Names(parsed, stream);
+    });
+  }
+
+  static bool Names(const schema::PartitionRow& row, const std::string& stream) {
+    return std::find(row.streams().begin(), row.streams().end(), stream) != row.streams().end();
+  }
+
+  struct Loading {
+    PartitionId partition;
+    std::deque<std::string> streams;
+    std::vector<schema::JournalEntry> entries;
+    std::function<void(Result<std::vector<schema::JournalEntry>>)> done;
+  };
+
+  void LoadNext(const std::shared_ptr<Loading>& loading) {
+    if (loading->streams.empty()) return loading->done(std::move(loading->entries));
+    const std::string stream = loading->streams.front();
+    loading->streams.pop_front();
+    ReadStream(
+        table, objects, stream,
+        [self = shared_from_this(), loading](Result<std::vector<schema::JournalEntry>> read) {
+          if (!read) return loading->done(read.error());
+          for (schema::JournalEntry& entry : read.value()) {
+            if (entry.partition() == loading->partition.value) {
+              loading->entries.push_back(std::move(entry));
+            }
+          }
+          self->LoadNext(loading);
+        });
   }
 };
 
-Result<std::unique_ptr<Journal>> Journal::Create(Table& table, TimerService& timers,
+Result<std::unique_ptr<Journal>> Journal::Create(Table& table, ObjectStore* objects,
                                                  const JournalOptions& options,
                                                  JournalHooks hooks) {
   if (options.stream.empty()) {
     return Error{schema::CODE_INVALID_FIELD, "the journal stream needs a name"};
   }
   return std::unique_ptr<Journal>(
-      new Journal(std::make_shared<Impl>(table, timers, options, std::move(hooks))));
+      new Journal(std::make_shared<Impl>(table, objects, options, std::move(hooks))));
 }
 
 Journal::Journal(std::shared_ptr<Impl> impl) : m_impl(std::move(impl)) {}
@@ -194,40 +434,56 @@
 
 void Journal::Append(std::vector<schema::JournalEntry> entries,
                      std::function<void(Result<void>)> done) {
-  m_impl->Add({std::move(entries), std::move(done)});
+  m_impl->Add({std::move(entries), {}, std::move(done)});
 }
 
 void Journal::Load(PartitionId partition, const std::vector<std::string>& streams,
                    std::function<void(Result<std::vector<schema::JournalEntry>>)> done) {
+  auto loading = std::make_shared<Impl::Loading>();
+  loading->partition = partition;
+  loading->streams.assign(streams.begin(), streams.end());
+  loading->done = std::move(done);
+  m_impl->LoadNext(loading);
+}
+
+void Journal::Compact(std::function<JournalSnapshot()> take,
+                      std::function<void(Result<void>)> done) {
+  std::unique_lock lock(m_impl->mutex);
+  if (m_impl->compaction || m_impl->unreachable) {
+    lock.unlock();
+    return done(Error{schema::CODE_OVERLOADED, "a compaction waits or the table is unreachable"});
+  }
+  m_impl->compaction = Impl::Compaction{std::move(take), std::move(done)};
+  m_impl->Schedule(std::move(lock));
+}
+
+void Journal::EraseUnused(const std::set<std::string>& streams,
+                          std::function<void(std::set<std::string>)> done) {
   struct State {
-    std::vector<schema::JournalEntry> entries;
-    std::deque<std::string> left;
+    std::mutex mutex;
+    std::set<std::string> left;
+    std::size_t open = 0;
   };
+  if (streams.empty()) return done({});
   auto state = std::make_shared<State>();
-  state->left.assign(streams.begin(), streams.end());
-  auto next = std::make_shared<std::function<void()>>();
-  *next = [impl = m_impl, state, partition, done, weak = std::weak_ptr(next)] {
-    auto self = weak.lock();
-    if (state->left.empty()) return done(std::move(state->entries));
-    const std::string prefix = "journal/" + state->left.front() + "/";
-    state->left.pop_front();
-    impl->table.Scan(prefix,
-                     [state, partition, done, self](Result<std::vector<schema::TableRow>> rows) {
-                       if (!rows) return done(rows.error());
-                       for (const schema::TableRow& row : rows.value()) {
-                         schema::JournalBatch batch;
-                         if (!batch.ParseFromString(row.value())) continue;
-                         for (const schema::JournalEntry& entry : batch.entries()) {
-                           if (entry.partition() == partition.value)
-                             state->entries.push_back(entry);
-                         }
-                       }
-                       (*self)();
-                     });
-  };
-  (*next)();
+  state->left = streams;
+  state->open = streams.size();
+  for (const std::string& stream : streams) {
+    m_impl->EraseStream(stream, [state, stream, done](bool erased) {
+      std::unique_lock lock(state->mutex);
+      if (erased) state->left.erase(stream);
+      if (--state->open > 0) return;
+      lock.unlock();
+      done(state->left);
+    });
+  }
 }
 
 const std::string& Journal::Stream() const { return m_impl->options.stream; }
 
+std::size_t Journal::Rows() const {
+  std::lock_guard lock(m_impl->mutex);
+  return m_impl->rows.size();
+}
+
 }  // namespace citronsill
--- a/src/ledger.cc
+++ b/src/ledger.cc
@@ -9,22 +9,46 @@
 
 enum class TaskPhase { kWaiting, kAssigned, kEnded };
 
+enum class Acceptance { kNone, kWriting, kAccepted };
+
 struct TaskEntry {
   TaskPhase phase = TaskPhase::kWaiting;
-  std::uint32_t attempt = 0;
+  std::uint32_t attempt = 0;  // The one that is assigned or ran last.
+  std::uint32_t next = 0;     // Lowest attempt that may follow; marks repeated events as such.
+  std::string worker;
+  bool ran = false;         // An attempt that ended ran, or may have.
+  std::uint32_t tries = 0;  // Attempts that ran.
   TaskOutcome outcome = TaskOutcome::kNotStarted;
   std::string result;
 };
 
+struct PendingGiveUp {
+  Error error;
+  std::chrono::milliseconds retry_after{0};
+};
+
 struct RequestEntry {
   schema::Request request;
+  schema::WorkClass work_class;
+  RequestFacts facts;
   std::uint64_t content_hash = 0;
-  bool durable = false;
-  bool may_have_run = false;
+  Acceptance acceptance = Acceptance::kNone;
+  bool restored = false;
   std::vector<TaskEntry> tasks;
   std::uint32_t attempts = 0;
   std::vector<Waiter> waiters;
+  std::optional<PendingGiveUp> give_up;
   std::shared_ptr<const schema::Answer> answer;  // Set once ended.
+
+  bool IsAnyAssigned() const {
+    return std::any_of(tasks.begin(), tasks.end(),
+                       [](const TaskEntry& task) { return task.phase == TaskPhase::kAssigned; });
+  }
+
+  bool MayHaveRun() const {
+    return IsAnyAssigned() ||
+           std::any_of(tasks.begin(), tasks.end(), [](const TaskEntry& task) { return task.ran; });
+  }
 };
 
 std::uint64_t ContentHash(const schema::Request& request) {
@@ -32,15 +56,6 @@
   return XXH64(bytes.data(), bytes.size(), 0);
 }
 
-std::shared_ptr<schema::Answer> BaseAnswer(const std::string& id, const RequestEntry& entry) {
-  auto answer = std::make_shared<schema::Answer>();
-  answer->set_id(id);
-  answer->set_attempts(entry.attempts);
-  answer->set_location("/v1/requests/" + id);
-  answer->set_finished_unix_ms(UnixMilliseconds(std::chrono::system_clock::now()));
-  return answer;
-}
-
 schema::Code CodeOf(TaskOutcome outcome) {
   switch (outcome) {
     case TaskOutcome::kSucceeded:
@@ -56,6 +71,59 @@
   }
 }
 
+schema::JournalEntry AcceptedEntry(const std::string& id, const RequestEntry& entry) {
+  schema::JournalEntry accepted;
+  accepted.set_kind(schema::ENTRY_ACCEPTED);
+  accepted.set_request_id(id);
+  *accepted.mutable_request() = entry.request;
+  *accepted.mutable_work_class() = entry.work_class;
+  accepted.set_content_hash(entry.content_hash);
+  accepted.set_accepted_unix_ms(entry.facts.accepted_unix_ms);
+  accepted.set_deadline_unix_ms(entry.facts.deadline_unix_ms);
+  accepted.set_epoch(entry.facts.epoch);
+  return accepted;
+}
+
+schema::JournalEntry TaskEntryOf(const std::string& id, std::uint32_t index,
+                                 const TaskEntry& task) {
+  schema::JournalEntry entry;
+  entry.set_kind(task.phase == TaskPhase::kAssigned ? schema::ENTRY_ASSIGNED : schema::ENTRY_ENDED);
+  entry.set_request_id(id);
+  entry.set_task_index(index);
+  entry.set_attempt(task.attempt);
+  entry.set_worker(task.worker);
+  entry.set_outcome(static_cast<std::uint32_t>(task.outcome));
+  entry.set_result(task.result);
+  entry.set_again(task.phase == TaskPhase::kWaiting);
+  return entry;
+}
+
+// Applies an assigned or ended entry. Entries may be repeated, but those of one attempt are in
+// order.
+void Replay(const schema::JournalEntry& entry, RequestEntry& request) {
+  if (entry.task_index() >= request.tasks.size()) return;
+  TaskEntry& task = request.tasks[entry.task_index()];
+  const bool known = task.phase != TaskPhase::kWaiting || task.ran;
+  if (task.phase == TaskPhase::kEnded || (known && entry.attempt() < task.attempt)) return;
+  if (entry.kind() == schema::ENTRY_ASSIGNED) {
+    if (known && entry.attempt() == task.attempt) return;
+    task.next = entry.attempt();
+    task.phase = TaskPhase::kAssigned;
+    task.attempt = entry.attempt();
+    task.worker = entry.worker();
+    return;
+  }
+  if (task.ran && entry.attempt() == task.attempt && entry.again()) return;
+  task.phase = entry.again() ? TaskPhase::kWaiting : TaskPhase::kEnded;
+  task.attempt = entry.attempt();
+  task.next = entry.attempt() + 1;
+  task.worker = entry.worker();
+  task.outcome = static_cast<TaskOutcome>(entry.outcome());
+  task.result = entry.result();
+  task.ran = true;
+  ++task.tries;
+}
+
 }  // namespace
 
 std::string RequestIdOf(const std::string& team, const std::string& key) {
@@ -71,35 +139,168 @@
     mutable std::mutex mutex;
     std::unordered_map<std::string, RequestEntry> requests;
     std::deque<std::string> finished;
+
+    RequestEntry* Find(const std::string& id) {
+      const auto found = requests.find(id);
+      return found == requests.end() ? nullptr : &found->second;
+    }
   };
 
   std::size_t max_finished_per_shard = 0;
+  std::function<std::int64_t()> unix_ms;
   std::array<Shard, kStateShards> shards;
 
   Shard& ShardOf(const std::string& id) {
     return shards[std::hash<std::string>{}(id) % shards.size()];
   }
-  const Shard& ShardOf(const std::string& id) const {
-    return shards[std::hash<std::string>{}(id) % shards.size()];
+
+  std::shared_ptr<schema::Answer> BaseAnswer(const std::string& id,
+                                             const RequestEntry& entry) const {
+    auto answer = std::make_shared<schema::Answer>();
+    answer->set_id(id);
+    answer->set_attempts(entry.attempts);
+    answer->set_location("/v1/requests/" + id);
+    answer->set_finished_unix_ms(unix_ms());
+    return answer;
   }
 
   Finished Finish(Shard& shard, const std::string& id, RequestEntry& entry,
                   std::shared_ptr<schema::Answer> answer) {
     entry.answer = std::move(answer);
-    shard.finished.push_back(id);
-    Finished finished{entry.answer, std::move(entry.waiters), entry.durable};
+    const bool durable = entry.facts.durable && entry.acceptance != Acceptance::kNone;
+    Finished finished{entry.answer, std::move(entry.waiters), durable, entry.content_hash};
     entry.waiters.clear();
-    if (shard.finished.size() > max_finished_per_shard) {
+    // A caller that was told to come back with the same key gets a fresh run.
+    if (!durable && entry.answer->not_run() && entry.answer->has_retry_after()) {
+      shard.requests.erase(id);
+      return finished;
+    }
+    Keep(shard, id);
+    return finished;
+  }
+
+  void Keep(Shard& shard, const std::string& id) {
+    shard.finished.push_back(id);
+    const std::int64_t oldest =
+        unix_ms() - std::chrono::duration_cast<std::chrono::milliseconds>(kKeepFinished).count();
+    while (shard.finished.size() > max_finished_per_shard ||
+           (!shard.finished.empty() && EndOf(shard, shard.finished.front()) < oldest)) {
       shard.requests.erase(shard.finished.front());
       shard.finished.pop_front();
     }
-    return finished;
+  }
+
+  static std::int64_t EndOf(Shard& shard, const std::string& id) {
+    return shard.requests[id].answer->finished_unix_ms();
+  }
+
+  Finished FinishGivenUp(Shard& shard, const std::string& id, RequestEntry& entry) {
+    const PendingGiveUp& give_up = *entry.give_up;
+    const bool ran = entry.MayHaveRun();
+    auto answer = BaseAnswer(id, entry);
+    answer->set_code(give_up.error.code);
+    answer->set_message(give_up.error.message);
+    const bool accepted = entry.facts.durable && entry.acceptance != Acceptance::kNone;
+    answer->set_state(give_up.error.code == schema::CODE_CANCELLED ? schema::STATE_CANCELLED
+                      : ran || accepted                            ? schema::STATE_FAILED
+                                                                   : schema::STATE_REFUSED);
+    answer->set_not_run(!ran);
+    if (give_up.retry_after.count() > 0) {
+      SetDuration(give_up.retry_after, answer->mutable_retry_after());
+    }
+    return Finish(shard, id, entry, std::move(answer));
+  }
+
+  Finished FinishEnded(Shard& shard, const std::string& id, RequestEntry& entry) {
+    auto answer = BaseAnswer(id, entry);
+    schema::Code code = schema::CODE_OK;
+    for (const TaskEntry& one : entry.tasks) {
+      answer->add_results(one.result);
+      if (one.outcome != TaskOutcome::kSucceeded && code == schema::CODE_OK) {
+        code = CodeOf(one.outcome);
+      }
+    }
+    answer->set_code(code);
+    answer->set_state(code == schema::CODE_OK          ? schema::STATE_SUCCEEDED
+                      : code == schema::CODE_CANCELLED ? schema::STATE_CANCELLED
+                                                       : schema::STATE_FAILED);
+    answer->set_not_run(!entry.MayHaveRun());
+    return Finish(shard, id, entry, std::move(answer));
+  }
+
+  // Ends the request when nothing of it is left to wait for.
+  Ended Settle(Shard& shard, const std::string& id, RequestEntry& entry, Ended ended) {
+    const bool all_ended =
+        std::all_of(entry.tasks.begin(), entry.tasks.end(),
+                    [](const TaskEntry& task) { return task.phase == TaskPhase::kEnded; });
+    if (all_ended) {
+      ended.finished = FinishEnded(shard, id, entry);
+    } else if (entry.give_up && !entry.IsAnyAssigned()) {
+      ended.finished = FinishGivenUp(shard, id, entry);
+    } else {
+      if (entry.give_up && ended.effect == EndEffect::kRetry) ended.effect = EndEffect::kKept;
+      return ended;
+    }
+    ended.effect = EndEffect::kFinished;
+    ended.write = false;  // The finished entry says it all.
+    return ended;
+  }
+
+  static bool IsStale(const RequestEntry& entry, const TaskEntry& state, const TaskKey& task,
+                      const std::string& worker, TaskOutcome outcome) {
+    if (entry.answer || state.phase == TaskPhase::kEnded) return true;
+    if (state.phase == TaskPhase::kAssigned) {
+      if (state.attempt == task.attempt && state.worker == worker) return false;
+      return entry.facts.single_copy || outcome != TaskOutcome::kSucceeded;
+    }
+    if (outcome == TaskOutcome::kNotStarted) return task.attempt < state.next;
+    if (entry.facts.single_copy) return true;
+    return outcome != TaskOutcome::kSucceeded && task.attempt < state.next;
+  }
+
+  Ended End(Shard& shard, const TaskKey& task, TaskEntry& state, RequestEntry& entry,
+            TaskOutcome outcome, const std::string& result, bool again) {
+    const bool single = entry.facts.single_copy;
+    Ended ended{EndEffect::kKept, false, task, std::nullopt};
+    if (outcome == TaskOutcome::kLost && single) {
+      ended.effect = EndEffect::kUnknown;
+      return ended;
+    }
+    state.next = std::max({state.next, task.attempt + 1, entry.facts.first_attempt});
+    ended.retry.attempt = state.next;
+    if (outcome == TaskOutcome::kNotStarted) {
+      state.phase = TaskPhase::kWaiting;
+      if (!again) ended.effect = EndEffect::kRetry;
+      return Settle(shard, task.request_id, entry, std::move(ended));
+    }
+    state.attempt = task.attempt;
+    state.ran = true;
+    ++state.tries;
+    state.outcome = outcome;
+    state.result = result;
+    const bool left = state.tries < entry.facts.max_attempts;
+    const bool may_repeat = outcome != TaskOutcome::kSucceeded && entry.facts.idempotent &&
+                            outcome != TaskOutcome::kStopped;
+    // The engine knows nothing of the attempts that an earlier owner started.
+    const bool retry = may_repeat && !again && left && entry.restored;
+    if ((again && entry.facts.idempotent) || retry) {
+      state.phase = TaskPhase::kWaiting;
+      ended.write = single;
+      if (retry) ended.effect = EndEffect::kRetry;
+    } else {
+      state.phase = TaskPhase::kEnded;
+      ended.write = entry.facts.durable;
+    }
+    return Settle(shard, task.request_id, entry, std::move(ended));
   }
 };
 
-Result<std::unique_ptr<Ledger>> Ledger::Create(std::size_t max_finished) {
+Result<std::unique_ptr<Ledger>> Ledger::Create(std::size_t max_finished,
+                                               std::function<std::int64_t()> unix_ms) {
   auto impl = std::make_unique<Impl>();
   impl->max_finished_per_shard = max_finished / kStateShards + 1;
+  impl->unix_ms = unix_ms ? std::move(unix_ms)
+                          : [] { return UnixMilliseconds(std::chrono::system_clock::now()); };
   return std::unique_ptr<Ledger>(new Ledger(std::move(impl)));
 }
 
@@ -107,7 +308,8 @@
 
 Ledger::~Ledger() = default;
 
-Arrival Ledger::Arrive(const std::string& id, const schema::Request& request, bool durable,
+Arrival Ledger::Arrive(const std::string& id, const schema::Request& request,
+                       const schema::WorkClass& work_class, const RequestFacts& facts,
                        const Waiter& waiter, std::shared_ptr<const schema::Answer>* answer) {
   auto& shard = m_impl->ShardOf(id);
   std::lock_guard lock(shard.mutex);
@@ -124,105 +326,290 @@
   }
   if (!added) return Arrival::kPending;
   entry.request = request;
+  entry.work_class = work_class;
+  entry.facts = facts;
   entry.content_hash = hash;
-  entry.durable = durable;
   entry.tasks.resize(std::max(1U, request.task_count()));
   return Arrival::kNew;
 }
 
-void Ledger::Assign(const TaskKey& task) {
+std::optional<schema::JournalEntry> Ledger::TakeAccepted(const std::string& id) {
+  auto& shard = m_impl->ShardOf(id);
+  std::lock_guard lock(shard.mutex);
+  RequestEntry* entry = shard.Find(id);
+  if (entry == nullptr || entry->answer || !entry->facts.durable) return std::nullopt;
+  if (entry->acceptance != Acceptance::kNone) return std::nullopt;
+  entry->acceptance = Acceptance::kWriting;
+  return AcceptedEntry(id, *entry);
+}
+
+std::vector<Waiter> Ledger::SetAccepted(const std::string& id) {
+  auto& shard = m_impl->ShardOf(id);
+  std::lock_guard lock(shard.mutex);
+  RequestEntry* entry = shard.Find(id);
+  if (entry == nullptr || entry->answer) return {};
+  entry->acceptance = Acceptance::kAccepted;
+  if (!entry->request.no_wait()) return {};
+  return std::exchange(entry->waiters, {});
+}
+
+bool Ledger::Assign(const TaskKey& task, const std::string& worker) {
   auto& shard = m_impl->ShardOf(task.request_id);
   std::lock_guard lock(shard.mutex);
-  const auto found = shard.requests.find(task.request_id);
-  if (found == shard.requests.end() || task.index >= found->second.tasks.size()) return;
-  TaskEntry& entry = found->second.tasks[task.index];
-  if (entry.phase == TaskPhase::kEnded || task.attempt < entry.attempt) return;
-  entry.phase = TaskPhase::kAssigned;
-  entry.attempt = task.attempt;
-  found->second.may_have_run = true;
-  ++found->second.attempts;
-}
-
-std::optional<Finished> Ledger::EndTask(const TaskKey& task, TaskOutcome outcome,
-                                        const std::string& result, bool again) {
+  RequestEntry* entry = shard.Find(task.request_id);
+  if (entry == nullptr || entry->answer || entry->give_up) return false;
+  if (entry->facts.durable && entry->acceptance != Acceptance::kAccepted) return false;
+  if (task.index >= entry->tasks.size()) return false;
+  TaskEntry& state = entry->tasks[task.index];
+  if (state.phase == TaskPhase::kEnded || task.attempt < state.next) return false;
+  if (entry->facts.single_copy) {
+    if (state.phase != TaskPhase::kWaiting) return false;
+    if (state.ran && !entry->facts.idempotent) return false;
+  }
+  state.phase = TaskPhase::kAssigned;
+  state.attempt = task.attempt;
+  state.next = task.attempt;
+  state.worker = worker;
+  ++entry->attempts;
+  return true;
+}
+
+void Ledger::MarkRunning(const TaskKey& task, const std::string& worker) {
   auto& shard = m_impl->ShardOf(task.request_id);
   std::lock_guard lock(shard.mutex);
-  const auto found = shard.requests.find(task.request_id);
-  if (found == shard.requests.end() || found->second.answer) return std::nullopt;
-  RequestEntry& entry = found->second;
-  if (task.index >= entry.tasks.size()) return std::nullopt;
-  TaskEntry& state = entry.tasks[task.index];
-  if (state.phase == TaskPhase::kEnded || task.attempt < state.attempt) return std::nullopt;
-  if (again) {
-    state.phase = TaskPhase::kWaiting;
-    return std::nullopt;
+  RequestEntry* entry = shard.Find(task.request_id);
+  if (entry == nullptr || entry->answer || task.index >= entry->tasks.size()) return;
+  TaskEntry& state = entry->tasks[task.index];
+  if (state.phase != TaskPhase::kWaiting) return;
+  if (entry->facts.single_copy) {
+    spdlog::error("event=unexpected_task request={} index={} attempt={} worker={}", task.request_id,
+                  task.index, task.attempt, worker);
+    return;
   }
-  state = TaskEntry{TaskPhase::kEnded, task.attempt, outcome, result};
-  const auto ended = [](const TaskEntry& one) { return one.phase == TaskPhase::kEnded; };
-  if (!std::all_of(entry.tasks.begin(), entry.tasks.end(), ended)) return std::nullopt;
+  state.phase = TaskPhase::kAssigned;
+  state.attempt = task.attempt;
+  state.worker = worker;
+}
+
+Ended Ledger::EndTask(const TaskKey& task, const std::string& worker, TaskOutcome outcome,
+                      const std::string& result, bool again) {
+  auto& shard = m_impl->ShardOf(task.request_id);
+  std::lock_guard lock(shard.mutex);
+  RequestEntry* entry = shard.Find(task.request_id);
+  if (entry == nullptr || task.index >= entry->tasks.size()) return {};
+  TaskEntry& state = entry->tasks[task.index];
+  if (Impl::IsStale(*entry, state, task, worker, outcome)) return {};
+  return m_impl->End(shard, task, state, *entry, outcome, result, again);
+}
 
-  auto answer = BaseAnswer(task.request_id, entry);
-  schema::Code code = schema::CODE_OK;
-  bool not_run = true;
-  for (const TaskEntry& one : entry.tasks) {
-    answer->add_results(one.result);
-    if (one.outcome != TaskOutcome::kSucceeded && code == schema::CODE_OK)
-      code = CodeOf(one.outcome);
-    not_run = not_run && one.outcome == TaskOutcome::kNotStarted;
+Ended Ledger::EndRemoved(const TaskKey& task, const std::string& worker) {
+  auto& shard = m_impl->ShardOf(task.request_id);
+  std::lock_guard lock(shard.mutex);
+  RequestEntry* entry = shard.Find(task.request_id);
+  if (entry == nullptr || task.index >= entry->tasks.size()) return {};
+  TaskEntry& state = entry->tasks[task.index];
+  if (state.phase != TaskPhase::kAssigned || state.attempt != task.attempt ||
+      state.worker != worker || entry->answer) {
+    return {};
   }
-  answer->set_code(code);
-  answer->set_state(code == schema::CODE_OK          ? schema::STATE_SUCCEEDED
-                    : code == schema::CODE_CANCELLED ? schema::STATE_CANCELLED
-                                                     : schema::STATE_FAILED);
-  answer->set_not_run(not_run);
-  return m_impl->Finish(shard, task.request_id, entry, std::move(answer));
+  state.ran = true;
+  Ended ended{EndEffect::kRetry, entry->facts.single_copy, task, std::nullopt};
+  state.next = std::max(state.attempt + 1, entry->facts.first_attempt);
+  ended.retry.attempt = state.next;
+  state.phase = entry->facts.idempotent ? TaskPhase::kWaiting : TaskPhase::kEnded;
+  state.outcome = TaskOutcome::kLost;
+  if (!entry->facts.idempotent) ended.effect = EndEffect::kKept;
+  return m_impl->Settle(shard, task.request_id, *entry, std::move(ended));
 }
 
 std::optional<Finished> Ledger::GiveUp(const std::string& id, const Error& error,
                                        std::chrono::milliseconds retry_after) {
   auto& shard = m_impl->ShardOf(id);
   std::lock_guard lock(shard.mutex);
-  const auto found = shard.requests.find(id);
-  if (found == shard.requests.end() || found->second.answer) return std::nullopt;
-  RequestEntry& entry = found->second;
-  auto answer = BaseAnswer(id, entry);
+  RequestEntry* entry = shard.Find(id);
+  if (entry == nullptr || entry->answer || entry->give_up) return std::nullopt;
+  entry->give_up = PendingGiveUp{error, retry_after};
+  if (entry->IsAnyAssigned()) return std::nullopt;
+  return m_impl->FinishGivenUp(shard, id, *entry);
+}
+
+std::optional<Finished> Ledger::Refuse(const std::string& id, const Error& error,
+                                       std::chrono::milliseconds retry_after) {
+  auto& shard = m_impl->ShardOf(id);
+  std::lock_guard lock(shard.mutex);
+  RequestEntry* entry = shard.Find(id);
+  if (entry == nullptr || entry->answer || entry->acceptance == Acceptance::kAccepted) {
+    return std::nullopt;
+  }
+  auto answer = m_impl->BaseAnswer(id, *entry);
+  answer->clear_location();
   answer->set_code(error.code);
   answer->set_message(error.message);
-  answer->set_state(error.code == schema::CODE_CANCELLED ? schema::STATE_CANCELLED
-                    : entry.may_have_run                 ? schema::STATE_FAILED
-                                                         : schema::STATE_REFUSED);
-  answer->set_not_run(!entry.may_have_run);
+  answer->set_state(schema::STATE_REFUSED);
+  answer->set_not_run(true);
   if (retry_after.count() > 0) SetDuration(retry_after, answer->mutable_retry_after());
-  return m_impl->Finish(shard, id, entry, std::move(answer));
+  Finished finished{std::move(answer), std::move(entry->waiters), false, entry->content_hash};
+  shard.requests.erase(id);
+  return finished;
+}
+
+void Ledger::Restore(const std::string& id, const std::vector<const schema::JournalEntry*>& entries,
+                     const std::function<std::uint32_t(std::uint64_t epoch)>& first_attempt) {
+  RequestEntry restored;
+  restored.restored = true;
+  restored.acceptance = Acceptance::kAccepted;
+  // A copy of the accepted entry may come after entries that were written while it was copied.
+  for (const schema::JournalEntry* entry : entries) {
+    if (entry->kind() == schema::ENTRY_ACCEPTED && restored.tasks.empty()) {
+      restored.request = entry->request();
+      restored.work_class = entry->work_class();
+      restored.content_hash = entry->content_hash();
+      RequestFacts& facts = restored.facts;
+      facts.accepted_unix_ms = entry->accepted_unix_ms();
+      facts.deadline_unix_ms = entry->deadline_unix_ms();
+      facts.epoch = entry->epoch();
+      facts.durable = true;
+      facts.idempotent = entry->request().has_idempotent() ? entry->request().idempotent()
+                                                           : entry->work_class().idempotent();
+      facts.single_copy = entry->work_class().exclusive() || !facts.idempotent;
+      facts.max_attempts = std::max(1U, entry->work_class().max_attempts());
+      facts.first_attempt = first_attempt(entry->epoch());
+      restored.tasks.resize(std::max(1U, entry->request().task_count()));
+    }
+  }
+  for (const schema::JournalEntry* entry : entries) {
+    if (entry->kind() == schema::ENTRY_FINISHED) {
+      restored.answer = std::make_shared<schema::Answer>(entry->answer());
+      restored.content_hash = entry->content_hash();
+    } else if (entry->kind() != schema::ENTRY_ACCEPTED) {
+      Replay(*entry, restored);
+    }
+  }
+  if (!restored.answer && restored.tasks.empty()) return;
+  for (TaskEntry& task : restored.tasks) {
+    // Starts of work that may run twice are not journaled.
+    task.ran = task.ran || !restored.facts.single_copy;
+    if (task.phase != TaskPhase::kWaiting || task.tries > 0) ++restored.attempts;
+  }
+  auto& shard = m_impl->ShardOf(id);
+  std::lock_guard lock(shard.mutex);
+  const bool finished = restored.answer != nullptr;
+  if (!shard.requests.emplace(id, std::move(restored)).second) return;
+  if (finished) m_impl->Keep(shard, id);
+}
+
+std::vector<schema::JournalEntry> Ledger::Export(
+    const std::function<bool(const std::string& id)>& wanted) const {
+  std::vector<schema::JournalEntry> entries;
+  for (const auto& shard : m_impl->shards) {
+    std::lock_guard lock(shard.mutex);
+    for (const auto& [id, entry] : shard.requests) {
+      if (entry.acceptance != Acceptance::kAccepted || !wanted(id)) continue;
+      if (entry.answer) {
+        schema::JournalEntry finished;
+        finished.set_kind(schema::ENTRY_FINISHED);
+        finished.set_request_id(id);
+        finished.set_content_hash(entry.content_hash);
+        *finished.mutable_answer() = *entry.answer;
+        entries.push_back(std::move(finished));
+        continue;
+      }
+      entries.push_back(AcceptedEntry(id, entry));
+      for (std::uint32_t i = 0; i < entry.tasks.size(); ++i) {
+        const TaskEntry& task = entry.tasks[i];
+        const bool assigned = task.phase == TaskPhase::kAssigned && entry.facts.single_copy;
+        const bool repeated =
+            task.phase == TaskPhase::kWaiting && task.ran && entry.facts.single_copy;
+        if (assigned || repeated || task.phase == TaskPhase::kEnded) {
+          entries.push_back(TaskEntryOf(id, i, task));
+        }
+      }
+    }
+  }
+  return entries;
 }
 
 std::optional<schema::Answer> Ledger::Status(const std::string& id) const {
-  const auto& shard = m_impl->ShardOf(id);
+  auto& shard = m_impl->ShardOf(id);
   std::lock_guard lock(shard.mutex);
-  const auto found = shard.requests.find(id);
-  if (found == shard.requests.end()) return std::nullopt;
-  if (found->second.answer) return *found->second.answer;
+  const RequestEntry* entry = shard.Find(id);
+  if (entry == nullptr) return std::nullopt;
+  if (entry->answer) return *entry->answer;
   schema::Answer answer;
   answer.set_id(id);
-  answer.set_state(found->second.may_have_run ? schema::STATE_RUNNING : schema::STATE_WAITING);
-  answer.set_attempts(found->second.attempts);
+  const bool accepted = !entry->facts.durable || entry->acceptance == Acceptance::kAccepted;
+  answer.set_state(!accepted             ? schema::STATE_UNKNOWN
+                   : entry->MayHaveRun() ? schema::STATE_RUNNING
+                                         : schema::STATE_WAITING);
+  answer.set_attempts(entry->attempts);
   answer.set_location("/v1/requests/" + id);
   return answer;
 }
 
 std::optional<schema::Request> Ledger::Find(const std::string& id) const {
-  const auto& shard = m_impl->ShardOf(id);
+  auto& shard = m_impl->ShardOf(id);
   std::lock_guard lock(shard.mutex);
-  const auto found = shard.requests.find(id);
-  if (found == shard.requests.end()) return std::nullopt;
-  return found->second.request;
+  const RequestEntry* entry = shard.Find(id);
+  if (entry == nullptr) return std::nullopt;
+  return entry->request;
 }
 
-bool Ledger::MayHaveRun(const std::string& id) const {
-  const auto& shard = m_impl->ShardOf(id);
+std::optional<schema::WorkClass> Ledger::FindClass(const std::string& id) const {
+  auto& shard = m_impl->ShardOf(id);
   std::lock_guard lock(shard.mutex);
-  const auto found = shard.requests.find(id);
-  return found != shard.requests.end() && found->second.may_have_run;
+  const RequestEntry* entry = shard.Find(id);
+  if (entry == nullptr) return std::nullopt;
+  return entry->work_class;
+}
+
+std::optional<RequestFacts> Ledger::Facts(const std::string& id) const {
+  auto& shard = m_impl->ShardOf(id);
+  std::lock_guard lock(shard.mutex);
+  const RequestEntry* entry = shard.Find(id);
+  if (entry == nullptr) return std::nullopt;
+  RequestFacts facts = entry->facts;
+  facts.accepted = entry->acceptance == Acceptance::kAccepted;
+  return facts;
+}
+
+std::vector<std::pair<TaskKey, std::string>> Ledger::Assigned() const {
+  std::vector<std::pair<TaskKey, std::string>> assigned;
+  for (const auto& shard : m_impl->shards) {
+    std::lock_guard lock(shard.mutex);
+    for (const auto& [id, entry] : shard.requests) {
+      if (entry.answer) continue;
+      for (std::uint32_t i = 0; i < entry.tasks.size(); ++i) {
+        const TaskEntry& task = entry.tasks[i];
+        if (task.phase != TaskPhase::kAssigned) continue;
+        assigned.emplace_back(TaskKey{id, i, task.attempt}, task.worker);
+      }
+    }
+  }
+  return assigned;
+}
+
+std::vector<OpenTask> Ledger::OpenTasks(const std::string& id) const {
+  auto& shard = m_impl->ShardOf(id);
+  std::lock_guard lock(shard.mutex);
+  const RequestEntry* entry = shard.Find(id);
+  std::vector<OpenTask> open;
+  if (entry == nullptr || entry->answer) return open;
+  for (std::uint32_t i = 0; i < entry->tasks.size(); ++i) {
+    const TaskEntry& task = entry->tasks[i];
+    if (task.phase == TaskPhase::kEnded) continue;
+    const bool assigned = task.phase == TaskPhase::kAssigned;
+    if (!assigned && entry->give_up) continue;
+    open.push_back({i, assigned ? task.attempt : std::max(task.next, entry->facts.first_attempt),
+                    assigned, task.worker});
+  }
+  return open;
+}
+
+bool Ledger::IsAssigned(const TaskKey& task) const {
+  for (const OpenTask& open : OpenTasks(task.request_id)) {
+    if (open.index == task.index) return open.assigned && open.attempt == task.attempt;
+  }
+  return false;
 }
 
 void Ledger::Drop(const std::function<bool(const std::string& id)>& drop) {
