--- a/include/citronsill/ledger.h
+++ b/include/citronsill/ledger.h
@@ -99,6 +99,10 @@
   /// @returns the entry instances that are told so; they wait for nothing else.
   std::vector<Waiter> SetAccepted(const std::string& id);
 
+  /// Records that the end of a request is in the journal.
+  /// @returns the entry instances that still wait for the answer.
+  std::vector<Waiter> Settle(const std::string& id);
+
   /// Records that a task was assigned; from here on it may have run.
   /// @returns false when it must not be started: the request ended or was not accepted, or another
   /// attempt of a single-copy task may run.
--- a/src/home.cc
+++ b/src/home.cc
@@ -246,28 +246,27 @@
       auto accepted = self->ledger.TakeAccepted(id);
       if (!accepted) return;
       accepted->set_partition(self->Partition(id).value);
-      self->journal.Append({std::move(*accepted)}, [self, id](const Result<void>& written) {
-        self->OnAcceptWritten(id, written);
+      self->journal.Append({std::move(*accepted)}, [self, id, epoch](const Result<void>& written) {
+        self->OnAcceptWritten(id, epoch, written);
       });
     });
   }
 
-  void OnAcceptWritten(const std::string& id, const Result<void>& written) {
-    if (written) {
-      const auto waiters = ledger.SetAccepted(id);
-      if (const auto status = ledger.Status(id)) {
-        const auto answer = std::make_shared<schema::Answer>(*status);
-        for (const Waiter& waiter : waiters) hooks.deliver(waiter, answer);
-      }
-      return;
-    }
+  void OnAcceptWritten(const std::string& id, std::uint64_t epoch, const Result<void>& written) {
+    if (written) return TellAccepted(id);
     hooks.cancel(id);
     // The next owner gets the request from its entry instance again.
-    if (written.error().code == schema::CODE_NOT_OWNER) return;
+    if (written.error().code == schema::CODE_NOT_OWNER || !IsServed(id, epoch)) return;
     RefuseNew(id, written.error(), kRefusalRetryAfter);
   }
 
-  void TellAccepted(const std::string& id) { OnAcceptWritten(id, Success()); }
+  void TellAccepted(const std::string& id) {
+    const auto waiters = ledger.SetAccepted(id);
+    const auto status = ledger.Status(id);
+    if (!status) return;
+    const auto answer = std::make_shared<schema::Answer>(*status);
+    for (const Waiter& waiter : waiters) hooks.deliver(waiter, answer);
+  }
 
   // Starts.
 
@@ -288,7 +287,7 @@
     journal.Append(std::move(entries), [self = shared_from_this(), start, accepts, go,
                                         epoch = *epoch](const Result<void>& written) {
       const std::string& request_id = start.task.request_id;
-      if (accepts) self->OnAcceptWritten(request_id, written);
+      if (accepts) self->OnAcceptWritten(request_id, epoch, written);
       go(written && self->IsServed(request_id, epoch) &&
          self->ledger.Assign(start.task, start.worker));
     });
@@ -389,7 +388,10 @@
     entry.set_request_id(finished.answer->id());
     entry.set_content_hash(finished.content_hash);
     *entry.mutable_answer() = *finished.answer;
-    WriteEnd(std::move(entry), done);
+    WriteEnd(std::move(entry), [self = shared_from_this(), answer = finished.answer, done] {
+      self->Deliver({answer, self->ledger.Settle(answer->id())});
+      done();
+    });
     Deliver(finished);
   }
 
--- a/src/ledger.cc
+++ b/src/ledger.cc
@@ -39,6 +39,7 @@
   std::vector<Waiter> waiters;
   std::optional<PendingGiveUp> give_up;
   std::shared_ptr<const schema::Answer> answer;  // Set once ended.
+  bool settled = true;                           // The answer may be told.
 
   bool IsAnyAssigned() const {
     return std::any_of(tasks.begin(), tasks.end(),
@@ -165,11 +166,13 @@
   }
 
   Finished Finish(Shard& shard, const std::string& id, RequestEntry& entry,
-                  std::shared_ptr<schema::Answer> answer) {
+                  std::shared_ptr<schema::Answer> answer, bool given_up) {
     entry.answer = std::move(answer);
     const bool durable = entry.facts.durable && entry.acceptance != Acceptance::kNone;
-    Finished finished{entry.answer, std::move(entry.waiters), durable, entry.content_hash};
-    entry.waiters.clear();
+    Finished finished{entry.answer, {}, durable, entry.content_hash};
+    // Until it is written that the request was given up, the next owner would run it.
+    entry.settled = !durable || !given_up;
+    if (entry.settled) finished.waiters = std::exchange(entry.waiters, {});
     // A caller that was told to come back with the same key gets a fresh run.
     if (!durable && entry.answer->not_run() && entry.answer->has_retry_after()) {
       shard.requests.erase(id);
@@ -200,15 +203,17 @@
     auto answer = BaseAnswer(id, entry);
     answer->set_code(give_up.error.code);
     answer->set_message(give_up.error.message);
-    const bool accepted = entry.facts.durable && entry.acceptance != Acceptance::kNone;
-    answer->set_state(give_up.error.code == schema::CODE_CANCELLED ? schema::STATE_CANCELLED
-                      : ran || accepted                            ? schema::STATE_FAILED
-                                                                   : schema::STATE_REFUSED);
+    const bool cancelled = give_up.error.code == schema::CODE_CANCELLED;
+    const bool refused =
+        entry.facts.durable ? entry.acceptance == Acceptance::kNone : !ran && !cancelled;
+    answer->set_state(refused     ? schema::STATE_REFUSED
+                      : cancelled ? schema::STATE_CANCELLED
+                                  : schema::STATE_FAILED);
     answer->set_not_run(!ran);
     if (give_up.retry_after.count() > 0) {
       SetDuration(give_up.retry_after, answer->mutable_retry_after());
     }
-    return Finish(shard, id, entry, std::move(answer));
+    return Finish(shard, id, entry, std::move(answer), true);
   }
 
   Finished FinishEnded(Shard& shard, const std::string& id, RequestEntry& entry) {
@@ -225,7 +230,7 @@
                       : code == schema::CODE_CANCELLED ? schema::STATE_CANCELLED
                                                        : schema::STATE_FAILED);
     answer->set_not_run(!entry.MayHaveRun());
-    return Finish(shard, id, entry, std::move(answer));
+    return Finish(shard, id, entry, std::move(answer), false);
   }
 
   // Ends the request when nothing of it is left to wait for.
@@ -317,7 +322,7 @@
   RequestEntry& entry = found->second;
   const std::uint64_t hash = ContentHash(request);
   if (!added && entry.content_hash != hash) return Arrival::kKeyReused;
-  if (entry.answer) {
+  if (entry.answer && entry.settled) {
     *answer = entry.answer;
     return Arrival::kFinished;
   }
@@ -353,6 +358,15 @@
   return std::exchange(entry->waiters, {});
 }
 
+std::vector<Waiter> Ledger::Settle(const std::string& id) {
+  auto& shard = m_impl->ShardOf(id);
+  std::lock_guard lock(shard.mutex);
+  RequestEntry* entry = shard.Find(id);
+  if (entry == nullptr || !entry->answer) return {};
+  entry->settled = true;
+  return std::exchange(entry->waiters, {});
+}
+
 bool Ledger::Assign(const TaskKey& task, const std::string& worker) {
   auto& shard = m_impl->ShardOf(task.request_id);
   std::lock_guard lock(shard.mutex);
@@ -534,7 +548,7 @@
   std::lock_guard lock(shard.mutex);
   const RequestEntry* entry = shard.Find(id);
   if (entry == nullptr) return std::nullopt;
-  if (entry->answer) return *entry->answer;
+  if (entry->answer && entry->settled) return *entry->answer;
   schema::Answer answer;
   answer.set_id(id);
   const bool accepted = !entry->facts.durable || entry->acceptance == Acceptance::kAccepted;
--- /dev/null
+++ b/tests/home_test.cc
@@ -0,0 +1,165 @@
+#include <doctest/doctest.h>
+
+#include <rapidcheck.h>
+#include <spdlog/spdlog.h>
+#include <cstdlib>
+#include <iostream>
+
+#include "cell.h"
+
+namespace citronsill {
+namespace {
+
+schema::Request MakeRequest(const std::string& work_class, const std::string& key,
+                            unsigned tasks = 1) {
+  schema::Request request;
+  request.set_work_class(work_class);
+  request.set_team("team");
+  request.set_key(key);
+  request.set_payload("payload of " + key);
+  request.set_task_count(tasks);
+  request.mutable_size()->set_processors(1);
+  SetDuration(milliseconds(300), request.mutable_run_time());
+  return request;
+}
+
+// Thousands of recoveries would otherwise fill the log.
+struct LogSilence {
+  LogSilence() { spdlog::set_level(spdlog::level::off); }
+  ~LogSilence() { spdlog::set_level(spdlog::level::info); }
+};
+
+enum class Fault {
+  kSubmit,
+  kRepeat,
+  kCancel,
+  kKill,
+  kPause,
+  kThaw,
+  kTableDown,
+  kTableLoses,
+  kTableUp,
+  kWorkerCut,
+  kWorkerBack,
+  kTakeOver,
+  kLast = kTakeOver
+};
+
+struct Step {
+  int fault = 0;
+  int choice = 0;
+  int wait = 0;  // Milliseconds after the step.
+};
+
+std::ostream& operator<<(std::ostream& out, const Step& step) {
+  return out << "{" << step.fault << ", " << step.choice << ", " << step.wait << "}";
+}
+
+void Apply(ModelCell& cell, const Step& step, int& requests) {
+  static const char* const kClasses[] = {"quote", "fitting", "order", "plan"};
+  const auto worker = static_cast<std::size_t>(step.choice) % cell.workers.size();
+  const PartitionId partition{static_cast<std::uint32_t>(step.choice) % kModelPartitions};
+  const auto owner = cell.OwnerOf(partition);
+  const auto request = [&] {
+    auto found = cell.callers.begin();
+    std::advance(found, step.choice % static_cast<int>(cell.callers.size()));
+    return found->second.request;
+  };
+  switch (static_cast<Fault>(step.fault)) {
+    case Fault::kSubmit: {
+      schema::Request made =
+          MakeRequest(kClasses[step.choice % 4], "key-" + std::to_string(requests++),
+                      1U + static_cast<unsigned>(step.choice / 4 % 2));
+      made.set_no_wait(step.choice / 8 % 2 == 0 && made.work_class() != "quote");
+      cell.Submit(made);
+      break;
+    }
+    case Fault::kRepeat:
+      if (!cell.callers.empty()) cell.Submit(request());
+      break;
+    case Fault::kCancel:
+      if (!cell.callers.empty()) cell.Cancel(RequestIdOf("team", request().key()));
+      break;
+    case Fault::kKill:
+      owner->process->Kill();
+      break;
+    case Fault::kPause:
+      owner->process->Pause();
+      break;
+    case Fault::kThaw:
+      for (std::size_t i = 0; i < cell.instances.size(); ++i) cell.instances[i]->process->Thaw();
+      break;
+    case Fault::kTableDown:
+      cell.table.SetFault(TableFault::kDown);
+      break;
+    case Fault::kTableLoses:
+      cell.table.SetFault(TableFault::kLoseAnswers);
+      break;
+    case Fault::kTableUp:
+      cell.table.SetFault(TableFault::kNone);
+      break;
+    case Fault::kWorkerCut:
+      cell.workers[worker].reachable = false;
+      break;
+    case Fault::kWorkerBack:
+      cell.workers[worker].reachable = true;
+      break;
+    case Fault::kTakeOver: {
+      // Either a new instance or one that owns, or owned, something already.
+      auto heir = cell.instances[static_cast<std::size_t>(step.choice) % cell.instances.size()];
+      if (!heir->process->IsUp() || heir == owner) heir = cell.NewInstance();
+      if (cell.TakeOver(partition, heir) && owner->process->IsUp()) {
+        cell.time.After(milliseconds(step.choice * 20), [owner, partition, &cell] {
+          if (cell.OwnerOf(partition) != owner) {
+            owner->process->Do([owner, partition] { owner->Lose(partition); });
+          }
+        });
+      }
+      break;
+    }
+  }
+}
+
+std::vector<std::string> RunSchedule(std::uint64_t seed, const std::vector<Step>& steps) {
+  ModelCell cell(seed);
+  cell.time.Run(milliseconds(200));
+  int requests = 0;
+  for (const Step& step : steps) {
+    Apply(cell, step, requests);
+    cell.time.Run(milliseconds(step.wait));
+  }
+  return cell.Settle();
+}
+
+// Guards against lost, doubled or falsely reported work under kills, pauses, takeovers, table
+// outages, lost answers, late and repeated events, cancellations and repeated keys.
+TEST_CASE("home: invariants hold under schedules of faults") {
+  const LogSilence silence;
+  const char* schedules = std::getenv("CITRONSILL_SCHEDULES");
+  const char* seed = std::getenv("CITRONSILL_SEED");
+  rc::detail::TestParams params;
+  params.maxSuccess = schedules != nullptr ? std::atoi(schedules) : 1000;
+  params.seed = seed != nullptr ? std::strtoull(seed, nullptr, 10) : 20261204;
+  MESSAGE("seed " << params.seed << ", schedules " << params.maxSuccess);
+  const auto step = rc::gen::apply(
+      [](int fault, int choice, int wait) {
+        // Half of the steps are requests, so that faults meet work.
+        return Step{fault > static_cast<int>(Fault::kLast) ? 0 : fault, choice, wait};
+      },
+      rc::gen::inRange(0, 2 * static_cast<int>(Fault::kLast)), rc::gen::inRange(0, 64),
+      rc::gen::element(0, 5, 15, 30, 100, 400, 1500));
+  const auto result = rc::detail::checkTestable(
+      [&] {
+        const auto cell_seed = *rc::gen::arbitrary<std::uint32_t>();
+        const auto steps = *rc::gen::resize(30, rc::gen::container<std::vector<Step>>(step));
+        const auto violations = RunSchedule(cell_seed, steps);
+        for (const std::string& violation : violations) RC_LOG() << violation << "\n";
+        RC_ASSERT(violations.empty());
+      },
+      rc::detail::TestMetadata{"home", "home"}, params);
+  rc::detail::printResultMessage(result, std::cerr);
+  CHECK(result.is<rc::detail::SuccessResult>());
+}
+
+}  // namespace
+}  // namespace citronsill
