--- a/include/citronsill/ledger.h
+++ b/include/citronsill/ledger.h
@@ -42,6 +42,7 @@
   std::uint32_t max_attempts = 1;
   std::uint32_t first_attempt = 0;  ///< Lowest number of an attempt under the present epoch.
   std::uint64_t epoch = 0;          ///< Of the partition when the request arrived.
+  std::uint64_t submission = 0;  ///< Of the forward that the request came with.
   std::int64_t accepted_unix_ms = 0;
   std::int64_t deadline_unix_ms = 0;  ///< 0 for none.
 };
@@ -52,6 +53,7 @@
   std::vector<Waiter> waiters;
   bool durable = false;  ///< The end has to be written to the journal.
   std::uint64_t content_hash = 0;
+  std::uint64_t refused_submission = 0;  ///< Set when the request was forgotten.
 };
 
 /// What the end of an attempt means for its request.
--- a/src/home.cc
+++ b/src/home.cc
@@ -16,8 +16,8 @@
 
 // Attempt numbers of one ownership epoch, so that no owner uses a number of an earlier owner.
 constexpr std::uint32_t kAttemptsPerEpoch = 4096;
-// Refused requests whose key may come again while an old start is still under way.
-constexpr std::size_t kMaxRefused = 1024;
+// Refused requests whose key may come again while an old start or forward is still under way.
+constexpr std::size_t kMaxRefused = 16384;
 constexpr std::uint32_t kAttemptsPerArrival = 64;
 
 milliseconds Backoff(int tries) {
@@ -97,6 +97,13 @@
     std::vector<Done> done;  // Of events that were reported again.
   };
 
+  // A refusal, for forwards of the same submission that come after it.
+  struct Refusal {
+    std::uint32_t next_attempt = 0;
+    std::uint64_t submission = 0;
+    std::shared_ptr<const schema::Answer> answer;
+  };
+
   Impl(Ledger& request_ledger, Journal& request_journal, const HomeOptions& home_options,
        HomeHooks home_hooks)
       : ledger(request_ledger),
@@ -115,7 +122,7 @@
   std::map<std::string, Unwritten> unwritten;
   std::set<TaskKey> queried;
   std::set<std::string> retired;  // Streams whose rows may be erased once no partition names them.
-  std::unordered_map<std::string, std::uint32_t> refused;  // Attempt number for the next arrival.
+  std::unordered_map<std::string, Refusal> refused;
   std::deque<std::string> refused_order;
 
   PartitionId Partition(const std::string& id) const {
@@ -145,6 +152,10 @@
       return ack;
     }
     const Waiter waiter{forward.entry_id(), forward.entry_address()};
+    if (const auto refusal = FindRefusal(forward)) {
+      hooks.deliver(waiter, refusal);
+      return ack;
+    }
     auto work_class = hooks.find_class(forward.request().work_class());
     // The class of a known request may have been removed since.
     if (!work_class) work_class = ledger.FindClass(forward.id());
@@ -183,13 +194,14 @@
     facts.single_copy = work_class.exclusive() || !facts.idempotent;
     facts.max_attempts = std::max(1U, work_class.max_attempts());
     facts.epoch = epoch;
+    facts.submission = forward.submission();
     facts.accepted_unix_ms = hooks.unix_ms();
     if (const auto left = TimeLeft(forward, work_class)) {
       facts.deadline_unix_ms = facts.accepted_unix_ms + left->count();
     }
     std::lock_guard lock(mutex);
     if (const auto found = refused.find(forward.id()); found != refused.end()) {
-      facts.first_attempt = found->second;
+      facts.first_attempt = found->second.next_attempt;
     }
     return facts;
   }
@@ -211,17 +223,33 @@
   }
 
   void RefuseNew(const std::string& id, const Error& error, milliseconds retry_after) {
-    {
-      std::lock_guard lock(mutex);
-      const auto [found, added] = refused.try_emplace(id, 0);
-      found->second = (found->second + kAttemptsPerArrival) % kAttemptsPerEpoch;
-      if (added) refused_order.push_back(id);
-      if (refused_order.size() > kMaxRefused) {
-        refused.erase(refused_order.front());
-        refused_order.pop_front();
-      }
+    if (auto finished = ledger.Refuse(id, error, retry_after)) {
+      Remember(*finished);
+      Deliver(*finished);
     }
-    if (auto finished = ledger.Refuse(id, error, retry_after)) Deliver(*finished);
+  }
+
+  // The entry instance may have sent the submission again before it got the refusal.
+  void Remember(const Finished& finished) {
+    const std::string& id = finished.answer->id();
+    std::lock_guard lock(mutex);
+    const auto [found, added] = refused.try_emplace(id);
+    Refusal& refusal = found->second;
+    refusal.next_attempt = (refusal.next_attempt + kAttemptsPerArrival) % kAttemptsPerEpoch;
+    refusal.submission = finished.refused_submission;
+    refusal.answer = finished.answer;
+    if (added) refused_order.push_back(id);
+    if (refused_order.size() > kMaxRefused) {
+      refused.erase(refused_order.front());
+      refused_order.pop_front();
+    }
+  }
+
+  std::shared_ptr<const schema::Answer> FindRefusal(const schema::Forward& forward) {
+    std::lock_guard lock(mutex);
+    const auto found = refused.find(forward.id());
+    if (forward.submission() == 0 || found == refused.end()) return nullptr;
+    return found->second.submission == forward.submission() ? found->second.answer : nullptr;
   }
 
   // The job is submitted before it is accepted, so that a start can share the batch of the accepted
@@ -380,6 +408,7 @@
 
   void Finish(const Finished& finished, const Done& done) {
     if (!finished.durable) {
+      if (finished.refused_submission != 0) Remember(finished);
       Deliver(finished);
       return done();
     }
