--- /dev/null
+++ b/include/citronsill/roster.h
@@ -0,0 +1,46 @@
+/// What the platform's lists said of instances and workers, and which workers are gone for good.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "citronsill/dispatcher.h"
+#include "citronsill/result.h"
+#include "citronsill/types.h"
+
+namespace citronsill {
+
+/// Thread-safe.
+class Roster {
+ public:
+  Roster();
+  ~Roster();
+
+  /// Takes over a list of the platform.
+  /// @returns ids of workers that were listed before and are now gone for good.
+  std::vector<std::string> Update(const schema::Directory& directory);
+
+  /// @returns whether a list has been received.
+  [[nodiscard]] bool HasList() const;
+
+  /// @param epoch_of returns the epoch under which the worker is owned, or none.
+  [[nodiscard]] std::vector<OwnedWorker> OwnedWorkers(
+      const std::function<std::optional<std::uint64_t>(const std::string& worker)>& epoch_of) const;
+
+  /// @returns the peer addresses of all listed instances.
+  [[nodiscard]] std::vector<std::string> InstanceAddresses() const;
+
+  /// @returns whether several lists in a row were without the worker. A single one may lag or be
+  /// incomplete, and a task that is given up too early could run twice.
+  [[nodiscard]] bool IsRemoved(const std::string& worker) const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+}  // namespace citronsill
--- a/include/citronsill/router.h
+++ b/include/citronsill/router.h
@@ -37,7 +37,7 @@
   std::function<EngineStats()> stats;
 
   // The home role of this instance.
-  std::function<void(const TaskEvent&, std::function<void()> done)> to_home;
+  std::function<schema::Code(const TaskEvent&, std::function<void()> done)> to_home;
   std::function<void(const Action&, std::uint64_t worker_incarnation, std::function<void(bool)> go)>
       before_start;
   std::function<std::optional<TaskJob>(const std::string& request_id)> find_home_job;
@@ -75,6 +75,10 @@
   /// @returns CODE_OK once the home needs the event no more, CODE_TIMEOUT when it is to be sent
   /// again.
   schema::Ack OnTaskUpdate(const schema::TaskUpdate& update);
+  /// Tasks on workers that this instance no longer owns.
+  void OnReleased(const std::vector<TaskKey>& tasks);
+  /// @returns whether the task was taken from another instance and waits here.
+  [[nodiscard]] bool IsWaiting(const TaskKey& task) const;
 
   /// Hands waiting tasks to instances with room. To be called periodically.
   void Offload();
--- a/src/convert.cc
+++ b/src/convert.cc
@@ -1,5 +1,7 @@
 #include "citronsill/convert.h"
 
+#include <charconv>
+
 #include "internal.h"
 
 namespace citronsill {
@@ -66,6 +68,21 @@
   }
 }
 
+std::string WorkerRef(const std::string& worker, std::uint64_t incarnation) {
+  if (worker.empty() || incarnation == 0) return worker;
+  return worker + "@" + Hex64(incarnation);
+}
+
+std::pair<std::string, std::uint64_t> ParseWorkerRef(const std::string& ref) {
+  const std::size_t mark = ref.rfind('@');
+  if (mark == std::string::npos) return {ref, 0};
+  std::uint64_t incarnation = 0;
+  const char* end = ref.data() + ref.size();
+  const auto parsed = std::from_chars(ref.data() + mark + 1, end, incarnation, 16);
+  if (parsed.ec != std::errc() || parsed.ptr != end) return {ref, 0};
+  return {ref.substr(0, mark), incarnation};
+}
+
 bool IsIdempotent(const schema::Request& request, const schema::WorkClass& work_class) {
   return request.has_idempotent() ? request.idempotent() : work_class.idempotent();
 }
--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -61,27 +61,29 @@
 
   void SetWorkers(const std::vector<OwnedWorker>& wanted) {
     std::vector<std::shared_ptr<Worker>> added;
+    std::vector<TaskKey> released;
     {
       std::lock_guard lock(mutex);
       std::set<std::string> ids;
       for (const OwnedWorker& owned : wanted) {
         ids.insert(owned.id);
-        if (auto worker = SetWorker(owned)) added.push_back(std::move(worker));
+        if (auto worker = SetWorker(owned, released)) added.push_back(std::move(worker));
       }
       for (auto entry = workers.begin(); entry != workers.end();) {
         if (ids.contains(entry->first)) {
           ++entry;
           continue;
         }
-        Close(*entry->second);
+        Release(*entry->second, released);
         entry = workers.erase(entry);
       }
     }
+    if (!released.empty()) hooks.on_released(released);
     for (const auto& worker : added) Sync(worker);
   }
 
   // Requires the mutex. @returns the worker if it is new.
-  std::shared_ptr<Worker> SetWorker(const OwnedWorker& owned) {
+  std::shared_ptr<Worker> SetWorker(const OwnedWorker& owned, std::vector<TaskKey>& released) {
     if (auto found = workers.find(owned.id); found != workers.end()) {
       Worker& worker = *found->second;
       if (worker.owned.address == owned.address && worker.owned.epoch == owned.epoch) {
@@ -89,7 +91,7 @@
         engine->SetAccepting(owned.id, IsAccepting(worker, Now()), Now());
         return nullptr;
       }
-      Close(worker);
+      Release(worker, released);
       workers.erase(found);
     }
     auto link = links(owned.address);
@@ -112,6 +114,12 @@
     return engine->RemoveWorker(worker.owned.id, Now());
   }
 
+  // Requires the mutex.
+  void Release(Worker& worker, std::vector<TaskKey>& released) {
+    const std::vector<TaskKey> tasks = Close(worker);
+    released.insert(released.end(), tasks.begin(), tasks.end());
+  }
+
   void RemoveWorker(const std::string& id) {
     std::vector<TaskEvent> events;
     std::shared_ptr<Worker> worker;
@@ -410,7 +418,13 @@
     }
     schema::WorkerStart start;
     {
-      std::lock_guard lock(mutex);
+      std::unique_lock lock(mutex);
+      // An attach under way may reach the worker before the start, and would then report that the
+      // task was never started.
+      if (!worker->attached || worker->closed) {
+        lock.unlock();
+        return EndStart(action, "the worker is not attached");
+      }
       starting.erase(action.task);
       worker->tasks[action.task].renewed = Now();
       start.set_epoch(worker->owned.epoch);
--- a/src/instance.cc
+++ b/src/instance.cc
@@ -1,6 +1,7 @@
 #include "citronsill/instance.h"
 
 #include "citronsill/api.h"
+#include "citronsill/convert.h"
 #include "citronsill/directory.h"
 #include "citronsill/dispatcher.h"
 #include "citronsill/entry.h"
@@ -9,8 +10,11 @@
 #include "citronsill/journal.h"
 #include "citronsill/ledger.h"
 #include "citronsill/membership.h"
+#include "citronsill/objects.h"
 #include "citronsill/ownership.h"
 #include "citronsill/peer.h"
+#include "citronsill/query.h"
+#include "citronsill/roster.h"
 #include "citronsill/router.h"
 #include "citronsill/table.h"
 #include "citronsill/timer.h"
@@ -24,6 +28,21 @@
 constexpr std::chrono::milliseconds kDrainCheckPeriod{200};
 constexpr std::chrono::milliseconds kCheckPlacedPeriod{1000};
 
+schema::TaskKnowledge ToSchema(TaskKnowledge knowledge) {
+  switch (knowledge) {
+    case TaskKnowledge::kRunning:
+      return schema::KNOWLEDGE_RUNNING;
+    case TaskKnowledge::kEnded:
+      return schema::KNOWLEDGE_ENDED;
+    case TaskKnowledge::kNeverStarted:
+      return schema::KNOWLEDGE_NEVER_STARTED;
+    case TaskKnowledge::kLost:
+      return schema::KNOWLEDGE_LOST;
+    default:
+      return schema::KNOWLEDGE_UNKNOWN;
+  }
+}
+
 template <class Message>
 Result<Message> ParseMessage(const Result<std::string>& json) {
   if (!json) return json.error();
@@ -43,6 +62,7 @@
   std::uint64_t incarnation = 0;
   std::unique_ptr<TimerService> timers;
   std::unique_ptr<Table> table;
+  std::unique_ptr<ObjectStore> objects;
   std::unique_ptr<InstanceDirectory> directory;
   std::unique_ptr<PeerServer> peer_server;
   std::unique_ptr<PeerClient> peer_client;
@@ -52,6 +72,8 @@
   std::unique_ptr<Ledger> ledger;
   std::unique_ptr<Dispatcher> dispatcher;
   std::unique_ptr<TaskRouter> router;
+  std::unique_ptr<TaskQuerier> query;
+  Roster roster;
   std::unique_ptr<Home> home;
   std::unique_ptr<Entry> entry;
   std::unique_ptr<Api> api;
@@ -59,7 +81,6 @@
   std::vector<TimerId> subscriptions;
 
   std::mutex mutex;
-  schema::Directory last_directory;
   std::size_t next_peer = 0;
   std::atomic<bool> draining{false};
 
@@ -78,6 +99,9 @@
     incarnation = RandomId();
     BOOST_OUTCOME_TRY(timers, TimerService::Create(runtime));
     BOOST_OUTCOME_TRY(table, CreateHttpTable(runtime, settings.table_address()));
+    if (!settings.objects_address().empty()) {
+      BOOST_OUTCOME_TRY(objects, CreateHttpObjects(runtime, settings.objects_address()));
+    }
     BOOST_OUTCOME_TRY(directory, CreateHttpDirectory(runtime, settings.directory_address()));
     BOOST_OUTCOME_TRY(peer_server, PeerServer::Create(runtime, settings.peer_address()));
     BOOST_OUTCOME_TRY(peer_client, PeerClient::Create(runtime));
@@ -86,6 +110,7 @@
     BOOST_OUTCOME_TRY(BuildOwnership());
     BOOST_OUTCOME_TRY(BuildJournal());
     BOOST_OUTCOME_TRY(BuildRouter());
+    BOOST_OUTCOME_TRY(BuildQuery());
     BOOST_OUTCOME_TRY(BuildDispatcher());
     BOOST_OUTCOME_TRY(BuildHome());
     BOOST_OUTCOME_TRY(BuildEntry());
@@ -139,17 +164,27 @@
     return Success();
   }
 
+  Delay MakeDelay() {
+    return [this](std::chrono::milliseconds delay, std::function<void()> work) {
+      timers->After(delay, [work = std::move(work)](SteadyTime) { work(); });
+    };
+  }
+
   Result<void> BuildJournal() {
     JournalOptions options;
     options.stream = settings.instance_id() + "." + Hex64(incarnation);
     options.interval = ToMilliseconds(settings.journal_interval());
     options.max_batch_entries = kMaxJournalBatchEntries;
     JournalHooks hooks;
-    hooks.owned_version = [this](PartitionId partition) {
-      return ownership->OwnedVersion(partition);
+    hooks.owned = [this](PartitionId partition) -> std::optional<OwnedPartition> {
+      const auto epoch = ownership->OwnedEpoch(partition);
+      const auto version = ownership->OwnedVersion(partition);
+      if (!epoch || !version || ownership->OwnedEpoch(partition) != epoch) return std::nullopt;
+      return OwnedPartition{*epoch, *version};
     };
     hooks.on_fenced = [this](PartitionId partition) { ownership->OnFenced(partition); };
-    BOOST_OUTCOME_TRY(journal, Journal::Create(*table, *timers, options, std::move(hooks)));
+    hooks.after = MakeDelay();
+    BOOST_OUTCOME_TRY(journal, Journal::Create(*table, objects.get(), options, std::move(hooks)));
     return Success();
   }
 
@@ -167,6 +202,7 @@
       router->OnEvent(event, done);
     };
     hooks.on_give_up = [this](const Action& action) { router->OnGiveUp(action); };
+    hooks.on_released = [this](const std::vector<TaskKey>& tasks) { router->OnReleased(tasks); };
     hooks.on_stale_epoch = [this](const std::string& worker) {
       ownership->OnFenced(Partition(worker));
     };
@@ -196,21 +232,58 @@
     hooks.submit = [this](const JobSpec& job) { return dispatcher->Submit(job); };
     hooks.take_waiting = [this](std::size_t max) { return dispatcher->TakeWaiting(max); };
     hooks.stats = [this] { return dispatcher->Stats(); };
-    hooks.to_home = [this](const TaskEvent& event, const std::function<void()>& done) {
-      home->OnTaskEvent(event, done);
+    hooks.to_home = [this](TaskEvent event, const std::function<void()>& done) {
+      event.worker = WorkerRef(event.worker, event.worker_incarnation);
+      return home->OnTaskEvent(event, done);
     };
-    hooks.before_start = [this](const Action& action, std::uint64_t incarnation_of_worker,
+    hooks.before_start = [this](Action action, std::uint64_t worker_incarnation,
                                 const std::function<void(bool)>& go) {
-      home->BeforeStart(action, incarnation_of_worker, go);
+      action.worker = WorkerRef(action.worker, worker_incarnation);
+      home->BeforeStart(action, go);
     };
     hooks.find_home_job = [this](const std::string& id) { return home->FindJob(id); };
     hooks.give_up = [this](const Action& action) { home->OnGiveUp(action); };
     hooks.find_class = [this](const std::string& name) { return FindClass(name); };
-    hooks.investigate = [](const TaskKey&) {};
+    hooks.investigate = [this](const TaskKey& task) { home->Investigate(task); };
     BOOST_OUTCOME_TRY(router, TaskRouter::Create(*timers, options, std::move(hooks)));
     return Success();
   }
 
+  Result<void> BuildQuery() {
+    TaskQuerierOptions options;
+    options.partition_count = settings.partition_count();
+    TaskQuerierHooks hooks;
+    hooks.owner_address = [this](const std::string& worker) { return OwnerAddress(worker); };
+    hooks.peer_addresses = [this] {
+      std::vector<std::string> addresses;
+      for (const schema::MemberState& peer : Peers()) addresses.push_back(peer.peer_address());
+      return addresses;
+    };
+    hooks.call = [this](const std::string& address, const std::string& method, std::string params,
+                        std::function<void(Result<std::string>)> done) {
+      peer_client->Call(address, method, std::move(params), kPeerTimeout, std::move(done));
+    };
+    hooks.ask_self = [this](const TaskKey& task, const std::string& worker,
+                            std::uint64_t worker_incarnation) {
+      return AnswerQuery(task, worker, worker_incarnation);
+    };
+    hooks.now = [] { return Now(); };
+    BOOST_OUTCOME_TRY(query, TaskQuerier::Create(options, std::move(hooks)));
+    return Success();
+  }
+
+  schema::TaskQueryResult AnswerQuery(const TaskKey& task, const std::string& worker,
+                                      std::uint64_t worker_incarnation) {
+    schema::TaskQueryResult result;
+    for (const PartitionId partition : ownership->Owned()) result.add_partitions(partition.value);
+    if (!roster.HasList()) return result;  // Some of the own workers may not be known yet.
+    if (!worker.empty() && !ownership->OwnedEpoch(Partition(worker))) return result;
+    result.set_knowledge(router->IsWaiting(task)
+                             ? schema::KNOWLEDGE_RUNNING
+                             : ToSchema(dispatcher->Query(task, worker, worker_incarnation)));
+    return result;
+  }
+
   std::vector<schema::MemberState> Peers() const {
     std::vector<schema::MemberState> peers = membership->Live(Now());
     std::erase_if(peers, [this](const schema::MemberState& member) {
@@ -230,15 +303,21 @@
     HomeOptions options;
     options.partition_count = settings.partition_count();
     HomeHooks hooks;
-    hooks.owns = [this](PartitionId partition) {
-      return ownership->OwnedEpoch(partition).has_value();
-    };
+    hooks.owned_epoch = [this](PartitionId partition) { return ownership->OwnedEpoch(partition); };
+    hooks.after = MakeDelay();
     hooks.deliver = [this](const Waiter& waiter, std::shared_ptr<const schema::Answer> answer) {
       Deliver(waiter, std::move(answer), 0);
     };
     hooks.submit = [this](const JobSpec& job) { return dispatcher->Submit(job); };
     hooks.cancel = [this](const std::string& id) { return dispatcher->Cancel(id); };
     hooks.find_class = [this](const std::string& name) { return FindClass(name); };
+    hooks.query_task = [this](const TaskKey& task, const std::string& worker,
+                              std::function<void(Result<TaskKnowledge>)> done) {
+      query->Ask(task, worker, std::move(done));
+    };
+    hooks.is_removed = [this](const std::string& worker) {
+      return roster.IsRemoved(ParseWorkerRef(worker).first);
+    };
     BOOST_OUTCOME_TRY(home, Home::Create(*ledger, *journal, options, std::move(hooks)));
     return Success();
   }
@@ -312,6 +391,10 @@
         "place", [this](const schema::Place& place) -> Result<schema::PlaceResult> {
           return router->OnPlace(place);
         });
+    Register<schema::TaskQuery, schema::TaskQueryResult>(
+        "task_query", [this](const schema::TaskQuery& asked) -> Result<schema::TaskQueryResult> {
+          return AnswerQuery(ToKey(asked.task()), asked.worker(), asked.worker_incarnation());
+        });
     Register<schema::TaskUpdate, schema::Ack>(
         "task_update", [this](const schema::TaskUpdate& update) -> Result<schema::Ack> {
           return router->OnTaskUpdate(update);
@@ -363,14 +446,12 @@
     for (const schema::MemberState& member : membership->Digest(Now())) {
       addresses.insert(member.peer_address());
     }
-    std::lock_guard lock(mutex);
-    for (const schema::DirectoryEntry& instance : last_directory.instances()) {
-      addresses.insert(instance.address());
-    }
+    for (std::string& address : roster.InstanceAddresses()) addresses.insert(std::move(address));
     addresses.erase(AdvertisedAddress());
     addresses.erase("");
     const std::vector<std::string> all(addresses.begin(), addresses.end());
     std::vector<std::string> targets;
+    std::lock_guard lock(mutex);
     for (std::size_t i = 0; i < std::min(kGossipFanout, all.size()); ++i) {
       targets.push_back(all[next_peer++ % all.size()]);
     }
@@ -400,24 +481,18 @@
     directory->List([weak = weak_from_this()](const Result<schema::Directory>& list) {
       auto self = weak.lock();
       if (!self || !list) return;
-      {
-        std::lock_guard lock(self->mutex);
-        self->last_directory = list.value();
+      for (const std::string& worker : self->roster.Update(list.value())) {
+        if (self->ownership->OwnedEpoch(self->Partition(worker))) {
+          self->dispatcher->RemoveWorker(worker);
+        }
       }
       self->RefreshWorkers();
     });
   }
 
   void RefreshWorkers() {
-    std::vector<OwnedWorker> workers;
-    {
-      std::lock_guard lock(mutex);
-      for (const schema::DirectoryEntry& worker : last_directory.workers()) {
-        const auto epoch = ownership->OwnedEpoch(Partition(worker.id()));
-        if (epoch) workers.push_back({worker.id(), worker.address(), *epoch, worker.leaving()});
-      }
-    }
-    dispatcher->SetWorkers(workers);
+    dispatcher->SetWorkers(roster.OwnedWorkers(
+        [this](const std::string& worker) { return ownership->OwnedEpoch(Partition(worker)); }));
   }
 
   // Finds the address of the owner of a request's partition; empty for this instance.
--- /dev/null
+++ b/src/roster.cc
@@ -0,0 +1,77 @@
+#include "citronsill/roster.h"
+
+#include "internal.h"
+
+namespace citronsill {
+namespace {
+
+// Lists in a row without a worker after which it counts as removed.
+constexpr std::uint64_t kListsUntilRemoved = 3;
+
+}  // namespace
+
+struct Roster::Impl {
+  mutable std::mutex mutex;
+  schema::Directory directory;
+  std::uint64_t lists = 0;
+  std::map<std::string, std::uint64_t> last_listed;  // Number of the list that had the worker.
+
+  bool IsRemoved(const std::string& worker) const {
+    if (lists < kListsUntilRemoved) return false;
+    const auto found = last_listed.find(worker);
+    return found == last_listed.end() || lists - found->second >= kListsUntilRemoved;
+  }
+};
+
+Roster::Roster() : m_impl(std::make_unique<Impl>()) {}
+
+Roster::~Roster() = default;
+
+std::vector<std::string> Roster::Update(const schema::Directory& directory) {
+  std::lock_guard lock(m_impl->mutex);
+  m_impl->directory = directory;
+  ++m_impl->lists;
+  for (const schema::DirectoryEntry& worker : directory.workers()) {
+    m_impl->last_listed[worker.id()] = m_impl->lists;
+  }
+  std::vector<std::string> removed;
+  std::erase_if(m_impl->last_listed, [&](const auto& entry) {
+    if (m_impl->lists - entry.second < kListsUntilRemoved) return false;
+    removed.push_back(entry.first);
+    return true;
+  });
+  return removed;
+}
+
+bool Roster::HasList() const {
+  std::lock_guard lock(m_impl->mutex);
+  return m_impl->lists > 0;
+}
+
+std::vector<OwnedWorker> Roster::OwnedWorkers(
+    const std::function<std::optional<std::uint64_t>(const std::string& worker)>& epoch_of) const {
+  std::lock_guard lock(m_impl->mutex);
+  std::vector<OwnedWorker> workers;
+  for (const schema::DirectoryEntry& worker : m_impl->directory.workers()) {
+    if (const auto epoch = epoch_of(worker.id())) {
+      workers.push_back({worker.id(), worker.address(), *epoch, worker.leaving()});
+    }
+  }
+  return workers;
+}
+
+std::vector<std::string> Roster::InstanceAddresses() const {
+  std::lock_guard lock(m_impl->mutex);
+  std::vector<std::string> addresses;
+  for (const schema::DirectoryEntry& instance : m_impl->directory.instances()) {
+    addresses.push_back(instance.address());
+  }
+  return addresses;
+}
+
+bool Roster::IsRemoved(const std::string& worker) const {
+  std::lock_guard lock(m_impl->mutex);
+  return m_impl->IsRemoved(worker);
+}
+
+}  // namespace citronsill
--- a/src/router.cc
+++ b/src/router.cc
@@ -52,6 +52,7 @@
   struct Taken {
     TaskJob job;
     std::set<TaskKey> tasks;
+    std::set<TaskKey> waiting;  // Of the tasks, those that were not started.
   };
 
   // A task of a request homed here that was handed to another instance.
@@ -77,7 +78,10 @@
   // ---- Events ----
 
   void OnEvent(const TaskEvent& event, const std::function<void()>& done) {
-    if (hooks.is_home(event.task.request_id)) return hooks.to_home(event, done);
+    if (hooks.is_home(event.task.request_id) &&
+        hooks.to_home(event, done) != schema::CODE_NOT_OWNER) {
+      return;
+    }
     SendUpdate(event, done, kUpdateRetryPeriod);
   }
 
@@ -106,7 +110,10 @@
       if (!self) return;
       // The next owner of the worker reports on its tasks.
       if (!event.worker.empty() && !self->hooks.owns_worker(event.worker)) return;
-      if (self->hooks.is_home(event.task.request_id)) return self->hooks.to_home(event, done);
+      if (self->hooks.is_home(event.task.request_id) &&
+          self->hooks.to_home(event, done) != schema::CODE_NOT_OWNER) {
+        return;
+      }
       self->SendUpdate(event, done, std::min(2 * retry, kMaxUpdateRetryPeriod));
     });
   }
@@ -124,8 +131,8 @@
       if (found != placed.end() && !event.again) placed.erase(found);
     }
     auto done = std::make_shared<std::atomic<bool>>(false);
-    hooks.to_home(event, [done] { *done = true; });
-    if (!*done) {
+    ack.set_code(hooks.to_home(event, [done] { *done = true; }));
+    if (ack.code() == schema::CODE_OK && !*done) {
       ack.set_code(schema::CODE_TIMEOUT);
       ack.set_message("the end of the task is not yet durable");
     }
@@ -181,6 +188,7 @@
     entry.job.exclusive = job.exclusive;
     entry.job.interactive = job.policy == SchedulingPolicy::kInteractive;
     entry.tasks.insert(task);
+    entry.waiting.insert(task);
     return true;
   }
 
@@ -190,7 +198,9 @@
     const auto found = taken.find(task.request_id);
     if (found == taken.end()) return;
     // Attempts of one task follow one another under the same index.
-    std::erase_if(found->second.tasks, [&](const TaskKey& one) { return one.index == task.index; });
+    const auto same_index = [&](const TaskKey& one) { return one.index == task.index; };
+    std::erase_if(found->second.tasks, same_index);
+    std::erase_if(found->second.waiting, same_index);
     if (found->second.tasks.empty()) taken.erase(found);
   }
 
@@ -347,7 +357,10 @@
     std::lock_guard lock(m_impl->mutex);
     const auto found = m_impl->taken.find(start.task.request_id);
     taken = found != m_impl->taken.end();
-    if (taken) found->second.tasks.insert(start.task);
+    if (taken) {
+      found->second.tasks.insert(start.task);
+      found->second.waiting.erase(start.task);
+    }
   }
   // The home recorded the assignment before it handed the task over.
   if (taken) return go(true);
@@ -377,6 +390,16 @@
   return m_impl->OnTaskUpdate(update);
 }
 
+void TaskRouter::OnReleased(const std::vector<TaskKey>& tasks) {
+  for (const TaskKey& task : tasks) m_impl->Forget(task);
+}
+
+bool TaskRouter::IsWaiting(const TaskKey& task) const {
+  std::lock_guard lock(m_impl->mutex);
+  const auto found = m_impl->taken.find(task.request_id);
+  return found != m_impl->taken.end() && found->second.waiting.contains(task);
+}
+
 void TaskRouter::Offload() { m_impl->Offload(); }
 
 void TaskRouter::CheckPlaced() { m_impl->CheckPlaced(); }
