--- a/tests/assign_test.cc
+++ b/tests/assign_test.cc
@@ -39,5 +39,30 @@
   CHECK(moved <= 16);
 }
 
+// Guards against a join or leave that moves many more partitions than the member's share.
+TEST_CASE("a join or leave moves less than twice the minimum") {
+  for (const unsigned count : {2U, 8U, 30U}) {
+    unsigned moved = 0;
+    unsigned minimum = 0;
+    for (unsigned trial = 0; trial < 40; ++trial) {
+      std::vector<std::string> members;
+      for (unsigned i = 0; i <= count; ++i) {
+        members.push_back("cell-" + std::to_string(trial) + "-" + std::to_string(100 + i));
+      }
+      const auto with = AssignPartitions(members, 64);
+      const std::string last = members.back();
+      const auto all = members;
+      members.pop_back();
+      const auto without = AssignPartitions(members, 64);
+      for (unsigned p = 0; p < 64; ++p) {
+        moved += all[with[p]] != members[without[p]] ? 1 : 0;
+        minimum += all[with[p]] == last ? 1 : 0;
+      }
+    }
+    MESSAGE(count, " members: ", moved / 40.0, " moved, minimum ", minimum / 40.0);
+    CHECK(moved < 2 * minimum);
+  }
+}
+
 }  // namespace
 }  // namespace citronsill
