Decide ownership in a state machine that knows what it does not know

src/ownership.cc mixed table access and decisions, and was wrong in these cases: - After a table outage every row looked older than the owner timeout, so that the first scan allowed takeovers of live owners. Observations now count only while the table answers, and an owner that gossip hears is never replaced. - A paused owner answered OwnedEpoch with the old epoch until its next scan ended. The getters now compare the clock with the last tick, and nothing is owned until a scan that was sent after the pause was answered. Answers older than 3 s are ignored; the table's deadline is 2 s, so that only a pause of the process makes one so late. - A hand-over or claim whose answer was lost was claimed once more under a further epoch. The row's incarnation and epoch now tell, and the heir of a hand-over takes the row as it is. - Heartbeats were written without a condition, so that a thawed process wrote over the row of its own successor. Claims and hand-overs add the new owner's stream; RetireStreams removes streams. - A hand-over to an instance that never reached the table was possible.

The decisions are now in OwnershipCore, which has no table, threads or clock; Ownership executes its commands and calls hooks in order.

Each instance read all instance rows and all 64 partition rows every 2 s: 288 reads/s at 8 and 1,410 at 30 instances (N * (N + 64) / 2 by count of rows). All rows are now read every 30 s; rows of owners that gossip has not heard for 1 s are read every 2 s, and single partition rows on evidence from gossip.

An hour without the table: live owners go on, nobody takes over the dead owner's partitions; they are taken within 6 s + 2 s once the table is back. An owner stopped for 12 s gave up its partitions on waking and got its share back.

The dispatcher still starts tasks with the epoch it was given; RefreshWorkers waits while ownership is in doubt, and workers reject the stale epoch.

--- a/include/citronsill/membership.h
+++ b/include/citronsill/membership.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "citronsill/ownershipcore.h"
 #include "citronsill/result.h"
 #include "citronsill/types.h"
 
@@ -39,6 +40,9 @@
   /// @returns entries whose counter changed lately, the own one included, ordered by id.
   [[nodiscard]] std::vector<schema::MemberState> Live(SteadyTime now) const;
 
+  /// @returns the same for ownership, with the age of each heartbeat.
+  [[nodiscard]] std::vector<LiveMember> LiveMembers(SteadyTime now) const;
+
   [[nodiscard]] std::optional<schema::MemberState> Find(const std::string& id) const;
   [[nodiscard]] bool IsLive(const std::string& id, SteadyTime now) const;
 
--- /dev/null
+++ b/include/citronsill/ownershipcore.h
@@ -0,0 +1,224 @@
+/// Decisions about partition ownership: a state machine without table, threads or clock, so that
+/// tests can explore its states. `Ownership` executes its commands.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "citronsill/types.h"
+
+namespace citronsill {
+
+struct OwnershipOptions {
+  std::uint32_t partition_count = 64;
+  std::chrono::milliseconds owner_timeout{6000};  ///< A row unchanged for this long may be taken.
+  std::chrono::milliseconds heartbeat_period{2000};  ///< Period of the own instance row.
+  std::chrono::milliseconds scan_period{30000};      ///< Period of reading all rows.
+  std::chrono::milliseconds watch_period{2000};      ///< Between two reads of one instance row.
+  std::chrono::milliseconds watch_silence{1000};     ///< Silence in gossip that starts reading.
+  std::chrono::milliseconds pause_threshold{2000};   ///< Gap between ticks that asks for a re-read.
+  /// Answers of the table that are older than this are ignored. More than the table's deadline, so
+  /// that only a pause of the process exceeds it.
+  std::chrono::milliseconds late_answer{3000};
+  /// The wanted owner must be the same for this long before a live owner hands over, so that a
+  /// short false suspicion moves nothing.
+  std::chrono::milliseconds rebalance_delay{3000};
+  std::chrono::milliseconds forget_instance{600000};  ///< Age at which an unused row is erased.
+};
+
+/// An instance that gossip holds for live.
+struct LiveMember {
+  std::string id;
+  std::uint64_t incarnation = 0;
+  std::chrono::milliseconds silence{0};  ///< Since its heartbeat counter last changed.
+  bool leaving = false;                  ///< Gets no partitions.
+};
+
+/// Content of a partition's row. Version 0 stands for a missing row.
+struct PartitionRecord {
+  std::uint64_t version = 0;
+  std::string owner;
+  std::uint64_t incarnation = 0;
+  std::uint64_t epoch = 0;
+  std::vector<std::string> streams;
+};
+
+/// What ownership needs of an instance's row. Version 0 stands for a missing row.
+struct InstanceRecord {
+  std::uint64_t version = 0;
+  std::uint64_t incarnation = 0;
+};
+
+/// An access to the table that the shell has to make; every command gets one answer.
+struct OwnershipCommand {
+  enum class Kind {
+    kHeartbeat,      ///< Write the own instance row if its version is `instance_version`.
+    kScan,           ///< Read all instance rows, then all partition rows.
+    kReadInstance,   ///< Read the row of `instance`.
+    kReadPartition,  ///< Read the row of `partition`.
+    kWrite,          ///< Write `row` if the partition's version is `row.version`.
+    kErase,          ///< Erase the row of `instance` if its version is `instance_version`.
+  };
+  Kind kind = Kind::kScan;
+  SteadyTime sent;
+  std::uint32_t partition = 0;
+  std::string instance;
+  std::optional<std::uint64_t> instance_version;  ///< For kWrite, a condition when present.
+  std::uint64_t heartbeat = 0;
+  PartitionRecord row;
+};
+
+enum class CommitOutcome { kCommitted, kConflict, kRefused, kUnknown };
+
+/// What the hooks of `Ownership` are told.
+struct OwnershipEvent {
+  enum class Kind { kGained, kLost, kConfirmed, kSuperseded };
+  Kind kind = Kind::kLost;
+  std::uint32_t partition = 0;
+  std::uint64_t epoch = 0;
+  std::vector<std::string> streams;
+};
+
+/// Owner of a partition as far as known, from rows and from gossip.
+struct KnownOwner {
+  std::string id;
+  std::uint64_t incarnation = 0;
+  std::uint64_t epoch = 0;
+};
+
+/// Not thread-safe; copyable.
+class OwnershipCore {
+ public:
+  OwnershipCore(std::string id, std::uint64_t incarnation, const OwnershipOptions& options);
+
+  /// @returns the commands that are due.
+  std::vector<OwnershipCommand> Tick(SteadyTime now, const std::vector<LiveMember>& members);
+
+  void OnFailed(const OwnershipCommand& command);
+  void OnScan(const OwnershipCommand& command,
+              const std::map<std::string, InstanceRecord>& instances,
+              const std::map<std::uint32_t, PartitionRecord>& partitions, SteadyTime now);
+  void OnInstance(const OwnershipCommand& command, const InstanceRecord& record, SteadyTime now);
+  void OnPartition(const OwnershipCommand& command, const PartitionRecord& record, SteadyTime now);
+
+  /// @param record the own row as written, or the row that did not match.
+  void OnHeartbeat(const OwnershipCommand& command, CommitOutcome outcome,
+                   const std::optional<InstanceRecord>& record, SteadyTime now);
+
+  /// @param record the row as written, or the partition's row when it did not match.
+  /// @param watched the row of `command.instance` when it did not match.
+  void OnWrite(const OwnershipCommand& command, CommitOutcome outcome,
+               const std::optional<PartitionRecord>& record,
+               const std::optional<InstanceRecord>& watched, SteadyTime now);
+
+  void OnFenced(std::uint32_t partition, SteadyTime now);
+  void Hear(std::uint32_t partition, const KnownOwner& owner, SteadyTime now);
+  void Retire(std::uint32_t partition, const std::vector<std::string>& streams);
+  void Leave() { m_leaving = true; }
+
+  [[nodiscard]] std::optional<std::uint64_t> OwnedEpoch(std::uint32_t p, SteadyTime now) const;
+  [[nodiscard]] std::optional<std::uint64_t> OwnedVersion(std::uint32_t p, SteadyTime now) const;
+  [[nodiscard]] const KnownOwner& Known(std::uint32_t p) const { return m_partitions[p].known; }
+  [[nodiscard]] bool Holds(std::uint32_t p) const { return m_partitions[p].owned; }
+  [[nodiscard]] bool IsCertain(SteadyTime now) const;
+  [[nodiscard]] bool IsTableUp() const { return m_table_up; }
+  [[nodiscard]] bool IsSuperseded() const { return m_superseded; }
+
+  /// @returns the events since the last call.
+  std::vector<OwnershipEvent> TakeEvents();
+
+  /// @returns text that is equal for states with equal future behaviour; for tests.
+  [[nodiscard]] std::string Fingerprint(SteadyTime now) const;
+
+ private:
+  struct Partition {
+    PartitionRecord row;
+    KnownOwner known;
+    bool owned = false;
+    bool ever_owned = false;       // The own stream may hold entries of this partition.
+    bool busy = false;             // A write of the row is under way.
+    bool reading = false;          // A read of the row is under way.
+    bool suspended = false;        // Owned, but nothing may be done until the row is known again.
+    bool version_unknown = false;  // Owned, but the row's version may have changed.
+    std::optional<SteadyTime> reread_since;
+    std::uint64_t fenced_version = 0;  // Not to be held again under this version of the row.
+    std::optional<SteadyTime> retired;
+    std::vector<std::string> retire;
+    std::string heir;
+    SteadyTime heir_since;
+  };
+
+  struct Watched {
+    InstanceRecord record;
+    bool seen = false;
+    bool reading = false;
+    SteadyTime unchanged_since;
+    std::optional<SteadyTime> read;
+  };
+
+  using Commands = std::vector<OwnershipCommand>;
+
+  [[nodiscard]] bool IsGap(SteadyTime now) const;
+  bool IsUsable(const OwnershipCommand& command, SteadyTime now);
+  void Answered(SteadyTime now);
+  void EnterDoubt(SteadyTime now);
+  void Supersede();
+  void AskAgain(Partition& partition, SteadyTime now);
+
+  void BeatIfDue(SteadyTime now, Commands& commands);
+  void ScanIfDue(SteadyTime now, Commands& commands);
+  void WatchSilent(SteadyTime now, const std::vector<LiveMember>& members, Commands& commands);
+  void ReadInstance(const std::string& id, SteadyTime now, Commands& commands);
+  void ReadAgain(SteadyTime now, Commands& commands);
+  void EraseUnused(SteadyTime now, const std::vector<LiveMember>& members, Commands& commands);
+  void Balance(SteadyTime now, const std::vector<LiveMember>& members, Commands& commands);
+  void FindHeirs(SteadyTime now, const std::vector<LiveMember>& members);
+  void BalanceOne(std::uint32_t p, SteadyTime now, const std::vector<LiveMember>& members,
+                  Commands& commands);
+  void HandOver(std::uint32_t p, SteadyTime now, const std::vector<LiveMember>& members,
+                Commands& commands);
+  [[nodiscard]] bool MayTake(const Partition& partition, SteadyTime now,
+                             const std::vector<LiveMember>& members) const;
+  void Write(std::uint32_t p, PartitionRecord row, SteadyTime now, Commands& commands);
+  [[nodiscard]] PartitionRecord NextRow(const Partition& partition, const std::string& owner,
+                                        std::uint64_t incarnation) const;
+
+  void Observe(const std::string& id, const InstanceRecord& record, SteadyTime now);
+  void TakeRow(std::uint32_t p, const PartitionRecord& record, SteadyTime sent);
+  void Gain(std::uint32_t p);
+  void Lose(std::uint32_t p);
+  [[nodiscard]] bool IsMine(const PartitionRecord& row) const;
+
+  std::string m_id;
+  std::uint64_t m_incarnation;
+  OwnershipOptions m_options;
+  std::vector<Partition> m_partitions;
+  std::map<std::string, Watched> m_instances;
+  std::vector<OwnershipEvent> m_events;
+  std::vector<std::string> m_assigned_members;
+  std::uint64_t m_own_version = 0;
+  std::uint64_t m_heartbeat = 0;
+  std::optional<SteadyTime> m_last_tick;
+  std::optional<SteadyTime> m_last_heartbeat;
+  std::optional<SteadyTime> m_last_scan;
+  std::optional<SteadyTime> m_last_answer;
+  SteadyTime m_doubt_since;
+  bool m_heartbeat_busy = false;
+  bool m_scan_busy = false;
+  bool m_scan_failed = false;
+  bool m_scanned = false;
+  bool m_registered = false;  // The own row was seen with the own incarnation.
+  bool m_doubt = false;
+  bool m_leaving = false;
+  bool m_superseded = false;
+  bool m_table_up = false;
+};
+
+/// @returns the name of the journal stream of one start of an instance.
+std::string StreamName(const std::string& instance, std::uint64_t incarnation);
+
+}  // namespace citronsill
--- a/src/instance.cc
+++ b/src/instance.cc
@@ -120,13 +120,11 @@
       home->OnLost(partition);
       RefreshWorkers();
     };
-    hooks.live_members = [this] {
-      std::vector<std::string> ids;
-      for (const schema::MemberState& member : membership->Live(Now())) {
-        if (!member.leaving()) ids.push_back(member.id());
-      }
-      return ids;
+    hooks.on_confirmed = [this] { RefreshWorkers(); };
+    hooks.on_superseded = [] {
+      spdlog::critical("event=instance_superseded reason=\"the id was started again elsewhere\"");
     };
+    hooks.live_members = [this] { return membership->LiveMembers(Now()); };
     BOOST_OUTCOME_TRY(ownership, Ownership::Create(*table, self, options, std::move(hooks)));
     return Success();
   }
@@ -346,6 +344,8 @@
   }
 
   void RefreshWorkers() {
+    // After a pause the rows are read again first; `on_confirmed` calls this then.
+    if (!ownership->IsCertain()) return;
     std::vector<OwnedWorker> workers;
     {
       std::lock_guard lock(mutex);
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -83,6 +83,23 @@
   return states;
 }
 
+std::vector<LiveMember> Membership::LiveMembers(SteadyTime now) const {
+  std::lock_guard lock(m_impl->mutex);
+  std::vector<LiveMember> live;
+  for (const auto& [id, member] : m_impl->members) {
+    if (!m_impl->IsLive(member, now)) continue;
+    LiveMember entry;
+    entry.id = id;
+    entry.incarnation = member.state.incarnation();
+    entry.leaving = member.state.leaving();
+    if (id != m_impl->self) {
+      entry.silence = std::chrono::duration_cast<std::chrono::milliseconds>(now - member.changed);
+    }
+    live.push_back(std::move(entry));
+  }
+  return live;
+}
+
 std::optional<schema::MemberState> Membership::Find(const std::string& id) const {
   std::lock_guard lock(m_impl->mutex);
   const auto found = m_impl->members.find(id);
--- a/src/ownership.cc
+++ b/src/ownership.cc
@@ -5,283 +5,263 @@
 namespace citronsill {
 namespace {
 
-std::string PartitionKey(std::uint32_t partition) {
-  return fmt::format("partition/{:04}", partition);
-}
+using Kind = OwnershipCommand::Kind;
 
 constexpr std::string_view kInstancePrefix = "instance/";
 constexpr std::string_view kPartitionPrefix = "partition/";
 
-// Most claims sent in one tick, so that a new instance does not flood the table.
-constexpr std::size_t kMaxClaimsPerTick = 32;
+std::string PartitionKey(std::uint32_t partition) {
+  return fmt::format("{}{:04}", kPartitionPrefix, partition);
+}
+
+std::string InstanceKey(const std::string& id) { return std::string(kInstancePrefix) + id; }
+
+void AddCondition(const std::string& key, std::uint64_t version,
+                  schema::TableTransaction& transaction) {
+  auto* condition = transaction.add_conditions();
+  condition->set_key(key);
+  condition->set_version(version);
+}
+
+// A row that cannot be parsed counts as one without an owner, but keeps its version.
+PartitionRecord ToPartitionRecord(const schema::TableRow& row) {
+  schema::PartitionRow parsed;
+  PartitionRecord record;
+  record.version = row.version();
+  if (!parsed.ParseFromString(row.value())) return record;
+  record.owner = parsed.owner();
+  record.incarnation = parsed.incarnation();
+  record.epoch = parsed.epoch();
+  record.streams.assign(parsed.streams().begin(), parsed.streams().end());
+  return record;
+}
+
+InstanceRecord ToInstanceRecord(const schema::TableRow& row) {
+  schema::InstanceRow parsed;
+  if (!parsed.ParseFromString(row.value())) return {row.version(), 0};
+  return {row.version(), parsed.incarnation()};
+}
+
+schema::PartitionRow ToSchema(std::uint32_t partition, const PartitionRecord& record) {
+  schema::PartitionRow row;
+  row.set_partition(partition);
+  row.set_owner(record.owner);
+  row.set_incarnation(record.incarnation);
+  row.set_epoch(record.epoch);
+  for (const std::string& stream : record.streams) row.add_streams(stream);
+  return row;
+}
+
+CommitOutcome ToOutcome(const Result<schema::TableCommitResult>& result) {
+  if (result) {
+    return result.value().committed() ? CommitOutcome::kCommitted : CommitOutcome::kConflict;
+  }
+  return result.error().code == schema::CODE_TABLE_UNAVAILABLE ? CommitOutcome::kRefused
+                                                               : CommitOutcome::kUnknown;
+}
+
+const schema::TableRow* FindRow(const Result<schema::TableCommitResult>& result,
+                                const std::string& key) {
+  if (!result) return nullptr;
+  for (const schema::TableRow& row : result.value().rows()) {
+    if (row.key() == key) return &row;
+  }
+  return nullptr;
+}
 
 }  // namespace
 
 struct Ownership::Impl : std::enable_shared_from_this<Impl> {
-  struct Partition {
-    schema::PartitionRow row;
-    std::uint64_t version = 0;
-    bool owned = false;
-    bool busy = false;  // A transaction on the row is under way.
-    schema::PartitionOwner heard;
-  };
-
-  struct Instance {
-    schema::InstanceRow row;
-    std::uint64_t version = 0;
-    SteadyTime changed;
-  };
-
   Impl(Table& platform_table, schema::InstanceRow own, const OwnershipOptions& ownership_options,
        OwnershipHooks ownership_hooks)
       : table(platform_table),
         self(std::move(own)),
         options(ownership_options),
         hooks(std::move(ownership_hooks)),
-        partitions(options.partition_count) {}
+        core(self.id(), self.incarnation(), options) {}
 
   Table& table;
-  schema::InstanceRow self;
+  const schema::InstanceRow self;
   OwnershipOptions options;
   OwnershipHooks hooks;
   mutable std::mutex mutex;
-  std::vector<Partition> partitions;
-  std::map<std::string, Instance> instances;
-  std::uint64_t own_version = 0;
-  std::optional<SteadyTime> last_tick;
-  std::optional<SteadyTime> last_heartbeat;
-  std::optional<SteadyTime> last_scan;
-  bool heartbeat_busy = false;
-  bool scan_busy = false;
-  bool scanned = false;
-  bool leaving = false;
-  bool table_up = false;
-
-  std::string OwnKey() const { return std::string(kInstancePrefix) + self.id(); }
+  OwnershipCore core;
+  std::deque<OwnershipEvent> events;
+  bool dispatching = false;
+
+  SteadyTime Now() const { return hooks.now ? hooks.now() : std::chrono::steady_clock::now(); }
 
   void Tick(SteadyTime now) {
-    std::unique_lock lock(mutex);
-    const bool paused = last_tick && now - *last_tick > options.pause_threshold;
-    last_tick = now;
-    const bool beat =
-        !heartbeat_busy && (!last_heartbeat || now - *last_heartbeat >= options.heartbeat_period);
-    const bool scan =
-        !scan_busy && (!last_scan || paused || now - *last_scan >= options.scan_period);
-    if (beat) {
-      last_heartbeat = now;
-      heartbeat_busy = true;
-    }
-    if (scan) {
-      last_scan = now;
-      scan_busy = true;
-    }
-    const bool may_claim = scanned && table_up && !paused;
-    lock.unlock();
-    if (beat) Heartbeat();
-    if (scan) Scan(now);
-    if (may_claim) Balance(now);
+    const std::vector<LiveMember> members = hooks.live_members();
+    std::vector<OwnershipCommand> commands;
+    Change([&] { commands = core.Tick(now, members); });
+    for (const OwnershipCommand& command : commands) Run(command);
   }
 
-  void Heartbeat() {
-    schema::TableTransaction transaction;
+  // Changes the core under the lock, then calls the hooks for what came of it.
+  template <class Function>
+  void Change(Function function) {
     {
       std::lock_guard lock(mutex);
-      self.set_heartbeat(self.heartbeat() + 1);
-      auto* write = transaction.add_writes();
-      write->set_key(OwnKey());
-      write->set_value(self.SerializeAsString());
+      function();
+      for (OwnershipEvent& event : core.TakeEvents()) events.push_back(std::move(event));
     }
-    table.Commit(transaction,
-                 [self = shared_from_this()](Result<schema::TableCommitResult> result) {
-                   std::lock_guard lock(self->mutex);
-                   self->heartbeat_busy = false;
-                   self->table_up = result.has_value();
-                   if (result && result.value().committed() && result.value().rows_size() == 1) {
-                     self->own_version = result.value().rows(0).version();
-                   }
-                 });
+    Dispatch();
   }
 
-  void Scan(SteadyTime now) {
-    table.Scan(std::string(kInstancePrefix),
-               [self = shared_from_this(), now](Result<std::vector<schema::TableRow>> rows) {
-                 self->OnInstances(rows, now);
-               });
+  // One thread at a time calls hooks, so that their order is that of the changes.
+  void Dispatch() {
+    std::unique_lock lock(mutex);
+    if (dispatching) return;
+    dispatching = true;
+    while (!events.empty()) {
+      const OwnershipEvent event = std::move(events.front());
+      events.pop_front();
+      lock.unlock();
+      CallHook(event);
+      lock.lock();
+    }
+    dispatching = false;
   }
 
-  void OnInstances(const Result<std::vector<schema::TableRow>>& rows, SteadyTime now) {
-    if (!rows) return OnScanFailed();
-    {
-      std::lock_guard lock(mutex);
-      for (const schema::TableRow& row : rows.value()) {
-        schema::InstanceRow parsed;
-        if (!parsed.ParseFromString(row.value())) continue;
-        Instance& instance = instances[parsed.id()];
-        if (instance.version == row.version()) continue;
-        instance.row = parsed;
-        instance.version = row.version();
-        instance.changed = now;
-      }
+  void CallHook(const OwnershipEvent& event) const {
+    const PartitionId partition{event.partition};
+    switch (event.kind) {
+      case OwnershipEvent::Kind::kGained:
+        return hooks.on_gained(partition, event.epoch, event.streams);
+      case OwnershipEvent::Kind::kLost:
+        return hooks.on_lost(partition);
+      case OwnershipEvent::Kind::kConfirmed:
+        if (hooks.on_confirmed) hooks.on_confirmed();
+        return;
+      case OwnershipEvent::Kind::kSuperseded:
+        if (hooks.on_superseded) hooks.on_superseded();
+        return;
     }
-    table.Scan(std::string(kPartitionPrefix),
-               [self = shared_from_this()](Result<std::vector<schema::TableRow>> partition_rows) {
-                 self->OnPartitions(partition_rows);
-               });
   }
 
-  void OnScanFailed() {
-    std::lock_guard lock(mutex);
-    scan_busy = false;
-    table_up = false;
+  void Run(const OwnershipCommand& command) {
+    switch (command.kind) {
+      case Kind::kHeartbeat:
+        return Heartbeat(command);
+      case Kind::kScan:
+        return ScanInstances(command);
+      case Kind::kReadInstance:
+        return ReadInstance(command);
+      case Kind::kReadPartition:
+        return ReadPartition(command);
+      case Kind::kWrite:
+        return Write(command);
+      case Kind::kErase:
+        return Erase(command);
+    }
   }
 
-  void OnPartitions(const Result<std::vector<schema::TableRow>>& rows) {
-    if (!rows) return OnScanFailed();
-    std::vector<PartitionId> lost;
-    {
-      std::lock_guard lock(mutex);
-      scan_busy = false;
-      scanned = true;
-      table_up = true;
-      for (const schema::TableRow& row : rows.value()) {
-        schema::PartitionRow parsed;
-        if (!parsed.ParseFromString(row.value())) continue;
-        if (parsed.partition() < partitions.size()) TakeRow(parsed, row.version(), lost);
-      }
-    }
-    for (const PartitionId partition : lost) hooks.on_lost(partition);
+  void Failed(const OwnershipCommand& command) {
+    Change([&] { core.OnFailed(command); });
   }
 
-  // Requires the mutex.
-  void TakeRow(const schema::PartitionRow& row, std::uint64_t version,
-               std::vector<PartitionId>& lost) {
-    Partition& partition = partitions[row.partition()];
-    if (version <= partition.version) return;
-    partition.row = row;
-    partition.version = version;
-    Hear(partition, row);
-    if (partition.owned && row.incarnation() != self.incarnation()) {
-      partition.owned = false;
-      lost.push_back(PartitionId{row.partition()});
-    }
+  void Heartbeat(const OwnershipCommand& command) {
+    schema::TableTransaction transaction;
+    AddCondition(InstanceKey(self.id()), command.instance_version.value_or(0), transaction);
+    schema::InstanceRow row = self;
+    row.set_heartbeat(command.heartbeat);
+    auto* write = transaction.add_writes();
+    write->set_key(InstanceKey(self.id()));
+    write->set_value(row.SerializeAsString());
+    table.Commit(std::move(transaction),
+                 [impl = shared_from_this(), command](Result<schema::TableCommitResult> result) {
+                   std::optional<InstanceRecord> record;
+                   const schema::TableRow* found = FindRow(result, InstanceKey(impl->self.id()));
+                   if (found != nullptr) record = ToInstanceRecord(*found);
+                   impl->Change([&] {
+                     impl->core.OnHeartbeat(command, ToOutcome(result), record, impl->Now());
+                   });
+                 });
   }
 
-  static void Hear(Partition& partition, const schema::PartitionRow& row) {
-    if (row.epoch() < partition.heard.epoch()) return;
-    partition.heard.set_partition(row.partition());
-    partition.heard.set_epoch(row.epoch());
-    partition.heard.set_owner(row.owner());
-    partition.heard.set_incarnation(row.incarnation());
+  void ScanInstances(const OwnershipCommand& command) {
+    table.Scan(
+        std::string(kInstancePrefix),
+        [impl = shared_from_this(), command](const Result<std::vector<schema::TableRow>>& rows) {
+          if (!rows) return impl->Failed(command);
+          std::map<std::string, InstanceRecord> instances;
+          for (const schema::TableRow& row : rows.value()) {
+            instances[row.key().substr(kInstancePrefix.size())] = ToInstanceRecord(row);
+          }
+          impl->ScanPartitions(command, std::move(instances));
+        });
   }
 
-  // Claims partitions without a live owner, and hands over those that belong elsewhere.
-  void Balance(SteadyTime now) {
-    std::vector<std::string> members = hooks.live_members();
-    std::vector<schema::TableTransaction> claims;
-    std::vector<std::uint32_t> claimed;
-    std::vector<PartitionId> released;
-    {
-      std::lock_guard lock(mutex);
-      if (leaving) std::erase(members, self.id());
-      if (members.empty()) return;
-      const std::vector<std::size_t> wanted = AssignPartitions(members, options.partition_count);
-      for (std::uint32_t p = 0; p < partitions.size() && claims.size() < kMaxClaimsPerTick; ++p) {
-        Partition& partition = partitions[p];
-        if (partition.busy) continue;
-        const std::string& heir = members[wanted[p]];
-        const bool claim = !partition.owned && heir == self.id() && MayTake(partition, now);
-        const bool hand_over = partition.owned && heir != self.id() && CanTakeOver(heir, now);
-        if (!claim && !hand_over) continue;
-        partition.busy = true;
-        if (hand_over) {
-          partition.owned = false;
-          released.push_back(PartitionId{p});
-        }
-        claims.push_back(MakeClaim(p, heir));
-        claimed.push_back(p);
-      }
-    }
-    for (const PartitionId partition : released) hooks.on_lost(partition);
-    for (std::size_t i = 0; i < claims.size(); ++i) Claim(claimed[i], claims[i]);
+  void ScanPartitions(const OwnershipCommand& command,
+                      std::map<std::string, InstanceRecord> instances) {
+    table.Scan(
+        std::string(kPartitionPrefix),
+        [impl = shared_from_this(), command,
+         instances = std::move(instances)](const Result<std::vector<schema::TableRow>>& rows) {
+          if (!rows) return impl->Failed(command);
+          std::map<std::uint32_t, PartitionRecord> partitions;
+          for (const schema::TableRow& row : rows.value()) {
+            schema::PartitionRow parsed;
+            if (!parsed.ParseFromString(row.value())) continue;
+            if (row.key() != PartitionKey(parsed.partition())) continue;
+            partitions[parsed.partition()] = ToPartitionRecord(row);
+          }
+          impl->Change([&] { impl->core.OnScan(command, instances, partitions, impl->Now()); });
+        });
   }
 
-  // Requires the mutex.
-  bool MayTake(const Partition& partition, SteadyTime now) const {
-    if (partition.version == 0) return true;
-    if (partition.row.owner() == self.id()) return true;  // Handed over, or an earlier incarnation.
-    const auto found = instances.find(partition.row.owner());
-    if (found == instances.end()) return true;
-    if (found->second.row.incarnation() != partition.row.incarnation()) return true;
-    return now - found->second.changed > options.owner_timeout;
+  void ReadInstance(const OwnershipCommand& command) {
+    table.Read(InstanceKey(command.instance),
+               [impl = shared_from_this(), command](const Result<schema::TableRow>& row) {
+                 if (!row) return impl->Failed(command);
+                 const InstanceRecord record = ToInstanceRecord(row.value());
+                 impl->Change([&] { impl->core.OnInstance(command, record, impl->Now()); });
+               });
   }
 
-  // Requires the mutex.
-  bool CanTakeOver(const std::string& heir, SteadyTime now) const {
-    const auto found = instances.find(heir);
-    return found != instances.end() && now - found->second.changed <= options.owner_timeout;
+  void ReadPartition(const OwnershipCommand& command) {
+    table.Read(PartitionKey(command.partition),
+               [impl = shared_from_this(), command](const Result<schema::TableRow>& row) {
+                 if (!row) return impl->Failed(command);
+                 const PartitionRecord record = ToPartitionRecord(row.value());
+                 impl->Change([&] { impl->core.OnPartition(command, record, impl->Now()); });
+               });
   }
 
-  // Requires the mutex.
-  schema::TableTransaction MakeClaim(std::uint32_t p, const std::string& heir) const {
-    const Partition& partition = partitions[p];
-    schema::PartitionRow row = partition.row;
-    row.set_partition(p);
-    row.set_epoch(row.epoch() + 1);
-    row.set_owner(heir);
-    row.set_incarnation(heir == self.id() ? self.incarnation()
-                                          : instances.at(heir).row.incarnation());
+  void Write(const OwnershipCommand& command) {
     schema::TableTransaction transaction;
-    auto* condition = transaction.add_conditions();
-    condition->set_key(PartitionKey(p));
-    condition->set_version(partition.version);
-    if (const auto found = instances.find(partition.row.owner());
-        found != instances.end() && partition.version != 0 && partition.row.owner() != self.id() &&
-        found->second.row.incarnation() == partition.row.incarnation()) {
-      auto* unchanged = transaction.add_conditions();
-      unchanged->set_key(std::string(kInstancePrefix) + partition.row.owner());
-      unchanged->set_version(found->second.version);
+    AddCondition(PartitionKey(command.partition), command.row.version, transaction);
+    if (command.instance_version) {
+      AddCondition(InstanceKey(command.instance), *command.instance_version, transaction);
     }
     auto* write = transaction.add_writes();
-    write->set_key(PartitionKey(p));
-    write->set_value(row.SerializeAsString());
-    return transaction;
+    write->set_key(PartitionKey(command.partition));
+    write->set_value(ToSchema(command.partition, command.row).SerializeAsString());
+    table.Commit(std::move(transaction),
+                 [impl = shared_from_this(), command](Result<schema::TableCommitResult> result) {
+                   impl->OnWritten(command, result);
+                 });
   }
 
-  void Claim(std::uint32_t p, const schema::TableTransaction& transaction) {
-    table.Commit(transaction,
-                 [self = shared_from_this(), p](Result<schema::TableCommitResult> result) {
-                   self->OnClaimed(p, result);
-                 });
+  void OnWritten(const OwnershipCommand& command, const Result<schema::TableCommitResult>& result) {
+    std::optional<PartitionRecord> record;
+    std::optional<InstanceRecord> watched;
+    const schema::TableRow* partition = FindRow(result, PartitionKey(command.partition));
+    if (partition != nullptr) record = ToPartitionRecord(*partition);
+    const schema::TableRow* instance = FindRow(result, InstanceKey(command.instance));
+    if (instance != nullptr) watched = ToInstanceRecord(*instance);
+    Change([&] { core.OnWrite(command, ToOutcome(result), record, watched, Now()); });
   }
 
-  void OnClaimed(std::uint32_t p, const Result<schema::TableCommitResult>& result) {
-    std::optional<schema::PartitionRow> gained;
-    {
-      std::lock_guard lock(mutex);
-      Partition& partition = partitions[p];
-      partition.busy = false;
-      if (!result) {
-        table_up = table_up && result.error().code != schema::CODE_TABLE_UNAVAILABLE;
-        last_scan.reset();  // The row tells whether the claim took effect.
-        return;
-      }
-      for (const schema::TableRow& row : result.value().rows()) {
-        schema::PartitionRow parsed;
-        if (row.key() != PartitionKey(p) || !parsed.ParseFromString(row.value())) continue;
-        partition.row = parsed;
-        partition.version = row.version();
-        Hear(partition, parsed);
-      }
-      const bool own = partition.row.incarnation() == self.incarnation();
-      if (own && !partition.owned) {
-        partition.owned = true;
-        gained = partition.row;
-      }
-    }
-    if (gained) {
-      hooks.on_gained(PartitionId{p}, gained->epoch(),
-                      {gained->streams().begin(), gained->streams().end()});
-    }
+  void Erase(const OwnershipCommand& command) {
+    schema::TableTransaction transaction;
+    AddCondition(InstanceKey(command.instance), command.instance_version.value_or(0), transaction);
+    auto* write = transaction.add_writes();
+    write->set_key(InstanceKey(command.instance));
+    write->set_erase(true);
+    // A row that was not erased shows up in the next scan.
+    table.Commit(std::move(transaction), [](const Result<schema::TableCommitResult>&) {});
   }
 };
 
@@ -303,74 +283,75 @@
 
 void Ownership::Leave() {
   std::lock_guard lock(m_impl->mutex);
-  m_impl->leaving = true;
+  m_impl->core.Leave();
 }
 
 std::optional<schema::PartitionOwner> Ownership::OwnerOf(PartitionId partition) const {
   std::lock_guard lock(m_impl->mutex);
-  const auto& heard = m_impl->partitions[partition.value].heard;
-  if (heard.owner().empty()) return std::nullopt;
-  return heard;
+  const KnownOwner& known = m_impl->core.Known(partition.value);
+  if (known.id.empty()) return std::nullopt;
+  schema::PartitionOwner owner;
+  owner.set_partition(partition.value);
+  owner.set_epoch(known.epoch);
+  owner.set_owner(known.id);
+  owner.set_incarnation(known.incarnation);
+  return owner;
 }
 
 std::optional<std::uint64_t> Ownership::OwnedEpoch(PartitionId partition) const {
   std::lock_guard lock(m_impl->mutex);
-  const auto& entry = m_impl->partitions[partition.value];
-  if (!entry.owned) return std::nullopt;
-  return entry.row.epoch();
+  return m_impl->core.OwnedEpoch(partition.value, m_impl->Now());
 }
 
 std::optional<std::uint64_t> Ownership::OwnedVersion(PartitionId partition) const {
   std::lock_guard lock(m_impl->mutex);
-  const auto& entry = m_impl->partitions[partition.value];
-  if (!entry.owned) return std::nullopt;
-  return entry.version;
+  return m_impl->core.OwnedVersion(partition.value, m_impl->Now());
+}
+
+bool Ownership::IsCertain() const {
+  std::lock_guard lock(m_impl->mutex);
+  return m_impl->core.IsCertain(m_impl->Now());
 }
 
 std::vector<PartitionId> Ownership::Owned() const {
   std::lock_guard lock(m_impl->mutex);
   std::vector<PartitionId> owned;
-  for (std::uint32_t p = 0; p < m_impl->partitions.size(); ++p) {
-    if (m_impl->partitions[p].owned) owned.push_back(PartitionId{p});
+  for (std::uint32_t p = 0; p < m_impl->options.partition_count; ++p) {
+    if (m_impl->core.Holds(p)) owned.push_back(PartitionId{p});
   }
   return owned;
 }
 
-std::vector<schema::PartitionOwner> Ownership::Owners() const {
+void Ownership::RetireStreams(PartitionId partition, const std::vector<std::string>& streams) {
   std::lock_guard lock(m_impl->mutex);
+  m_impl->core.Retire(partition.value, streams);
+}
+
+std::vector<schema::PartitionOwner> Ownership::Owners() const {
   std::vector<schema::PartitionOwner> owners;
-  for (const auto& partition : m_impl->partitions) {
-    if (!partition.heard.owner().empty()) owners.push_back(partition.heard);
+  for (std::uint32_t p = 0; p < m_impl->options.partition_count; ++p) {
+    if (auto owner = OwnerOf(PartitionId{p})) owners.push_back(*std::move(owner));
   }
   return owners;
 }
 
 void Ownership::MergeOwners(const std::vector<schema::PartitionOwner>& owners) {
-  std::lock_guard lock(m_impl->mutex);
-  for (const schema::PartitionOwner& owner : owners) {
-    if (owner.partition() >= m_impl->partitions.size()) continue;
-    auto& partition = m_impl->partitions[owner.partition()];
-    if (owner.epoch() <= partition.heard.epoch()) continue;
-    partition.heard = owner;
-    m_impl->last_scan.reset();
-  }
+  m_impl->Change([&] {
+    for (const schema::PartitionOwner& owner : owners) {
+      if (owner.partition() >= m_impl->options.partition_count) continue;
+      m_impl->core.Hear(owner.partition(), {owner.owner(), owner.incarnation(), owner.epoch()},
+                        m_impl->Now());
+    }
+  });
 }
 
 void Ownership::OnFenced(PartitionId partition) {
-  bool lost = false;
-  {
-    std::lock_guard lock(m_impl->mutex);
-    auto& entry = m_impl->partitions[partition.value];
-    lost = entry.owned;
-    entry.owned = false;
-    m_impl->last_scan.reset();
-  }
-  if (lost) m_impl->hooks.on_lost(partition);
+  m_impl->Change([&] { m_impl->core.OnFenced(partition.value, m_impl->Now()); });
 }
 
 bool Ownership::IsTableUp() const {
   std::lock_guard lock(m_impl->mutex);
-  return m_impl->table_up;
+  return m_impl->core.IsTableUp();
 }
 
 }  // namespace citronsill
--- /dev/null
+++ b/tests/ownershipcell.h
@@ -0,0 +1,133 @@
+/// Several Ownership objects over one in-memory table, in model time, for tests.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "citronsill/ownership.h"
+#include "schema/citronsill.pb.h"
+#include "tools/standin_table.h"
+
+namespace citronsill {
+
+/// One instance of the cell. Gossip is perfect between instances that run, but for its delay.
+struct CellInstance {
+  std::string id;
+  std::unique_ptr<Ownership> ownership;
+  std::uint64_t incarnation = 0;
+  bool running = true;
+  bool leaving = false;
+  SteadyTime heard;                               ///< When it last ran.
+  std::map<std::uint32_t, std::uint64_t> served;  ///< Epochs by partition, from the hooks.
+  std::map<std::uint32_t, std::vector<std::string>> streams;
+  unsigned gained = 0;
+  unsigned confirmed = 0;
+  bool superseded = false;
+};
+
+class OwnershipCell {
+ public:
+  static constexpr std::chrono::milliseconds kStep{500};
+  static constexpr std::chrono::milliseconds kSuspectAfter{2000};
+
+  StandinTable table;
+  SteadyTime now{std::chrono::hours(1)};
+  std::map<std::string, CellInstance> instances;
+  OwnershipOptions options;
+  bool isolated = false;  ///< No instance hears another by gossip.
+
+  /// @param label key in `instances`, when it is not the id.
+  Ownership& Start(const std::string& id, const std::string& label = "") {
+    CellInstance& instance = instances[label.empty() ? id : label];
+    instance = CellInstance();
+    instance.id = id;
+    instance.incarnation = ++m_last_incarnation;
+    instance.heard = now;
+    schema::InstanceRow self;
+    self.set_id(id);
+    self.set_incarnation(instance.incarnation);
+    OwnershipHooks hooks;
+    hooks.on_gained = [&instance](PartitionId partition, std::uint64_t epoch,
+                                  std::vector<std::string> streams) {
+      instance.served[partition.value] = epoch;
+      instance.streams[partition.value] = std::move(streams);
+      ++instance.gained;
+    };
+    hooks.on_lost = [&instance](PartitionId partition) { instance.served.erase(partition.value); };
+    hooks.on_confirmed = [&instance] { ++instance.confirmed; };
+    hooks.on_superseded = [&instance] { instance.superseded = true; };
+    hooks.live_members = [this, id] { return Members(id); };
+    hooks.now = [this] { return now; };
+    instance.ownership = Ownership::Create(table, self, options, std::move(hooks)).value();
+    return *instance.ownership;
+  }
+
+  void Start(unsigned count) {
+    for (unsigned i = 0; i < count; ++i) Start(Name(i));
+  }
+
+  static std::string Name(unsigned i) { return "instance-" + std::to_string(i); }
+
+  void Run(std::chrono::milliseconds time) {
+    for (const SteadyTime end = now + time; now < end;) {
+      now += kStep;
+      Step();
+    }
+  }
+
+  /// Ticks every running instance once, then spreads what they know about owners.
+  void Step() {
+    for (auto& [id, instance] : instances) {
+      if (!instance.running) continue;
+      instance.heard = now;
+      instance.ownership->Tick(now);
+    }
+    for (auto& [id, from] : instances) {
+      if (!from.running || isolated) continue;
+      const auto owners = from.ownership->Owners();
+      for (auto& [other, to] : instances) {
+        if (to.running && id != other) to.ownership->MergeOwners(owners);
+      }
+    }
+  }
+
+  /// @returns the owner that every partition has by the hooks, or "" where there are none or two.
+  std::vector<std::string> OwnerNames() const {
+    std::vector<std::string> owners(options.partition_count);
+    std::vector<unsigned> count(options.partition_count);
+    for (const auto& [id, instance] : instances) {
+      if (!instance.running) continue;
+      for (const auto& [partition, epoch] : instance.served) {
+        if (!instance.ownership->OwnedEpoch(PartitionId{partition})) continue;
+        owners[partition] = ++count[partition] == 1 ? id : "";
+      }
+    }
+    return owners;
+  }
+
+  unsigned Unowned() const {
+    unsigned count = 0;
+    for (const std::string& owner : OwnerNames()) count += owner.empty() ? 1 : 0;
+    return count;
+  }
+
+ private:
+  std::vector<LiveMember> Members(const std::string& self) const {
+    std::vector<LiveMember> members;
+    for (const auto& [label, instance] : instances) {
+      const auto silence =
+          std::chrono::duration_cast<std::chrono::milliseconds>(now - instance.heard);
+      if (silence >= kSuspectAfter || (isolated && instance.id != self)) continue;
+      members.push_back({instance.id, instance.incarnation, silence, instance.leaving});
+    }
+    return members;
+  }
+
+  std::uint64_t m_last_incarnation = 0;
+};
+
+}  // namespace citronsill
--- a/tools/standin_table.h
+++ b/tools/standin_table.h
@@ -20,6 +20,7 @@
   kNone,
   kDown,         ///< Every call is refused and has no effect.
   kLoseAnswers,  ///< Commits take effect, but their answers are lost.
+  kHoldAnswers,  ///< Calls take effect, but their answers wait for `Release`.
 };
 
 /// Thread-safe. Callbacks run on the calling thread, after the lock is released.
@@ -30,16 +31,26 @@
     m_fault = fault;
   }
 
+  /// Gives the answers that were held, in order.
+  void Release() {
+    std::unique_lock lock(m_mutex);
+    const auto held = std::exchange(m_held, {});
+    lock.unlock();
+    for (const auto& answer : held) answer();
+  }
+
   [[nodiscard]] TableFault Fault() const {
     std::lock_guard lock(m_mutex);
     return m_fault;
   }
 
+  /// @returns rows read; a scan counts once for each row that it returns.
   [[nodiscard]] std::uint64_t Reads() const {
     std::lock_guard lock(m_mutex);
     return m_reads;
   }
 
+  /// @returns commits that reached the table.
   [[nodiscard]] std::uint64_t Writes() const {
     std::lock_guard lock(m_mutex);
     return m_writes;
@@ -53,8 +64,7 @@
     }
     ++m_reads;
     schema::TableRow row = Find(key);
-    lock.unlock();
-    done(std::move(row));
+    Answer(lock, [done = std::move(done), row = std::move(row)] { done(row); });
   }
 
   void Scan(std::string prefix,
@@ -64,14 +74,13 @@
       lock.unlock();
       return done(Unavailable());
     }
-    ++m_reads;
     std::vector<schema::TableRow> rows;
     for (auto row = m_rows.lower_bound(prefix); row != m_rows.end(); ++row) {
       if (!row->first.starts_with(prefix)) break;
       rows.push_back(row->second);
     }
-    lock.unlock();
-    done(std::move(rows));
+    m_reads += rows.size();
+    Answer(lock, [done = std::move(done), rows = std::move(rows)] { done(rows); });
   }
 
   void Commit(schema::TableTransaction transaction,
@@ -84,14 +93,24 @@
     ++m_writes;
     schema::TableCommitResult result = Apply(transaction);
     const bool lost = m_fault == TableFault::kLoseAnswers;
-    lock.unlock();
-    if (lost) return done(Error{schema::CODE_COMMIT_UNKNOWN, "the answer was lost"});
-    done(std::move(result));
+    Answer(lock, [done = std::move(done), result = std::move(result), lost] {
+      if (lost) return done(Error{schema::CODE_COMMIT_UNKNOWN, "the answer was lost"});
+      done(result);
+    });
   }
 
  private:
   static Error Unavailable() { return Error{schema::CODE_TABLE_UNAVAILABLE, "the table is down"}; }
 
+  void Answer(std::unique_lock<std::mutex>& lock, std::function<void()> answer) {
+    if (m_fault == TableFault::kHoldAnswers) {
+      m_held.push_back(std::move(answer));
+      return;
+    }
+    lock.unlock();
+    answer();
+  }
+
   schema::TableRow Find(const std::string& key) const {
     if (const auto found = m_rows.find(key); found != m_rows.end()) return found->second;
     schema::TableRow missing;
@@ -126,6 +145,7 @@
   TableFault m_fault = TableFault::kNone;
   std::map<std::string, schema::TableRow> m_rows;
   std::uint64_t m_last_version = 0;
+  std::vector<std::function<void()>> m_held;
   std::uint64_t m_reads = 0;
   std::uint64_t m_writes = 0;
 };
