Hold starts while ownership is in doubt after a pause

The engine decides with the epochs that the dispatcher was given, which a paused instance still has on waking. A start that reaches before_start in that state waits until the rows were read again; a start refused instead would be placed again at once, in a loop.

--- a/src/instance.cc
+++ b/src/instance.cc
@@ -21,6 +21,7 @@
 // An entry instance that cannot be reached for this many tries has failed; its caller asks again.
 constexpr int kMaxDeliverTries = 20;
 constexpr std::chrono::milliseconds kDrainCheckPeriod{200};
+constexpr std::chrono::milliseconds kDoubtRetryPeriod{100};
 
 template <class Message>
 Result<Message> ParseMessage(const Result<std::string>& json) {
@@ -150,7 +151,7 @@
     options.sync_wait = kWorkerSyncWait;
     DispatcherHooks hooks;
     hooks.before_start = [this](const Action& action, const std::function<void(bool)>& go) {
-      home->BeforeStart(action, go);
+      BeforeStart(action, go);
     };
     hooks.on_event = [this](const TaskEvent& event, const std::function<void()>& done) {
       home->OnTaskEvent(event, done);
@@ -168,6 +169,14 @@
     return Success();
   }
 
+  // Starts wait while ownership is in doubt after a pause.
+  void BeforeStart(const Action& action, const std::function<void(bool)>& go) {
+    if (ownership->IsCertain()) return home->BeforeStart(action, go);
+    timers->After(kDoubtRetryPeriod, [weak = weak_from_this(), action, go](SteadyTime) {
+      if (auto self = weak.lock()) self->BeforeStart(action, go);
+    });
+  }
+
   Result<void> BuildHome() {
     HomeOptions options;
     options.partition_count = settings.partition_count();
--- a/src/ownershipcore.cc
+++ b/src/ownershipcore.cc
@@ -165,7 +165,8 @@
     if (member.id < m_id) return;
   }
   for (auto found = m_instances.begin(); found != m_instances.end(); ++found) {
-    const auto& [id, watched] = *found;
+    const std::string& id = found->first;
+    const Watched& watched = found->second;
     if (!watched.seen || watched.record.version == 0 || id == m_id) continue;
     if (now - watched.unchanged_since < m_options.forget_instance) continue;
     const auto uses = [&](const Partition& partition) { return partition.row.owner == id; };
--- a/tests/ownership_test.cc
+++ b/tests/ownership_test.cc
@@ -133,8 +133,6 @@
   cell.Run(seconds(10));
   CellInstance& leaving = cell.instances["instance-2"];
   const auto owned = leaving.served;
-  std::vector<std::uint64_t> epochs;
-  for (const auto& [partition, epoch] : owned) epochs.push_back(epoch);
   leaving.leaving = true;
   leaving.ownership->Leave();
   cell.Run(seconds(3));
