Exchange digests in gossip, and order incarnations by their start

The gossip exchange moves from src/instance.cc into GossipExchange. A message was all members and all 64 owners as JSON, to five peers each 500 ms. Now a digest has a hash of the identity, the heartbeat and a hash of the load for each member; the answer has what is newer at the other side and asks for what is older. Owners are sent while their hashes differ. Messages are binary protobuf in base64, to two peers in a shuffled cycle. Nothing is remembered about a peer, so that a lost message needs no repair. Deltas with a memory of each peer would save the part of the digest that did not change, but every heartbeat changes in every period.

Membership: - Any other incarnation replaced the known one. Incarnations are now ordered by the start time of the process. The table row was the alternative; it is not there during an outage. A clock that was set back is covered: the earlier one is taken over when the known one is silent and the other's counter rises. - A member counts as live once its counter was seen to rise; an entry that others still pass on after a death does not. Entries that are silent for half of the time to forget them are not passed on, so that members do not revive them in one another. - The own pause does not count as silence of the others. - The number of members is bounded (512).

--- a/include/citronsill/config.h
+++ b/include/citronsill/config.h
@@ -46,7 +46,7 @@
 // Limits on what an instance keeps in memory.
 inline constexpr std::size_t kMaxPendingRequests = 20000;
 inline constexpr std::size_t kMaxFinishedRequests = 20000;
-inline constexpr std::size_t kGossipFanout = 5;
+inline constexpr std::size_t kGossipFanout = 2;  // News reach 30 members in about 3 periods.
 inline constexpr std::size_t kMaxJournalBatchEntries = 256;
 inline constexpr std::size_t kStateShards = 16;
 
--- /dev/null
+++ b/include/citronsill/gossip.h
@@ -0,0 +1,69 @@
+/// Exchange of members and partition owners between instances.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "citronsill/membership.h"
+#include "citronsill/result.h"
+#include "citronsill/types.h"
+
+namespace citronsill {
+
+struct GossipOptions {
+  std::string peer_address;  ///< The own one.
+  std::uint64_t seed = 0;    ///< For the order in which peers are called.
+};
+
+struct GossipHooks {
+  /// Calls the method `gossip` of another instance with JSON text.
+  std::function<void(const std::string& address, std::string params,
+                     std::function<void(Result<std::string>)> done)>
+      call;
+  /// @returns addresses of instances from the platform's list.
+  std::function<std::vector<std::string>()> listed_addresses;
+  /// @returns what the own entry says about load; only fields that change.
+  std::function<schema::MemberState()> load;
+  std::function<std::vector<schema::PartitionOwner>()> owners;
+  std::function<void(const std::vector<schema::PartitionOwner>&)> merge_owners;
+  std::function<SteadyTime()> now;
+};
+
+/// Counts since the start. Bytes are those of the JSON texts.
+struct GossipCounts {
+  std::uint64_t exchanges = 0;
+  std::uint64_t messages_sent = 0;
+  std::uint64_t bytes_sent = 0;
+  std::uint64_t bytes_received = 0;
+};
+
+/// An exchange starts with a digest: for each member a hash of its identity, its heartbeat counter
+/// and a hash of its load. The answer has what is newer at the other side and asks for what is
+/// older there, which a second message brings. Owners are sent only while their hashes differ.
+/// Nothing is remembered about a peer, so that a lost message needs no repair. Thread-safe.
+class GossipExchange {
+ public:
+  static Result<std::unique_ptr<GossipExchange>> Create(Membership& membership,
+                                                        const GossipOptions& options,
+                                                        GossipHooks hooks);
+  ~GossipExchange();
+
+  /// Raises the own heartbeat and starts exchanges with a few peers.
+  void Tick();
+
+  /// Handles the method `gossip`. @param params, @returns JSON text.
+  Result<std::string> Handle(const std::string& params);
+
+  [[nodiscard]] GossipCounts Counts() const;
+
+ private:
+  struct Impl;
+  explicit GossipExchange(std::shared_ptr<Impl> impl);
+  std::shared_ptr<Impl> m_impl;
+};
+
+}  // namespace citronsill
--- a/include/citronsill/membership.h
+++ b/include/citronsill/membership.h
@@ -15,9 +15,11 @@
 namespace citronsill {
 
 struct MembershipOptions {
-  std::chrono::milliseconds suspect_after{
-      2000};  ///< Counter unchanged for this long: not routed to.
-  std::chrono::milliseconds forget_after{60000};  ///< Counter unchanged for this long: dropped.
+  std::chrono::milliseconds suspect_after{2000};  ///< Counter unchanged for this long: not live.
+  /// Counter unchanged for this long: dropped. After half of it the entry is no longer passed on,
+  /// so that members do not revive it in one another.
+  std::chrono::milliseconds forget_after{60000};
+  std::size_t max_members = 512;
 };
 
 /// Thread-safe.
@@ -29,15 +31,19 @@
   ~Membership();
 
   /// Raises the own heartbeat counter and sets what the own entry says about load.
-  void Beat(const schema::MemberState& load);
+  /// @remarks After a gap between two calls, the time of the gap does not count as silence of the
+  /// others, because this process may have been paused.
+  void Beat(const schema::MemberState& load, SteadyTime now);
 
-  /// Takes over entries with higher incarnation or counter.
+  /// Takes over entries with a higher counter, or of a later incarnation. Incarnations are ordered
+  /// by `started_unix_ms`. An incarnation that is earlier by that, because a clock was set back, is
+  /// taken over when the known one is silent and the counter of the other was seen to rise.
   void Merge(const std::vector<schema::MemberState>& members, SteadyTime now);
 
-  /// @returns all known entries, the own one included.
+  /// @returns the entries to pass on, the own one included.
   [[nodiscard]] std::vector<schema::MemberState> Digest(SteadyTime now) const;
 
-  /// @returns entries whose counter changed lately, the own one included, ordered by id.
+  /// @returns entries whose counter was seen to change lately, the own one included, ordered by id.
   [[nodiscard]] std::vector<schema::MemberState> Live(SteadyTime now) const;
 
   /// @returns the same for ownership, with the age of each heartbeat.
--- a/src/instance.cc
+++ b/src/instance.cc
@@ -4,6 +4,7 @@
 #include "citronsill/directory.h"
 #include "citronsill/dispatcher.h"
 #include "citronsill/entry.h"
+#include "citronsill/gossip.h"
 #include "citronsill/home.h"
 #include "citronsill/http.h"
 #include "citronsill/journal.h"
@@ -48,6 +49,7 @@
   std::unique_ptr<PeerClient> peer_client;
   std::unique_ptr<Membership> membership;
   std::unique_ptr<Ownership> ownership;
+  std::unique_ptr<GossipExchange> gossip;
   std::unique_ptr<Journal> journal;
   std::unique_ptr<Ledger> ledger;
   std::unique_ptr<Dispatcher> dispatcher;
@@ -59,7 +61,6 @@
 
   std::mutex mutex;
   schema::Directory last_directory;
-  std::size_t next_peer = 0;
   std::atomic<bool> draining{false};
 
   static SteadyTime Now() { return std::chrono::steady_clock::now(); }
@@ -78,6 +79,7 @@
     BOOST_OUTCOME_TRY(ledger, Ledger::Create(kMaxFinishedRequests));
     BOOST_OUTCOME_TRY(BuildMembership());
     BOOST_OUTCOME_TRY(BuildOwnership());
+    BOOST_OUTCOME_TRY(BuildGossip());
     BOOST_OUTCOME_TRY(BuildJournal());
     BOOST_OUTCOME_TRY(BuildDispatcher());
     BOOST_OUTCOME_TRY(BuildHome());
@@ -95,6 +97,7 @@
     self.set_incarnation(incarnation);
     self.set_peer_address(settings.peer_address());
     self.set_failure_domain(settings.failure_domain());
+    self.set_started_unix_ms(UnixMilliseconds(std::chrono::system_clock::now()));
     BOOST_OUTCOME_TRY(membership, Membership::Create(self, MembershipOptions{}));
     return Success();
   }
@@ -130,6 +133,39 @@
     return Success();
   }
 
+  Result<void> BuildGossip() {
+    GossipOptions options;
+    options.peer_address = settings.peer_address();
+    options.seed = incarnation;
+    GossipHooks hooks;
+    hooks.call = [this](const std::string& address, std::string params,
+                        std::function<void(Result<std::string>)> done) {
+      peer_client->Call(address, "gossip", std::move(params), kPeerTimeout, std::move(done));
+    };
+    hooks.listed_addresses = [this] {
+      std::vector<std::string> addresses;
+      std::lock_guard lock(mutex);
+      for (const schema::DirectoryEntry& instance : last_directory.instances()) {
+        addresses.push_back(instance.address());
+      }
+      return addresses;
+    };
+    hooks.load = [this] {
+      const EngineStats stats = dispatcher->Stats();
+      schema::MemberState load;
+      load.set_leaving(draining);
+      load.set_free_slots(stats.free_slots);
+      load.set_waiting(static_cast<std::uint32_t>(stats.waiting_jobs));
+      return load;
+    };
+    hooks.owners = [this] { return ownership->Owners(); };
+    hooks.merge_owners = [this](const std::vector<schema::PartitionOwner>& owners) {
+      ownership->MergeOwners(owners);
+    };
+    BOOST_OUTCOME_TRY(gossip, GossipExchange::Create(*membership, options, std::move(hooks)));
+    return Success();
+  }
+
   Result<void> BuildJournal() {
     JournalOptions options;
     options.stream = settings.instance_id() + "." + Hex64(incarnation);
@@ -250,11 +286,8 @@
   }
 
   void RegisterMethods() {
-    Register<schema::Gossip, schema::Gossip>(
-        "gossip", [this](const schema::Gossip& gossip) -> Result<schema::Gossip> {
-          MergeGossip(gossip);
-          return MakeGossip();
-        });
+    peer_server->Handle("gossip",
+                        [this](const std::string& params) { return gossip->Handle(params); });
     Register<schema::Forward, schema::Ack>(
         "forward", [this](const schema::Forward& forward) -> Result<schema::Ack> {
           return home->OnForward(forward);
@@ -277,7 +310,7 @@
         if (auto self = weak.lock()) (*self.*member)();
       }));
     };
-    every(kGossipPeriod, &Impl::Gossip);
+    every(kGossipPeriod, &Impl::TickGossip);
     every(kOwnershipPeriod, &Impl::TickOwnership);
     every(kDirectoryPeriod, &Impl::RefreshDirectory);
     runtime.Post([self = shared_from_this()] { self->RefreshDirectory(); });
@@ -285,60 +318,7 @@
 
   void TickOwnership() { ownership->Tick(Now()); }
 
-  schema::Gossip MakeGossip() {
-    schema::Gossip gossip;
-    for (schema::MemberState& member : membership->Digest(Now())) {
-      *gossip.add_members() = std::move(member);
-    }
-    for (schema::PartitionOwner& owner : ownership->Owners()) {
-      *gossip.add_owners() = std::move(owner);
-    }
-    return gossip;
-  }
-
-  void MergeGossip(const schema::Gossip& gossip) {
-    membership->Merge({gossip.members().begin(), gossip.members().end()}, Now());
-    ownership->MergeOwners({gossip.owners().begin(), gossip.owners().end()});
-  }
-
-  // The next few known peers in turn, from gossip and from the platform's list.
-  std::vector<std::string> GossipTargets() {
-    std::set<std::string> addresses;
-    for (const schema::MemberState& member : membership->Digest(Now())) {
-      addresses.insert(member.peer_address());
-    }
-    std::lock_guard lock(mutex);
-    for (const schema::DirectoryEntry& instance : last_directory.instances()) {
-      addresses.insert(instance.address());
-    }
-    addresses.erase(settings.peer_address());
-    addresses.erase("");
-    const std::vector<std::string> all(addresses.begin(), addresses.end());
-    std::vector<std::string> targets;
-    for (std::size_t i = 0; i < std::min(kGossipFanout, all.size()); ++i) {
-      targets.push_back(all[next_peer++ % all.size()]);
-    }
-    return targets;
-  }
-
-  void Gossip() {
-    const EngineStats stats = dispatcher->Stats();
-    schema::MemberState load;
-    load.set_leaving(draining);
-    load.set_free_slots(stats.free_slots);
-    load.set_waiting(static_cast<std::uint32_t>(stats.waiting_jobs));
-    membership->Beat(load);
-    const std::string message = ToJson(MakeGossip());
-    for (const std::string& address : GossipTargets()) {
-      peer_client->Call(address, "gossip", message, kPeerTimeout,
-                        [weak = weak_from_this()](const Result<std::string>& result) {
-                          auto gossip = ParseMessage<schema::Gossip>(result);
-                          if (auto self = weak.lock(); self && gossip) {
-                            self->MergeGossip(gossip.value());
-                          }
-                        });
-    }
-  }
+  void TickGossip() { gossip->Tick(); }
 
   void RefreshDirectory() {
     directory->List([weak = weak_from_this()](const Result<schema::Directory>& list) {
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -8,27 +8,86 @@
   struct Member {
     schema::MemberState state;
     SteadyTime changed;
+    bool advanced = false;  // The counter was seen to change, so that the process runs.
+    // The incarnation that was known before; what others still say about it is not news.
+    std::uint64_t former = 0;
+    std::uint64_t former_heartbeat = 0;
+    // An incarnation that is earlier by its start time.
+    std::uint64_t rival = 0;
+    std::uint64_t rival_heartbeat = 0;
   };
 
   MembershipOptions options;
   std::string self;
   mutable std::mutex mutex;
   std::map<std::string, Member> members;
+  std::optional<SteadyTime> last_beat;
 
   [[nodiscard]] bool IsLive(const Member& member, SteadyTime now) const {
-    return member.state.id() == self || now - member.changed < options.suspect_after;
+    if (member.state.id() == self) return true;
+    return member.advanced && now - member.changed < options.suspect_after;
   }
 
   void MergeOne(const schema::MemberState& state, SteadyTime now) {
     if (state.id().empty() || state.id() == self) return;
-    auto [found, added] = members.try_emplace(state.id());
+    const auto found = members.find(state.id());
+    if (found == members.end()) {
+      if (MakeRoom(now)) Replace(members[state.id()], state, now);
+      return;
+    }
     Member& member = found->second;
-    const bool restarted = member.state.incarnation() != state.incarnation();
-    const bool newer = restarted ? member.state.heartbeat() == 0 || state.heartbeat() > 0
-                                 : state.heartbeat() > member.state.heartbeat();
-    if (!added && !newer) return;
+    if (member.state.incarnation() != state.incarnation()) {
+      if (IsLater(member, state, now)) Replace(member, state, now);
+      return;
+    }
+    if (state.heartbeat() <= member.state.heartbeat()) return;
     member.state = state;
     member.changed = now;
+    member.advanced = true;
+  }
+
+  static void Replace(Member& member, const schema::MemberState& state, SteadyTime now) {
+    const schema::MemberState former = std::exchange(member, Member()).state;
+    member.state = state;
+    member.changed = now;
+    member.former = former.incarnation();
+    member.former_heartbeat = former.heartbeat();
+  }
+
+  bool IsLater(Member& member, const schema::MemberState& state, SteadyTime now) const {
+    const auto order = [](const schema::MemberState& x) {
+      return std::pair(x.started_unix_ms(), x.incarnation());
+    };
+    if (state.incarnation() == member.former && state.heartbeat() <= member.former_heartbeat) {
+      return false;
+    }
+    if (order(state) > order(member.state)) return true;
+    if (IsLive(member, now)) return false;
+    const bool rises =
+        member.rival == state.incarnation() && state.heartbeat() > member.rival_heartbeat;
+    member.rival = state.incarnation();
+    member.rival_heartbeat = std::max(state.heartbeat(), rises ? 0 : member.rival_heartbeat);
+    return rises;
+  }
+
+  // Drops the entry that is silent for longest, if any is, when there are too many.
+  bool MakeRoom(SteadyTime now) {
+    if (members.size() < options.max_members) return true;
+    auto oldest = members.end();
+    for (auto entry = members.begin(); entry != members.end(); ++entry) {
+      if (IsLive(entry->second, now)) continue;
+      if (oldest == members.end() || entry->second.changed < oldest->second.changed) oldest = entry;
+    }
+    if (oldest == members.end()) return false;
+    members.erase(oldest);
+    return true;
+  }
+
+  void ForgiveGap(SteadyTime now) {
+    if (last_beat && now - *last_beat > options.suspect_after / 2) {
+      for (auto& [id, member] : members) member.changed += now - *last_beat;
+    }
+    last_beat = now;
   }
 };
 
@@ -48,8 +107,9 @@
 
 Membership::~Membership() = default;
 
-void Membership::Beat(const schema::MemberState& load) {
+void Membership::Beat(const schema::MemberState& load, SteadyTime now) {
   std::lock_guard lock(m_impl->mutex);
+  m_impl->ForgiveGap(now);
   schema::MemberState& own = m_impl->members[m_impl->self].state;
   own.set_heartbeat(own.heartbeat() + 1);
   own.set_leaving(load.leaving());
@@ -67,10 +127,13 @@
   });
 }
 
-std::vector<schema::MemberState> Membership::Digest(SteadyTime) const {
+std::vector<schema::MemberState> Membership::Digest(SteadyTime now) const {
   std::lock_guard lock(m_impl->mutex);
   std::vector<schema::MemberState> states;
-  for (const auto& [id, member] : m_impl->members) states.push_back(member.state);
+  for (const auto& [id, member] : m_impl->members) {
+    const bool fresh = now - member.changed < m_impl->options.forget_after / 2;
+    if (id == m_impl->self || fresh) states.push_back(member.state);
+  }
   return states;
 }
 
