Put a guard between the product and the table

TableGuard bounds the time of a call (2 s with its wait), the calls at the table (16) and those that wait (256). Five failures in a row open a breaker: calls are refused at once, also those that wait, until a probe is due after 0.5 to 1.5 times 250 ms, doubling to 1.5 s; one call at a time is the probe. After a probe succeeded, each success admits one more call at a time. Reads are repeated once within a budget of a tenth of the calls. Commits are never repeated: one that was not sent fails as unavailable, one with an unclear outcome with CODE_COMMIT_UNKNOWN.

--- a/src/instance.cc
+++ b/src/instance.cc
@@ -13,6 +13,7 @@
 #include "citronsill/ownership.h"
 #include "citronsill/peer.h"
 #include "citronsill/table.h"
+#include "citronsill/tableguard.h"
 #include "citronsill/timer.h"
 #include "internal.h"
 
@@ -23,6 +24,7 @@
 constexpr int kMaxDeliverTries = 20;
 constexpr std::chrono::milliseconds kDrainCheckPeriod{200};
 constexpr std::chrono::milliseconds kDoubtRetryPeriod{100};
+constexpr std::chrono::milliseconds kTableGuardPeriod{100};
 
 template <class Message>
 Result<Message> ParseMessage(const Result<std::string>& json) {
@@ -43,7 +45,8 @@
   std::uint64_t incarnation = 0;
   std::string peer_address;
   std::unique_ptr<TimerService> timers;
-  std::unique_ptr<Table> table;
+  std::unique_ptr<Table> table_client;
+  std::shared_ptr<TableGuard> table;
   std::unique_ptr<InstanceDirectory> directory;
   std::unique_ptr<PeerServer> peer_server;
   std::unique_ptr<PeerClient> peer_client;
@@ -72,7 +75,8 @@
   Result<void> Build() {
     incarnation = RandomId();
     BOOST_OUTCOME_TRY(timers, TimerService::Create(runtime));
-    BOOST_OUTCOME_TRY(table, CreateHttpTable(runtime, settings.table_address()));
+    BOOST_OUTCOME_TRY(table_client, CreateHttpTable(runtime, settings.table_address()));
+    BOOST_OUTCOME_TRY(table, TableGuard::Create(*table_client, TableGuardOptions{}, {}));
     BOOST_OUTCOME_TRY(directory, CreateHttpDirectory(runtime, settings.directory_address()));
     BOOST_OUTCOME_TRY(peer_server, PeerServer::Create(runtime, settings.peer_address()));
     BOOST_OUTCOME_TRY(peer_client, PeerClient::Create(runtime));
@@ -312,10 +316,13 @@
     };
     every(kGossipPeriod, &Impl::TickGossip);
     every(kOwnershipPeriod, &Impl::TickOwnership);
+    every(kTableGuardPeriod, &Impl::TickTable);
     every(kDirectoryPeriod, &Impl::RefreshDirectory);
     runtime.Post([self = shared_from_this()] { self->RefreshDirectory(); });
   }
 
+  void TickTable() { table->Tick(); }
+
   void TickOwnership() { ownership->Tick(Now()); }
 
   void TickGossip() { gossip->Tick(); }
--- /dev/null
+++ b/src/tableguard.cc
@@ -0,0 +1,319 @@
+#include "citronsill/tableguard.h"
+
+#include <random>
+
+#include "internal.h"
+
+namespace citronsill {
+namespace {
+
+// Repeated reads that may be saved up.
+constexpr double kMaxRetryCredit = 10;
+
+struct Call {
+  bool commit = false;
+  bool ended = false;  // Its caller got an answer.
+  bool sent = false;   // An attempt is at the table.
+  bool probe = false;
+  bool retried = false;
+  unsigned attempt = 0;
+  SteadyTime deadline;
+  SteadyTime due;                                          // Of a repeated read.
+  std::function<void(const std::shared_ptr<Call>&)> send;  // Starts an attempt.
+  std::function<void(const Error&)> fail;                  // Answers the caller.
+};
+
+using CallPtr = std::shared_ptr<Call>;
+
+double DefaultRandom() {
+  thread_local std::mt19937_64 generator{std::random_device{}()};
+  return std::uniform_real_distribution<double>(0, 1)(generator);
+}
+
+class Guard : public TableGuard, public std::enable_shared_from_this<Guard> {
+ public:
+  Guard(Table& table, const TableGuardOptions& options, TableGuardHooks hooks)
+      : m_table(table), m_options(options), m_hooks(std::move(hooks)) {}
+
+  void Read(std::string key, std::function<void(Result<schema::TableRow>)> done) override {
+    Start<schema::TableRow>(
+        false, [this, key = std::move(key)](auto answer) { m_table.Read(key, std::move(answer)); },
+        std::move(done));
+  }
+
+  void Scan(std::string prefix,
+            std::function<void(Result<std::vector<schema::TableRow>>)> done) override {
+    Start<std::vector<schema::TableRow>>(
+        false,
+        [this, prefix = std::move(prefix)](auto answer) {
+          m_table.Scan(prefix, std::move(answer));
+        },
+        std::move(done));
+  }
+
+  void Commit(schema::TableTransaction transaction,
+              std::function<void(Result<schema::TableCommitResult>)> done) override {
+    Start<schema::TableCommitResult>(
+        true,
+        [this, transaction = std::move(transaction)](auto answer) {
+          m_table.Commit(transaction, std::move(answer));
+        },
+        std::move(done));
+  }
+
+  void Tick() override {
+    std::vector<CallPtr> expired;
+    {
+      std::lock_guard lock(m_mutex);
+      TakeExpired(expired);
+      MoveDueRetries();
+    }
+    for (const CallPtr& call : expired) {
+      if (call->sent && call->commit) {
+        call->fail(Error{schema::CODE_COMMIT_UNKNOWN, "no answer from the table in time"});
+      } else {
+        call->fail(Error{schema::CODE_TABLE_UNAVAILABLE, "no answer from the table in time"});
+      }
+    }
+    Pump();
+  }
+
+  [[nodiscard]] TableGuardCounts Counts() const override {
+    std::lock_guard lock(m_mutex);
+    TableGuardCounts counts = m_counts;
+    counts.in_flight = m_in_flight.size();
+    counts.waiting = m_waiting.size();
+    counts.state = m_state;
+    return counts;
+  }
+
+ private:
+  enum class Verdict { kDeliver, kDrop, kRetry };
+
+  template <class T, class Send>
+  void Start(bool commit, Send send, std::function<void(Result<T>)> done) {
+    auto call = std::make_shared<Call>();
+    call->commit = commit;
+    call->deadline = m_hooks.now() + m_options.deadline;
+    call->fail = [done](const Error& error) { done(error); };
+    call->send = [this, send = std::move(send), done](const CallPtr& self) {
+      const unsigned attempt = self->attempt;
+      send([guard = shared_from_this(), self, attempt, done](Result<T> result) {
+        guard->template OnAnswer<T>(self, attempt, std::move(result), done);
+      });
+    };
+    Submit(call);
+  }
+
+  template <class T>
+  void OnAnswer(const CallPtr& call, unsigned attempt, Result<T> result,
+                const std::function<void(Result<T>)>& done) {
+    const Verdict verdict = Settle(call, attempt, result.has_value());
+    if (verdict == Verdict::kDeliver) {
+      if (result) {
+        done(std::move(result));
+      } else {
+        done(Classify(*call, result.error()));
+      }
+    }
+    Pump();
+  }
+
+  Error Classify(const Call& call, const Error& error) {
+    if (!call.commit || error.code == schema::CODE_TABLE_UNAVAILABLE) {
+      return Error{schema::CODE_TABLE_UNAVAILABLE, error.message};
+    }
+    std::lock_guard lock(m_mutex);
+    ++m_counts.unknown_commits;
+    return Error{schema::CODE_COMMIT_UNKNOWN, error.message};
+  }
+
+  void Submit(const CallPtr& call) {
+    const char* refused = nullptr;
+    {
+      std::lock_guard lock(m_mutex);
+      ++m_counts.calls;
+      m_retry_credit = std::min(kMaxRetryCredit, m_retry_credit + m_options.retry_ratio);
+      if (m_state == BreakerState::kOpen && !MayProbe()) {
+        ++m_counts.refused_open;
+        refused = "the table does not answer";
+      } else if (m_waiting.size() >= m_options.max_waiting) {
+        ++m_counts.refused_full;
+        refused = "too many calls wait for the table";
+      } else {
+        m_waiting.push_back(call);
+      }
+    }
+    if (refused != nullptr) {
+      return call->fail(Error{schema::CODE_TABLE_UNAVAILABLE, refused});
+    }
+    Pump();
+  }
+
+  // Sends waiting calls while there is room, or refuses them when the breaker has opened.
+  void Pump() {
+    for (const CallPtr& call : TakeRefused()) {
+      call->fail(Error{schema::CODE_TABLE_UNAVAILABLE, "the table does not answer"});
+    }
+    while (const CallPtr call = TakeNext()) call->send(call);
+  }
+
+  std::vector<CallPtr> TakeRefused() {
+    std::lock_guard lock(m_mutex);
+    if (m_state != BreakerState::kOpen || MayProbe()) return {};
+    std::vector<CallPtr> refused(m_waiting.begin(), m_waiting.end());
+    m_waiting.clear();
+    m_counts.refused_open += refused.size();
+    for (const CallPtr& call : refused) call->ended = true;
+    return refused;
+  }
+
+  CallPtr TakeNext() {
+    std::lock_guard lock(m_mutex);
+    if (m_waiting.empty() || m_in_flight.size() >= Limit()) return nullptr;
+    if (m_state == BreakerState::kOpen && !MayProbe()) return nullptr;
+    CallPtr call = m_waiting.front();
+    m_waiting.pop_front();
+    call->probe = m_state == BreakerState::kOpen;
+    if (call->probe) {
+      m_probing = true;
+      ++m_counts.probes;
+    }
+    call->sent = true;
+    ++call->attempt;
+    ++m_counts.sent;
+    m_in_flight.insert(call);
+    return call;
+  }
+
+  // Requires the mutex.
+  std::size_t Limit() const {
+    if (m_state == BreakerState::kOpen) return m_options.max_concurrent;
+    return m_state == BreakerState::kRamping ? m_ramp : m_options.max_concurrent;
+  }
+
+  // Requires the mutex.
+  bool MayProbe() const { return !m_probing && m_hooks.now() >= m_next_probe; }
+
+  Verdict Settle(const CallPtr& call, unsigned attempt, bool succeeded) {
+    std::lock_guard lock(m_mutex);
+    if (call->ended || call->attempt != attempt) {
+      ++m_counts.late;
+      return Verdict::kDrop;
+    }
+    m_in_flight.erase(call);
+    call->sent = false;
+    succeeded ? ++m_counts.succeeded : ++m_counts.failed;
+    Record(call->probe, succeeded);
+    if (!succeeded && MayRetry(*call)) {
+      m_retry_credit -= 1;
+      ++m_counts.retried;
+      call->retried = true;
+      call->due = m_hooks.now() + Jittered(m_options.retry_delay);
+      m_retries.push_back(call);
+      return Verdict::kRetry;
+    }
+    call->ended = true;
+    return Verdict::kDeliver;
+  }
+
+  // Requires the mutex.
+  bool MayRetry(const Call& call) const {
+    return !call.commit && !call.retried && m_state == BreakerState::kClosed && m_retry_credit >= 1;
+  }
+
+  // Requires the mutex. Moves the breaker after the end of an attempt.
+  void Record(bool probe, bool succeeded) {
+    if (probe) m_probing = false;
+    if (succeeded) {
+      m_failures = 0;
+      if (m_state == BreakerState::kOpen && probe) {
+        m_state = BreakerState::kRamping;
+        m_ramp = 1;
+      } else if (m_state == BreakerState::kRamping && ++m_ramp >= m_options.max_concurrent) {
+        m_state = BreakerState::kClosed;
+        m_probe_wait = m_options.first_probe;
+      }
+      return;
+    }
+    ++m_failures;
+    const bool opens = m_state == BreakerState::kRamping ||
+                       (m_state == BreakerState::kOpen && probe) ||
+                       (m_state == BreakerState::kClosed && m_failures >= m_options.open_after);
+    if (opens) Open();
+  }
+
+  // Requires the mutex.
+  void Open() {
+    if (m_state != BreakerState::kOpen) ++m_counts.opened;
+    m_state = BreakerState::kOpen;
+    m_next_probe = m_hooks.now() + Jittered(m_probe_wait);
+    m_probe_wait = std::min(2 * m_probe_wait, m_options.longest_probe);
+  }
+
+  // @returns 0.5 to 1.5 times `mean`.
+  std::chrono::milliseconds Jittered(std::chrono::milliseconds mean) const {
+    return std::chrono::milliseconds(
+        static_cast<std::int64_t>(static_cast<double>(mean.count()) * (0.5 + m_hooks.random())));
+  }
+
+  // Requires the mutex.
+  void TakeExpired(std::vector<CallPtr>& expired) {
+    const SteadyTime now = m_hooks.now();
+    const auto is_late = [&](const CallPtr& call) { return call->deadline <= now; };
+    for (const CallPtr& call : m_in_flight) {
+      if (!is_late(call)) continue;
+      expired.push_back(call);
+      ++m_counts.timed_out;
+      if (call->commit) ++m_counts.unknown_commits;
+    }
+    for (const CallPtr& call : expired) {
+      m_in_flight.erase(call);
+      Record(call->probe, false);
+    }
+    for (auto* queue : {&m_waiting, &m_retries}) {
+      std::copy_if(queue->begin(), queue->end(), std::back_inserter(expired), is_late);
+      std::erase_if(*queue, is_late);
+    }
+    for (const CallPtr& call : expired) call->ended = true;
+  }
+
+  // Requires the mutex.
+  void MoveDueRetries() {
+    const SteadyTime now = m_hooks.now();
+    const auto is_due = [&](const CallPtr& call) { return call->due <= now; };
+    std::copy_if(m_retries.begin(), m_retries.end(), std::back_inserter(m_waiting), is_due);
+    std::erase_if(m_retries, is_due);
+  }
+
+  Table& m_table;
+  TableGuardOptions m_options;
+  TableGuardHooks m_hooks;
+  mutable std::mutex m_mutex;
+  TableGuardCounts m_counts;
+  BreakerState m_state = BreakerState::kClosed;
+  unsigned m_failures = 0;
+  bool m_probing = false;
+  std::size_t m_ramp = 1;
+  SteadyTime m_next_probe;
+  std::chrono::milliseconds m_probe_wait = m_options.first_probe;
+  double m_retry_credit = 0;
+  std::deque<CallPtr> m_waiting;
+  std::deque<CallPtr> m_retries;
+  std::set<CallPtr> m_in_flight;
+};
+
+}  // namespace
+
+Result<std::shared_ptr<TableGuard>> TableGuard::Create(Table& table,
+                                                       const TableGuardOptions& options,
+                                                       TableGuardHooks hooks) {
+  if (options.max_concurrent < 1 || options.deadline.count() <= 0) {
+    return Error{schema::CODE_INVALID_FIELD, "the limits of the table guard must be positive"};
+  }
+  if (!hooks.now) hooks.now = [] { return std::chrono::steady_clock::now(); };
+  if (!hooks.random) hooks.random = DefaultRandom;
+  return std::shared_ptr<TableGuard>(std::make_shared<Guard>(table, options, std::move(hooks)));
+}
+
+}  // namespace citronsill
--- a/tests/ownership_test.cc
+++ b/tests/ownership_test.cc
@@ -259,6 +259,29 @@
   }
 }
 
+// Guards against a breaker that keeps live owners from renewing their rows for so long that they
+// are replaced, and against one that delays takeovers by much.
+TEST_CASE("ownership: an hour without the table, behind table guards") {
+  OwnershipCell cell;
+  cell.guarded = true;
+  cell.options.rebalance_delay = hours(2);
+  cell.Start(8);
+  cell.Run(seconds(10));
+  const auto before = cell.OwnerNames();
+  cell.table.SetFault(TableFault::kDown);
+  cell.Run(seconds(60));
+  cell.instances["instance-1"].running = false;
+  cell.Run(seconds(3540));
+  // Gossip is gone as well, so that only the rows tell who is live.
+  cell.isolated = true;
+  cell.table.SetFault(TableFault::kNone);
+  cell.Run(seconds(30));
+  for (unsigned p = 0; p < cell.options.partition_count; ++p) {
+    if (before[p] != "instance-1") CHECK(cell.OwnerNames()[p] == before[p]);
+  }
+  CHECK(cell.Unowned() == 0);
+}
+
 // Guards against a takeover that takes longer than the promised time after a failure.
 TEST_CASE("ownership: a dead owner is replaced within the owner timeout and one watch period") {
   OwnershipCell cell;
--- a/tests/ownershipcell.h
+++ b/tests/ownershipcell.h
@@ -3,12 +3,14 @@
 
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "citronsill/ownership.h"
+#include "citronsill/tableguard.h"
 #include "schema/citronsill.pb.h"
 #include "tools/standin_table.h"
 
@@ -17,6 +19,7 @@
 /// One instance of the cell. Gossip is perfect between instances that run, but for its delay.
 struct CellInstance {
   std::string id;
+  std::shared_ptr<TableGuard> guard;
   std::unique_ptr<Ownership> ownership;
   std::uint64_t incarnation = 0;
   bool running = true;
@@ -38,6 +41,7 @@
   SteadyTime now{std::chrono::hours(1)};
   std::map<std::string, CellInstance> instances;
   OwnershipOptions options;
+  bool guarded = false;   ///< Instances that start reach the table through a guard.
   bool isolated = false;  ///< No instance hears another by gossip.
 
   /// @param label key in `instances`, when it is not the id.
@@ -62,7 +66,9 @@
     hooks.on_superseded = [&instance] { instance.superseded = true; };
     hooks.live_members = [this, id] { return Members(id); };
     hooks.now = [this] { return now; };
-    instance.ownership = Ownership::Create(table, self, options, std::move(hooks)).value();
+    if (guarded) instance.guard = MakeGuard();
+    Table& reached = guarded ? static_cast<Table&>(*instance.guard) : table;
+    instance.ownership = Ownership::Create(reached, self, options, std::move(hooks)).value();
     return *instance.ownership;
   }
 
@@ -84,6 +90,7 @@
     for (auto& [id, instance] : instances) {
       if (!instance.running) continue;
       instance.heard = now;
+      if (instance.guard) instance.guard->Tick();
       instance.ownership->Tick(now);
     }
     for (auto& [id, from] : instances) {
@@ -116,6 +123,13 @@
   }
 
  private:
+  std::shared_ptr<TableGuard> MakeGuard() {
+    TableGuardHooks hooks;
+    hooks.now = [this] { return now; };
+    hooks.random = [this] { return std::uniform_real_distribution<double>(0, 1)(m_random); };
+    return TableGuard::Create(table, {}, std::move(hooks)).value();
+  }
+
   std::vector<LiveMember> Members(const std::string& self) const {
     std::vector<LiveMember> members;
     for (const auto& [label, instance] : instances) {
@@ -127,6 +141,7 @@
     return members;
   }
 
+  std::mt19937_64 m_random{5};
   std::uint64_t m_last_incarnation = 0;
 };
 
--- /dev/null
+++ b/tests/tableguard_test.cc
@@ -0,0 +1,208 @@
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <random>
+#include <vector>
+
+#include "citronsill/tableguard.h"
+#include "schema/citronsill.pb.h"
+#include "tools/standin_table.h"
+
+namespace citronsill {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct Outcomes {
+  unsigned succeeded = 0;
+  unsigned unavailable = 0;
+  unsigned unknown = 0;
+  [[nodiscard]] unsigned Total() const { return succeeded + unavailable + unknown; }
+};
+
+// A guard over a stand-in table, in model time with a seeded source of randomness.
+struct GuardedTable {
+  SteadyTime now{std::chrono::hours(1)};
+  StandinTable table;
+  std::mt19937_64 random{11};
+  std::shared_ptr<TableGuard> guard;
+  Outcomes reads;
+  Outcomes commits;
+
+  explicit GuardedTable(const TableGuardOptions& options = {}) {
+    TableGuardHooks hooks;
+    hooks.now = [this] { return now; };
+    hooks.random = [this] { return std::uniform_real_distribution<double>(0, 1)(random); };
+    guard = TableGuard::Create(table, options, std::move(hooks)).value();
+  }
+
+  template <class T>
+  static void Count(const Result<T>& result, Outcomes& outcomes) {
+    if (result) {
+      ++outcomes.succeeded;
+    } else if (result.error().code == schema::CODE_COMMIT_UNKNOWN) {
+      ++outcomes.unknown;
+    } else {
+      CHECK(result.error().code == schema::CODE_TABLE_UNAVAILABLE);
+      ++outcomes.unavailable;
+    }
+  }
+
+  void Read() {
+    guard->Read("a", [this](const Result<schema::TableRow>& row) { Count(row, reads); });
+  }
+
+  void Commit() {
+    schema::TableTransaction transaction;
+    transaction.add_writes()->set_key("a");
+    guard->Commit(std::move(transaction), [this](const Result<schema::TableCommitResult>& result) {
+      Count(result, commits);
+    });
+  }
+
+  void Pass(milliseconds time) {
+    for (const SteadyTime end = now + time; now < end;) {
+      now += milliseconds(50);
+      guard->Tick();
+    }
+  }
+};
+
+// Guards against a write that takes effect twice.
+TEST_CASE("table guard: a commit with an unclear outcome is passed on and never repeated") {
+  GuardedTable cell;
+  cell.table.SetFault(TableFault::kLoseAnswers);
+  cell.Commit();
+  CHECK(cell.commits.unknown == 1);
+  cell.table.SetFault(TableFault::kHoldAnswers);
+  cell.Commit();
+  CHECK(cell.commits.Total() == 1);
+  cell.Pass(seconds(3));
+  CHECK(cell.commits.unknown == 2);
+  cell.table.Release();
+  cell.Pass(seconds(1));
+  CHECK(cell.commits.Total() == 2);
+  CHECK(cell.table.Writes() == 2);
+  CHECK(cell.guard->Counts().late == 1);
+  CHECK(cell.guard->Counts().unknown_commits == 2);
+}
+
+// Guards against a refused commit that is reported as unclear, for which callers would wait.
+TEST_CASE("table guard: a commit that was not sent is reported as such") {
+  TableGuardOptions options;
+  options.max_concurrent = 1;
+  options.max_waiting = 1;
+  GuardedTable cell(options);
+  cell.table.SetFault(TableFault::kHoldAnswers);
+  cell.Read();
+  cell.Commit();  // Waits.
+  cell.Commit();  // Too many.
+  CHECK(cell.commits.unavailable == 1);
+  CHECK(cell.guard->Counts().refused_full == 1);
+  cell.Pass(seconds(2));
+  CHECK(cell.commits.unavailable == 2);
+  CHECK(cell.table.Writes() == 0);
+}
+
+// Guards against a slow table that is given ever more calls.
+TEST_CASE("table guard: the number of calls at the table is bounded") {
+  GuardedTable cell;
+  cell.table.SetFault(TableFault::kHoldAnswers);
+  for (int i = 0; i < 100; ++i) cell.Read();
+  CHECK(cell.table.Reads() == 16);
+  CHECK(cell.guard->Counts().waiting == 84);
+  cell.table.SetFault(TableFault::kNone);
+  cell.table.Release();
+  CHECK(cell.reads.succeeded == 100);
+}
+
+// Guards against retries that multiply the load of a table in trouble.
+TEST_CASE("table guard: repeated reads are at most a tenth of the calls") {
+  TableGuardOptions options;
+  options.open_after = 1000000;
+  GuardedTable cell(options);
+  for (int i = 0; i < 1000; ++i) {
+    cell.table.SetFault(i % 2 == 0 ? TableFault::kDown : TableFault::kNone);
+    cell.Read();
+    cell.Pass(milliseconds(50));
+  }
+  cell.Pass(seconds(3));
+  CHECK(cell.reads.Total() == 1000);
+  CHECK(cell.guard->Counts().retried >= 90);
+  CHECK(cell.guard->Counts().retried <= 100);
+}
+
+// Guards against a table that is asked all the time while it is down, and against a breaker that
+// stays open.
+TEST_CASE("table guard: an hour without the table, then service again") {
+  GuardedTable cell;
+  cell.table.SetFault(TableFault::kDown);
+  for (int i = 0; i < 36000; ++i) {
+    cell.Read();
+    cell.Pass(milliseconds(100));
+  }
+  const TableGuardCounts down = cell.guard->Counts();
+  CHECK(down.opened == 1);
+  CHECK(down.probes <= 3600);
+  CHECK(down.sent <= down.probes + 10);
+  cell.table.SetFault(TableFault::kNone);
+  const unsigned before = cell.reads.succeeded;
+  for (int i = 0; i < 50; ++i) {
+    cell.Read();
+    cell.Pass(milliseconds(100));
+  }
+  CHECK(cell.guard->Counts().state == BreakerState::kClosed);
+  // The longest wait for a probe is 2.25 s.
+  CHECK(cell.reads.succeeded - before >= 27);
+}
+
+// Guards against callers that wait for nothing when the breaker opens.
+TEST_CASE("table guard: waiting calls are refused at once when the breaker opens") {
+  GuardedTable cell;
+  cell.table.SetFault(TableFault::kHoldAnswers);
+  for (int i = 0; i < 16; ++i) cell.Read();
+  cell.Pass(milliseconds(1000));
+  for (int i = 0; i < 20; ++i) cell.Read();
+  cell.Pass(milliseconds(1000));
+  CHECK(cell.guard->Counts().state == BreakerState::kOpen);
+  CHECK(cell.reads.unavailable == 36);
+}
+
+// Guards against all instances that send what they have at the moment the table is back.
+TEST_CASE("table guard: thirty instances come back one after the other") {
+  std::vector<std::unique_ptr<GuardedTable>> cells;
+  for (unsigned i = 0; i < 30; ++i) {
+    cells.push_back(std::make_unique<GuardedTable>());
+    cells.back()->random.seed(i);
+    cells.back()->table.SetFault(TableFault::kDown);
+  }
+  // Each instance makes a call in each step of 50 ms, and answers take one step.
+  const auto step = [&] {
+    std::uint64_t arrived = 0;
+    for (auto& cell : cells) {
+      const auto before = cell->table.Reads();
+      cell->table.Release();
+      cell->Read();
+      cell->Pass(milliseconds(50));
+      arrived += cell->table.Reads() - before;
+    }
+    return arrived;
+  };
+  for (int i = 0; i < 1200; ++i) step();
+  for (auto& cell : cells) cell->table.SetFault(TableFault::kHoldAnswers);
+  std::vector<std::uint64_t> arrived;
+  arrived.reserve(100);
+  for (int i = 0; i < 100; ++i) arrived.push_back(step());
+  std::uint64_t peak = 0;
+  for (const std::uint64_t count : arrived) peak = std::max(peak, count);
+  const unsigned demand = 30;
+  MESSAGE("arrivals in 50 ms: first ", arrived[0], ", highest ", peak, ", last ", arrived.back(),
+          "; demand ", demand);
+  CHECK(arrived[0] <= demand / 3);
+  CHECK(peak <= demand * 3 / 2);
+  CHECK(arrived.back() == demand);
+}
+
+}  // namespace
+}  // namespace citronsill
