--- a/src/instance.cc
+++ b/src/instance.cc
@@ -5,6 +5,7 @@
 #include "citronsill/directory.h"
 #include "citronsill/dispatcher.h"
 #include "citronsill/entry.h"
+#include "citronsill/gossip.h"
 #include "citronsill/home.h"
 #include "citronsill/http.h"
 #include "citronsill/journal.h"
@@ -17,6 +18,7 @@
 #include "citronsill/roster.h"
 #include "citronsill/router.h"
 #include "citronsill/table.h"
+#include "citronsill/tableguard.h"
 #include "citronsill/timer.h"
 #include "internal.h"
 
@@ -27,6 +29,8 @@
 constexpr int kMaxDeliverTries = 20;
 constexpr std::chrono::milliseconds kDrainCheckPeriod{200};
 constexpr std::chrono::milliseconds kCheckPlacedPeriod{1000};
+constexpr std::chrono::milliseconds kDoubtRetryPeriod{100};
+constexpr std::chrono::milliseconds kTableGuardPeriod{100};
 
 schema::TaskKnowledge ToSchema(TaskKnowledge knowledge) {
   switch (knowledge) {
@@ -61,13 +65,15 @@
   schema::Settings settings;
   std::uint64_t incarnation = 0;
   std::unique_ptr<TimerService> timers;
-  std::unique_ptr<Table> table;
+  std::unique_ptr<Table> table_client;
+  std::shared_ptr<TableGuard> table;
   std::unique_ptr<ObjectStore> objects;
   std::unique_ptr<InstanceDirectory> directory;
   std::unique_ptr<PeerServer> peer_server;
   std::unique_ptr<PeerClient> peer_client;
   std::unique_ptr<Membership> membership;
   std::unique_ptr<Ownership> ownership;
+  std::unique_ptr<GossipExchange> gossip;
   std::unique_ptr<Journal> journal;
   std::unique_ptr<Ledger> ledger;
   std::unique_ptr<Dispatcher> dispatcher;
@@ -81,7 +87,6 @@
   std::vector<TimerId> subscriptions;
 
   std::mutex mutex;
-  std::size_t next_peer = 0;
   std::atomic<bool> draining{false};
 
   static SteadyTime Now() { return std::chrono::steady_clock::now(); }
@@ -98,7 +103,8 @@
   Result<void> Build() {
     incarnation = RandomId();
     BOOST_OUTCOME_TRY(timers, TimerService::Create(runtime));
-    BOOST_OUTCOME_TRY(table, CreateHttpTable(runtime, settings.table_address()));
+    BOOST_OUTCOME_TRY(table_client, CreateHttpTable(runtime, settings.table_address()));
+    BOOST_OUTCOME_TRY(table, TableGuard::Create(*table_client, TableGuardOptions{}, {}));
     if (!settings.objects_address().empty()) {
       BOOST_OUTCOME_TRY(objects, CreateHttpObjects(runtime, settings.objects_address()));
     }
@@ -108,6 +114,7 @@
     BOOST_OUTCOME_TRY(ledger, Ledger::Create(kMaxFinishedRequests));
     BOOST_OUTCOME_TRY(BuildMembership());
     BOOST_OUTCOME_TRY(BuildOwnership());
+    BOOST_OUTCOME_TRY(BuildGossip());
     BOOST_OUTCOME_TRY(BuildJournal());
     BOOST_OUTCOME_TRY(BuildRouter());
     BOOST_OUTCOME_TRY(BuildQuery());
@@ -127,6 +134,7 @@
     self.set_incarnation(incarnation);
     self.set_peer_address(AdvertisedAddress());
     self.set_failure_domain(settings.failure_domain());
+    self.set_started_unix_ms(UnixMilliseconds(std::chrono::system_clock::now()));
     BOOST_OUTCOME_TRY(membership, Membership::Create(self, MembershipOptions{}));
     return Success();
   }
@@ -153,13 +161,11 @@
       home->OnLost(partition);
       RefreshWorkers();
     };
-    hooks.live_members = [this] {
-      std::vector<std::string> ids;
-      for (const schema::MemberState& member : membership->Live(Now())) {
-        if (!member.leaving()) ids.push_back(member.id());
-      }
-      return ids;
+    hooks.on_confirmed = [this] { RefreshWorkers(); };
+    hooks.on_superseded = [] {
+      spdlog::critical("event=instance_superseded reason=\"the id was started again elsewhere\"");
     };
+    hooks.live_members = [this] { return membership->LiveMembers(Now()); };
     BOOST_OUTCOME_TRY(ownership, Ownership::Create(*table, self, options, std::move(hooks)));
     return Success();
   }
@@ -170,6 +176,32 @@
     };
   }
 
+  Result<void> BuildGossip() {
+    GossipOptions options;
+    options.peer_address = AdvertisedAddress();
+    options.seed = incarnation;
+    GossipHooks hooks;
+    hooks.call = [this](const std::string& address, std::string params,
+                        std::function<void(Result<std::string>)> done) {
+      peer_client->Call(address, "gossip", std::move(params), kPeerTimeout, std::move(done));
+    };
+    hooks.listed_addresses = [this] { return roster.InstanceAddresses(); };
+    hooks.load = [this] {
+      const EngineStats stats = dispatcher->Stats();
+      schema::MemberState load;
+      load.set_leaving(draining);
+      load.set_free_slots(stats.free_slots);
+      load.set_waiting(static_cast<std::uint32_t>(stats.waiting_jobs));
+      return load;
+    };
+    hooks.owners = [this] { return ownership->Owners(); };
+    hooks.merge_owners = [this](const std::vector<schema::PartitionOwner>& owners) {
+      ownership->MergeOwners(owners);
+    };
+    BOOST_OUTCOME_TRY(gossip, GossipExchange::Create(*membership, options, std::move(hooks)));
+    return Success();
+  }
+
   Result<void> BuildJournal() {
     JournalOptions options;
     options.stream = settings.instance_id() + "." + Hex64(incarnation);
@@ -196,7 +228,7 @@
     DispatcherHooks hooks;
     hooks.before_start = [this](const Action& action, std::uint64_t incarnation_of_worker,
                                 const std::function<void(bool)>& go) {
-      router->BeforeStart(action, incarnation_of_worker, go);
+      BeforeStart(action, incarnation_of_worker, go);
     };
     hooks.on_event = [this](const TaskEvent& event, const std::function<void()>& done) {
       router->OnEvent(event, done);
@@ -222,7 +254,9 @@
     hooks.is_home = [this](const std::string& id) {
       return ownership->OwnedEpoch(Partition(id)).has_value();
     };
-    hooks.owns_worker = hooks.is_home;
+    hooks.owns_worker = [this](const std::string& worker) {
+      return !ownership->IsCertain() || ownership->OwnedEpoch(Partition(worker)).has_value();
+    };
     hooks.home_address = [this](const std::string& id) { return OwnerAddress(id); };
     hooks.peers = [this] { return Peers(); };
     hooks.call = [this](const std::string& address, const std::string& method, std::string params,
@@ -299,6 +333,18 @@
     return std::nullopt;
   }
 
+  // Starts wait while ownership is in doubt after a pause.
+  void BeforeStart(const Action& action, std::uint64_t worker_incarnation,
+                   const std::function<void(bool)>& go) {
+    if (ownership->IsCertain()) return router->BeforeStart(action, worker_incarnation, go);
+    timers->After(kDoubtRetryPeriod,
+                  [weak = weak_from_this(), action, worker_incarnation, go](SteadyTime) {
+                    if (auto self = weak.lock()) {
+                      self->BeforeStart(action, worker_incarnation, go);
+                    }
+                  });
+  }
+
   Result<void> BuildHome() {
     HomeOptions options;
     options.partition_count = settings.partition_count();
@@ -315,6 +361,9 @@
                               std::function<void(Result<TaskKnowledge>)> done) {
       query->Ask(task, worker, std::move(done));
     };
+    hooks.retire_streams = [this](PartitionId partition, const std::vector<std::string>& streams) {
+      ownership->RetireStreams(partition, streams);
+    };
     hooks.is_removed = [this](const std::string& worker) {
       return roster.IsRemoved(ParseWorkerRef(worker).first);
     };
@@ -373,11 +422,8 @@
   }
 
   void RegisterMethods() {
-    Register<schema::Gossip, schema::Gossip>(
-        "gossip", [this](const schema::Gossip& gossip) -> Result<schema::Gossip> {
-          MergeGossip(gossip);
-          return MakeGossip();
-        });
+    peer_server->Handle("gossip",
+                        [this](const std::string& params) { return gossip->Handle(params); });
     Register<schema::Forward, schema::Ack>(
         "forward", [this](const schema::Forward& forward) -> Result<schema::Ack> {
           return home->OnForward(forward);
@@ -412,70 +458,22 @@
         if (auto self = weak.lock()) (*self.*member)();
       }));
     };
-    every(kGossipPeriod, &Impl::Gossip);
+    every(kGossipPeriod, &Impl::TickGossip);
     every(kOwnershipPeriod, &Impl::TickOwnership);
+    every(kTableGuardPeriod, &Impl::TickTable);
     every(kDirectoryPeriod, &Impl::RefreshDirectory);
     every(kDispatchPeriod, &Impl::OffloadTasks);
     every(kCheckPlacedPeriod, &Impl::CheckPlacedTasks);
     runtime.Post([self = shared_from_this()] { self->RefreshDirectory(); });
   }
 
+  void TickTable() { table->Tick(); }
+
   void TickOwnership() { ownership->Tick(Now()); }
   void OffloadTasks() { router->Offload(); }
   void CheckPlacedTasks() { router->CheckPlaced(); }
 
-  schema::Gossip MakeGossip() {
-    schema::Gossip gossip;
-    for (schema::MemberState& member : membership->Digest(Now())) {
-      *gossip.add_members() = std::move(member);
-    }
-    for (schema::PartitionOwner& owner : ownership->Owners()) {
-      *gossip.add_owners() = std::move(owner);
-    }
-    return gossip;
-  }
-
-  void MergeGossip(const schema::Gossip& gossip) {
-    membership->Merge({gossip.members().begin(), gossip.members().end()}, Now());
-    ownership->MergeOwners({gossip.owners().begin(), gossip.owners().end()});
-  }
-
-  // The next few known peers in turn, from gossip and from the platform's list.
-  std::vector<std::string> GossipTargets() {
-    std::set<std::string> addresses;
-    for (const schema::MemberState& member : membership->Digest(Now())) {
-      addresses.insert(member.peer_address());
-    }
-    for (std::string& address : roster.InstanceAddresses()) addresses.insert(std::move(address));
-    addresses.erase(AdvertisedAddress());
-    addresses.erase("");
-    const std::vector<std::string> all(addresses.begin(), addresses.end());
-    std::vector<std::string> targets;
-    std::lock_guard lock(mutex);
-    for (std::size_t i = 0; i < std::min(kGossipFanout, all.size()); ++i) {
-      targets.push_back(all[next_peer++ % all.size()]);
-    }
-    return targets;
-  }
-
-  void Gossip() {
-    const EngineStats stats = dispatcher->Stats();
-    schema::MemberState load;
-    load.set_leaving(draining);
-    load.set_free_slots(stats.free_slots);
-    load.set_waiting(static_cast<std::uint32_t>(stats.waiting_jobs));
-    membership->Beat(load);
-    const std::string message = ToJson(MakeGossip());
-    for (const std::string& address : GossipTargets()) {
-      peer_client->Call(address, "gossip", message, kPeerTimeout,
-                        [weak = weak_from_this()](const Result<std::string>& result) {
-                          auto gossip = ParseMessage<schema::Gossip>(result);
-                          if (auto self = weak.lock(); self && gossip) {
-                            self->MergeGossip(gossip.value());
-                          }
-                        });
-    }
-  }
+  void TickGossip() { gossip->Tick(); }
 
   void RefreshDirectory() {
     directory->List([weak = weak_from_this()](const Result<schema::Directory>& list) {
@@ -491,6 +489,8 @@
   }
 
   void RefreshWorkers() {
+    // After a pause the rows are read again first; `on_confirmed` calls this then.
+    if (!ownership->IsCertain()) return;
     dispatcher->SetWorkers(roster.OwnedWorkers(
         [this](const std::string& worker) { return ownership->OwnedEpoch(Partition(worker)); }));
   }
