Let an instance claim again a row that names it

A partition that was fenced while another member was wanted as its owner got no owner: this instance left it to the wanted one, which left it alone because the row names a live instance. The instance that the row names now claims it under the next epoch and hands it over as usual.

--- a/src/ownershipcore.cc
+++ b/src/ownershipcore.cc
@@ -227,7 +227,10 @@
     partition.version_unknown = true;
     return Write(p, std::move(row), now, commands);
   }
-  if (partition.owned || partition.heir != m_id) return;
+  if (partition.owned) return;
+  // A row that names this instance is its own to claim, even when another one is wanted: the others
+  // leave it alone while this one is live.
+  if (partition.heir != m_id && !IsMine(partition.row)) return;
   if (partition.known.epoch > partition.row.epoch) return AskAgain(partition, now);
   if (!MayTake(partition, now, members)) return;
   Write(p, NextRow(partition, m_id, m_incarnation), now, commands);
--- a/tests/ownership_test.cc
+++ b/tests/ownership_test.cc
@@ -232,6 +232,24 @@
   CHECK(instance.ownership->OwnedEpoch(PartitionId{3}) == epoch + 1);
 }
 
+// Guards against a partition that nobody claims, because its row names a live instance that dropped
+// it while another one is wanted as owner.
+TEST_CASE("ownership: a fenced partition that belongs elsewhere is claimed again") {
+  OwnershipCell cell;
+  cell.options.rebalance_delay = hours(1);
+  cell.Start(1);
+  cell.Run(seconds(4));
+  cell.Start("instance-1");
+  cell.Run(seconds(4));
+  CellInstance& instance = cell.instances["instance-0"];
+  REQUIRE(instance.served.size() == cell.options.partition_count);
+  for (unsigned p = 0; p < cell.options.partition_count; ++p) {
+    instance.ownership->OnFenced(PartitionId{p});
+  }
+  cell.Run(seconds(10));
+  CHECK(cell.Unowned() == 0);
+}
+
 // Guards against a takeover without the table, and against one of live owners once it is back.
 TEST_CASE("ownership: an hour without the table") {
   OwnershipCell cell;
