Tell the home of tasks whose worker is released, so that it finds out

The former owner now tells the home, which asks the worker's next owner. A home that still recovers a partition no longer answers that a request does not exist. The load tool sends a request again that no instance knows; its key keeps it from running twice.

--- a/include/citronsill/dispatcher.h
+++ b/include/citronsill/dispatcher.h
@@ -61,7 +61,7 @@
   /// The engine gave a job up.
   std::function<void(const Action&)> on_give_up;
   /// Tasks on workers that this instance no longer owns; the next owner reports on them.
-  std::function<void(const std::vector<TaskKey>&)> on_released;
+  std::function<void(const std::vector<TaskEvent>&)> on_released;
   /// A worker knows a higher epoch than ours.
   std::function<void(const std::string& worker)> on_stale_epoch;
   /// @returns the job behind a task, if this instance knows it.
--- a/include/citronsill/router.h
+++ b/include/citronsill/router.h
@@ -76,7 +76,7 @@
   /// again.
   schema::Ack OnTaskUpdate(const schema::TaskUpdate& update);
   /// Tasks on workers that this instance no longer owns.
-  void OnReleased(const std::vector<TaskKey>& tasks);
+  void OnReleased(const std::vector<TaskEvent>& events);
   /// @returns whether the task was taken from another instance and waits here.
   [[nodiscard]] bool IsWaiting(const TaskKey& task) const;
 
--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -61,7 +61,7 @@
 
   void SetWorkers(const std::vector<OwnedWorker>& wanted) {
     std::vector<std::shared_ptr<Worker>> added;
-    std::vector<TaskKey> released;
+    std::vector<TaskEvent> released;
     {
       std::lock_guard lock(mutex);
       std::set<std::string> ids;
@@ -83,7 +83,7 @@
   }
 
   // Requires the mutex. @returns the worker if it is new.
-  std::shared_ptr<Worker> SetWorker(const OwnedWorker& owned, std::vector<TaskKey>& released) {
+  std::shared_ptr<Worker> SetWorker(const OwnedWorker& owned, std::vector<TaskEvent>& released) {
     if (auto found = workers.find(owned.id); found != workers.end()) {
       Worker& worker = *found->second;
       if (worker.owned.address == owned.address && worker.owned.epoch == owned.epoch) {
@@ -115,9 +115,8 @@
   }
 
   // Requires the mutex.
-  void Release(Worker& worker, std::vector<TaskKey>& released) {
-    const std::vector<TaskKey> tasks = Close(worker);
-    released.insert(released.end(), tasks.begin(), tasks.end());
+  void Release(Worker& worker, std::vector<TaskEvent>& released) {
+    for (const TaskKey& task : Close(worker)) released.push_back(EventOf(worker, task));
   }
 
   void RemoveWorker(const std::string& id) {
--- a/src/instance.cc
+++ b/src/instance.cc
@@ -234,7 +234,9 @@
       router->OnEvent(event, done);
     };
     hooks.on_give_up = [this](const Action& action) { router->OnGiveUp(action); };
-    hooks.on_released = [this](const std::vector<TaskKey>& tasks) { router->OnReleased(tasks); };
+    hooks.on_released = [this](const std::vector<TaskEvent>& events) {
+      router->OnReleased(events);
+    };
     hooks.on_stale_epoch = [this](const std::string& worker) {
       ownership->OnFenced(Partition(worker));
     };
@@ -544,6 +546,9 @@
     if (method == "cancel") {
       BOOST_OUTCOME_TRY(home->Cancel(id));
     }
+    if (!home->Serves(Partition(id))) {
+      return Error{schema::CODE_NOT_OWNER, "the partition is not served here at the moment"};
+    }
     if (auto answer = home->Status(id)) return std::move(*answer);
     return Error{schema::CODE_NOT_FOUND, "no request " + id};
   }
--- a/src/router.cc
+++ b/src/router.cc
@@ -118,6 +118,38 @@
     });
   }
 
+  // A start may have been under way when the worker was released, so that its next owner knows
+  // nothing of the task.
+  void SendReleased(const TaskEvent& event, std::chrono::milliseconds retry) {
+    if (hooks.is_home(event.task.request_id)) return TakeReleased(event);
+    const auto again = [weak = weak_from_this(), event, retry](SteadyTime) {
+      if (auto self = weak.lock()) {
+        self->SendReleased(event, std::min(2 * retry, kMaxUpdateRetryPeriod));
+      }
+    };
+    auto address = hooks.home_address(event.task.request_id);
+    if (!address) {
+      timers.After(retry, again);
+      return;
+    }
+    schema::TaskUpdate update = ToUpdate(event);
+    update.set_released(true);
+    hooks.call(address.value(), "task_update", ToJson(update),
+               [weak = weak_from_this(), again, retry](const Result<std::string>& result) {
+                 auto self = weak.lock();
+                 schema::Ack ack;
+                 const bool taken_over = result &&
+                                         FromJson(result.value(), UnknownFields::kIgnore, &ack) &&
+                                         ack.code() == schema::CODE_OK;
+                 if (self && !taken_over) self->timers.After(retry, again);
+               });
+  }
+
+  void TakeReleased(const TaskEvent& event) {
+    hooks.to_home(event, [] {});  // Tells which worker has the task.
+    hooks.investigate(event.task);
+  }
+
   schema::Ack OnTaskUpdate(const schema::TaskUpdate& update) {
     schema::Ack ack;
     const TaskEvent event = ToEvent(update);
@@ -125,6 +157,10 @@
       ack.set_code(schema::CODE_NOT_OWNER);
       return ack;
     }
+    if (update.released()) {
+      TakeReleased(event);
+      return ack;
+    }
     if (event.ended) {
       std::lock_guard lock(mutex);
       const auto found = placed.find({event.task.request_id, event.task.index});
@@ -390,8 +426,11 @@
   return m_impl->OnTaskUpdate(update);
 }
 
-void TaskRouter::OnReleased(const std::vector<TaskKey>& tasks) {
-  for (const TaskKey& task : tasks) m_impl->Forget(task);
+void TaskRouter::OnReleased(const std::vector<TaskEvent>& events) {
+  for (const TaskEvent& event : events) {
+    m_impl->Forget(event.task);
+    m_impl->SendReleased(event, kUpdateRetryPeriod);
+  }
 }
 
 bool TaskRouter::IsWaiting(const TaskKey& task) const {
--- a/tools/citronsill_load.cc
+++ b/tools/citronsill_load.cc
@@ -77,6 +77,7 @@
   bool accepted = false;
   bool unknown = false;  // An answer or the lack of one left the outcome open.
   schema::Answer answer;
+  std::string last_seen;  // Last answer to a question for the outcome.
 };
 
 class Load {
@@ -121,6 +122,13 @@
           caller->is_final ? std::string(CodeName(caller->answer.code())) : "NO_OUTCOME";
       ++outcomes[caller->kind.work_class + "." + outcome];
       retries += static_cast<std::uint64_t>(caller->tries - 1);
+      if (!caller->is_final) {
+        summary["open"].push_back({{"id", caller->id},
+                                   {"class", caller->kind.work_class},
+                                   {"accepted", caller->accepted},
+                                   {"tries", caller->tries},
+                                   {"last_seen", caller->last_seen}});
+      }
       if (caller->answer.code() != schema::CODE_OK || !caller->is_final) continue;
       waits[caller->kind.work_class].push_back(
           std::chrono::duration<double, std::milli>(caller->answered - caller->begin).count());
@@ -247,9 +255,13 @@
          answer.state() == schema::STATE_CANCELLED ||
          (answer.state() == schema::STATE_REFUSED && !answer.id().empty()));
     if (is_final) return Finish(caller, answer);
-    // An idempotent request that was not accepted is simply asked for again.
+    {
+      std::lock_guard lock(m_mutex);
+      caller->last_seen = parsed ? ToJson(answer) : "no answer";
+    }
+    // A request that no instance knows is sent again; its key keeps it from running twice.
     const bool forgotten = parsed && answer.code() == schema::CODE_NOT_FOUND;
-    if (forgotten && !caller->accepted && caller->kind.idempotent) return Send(caller);
+    if (forgotten && !caller->accepted) return Send(caller);
     PollLater(caller);
   }
 
