--- a/include/citronsill/ledger.h
+++ b/include/citronsill/ledger.h
@@ -30,6 +30,7 @@
 struct Waiter {
   std::string instance;
   std::string address;
+  std::uint64_t submission = 0;  ///< Of the forward, so that a late answer is known as such.
   auto operator<=>(const Waiter&) const = default;
 };
 
@@ -42,7 +43,7 @@
   std::uint32_t max_attempts = 1;
   std::uint32_t first_attempt = 0;  ///< Lowest number of an attempt under the present epoch.
   std::uint64_t epoch = 0;          ///< Of the partition when the request arrived.
-  std::uint64_t submission = 0;  ///< Of the forward that the request came with.
+  std::uint64_t submission = 0;     ///< Of the forward that the request came with.
   std::int64_t accepted_unix_ms = 0;
   std::int64_t deadline_unix_ms = 0;  ///< 0 for none.
 };
--- a/src/home.cc
+++ b/src/home.cc
@@ -151,7 +151,7 @@
       ack.set_message("the partition is not served here");
       return ack;
     }
-    const Waiter waiter{forward.entry_id(), forward.entry_address()};
+    const Waiter waiter{forward.entry_id(), forward.entry_address(), forward.submission()};
     if (const auto refusal = FindRefusal(forward)) {
       hooks.deliver(waiter, refusal);
       return ack;
--- a/src/instance.cc
+++ b/src/instance.cc
@@ -400,6 +400,7 @@
     auto message = std::make_shared<schema::Deliver>();
     *message->mutable_answer() = *answer;
     message->mutable_answer()->set_home(settings.instance_id());
+    message->set_submission(waiter.submission);
     if (waiter.instance == settings.instance_id()) {
       runtime.Post(
           [self = shared_from_this(), message] { self->entry->OnDeliver(message->answer()); });
