--- a/tests/cell.h
+++ b/tests/cell.h
@@ -120,11 +120,17 @@
     std::set<std::string> homes;  ///< Instances that it was forwarded to.
   };
 
-  explicit ModelCell(std::uint64_t seed, std::size_t workers = 4, HomeOptions home_options = {})
-      : time(seed), options(std::move(home_options)) {
-    options.partition_count = kModelPartitions;
+  static HomeOptions FrequentCompaction() {
+    HomeOptions options;
     options.max_rows = 8;
     options.maintain_period = milliseconds(500);
+    return options;
+  }
+
+  explicit ModelCell(std::uint64_t seed, std::size_t workers = 4,
+                     HomeOptions home_options = FrequentCompaction())
+      : time(seed), options(std::move(home_options)) {
+    options.partition_count = kModelPartitions;
     for (std::size_t i = 0; i < workers; ++i) {
       schema::WorkerInfo info;
       info.set_id("worker-" + std::to_string(i));
--- a/tools/platform_standin.cc
+++ b/tools/platform_standin.cc
@@ -1,9 +1,11 @@
-// Stand-in of the platform: table service and list of instances and workers, over HTTP.
+// Stand-in of the platform: table service, object store and list of instances and workers, over
+// HTTP.
 #include <spdlog/spdlog.h>
 
 #include <boost/program_options.hpp>
 #include <condition_variable>
 #include <iostream>
+#include <map>
 #include <mutex>
 
 #include "citronsill/codec.h"
@@ -32,6 +34,11 @@
       m_timers.After(m_delay, [this, request, reply](SteadyTime) { Route(request, reply); });
       return;
     }
+    if (m_objects_delay.load().count() > 0 && request.target.starts_with("/objects/")) {
+      m_timers.After(m_objects_delay,
+                     [this, request, reply](SteadyTime) { Route(request, reply); });
+      return;
+    }
     Route(request, reply);
   }
 
@@ -42,6 +49,7 @@
     if (request.target == "/table/commit") return Commit(request, reply);
     if (request.target == "/directory") return List(reply);
     if (request.target == "/directory/add") return Add(request, reply);
+    if (request.target.starts_with("/objects/")) return Object(request, reply);
     if (request.target.starts_with("/fault/")) return SetFault(request.target.substr(7), reply);
     if (request.target == "/counts") return Counts(reply);
     reply(Status(404));
@@ -113,8 +121,34 @@
     }
   }
 
+  void Object(const HttpRequest& request, const HttpReply& reply) {
+    if (m_objects_down) return reply(Status(503));
+    std::lock_guard lock(m_mutex);
+    const std::string key = request.target.substr(std::string_view("/objects/").size());
+    if (request.method == "PUT") {
+      m_objects[key] = request.body;
+      return reply(Status(200));
+    }
+    const auto found = m_objects.find(key);
+    if (found == m_objects.end()) return reply(Status(404));
+    if (request.method == "DELETE") {
+      m_objects.erase(found);
+      return reply(Status(200));
+    }
+    HttpResponse response;
+    response.body = found->second;
+    reply(response);
+  }
+
   void SetFault(const std::string& fault, const HttpReply& reply) {
-    if (fault == "none") {
+    if (fault == "objects-none") {
+      m_objects_down = false;
+      m_objects_delay = std::chrono::milliseconds(0);
+    } else if (fault == "objects-down") {
+      m_objects_down = true;
+    } else if (fault == "objects-slow") {
+      m_objects_delay = std::chrono::milliseconds(1000);
+    } else if (fault == "none") {
       m_table.SetFault(TableFault::kNone);
       m_delay = std::chrono::milliseconds(0);
     } else if (fault == "down") {
@@ -139,7 +173,10 @@
   TimerService& m_timers;
   StandinTable m_table;
   std::atomic<std::chrono::milliseconds> m_delay{std::chrono::milliseconds(0)};
+  std::atomic<bool> m_objects_down{false};
+  std::atomic<std::chrono::milliseconds> m_objects_delay{std::chrono::milliseconds(0)};
   std::mutex m_mutex;
+  std::map<std::string, std::string> m_objects;
   schema::Directory m_directory;
 };
 
