--- a/include/citronsill/ledger.h
+++ b/include/citronsill/ledger.h
@@ -54,7 +54,7 @@
   std::vector<Waiter> waiters;
   bool durable = false;  ///< The end has to be written to the journal.
   std::uint64_t content_hash = 0;
-  std::uint64_t refused_submission = 0;  ///< Set when the request was forgotten.
+  bool forgotten = false;  ///< The request was refused; its key may come again.
 };
 
 /// What the end of an attempt means for its request.
--- a/src/home.cc
+++ b/src/home.cc
@@ -100,7 +100,7 @@
   // A refusal, for forwards of the same submission that come after it.
   struct Refusal {
     std::uint32_t next_attempt = 0;
-    std::uint64_t submission = 0;
+    std::set<std::uint64_t> submissions;
     std::shared_ptr<const schema::Answer> answer;
   };
 
@@ -194,7 +194,6 @@
     facts.single_copy = work_class.exclusive() || !facts.idempotent;
     facts.max_attempts = std::max(1U, work_class.max_attempts());
     facts.epoch = epoch;
-    facts.submission = forward.submission();
     facts.accepted_unix_ms = hooks.unix_ms();
     if (const auto left = TimeLeft(forward, work_class)) {
       facts.deadline_unix_ms = facts.accepted_unix_ms + left->count();
@@ -236,7 +235,8 @@
     const auto [found, added] = refused.try_emplace(id);
     Refusal& refusal = found->second;
     refusal.next_attempt = (refusal.next_attempt + kAttemptsPerArrival) % kAttemptsPerEpoch;
-    refusal.submission = finished.refused_submission;
+    refusal.submissions.clear();
+    for (const Waiter& waiter : finished.waiters) refusal.submissions.insert(waiter.submission);
     refusal.answer = finished.answer;
     if (added) refused_order.push_back(id);
     if (refused_order.size() > kMaxRefused) {
@@ -249,7 +249,8 @@
     std::lock_guard lock(mutex);
     const auto found = refused.find(forward.id());
     if (forward.submission() == 0 || found == refused.end()) return nullptr;
-    return found->second.submission == forward.submission() ? found->second.answer : nullptr;
+    const bool same = found->second.submissions.contains(forward.submission());
+    return same ? found->second.answer : nullptr;
   }
 
   // The job is submitted before it is accepted, so that a start can share the batch of the accepted
@@ -408,7 +409,7 @@
 
   void Finish(const Finished& finished, const Done& done) {
     if (!finished.durable) {
-      if (finished.refused_submission != 0) Remember(finished);
+      if (finished.forgotten) Remember(finished);
       Deliver(finished);
       return done();
     }
--- a/src/journal.cc
+++ b/src/journal.cc
@@ -33,6 +33,7 @@
     std::uint64_t sequence = 0;
     std::map<PartitionId, OwnedPartition> partitions;
     std::vector<schema::JournalBatch> rows;
+    bool unsure = false;  // A try without an answer may take effect at any time.
     bool snapshot = false;
     std::vector<schema::JournalEntry> entries;  // Of a snapshot.
     std::set<PartitionId> carried;  // Lost partitions whose new owner may have yet to read them.
@@ -258,7 +259,12 @@
   }
 
   void OnCommitted(const BatchPtr& batch, const Result<schema::TableCommitResult>& result) {
-    if (!result && result.error().code != schema::CODE_TABLE_UNAVAILABLE) return Resolve(batch);
+    if (!result && result.error().code != schema::CODE_TABLE_UNAVAILABLE) {
+      batch->unsure = true;
+      return Resolve(batch);
+    }
+    // That this try had no effect says nothing about an earlier one.
+    if (!result && batch->unsure) return OnUnreachable(batch);
     if (!result) return Complete(batch, result.error());
     if (result.value().committed()) return Complete(batch, Success());
     const std::string own_key = RowKey(options.stream, batch->sequence);
@@ -283,6 +289,7 @@
         }
       }
     }
+    batch->unsure = false;
     for (const PartitionId partition : lost) hooks.on_fenced(partition);
     if (lost.empty()) return Send(batch);
     const Error error{schema::CODE_NOT_OWNER, "the partition was lost"};
--- a/src/ledger.cc
+++ b/src/ledger.cc
@@ -169,13 +169,13 @@
                   std::shared_ptr<schema::Answer> answer, bool given_up) {
     entry.answer = std::move(answer);
     const bool durable = entry.facts.durable && entry.acceptance != Acceptance::kNone;
-    Finished finished{entry.answer, {}, durable, entry.content_hash, 0};
+    Finished finished{entry.answer, {}, durable, entry.content_hash, false};
     // Until it is written that the request was given up, the next owner would run it.
     entry.settled = !durable || !given_up;
     if (entry.settled) finished.waiters = std::exchange(entry.waiters, {});
     // A caller that was told to come back with the same key gets a fresh run.
     if (!durable && entry.answer->not_run() && entry.answer->has_retry_after()) {
-      finished.refused_submission = entry.facts.submission;
+      finished.forgotten = true;
       shard.requests.erase(id);
       return finished;
     }
@@ -463,8 +463,7 @@
   answer->set_state(schema::STATE_REFUSED);
   answer->set_not_run(true);
   if (retry_after.count() > 0) SetDuration(retry_after, answer->mutable_retry_after());
-  Finished finished{std::move(answer), std::move(entry->waiters), false, entry->content_hash,
-                    entry->facts.submission};
+  Finished finished{std::move(answer), std::move(entry->waiters), false, entry->content_hash, true};
   shard.requests.erase(id);
   return finished;
 }
--- a/tests/cell.h
+++ b/tests/cell.h
@@ -226,7 +226,7 @@
     const auto found = waiting.find(id);
     if (found == waiting.end() || found->second.submission != submission) return;
     if (found->second.deadline <= time.Now()) return;
-    callers[id].last_sent = time.Now();
+    ++callers[id].forwards;
     schema::Forward forward;
     forward.set_id(id);
     forward.set_entry_id("entry");
@@ -253,7 +253,7 @@
       if (!caller.accepted) caller.accepted = time.Now();
       return;
     }
-    caller.answers.emplace_back(time.Now(), answer);
+    caller.answers.push_back({time.Now(), caller.forwards, answer});
   }
 
   /// Carries an event to the home of its request, later and maybe more than once.
@@ -433,7 +433,8 @@
     if (m_cell.time.Random(4) == 0) Sync(worker);
   }
   const std::size_t count = m_queue.size();
-  for (std::size_t i = 0; i < count; ++i) {
+  // A start that is refused may cancel its job, which shortens the queue.
+  for (std::size_t i = 0; i < count && !m_queue.empty(); ++i) {
     const Queued queued = m_queue.front();
     m_queue.pop_front();
     std::vector<std::string> able;
--- a/tests/history.h
+++ b/tests/history.h
@@ -12,16 +12,23 @@
 
 namespace citronsill {
 
+/// An answer that a caller got.
+struct CallerAnswer {
+  SteadyTime time;
+  int forwards = 0;  ///< How often the request had been sent by then.
+  schema::Answer answer;
+};
+
 /// What a caller knows about one request.
 struct CallerHistory {
   schema::Request request;
   bool exclusive = false;
   bool idempotent = true;
-  std::optional<SteadyTime> accepted;  ///< When it was first told to be accepted.
-  bool cancelled = false;              ///< Its cancellation was asked for.
-  SteadyTime last_sent;                ///< Last time that it was forwarded.
-  std::vector<std::pair<SteadyTime, schema::Answer>> answers;  ///< Final ones, in order.
-  std::optional<schema::Answer> final_status;                  ///< At the end of the run.
+  std::optional<SteadyTime> accepted;          ///< When it was first told to be accepted.
+  bool cancelled = false;                      ///< Its cancellation was asked for.
+  int forwards = 0;                            ///< How often it was sent to a home.
+  std::vector<CallerAnswer> answers;           ///< Final ones, in order.
+  std::optional<schema::Answer> final_status;  ///< At the end of the run.
 };
 
 class HistoryCheck {
@@ -73,7 +80,7 @@
       if (!caller.idempotent && runs.size() > 1) Fail("I5: started twice", id);
       if (caller.exclusive) CheckExclusive(id, runs);
     }
-    for (const auto& [time, answer] : caller.answers) CheckAnswer(id, caller, time, answer);
+    for (const CallerAnswer& answer : caller.answers) CheckAnswer(id, caller, answer);
     CheckEnd(id, caller);
   }
 
@@ -88,10 +95,10 @@
     }
   }
 
-  void CheckAnswer(const std::string& id, const CallerHistory& caller, SteadyTime time,
-                   const schema::Answer& answer) {
+  void CheckAnswer(const std::string& id, const CallerHistory& caller, const CallerAnswer& told) {
+    const auto& [time, forwards, answer] = told;
     if (answer.not_run()) {
-      const bool sent_again = caller.last_sent > time;
+      const bool sent_again = caller.forwards > forwards;
       for (const auto& [index, runs] : m_runs[id]) {
         for (const auto& [key, run] : runs) {
           if (run.from <= time || !sent_again) Fail("I4: not_run but it ran", id);
@@ -118,7 +125,7 @@
   // A repeat gets the same outcome as the last one that was not a refusal.
   void CheckEnd(const std::string& id, const CallerHistory& caller) {
     std::optional<schema::Answer> settled;
-    for (const auto& [time, answer] : caller.answers) {
+    for (const auto& [time, forwards, answer] : caller.answers) {
       if (answer.state() == schema::STATE_REFUSED) continue;
       const bool durable = caller.exclusive || !caller.idempotent || caller.request.no_wait();
       if (settled && durable && settled->code() != answer.code()) {
--- /dev/null
+++ b/tests/ledger_test.cc
@@ -0,0 +1,140 @@
+#include "citronsill/ledger.h"
+
+#include <doctest/doctest.h>
+
+#include "schema/citronsill.pb.h"
+
+namespace citronsill {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::uint32_t kTasks = 3;
+
+struct LedgerBench {
+  explicit LedgerBench(bool idempotent) {
+    request.set_work_class("order");
+    request.set_task_count(kTasks);
+    work_class.set_idempotent(idempotent);
+    work_class.set_exclusive(true);
+    work_class.set_max_attempts(2);
+    facts.durable = true;
+    facts.single_copy = true;
+    facts.idempotent = idempotent;
+    facts.max_attempts = 2;
+  }
+
+  Arrival Arrive(Ledger& target) {
+    return target.Arrive("id", request, work_class, facts, {"entry", "address"}, &answer);
+  }
+
+  void Accept() {
+    CHECK(Arrive(*ledger) == Arrival::kNew);
+    CHECK(ledger->TakeAccepted("id").has_value());
+    ledger->SetAccepted("id");
+  }
+
+  /// @returns a ledger with what the journal would bring back.
+  std::unique_ptr<Ledger> Restore() {
+    auto restored = std::move(Ledger::Create(100)).value();
+    const auto entries = ledger->Export([](const std::string&) { return true; });
+    std::vector<const schema::JournalEntry*> found;
+    for (const schema::JournalEntry& entry : entries) found.push_back(&entry);
+    // Entries are repeated when streams are copied.
+    for (const schema::JournalEntry& entry : entries) found.push_back(&entry);
+    restored->Restore("id", found, [](std::uint64_t) { return 4096U; });
+    return restored;
+  }
+
+  schema::Request request;
+  schema::WorkClass work_class;
+  RequestFacts facts;
+  std::shared_ptr<const schema::Answer> answer;
+  std::unique_ptr<Ledger> ledger = std::move(Ledger::Create(100)).value();
+};
+
+// Guards against lost partial results, assignments and attempt numbers after a takeover.
+TEST_CASE("ledger: a restored request keeps its tasks and partial results") {
+  LedgerBench bench(true);
+  bench.Accept();
+  CHECK(bench.ledger->Assign({"id", 0, 0}, "a"));
+  CHECK(bench.ledger->Assign({"id", 1, 5}, "b"));
+  CHECK(bench.ledger->EndTask({"id", 0, 0}, "a", TaskOutcome::kSucceeded, "part 0", false).effect ==
+        EndEffect::kKept);
+  const auto restored = bench.Restore();
+  const auto open = restored->OpenTasks("id");
+  REQUIRE(open.size() == 2);
+  CHECK(open[0].assigned);
+  CHECK(open[0].attempt == 5);
+  CHECK(open[0].worker == "b");
+  CHECK(!open[1].assigned);
+  CHECK(open[1].attempt == 4096);
+  restored->EndTask({"id", 1, 5}, "b", TaskOutcome::kSucceeded, "part 1", false);
+  CHECK(restored->Assign({"id", 2, 4096}, "c"));
+  const auto ended =
+      restored->EndTask({"id", 2, 4096}, "c", TaskOutcome::kSucceeded, "part 2", false);
+  REQUIRE(ended.finished);
+  CHECK(ended.finished->answer->results(0) == "part 0");
+  CHECK(ended.finished->answer->results(1) == "part 1");
+  CHECK(ended.finished->answer->results(2) == "part 2");
+}
+
+// Guards against a second start while an attempt may run, and against a late end of another start.
+TEST_CASE("ledger: a single-copy task is assigned once at a time") {
+  LedgerBench bench(false);
+  bench.Accept();
+  CHECK(bench.ledger->Assign({"id", 0, 0}, "a"));
+  CHECK(!bench.ledger->Assign({"id", 0, 1}, "b"));
+  CHECK(bench.ledger->EndTask({"id", 0, 0}, "b", TaskOutcome::kNotStarted, "", false).effect ==
+        EndEffect::kIgnored);
+  CHECK(bench.ledger->EndTask({"id", 0, 0}, "a", TaskOutcome::kLost, "", true).effect ==
+        EndEffect::kUnknown);
+  CHECK(!bench.ledger->Assign({"id", 0, 1}, "b"));
+  const auto ended = bench.ledger->EndTask({"id", 0, 0}, "a", TaskOutcome::kNotStarted, "", false);
+  CHECK(ended.effect == EndEffect::kRetry);
+  CHECK(bench.ledger->Assign(ended.retry, "b"));
+}
+
+// Guards against an outcome that stays open for ever when a worker was removed.
+TEST_CASE("ledger: a removed worker makes a non-idempotent outcome unknown for good") {
+  LedgerBench bench(false);
+  bench.Accept();
+  CHECK(bench.ledger->Assign({"id", 0, 0}, "a"));
+  CHECK(!bench.ledger->GiveUp("id", {schema::CODE_CANCELLED, "cancelled"}, milliseconds(0)));
+  const auto ended = bench.ledger->EndRemoved({"id", 0, 0}, "a");
+  REQUIRE(ended.finished);
+  CHECK(!ended.finished->answer->not_run());
+}
+
+// Guards against other content that gets the answer of an earlier request after a takeover.
+TEST_CASE("ledger: a reused key is noticed after a takeover") {
+  LedgerBench bench(true);
+  bench.Accept();
+  for (std::uint32_t i = 0; i < kTasks; ++i) {
+    bench.ledger->Assign({"id", i, 0}, "a");
+    bench.ledger->EndTask({"id", i, 0}, "a", TaskOutcome::kSucceeded, "done", false);
+  }
+  const auto restored = bench.Restore();
+  CHECK(bench.Arrive(*restored) == Arrival::kFinished);
+  CHECK(bench.answer->state() == schema::STATE_SUCCEEDED);
+  bench.request.set_payload("other");
+  CHECK(bench.Arrive(*restored) == Arrival::kKeyReused);
+}
+
+// Guards against a not_run answer that is told before it is written that nothing will run.
+TEST_CASE("ledger: a given-up request is told once its end is written") {
+  LedgerBench bench(true);
+  bench.Accept();
+  const auto finished =
+      bench.ledger->GiveUp("id", {schema::CODE_CANCELLED, "cancelled"}, milliseconds(0));
+  REQUIRE(finished);
+  CHECK(finished->answer->not_run());
+  CHECK(finished->waiters.empty());
+  CHECK(bench.Arrive(*bench.ledger) == Arrival::kPending);
+  CHECK(bench.ledger->Status("id")->state() == schema::STATE_WAITING);
+  CHECK(bench.ledger->Settle("id").size() == 1);
+  CHECK(bench.ledger->Status("id")->state() == schema::STATE_CANCELLED);
+}
+
+}  // namespace
+}  // namespace citronsill
