Keep partitions away from instances that do not reach the table

An instance that gossip hears, but that does not reach the table, was wanted as owner of partitions whose owner had died, and nobody else took them. Live owners also handed partitions over to it, because its row was there. A hand-over other than on Leave now needs a row that was seen to change within the owner timeout, and a partition without a live owner that its wanted owner leaves alone for 10 to 14 s may be taken by any instance. The alternative, a flag in gossip, would empty the list of candidates during every outage of the whole table and move partitions at its end.

--- a/include/citronsill/ownershipcore.h
+++ b/include/citronsill/ownershipcore.h
@@ -27,6 +27,9 @@
   /// The wanted owner must be the same for this long before a live owner hands over, so that a
   /// short false suspicion moves nothing.
   std::chrono::milliseconds rebalance_delay{3000};
+  /// A partition without a live owner that its wanted owner left alone for this long may be taken
+  /// by any instance, because the wanted one may not reach the table.
+  std::chrono::milliseconds orphan_delay{10000};
   /// No claims for this long after the start, so that gossip can find the other members first.
   std::chrono::milliseconds settle_time{2000};
   std::chrono::milliseconds forget_instance{600000};  ///< Age at which an unused row is erased.
@@ -150,6 +153,7 @@
     std::uint64_t fenced_version = 0;  // Not to be held again under this version of the row.
     std::optional<SteadyTime> retired;
     std::vector<std::string> retire;
+    std::optional<SteadyTime> orphan_since;
     std::string heir;
     SteadyTime heir_since;
   };
@@ -159,6 +163,7 @@
     bool seen = false;
     bool reading = false;
     SteadyTime unchanged_since;
+    std::optional<SteadyTime> renewed;  // When a change was last seen between two reads.
     std::optional<SteadyTime> read;
   };
 
@@ -183,6 +188,8 @@
                   Commands& commands);
   void HandOver(std::uint32_t p, SteadyTime now, const std::vector<LiveMember>& members,
                 Commands& commands);
+  [[nodiscard]] bool IsOrphan(Partition& partition, SteadyTime now,
+                              const std::vector<LiveMember>& members);
   [[nodiscard]] bool MayTake(const Partition& partition, SteadyTime now,
                              const std::vector<LiveMember>& members) const;
   void Write(std::uint32_t p, PartitionRecord row, SteadyTime now, Commands& commands);
--- a/src/ownershipcore.cc
+++ b/src/ownershipcore.cc
@@ -230,23 +230,39 @@
   if (partition.owned) return;
   // A row that names this instance is its own to claim, even when another one is wanted: the others
   // leave it alone while this one is live.
-  if (partition.heir != m_id && !IsMine(partition.row)) return;
+  const bool wanted = partition.heir == m_id || IsMine(partition.row);
+  if (!wanted && !IsOrphan(partition, now, members)) return;
   if (partition.known.epoch > partition.row.epoch) return AskAgain(partition, now);
   if (!MayTake(partition, now, members)) return;
   Write(p, NextRow(partition, m_id, m_incarnation), now, commands);
 }
 
+// The delay differs between instances, so that few of them try at the same time.
+bool OwnershipCore::IsOrphan(Partition& partition, SteadyTime now,
+                             const std::vector<LiveMember>& members) {
+  const bool newer = partition.known.epoch > partition.row.epoch;
+  const std::string& owner = newer ? partition.known.id : partition.row.owner;
+  if (FindMember(members, owner) != nullptr || (!newer && !MayTake(partition, now, members))) {
+    partition.orphan_since.reset();
+    return false;
+  }
+  if (!partition.orphan_since) partition.orphan_since = now;
+  const auto spread = m_options.orphan_delay * (m_incarnation % 8) / 16;
+  return now - *partition.orphan_since >= m_options.orphan_delay + spread;
+}
+
 void OwnershipCore::HandOver(std::uint32_t p, SteadyTime now,
                              const std::vector<LiveMember>& members, Commands& commands) {
   Partition& partition = m_partitions[p];
   const LiveMember* heir = FindMember(members, partition.heir);
   if (heir == nullptr) return;
-  if (!m_leaving && now - partition.heir_since < m_options.rebalance_delay) return;
-  // An instance that never reached the table could not take what it is given.
+  // An instance that does not reach the table could not take what it is given. A leaving one does
+  // not wait for the next renewal.
   const Watched& watched = m_instances[heir->id];
-  if (!watched.seen || watched.record.incarnation != heir->incarnation) {
-    return ReadInstance(heir->id, now, commands);
-  }
+  const bool known = watched.seen && watched.record.incarnation == heir->incarnation;
+  const bool renewed = watched.renewed && now - *watched.renewed < m_options.owner_timeout;
+  if (!known || !(m_leaving || renewed)) return ReadInstance(heir->id, now, commands);
+  if (!m_leaving && now - partition.heir_since < m_options.rebalance_delay) return;
   partition.suspended = true;
   Write(p, NextRow(partition, heir->id, heir->incarnation), now, commands);
 }
@@ -339,6 +355,7 @@
   Watched& watched = m_instances[id];
   if (watched.seen && record.version == watched.record.version) return;
   if (watched.seen && record.version != 0 && record.version < watched.record.version) return;
+  if (watched.seen) watched.renewed = now;
   watched.seen = true;
   watched.record = record;
   watched.unchanged_since = now;
@@ -404,6 +421,7 @@
   const bool changed = record.version > partition.row.version;
   const std::uint64_t epoch = partition.row.epoch;
   if (changed) partition.row = record;
+  if (changed) partition.orphan_since.reset();
   if (record.epoch >= partition.known.epoch) {
     partition.known = {record.owner, record.incarnation, record.epoch};
   }
@@ -506,14 +524,15 @@
                   m_doubt ? age(m_doubt_since) : 0, m_heartbeat_busy, m_scan_busy, m_scan_failed,
                   m_scanned, m_registered, m_doubt, m_leaving, m_superseded, m_table_up);
   for (const Partition& x : m_partitions) {
-    text += fmt::format("|{} {} {} {} {} {}{}{}{}{}{} {} {} {} {} {}", x.row.version, x.row.owner,
-                        x.row.epoch, x.known.id, x.known.epoch, x.owned, x.ever_owned, x.busy,
-                        x.reading, x.suspended, x.version_unknown, age(x.reread_since),
-                        x.fenced_version, age(x.retired), x.heir, age(x.heir_since));
+    text += fmt::format("|{} {} {} {} {} {}{}{}{}{}{} {} {} {} {} {} {}", x.row.version,
+                        x.row.owner, x.row.epoch, x.known.id, x.known.epoch, x.owned, x.ever_owned,
+                        x.busy, x.reading, x.suspended, x.version_unknown, age(x.reread_since),
+                        x.fenced_version, age(x.retired), x.heir, age(x.heir_since),
+                        age(x.orphan_since));
   }
   for (const auto& [id, x] : m_instances) {
-    text += fmt::format("|{} {} {} {} {} {}", id, x.record.version, x.seen, x.reading,
-                        age(x.unchanged_since), age(x.read));
+    text += fmt::format("|{} {} {} {} {} {} {}", id, x.record.version, x.seen, x.reading,
+                        age(x.unchanged_since), age(x.read), age(x.renewed));
   }
   return text;
 }
--- a/tests/ownership_test.cc
+++ b/tests/ownership_test.cc
@@ -327,6 +327,26 @@
   CHECK(cell.OwnerNames() == before);
 }
 
+// Guards against partitions that wait for an instance which gossip hears but which does not reach
+// the table: those of a dead owner, and those of live owners that would be handed over to it.
+TEST_CASE("ownership: an instance without the table gets no partitions") {
+  OwnershipCell cell;
+  cell.Start(4);
+  cell.Run(seconds(10));
+  CellInstance& cut = cell.instances["instance-1"];
+  cut.path->cut = true;
+  const auto owned = cut.served;
+  cell.Run(seconds(10));
+  cell.instances["instance-2"].running = false;
+  cell.Run(seconds(30));
+  CHECK(cell.Unowned() == 0);
+  CHECK(cut.served == owned);
+  cut.path->cut = false;
+  cell.Run(seconds(15));
+  CHECK(cell.Unowned() == 0);
+  CHECK(cut.served.size() > owned.size());
+}
+
 // Guards against instances that use up the table's capacity when nothing happens.
 TEST_CASE("ownership: load on the table stays within its budget") {
   for (const unsigned count : {8U, 30U}) {
--- a/tests/ownershipcell.h
+++ b/tests/ownershipcell.h
@@ -16,9 +16,35 @@
 
 namespace citronsill {
 
+/// The table as one instance reaches it.
+class TablePath : public Table {
+ public:
+  explicit TablePath(Table& table) : m_table(table) {}
+
+  bool cut = false;
+
+  void Read(std::string key, std::function<void(Result<schema::TableRow>)> done) override {
+    cut ? done(Refusal()) : m_table.Read(std::move(key), std::move(done));
+  }
+  void Scan(std::string prefix,
+            std::function<void(Result<std::vector<schema::TableRow>>)> done) override {
+    cut ? done(Refusal()) : m_table.Scan(std::move(prefix), std::move(done));
+  }
+  void Commit(schema::TableTransaction transaction,
+              std::function<void(Result<schema::TableCommitResult>)> done) override {
+    cut ? done(Refusal()) : m_table.Commit(std::move(transaction), std::move(done));
+  }
+
+ private:
+  static Error Refusal() { return Error{schema::CODE_TABLE_UNAVAILABLE, "cut off"}; }
+
+  Table& m_table;
+};
+
 /// One instance of the cell. Gossip is perfect between instances that run, but for its delay.
 struct CellInstance {
   std::string id;
+  std::unique_ptr<TablePath> path;
   std::shared_ptr<TableGuard> guard;
   std::unique_ptr<Ownership> ownership;
   std::uint64_t incarnation = 0;
@@ -67,8 +93,9 @@
     hooks.live_members = [this, id] { return Members(id); };
     hooks.now = [this] { return now; };
     if (guarded) instance.guard = MakeGuard();
-    Table& reached = guarded ? static_cast<Table&>(*instance.guard) : table;
-    instance.ownership = Ownership::Create(reached, self, options, std::move(hooks)).value();
+    instance.path = std::make_unique<TablePath>(guarded ? static_cast<Table&>(*instance.guard)
+                                                        : static_cast<Table&>(table));
+    instance.ownership = Ownership::Create(*instance.path, self, options, std::move(hooks)).value();
     return *instance.ownership;
   }
 
--- a/tests/ownershipmodel_test.cc
+++ b/tests/ownershipmodel_test.cc
@@ -475,7 +475,7 @@
 // none believes in any right after a pause.
 TEST_CASE("ownership model: no order of events lets two owners act") {
   Explore("two instances", Limits{});
-  Explore("two instances, one outage", WithOutage(6));
+  Explore("two instances, one outage", WithOutage(7));
   Explore("three instances", ThreeInstances());
 }
 
