--- a/include/citronsill/engine.h
+++ b/include/citronsill/engine.h
@@ -76,6 +76,10 @@
 struct EngineOptions {
   std::uint64_t seed = 1;
   std::size_t max_waiting_jobs = 20000;
+  /// Interactive tasks that are expected to end within this time are short work.
+  std::chrono::milliseconds short_run_time{5000};
+  /// Longest queue of short work, in time to drain it; more is refused.
+  std::chrono::milliseconds max_queue_wait{1000};
 };
 
 struct EngineStats {
@@ -98,7 +102,7 @@
   void PutWorker(const WorkerSpec& spec, SteadyTime now);
 
   /// Removes a worker.
-  /// @returns the tasks that were on it; they are forgotten, not started again.
+  /// @returns the tasks that were on it; they are not started again, except by `Requeue`.
   std::vector<TaskKey> RemoveWorker(const std::string& worker, SteadyTime now);
 
   /// A leaving or unreachable worker gets no new work.
@@ -108,6 +112,10 @@
   void AdoptTask(const JobSpec& job, const TaskKey& task, const std::string& worker,
                  SteadyTime now);
 
+  /// Sets the most that running tasks of a team may hold. Jobs above it wait.
+  /// @param quota 0 stands for no limit in a dimension.
+  void SetQuota(const std::string& team, const Resources& quota);
+
   /// Admits a job into the queue or refuses it. A job that is known gets further tasks: parts of a
   /// larger job may arrive one by one.
   Admission Submit(const JobSpec& job, SteadyTime now);
@@ -132,6 +140,11 @@
   /// @returns whether another attempt of the task follows.
   bool OnEnded(const TaskKey& task, TaskOutcome outcome, SteadyTime now);
 
+  /// Starts a task again that was on a removed worker. Only for the owner of the job, who knows that
+  /// a second run does no harm.
+  /// @remarks Ignored for tasks that are unknown, not idempotent or exclusive.
+  void Requeue(const TaskKey& task, SteadyTime now);
+
   /// Usage of a running task, reported by its worker with a lag.
   void OnUsage(const TaskKey& task, const Resources& used, SteadyTime now);
 
--- /dev/null
+++ b/include/citronsill/fairness.h
@@ -0,0 +1,66 @@
+/// Shares of the cell that teams use, and their quotas.
+#pragma once
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "citronsill/types.h"
+
+namespace citronsill {
+
+/// Dominant-resource accounting. A slot counts as a resource, because small tasks run out of slots
+/// first. Not thread-safe.
+class FairShares {
+ public:
+  void SetCapacity(const Resources& capacity, std::uint32_t slots);
+
+  /// @param quota limit of what the team's running tasks hold; 0 stands for no limit in a dimension.
+  void SetQuota(const std::string& team, const Resources& quota);
+
+  /// @param is_short whether the task counts as short work.
+  void Add(const std::string& team, const Resources& size, bool is_short);
+  void Remove(const std::string& team, const Resources& size, bool is_short);
+
+  /// @returns the largest part of any resource that `count` tasks of this size take, 0 to 1 for
+  /// what the cell can hold; 1 for each task while there is no capacity.
+  [[nodiscard]] double DominantShare(const Resources& size, std::uint32_t count) const;
+
+  /// @returns the dominant share of all running tasks of the team.
+  [[nodiscard]] double Share(const std::string& team) const;
+
+  /// @returns the dominant share of the team's running short tasks.
+  [[nodiscard]] double ShortShare(const std::string& team) const;
+
+  /// @returns how many teams have running tasks or are among `waiting`.
+  [[nodiscard]] std::size_t CountTeams(const std::set<std::string>& waiting) const;
+
+  /// @returns whether the team may run `count` more tasks of this size now.
+  [[nodiscard]] bool WithinQuota(const std::string& team, const Resources& size,
+                                 std::uint32_t count) const;
+
+  /// @returns which part of the quota `count` tasks exceed even when nothing else of the team runs;
+  /// empty when they do not.
+  [[nodiscard]] std::string WhyNeverWithinQuota(const std::string& team, const Resources& size,
+                                                std::uint32_t count) const;
+
+ private:
+  struct Usage {
+    Resources size;
+    std::uint32_t slots = 0;
+  };
+  struct Team {
+    Usage all;
+    Usage short_work;
+  };
+
+  [[nodiscard]] double ShareOf(const Resources& size, double slots) const;
+
+  Resources m_capacity;
+  std::uint32_t m_slots = 0;
+  std::unordered_map<std::string, Team> m_teams;
+  std::unordered_map<std::string, Resources> m_quotas;
+};
+
+}  // namespace citronsill
--- a/src/engine.cc
+++ b/src/engine.cc
@@ -1,235 +1,314 @@
 #include "citronsill/engine.h"
 
-#include "internal.h"
+#include "engine_state.h"
 
 namespace citronsill {
+namespace {
 
-struct Engine::Impl {
-  struct Worker {
-    WorkerSpec spec;
-    Resources used;
-    std::uint32_t used_slots = 0;
-    bool accepting = true;
-    std::unordered_set<TaskKey> tasks;
-  };
-
-  struct Job {
-    JobSpec spec;
-    std::deque<TaskKey> waiting;
-    std::size_t running = 0;
-    bool cancelled = false;
-  };
-
-  struct Running {
-    std::string worker;
-    Resources size;
-  };
-
-  EngineOptions options;
-  std::map<std::string, Worker> workers;
-  std::unordered_map<std::string, Job> jobs;
-  std::deque<std::string> queue;
-  std::unordered_map<TaskKey, Running> running;
-  std::vector<Action> pending_actions;
-
-  Worker* FindRoom(const Resources& size) {
-    for (auto& [id, worker] : workers) {
-      if (!worker.accepting || worker.used_slots >= worker.spec.slots) continue;
-      Resources needed = worker.used;
-      needed += size;
-      if (worker.spec.capacity.Covers(needed)) return &worker;
-    }
-    return nullptr;
-  }
+// Run time of a task whose job declares none and whose class is not known yet.
+constexpr std::chrono::milliseconds kUnknownRunTime{1000};
 
-  void Reserve(Worker& worker, const TaskKey& task, const Resources& size) {
-    worker.used += size;
-    ++worker.used_slots;
-    worker.tasks.insert(task);
-    running[task] = Running{worker.spec.id, size};
-  }
+// Long work ends rarely, so that its drain rate needs a long measurement.
+constexpr std::chrono::milliseconds kLongMemory{60000};
 
-  void Release(const TaskKey& task) {
-    const auto found = running.find(task);
-    if (found == running.end()) return;
-    if (auto worker = workers.find(found->second.worker); worker != workers.end()) {
-      worker->second.used -= found->second.size;
-      --worker->second.used_slots;
-      worker->second.tasks.erase(task);
-    }
-    running.erase(found);
-  }
+constexpr std::chrono::milliseconds kFullQueueRetry{1000};
 
-  void PlaceJob(Job& job, std::vector<Action>& actions) {
-    while (!job.waiting.empty()) {
-      Worker* worker = FindRoom(job.spec.size);
-      if (worker == nullptr) return;
-      const TaskKey task = job.waiting.front();
-      job.waiting.pop_front();
-      Reserve(*worker, task, job.spec.size);
-      ++job.running;
-      Action action;
-      action.task = task;
-      action.worker = worker->spec.id;
-      action.size = job.spec.size;
-      action.latest_start = job.spec.deadline;
-      actions.push_back(std::move(action));
-    }
-  }
-};
+AdmissionOptions ShortGate(const EngineOptions& options) {
+  AdmissionOptions gate;
+  gate.max_queue_wait = options.max_queue_wait;
+  return gate;
+}
 
-Result<std::unique_ptr<Engine>> Engine::Create(const EngineOptions& options) {
-  return std::unique_ptr<Engine>(new Engine(options));
+AdmissionOptions LongGate() {
+  AdmissionOptions gate;
+  gate.memory = kLongMemory;
+  return gate;
 }
 
-Engine::Engine(const EngineOptions& options) : m_impl(std::make_unique<Impl>()) {
-  m_impl->options = options;
+}  // namespace
+
+Engine::Impl::Impl(const EngineOptions& engine_options)
+    : options(engine_options), short_gate(ShortGate(engine_options)), long_gate(LongGate()) {}
+
+Lane Engine::Impl::LaneOf(const JobSpec& spec, std::chrono::milliseconds run_time) const {
+  if (spec.urgent) return Lane::kUrgent;
+  if (spec.policy == SchedulingPolicy::kService) return Lane::kService;
+  if (spec.policy == SchedulingPolicy::kBatch) return Lane::kBatch;
+  return run_time <= options.short_run_time ? Lane::kShort : Lane::kLong;
 }
 
-Engine::~Engine() = default;
+AdmissionControl& Engine::Impl::GateOf(Lane lane) {
+  return lane == Lane::kShort || lane == Lane::kUrgent ? short_gate : long_gate;
+}
 
-void Engine::PutWorker(const WorkerSpec& spec, SteadyTime) { m_impl->workers[spec.id].spec = spec; }
+std::chrono::milliseconds Engine::Impl::RunTimeOf(const JobSpec& spec) const {
+  const auto declared = spec.run_time.count() > 0 ? spec.run_time : kUnknownRunTime;
+  const auto ratio = run_time_ratio.find(spec.work_class);
+  if (ratio == run_time_ratio.end()) return declared;
+  return std::chrono::milliseconds(
+      static_cast<std::int64_t>(static_cast<double>(declared.count()) * ratio->second));
+}
 
-std::vector<TaskKey> Engine::RemoveWorker(const std::string& worker, SteadyTime) {
-  std::vector<TaskKey> tasks;
-  const auto found = m_impl->workers.find(worker);
-  if (found == m_impl->workers.end()) return tasks;
-  tasks.assign(found->second.tasks.begin(), found->second.tasks.end());
-  for (const TaskKey& task : tasks) m_impl->Release(task);
-  m_impl->workers.erase(found);
-  return tasks;
+double Engine::Impl::WorkOf(const JobSpec& spec) const {
+  // Without workers there is no cell to relate the work to.
+  if (slots == 0) return 0.0;
+  return shares.DominantShare(spec.size, 1) *
+         std::chrono::duration<double>(RunTimeOf(spec)).count();
 }
 
-void Engine::SetAccepting(const std::string& worker, bool accepting, SteadyTime) {
-  if (auto found = m_impl->workers.find(worker); found != m_impl->workers.end()) {
-    found->second.accepting = accepting;
-  }
+void Engine::Impl::Describe(Job& job, const JobSpec& spec) {
+  job.spec = spec;
+  job.is_known = true;
+  job.run_time = RunTimeOf(spec);
+  job.lane = LaneOf(spec, job.run_time);
+  job.work = WorkOf(spec);
+  job.sequence = next_sequence++;
+  if (spec.deadline) deadlines.emplace(*spec.deadline - job.run_time, spec.id);
 }
 
-void Engine::AdoptTask(const JobSpec& job, const TaskKey& task, const std::string& worker,
-                       SteadyTime) {
-  const auto found = m_impl->workers.find(worker);
-  if (found == m_impl->workers.end() || m_impl->running.contains(task)) return;
-  m_impl->Reserve(found->second, task, job.size);
+Engine::Impl::JobPtr Engine::Impl::FindJob(const std::string& id) const {
+  const auto found = jobs.find(id);
+  return found == jobs.end() ? nullptr : found->second;
 }
 
-Admission Engine::Submit(const JobSpec& job, SteadyTime now) {
-  if (m_impl->queue.size() >= m_impl->options.max_waiting_jobs) {
-    return {schema::CODE_OVERLOADED, "too many jobs wait", std::chrono::seconds(1)};
+void Engine::Impl::ForgetIfDone(const JobPtr& job) {
+  if (job->waiting.empty() && job->running.empty() && job->interrupted.empty()) {
+    jobs.erase(job->spec.id);
   }
-  if (job.deadline && *job.deadline <= now) {
+}
+
+Admission Engine::Impl::Check(const JobSpec& spec, SteadyTime now) {
+  if (waiting_jobs >= options.max_waiting_jobs) {
+    return {schema::CODE_OVERLOADED, "too many jobs wait", kFullQueueRetry};
+  }
+  if (spec.deadline && *spec.deadline <= now) {
     return {schema::CODE_DEADLINE_UNREACHABLE, "the deadline has passed", {}};
   }
-  Impl::Job& entry = m_impl->jobs[job.id];
-  entry.spec = job;
-  for (std::uint32_t i = 0; i < job.task_count; ++i) {
-    entry.waiting.push_back(TaskKey{job.id, job.first_index + i, job.first_attempt});
+  if (slots > 0) {
+    if (std::string why = index.WhyNever(spec.size); !why.empty()) {
+      return {schema::CODE_NEVER_FITS, std::move(why), {}};
+    }
   }
-  m_impl->queue.push_back(job.id);
-  return {schema::CODE_OK, {}, {}};
+  const std::uint32_t together = spec.all_at_once ? spec.task_count : 1;
+  if (std::string why = shares.WhyNeverWithinQuota(spec.team, spec.size, together); !why.empty()) {
+    return {schema::CODE_QUOTA_EXCEEDED, std::move(why), {}};
+  }
+  AdmissionQuery query;
+  query.job = spec.id;
+  query.team = spec.team;
+  query.run_time = RunTimeOf(spec);
+  query.deadline = spec.deadline;
+  const Lane lane = LaneOf(spec, query.run_time);
+  // Urgent work goes before all that is queued.
+  if (lane == Lane::kUrgent) return AdmissionControl({}).Decide(query, now);
+  query.work = WorkOf(spec) * spec.task_count;
+  return GateOf(lane).Decide(query, now);
 }
 
-bool Engine::Cancel(const std::string& job, SteadyTime) {
-  const auto found = m_impl->jobs.find(job);
-  if (found == m_impl->jobs.end()) return false;
-  found->second.waiting.clear();
-  found->second.cancelled = true;
-  for (const auto& [task, running] : m_impl->running) {
-    if (task.request_id != job) continue;
+Shape Engine::Impl::ShapeOf(const Job& job, std::uint32_t task_index) const {
+  Shape shape;
+  shape.size = job.spec.size;
+  shape.policy = job.spec.policy;
+  if (job.spec.all_at_once) shape.gang_tasks = job.spec.task_count;
+  const auto found = job.attempts.find(task_index);
+  if (found != job.attempts.end() && !found->second.excluded.empty()) {
+    shape.only_job = job.spec.id;
+  }
+  return shape;
+}
+
+void Engine::Impl::Enqueue(const JobPtr& job, std::deque<WaitingTask> tasks, bool again,
+                           SteadyTime now) {
+  if (tasks.empty()) return;
+  if (job->waiting.empty()) ++waiting_jobs;
+  for (const WaitingTask& task : tasks) job->waiting.insert(task.index);
+  if (job->lane == Lane::kUrgent) urgent_waiting += tasks.size();
+  if (job->lane == Lane::kShort) headroom.AddWaiting(job->spec.size, tasks.size());
+  GateOf(job->lane).OnQueued(job->spec.team, job->work * static_cast<double>(tasks.size()), now);
+  auto entry = std::make_shared<QueueEntry>();
+  entry->job = job->spec.id;
+  entry->sequence = job->sequence;
+  entry->since = now;
+  const Shape shape = ShapeOf(*job, tasks.front().index);
+  entry->tasks = std::move(tasks);
+  std::erase_if(job->entries, [](const QueueEntryPtr& old) { return old->tasks.empty(); });
+  job->entries.push_back(entry);
+  queue.Push(job->lane, job->spec.team, shape, std::move(entry), again);
+}
+
+void Engine::Impl::LeaveQueue(Job& job, std::size_t count, SteadyTime now) {
+  CountOut(job, count);
+  GateOf(job.lane).OnDropped(job.spec.team, job.work * static_cast<double>(count), now);
+}
+
+void Engine::Impl::CountOut(const Job& job, std::size_t count) {
+  if (job.lane == Lane::kUrgent) urgent_waiting -= std::min(urgent_waiting, count);
+  if (job.lane == Lane::kShort) headroom.RemoveWaiting(job.spec.size, count);
+}
+
+void Engine::Impl::DropWaiting(const JobPtr& job, SteadyTime now) {
+  if (job->waiting.empty()) return;
+  for (const QueueEntryPtr& entry : job->entries) {
+    LeaveQueue(*job, entry->tasks.size(), now);
+    entry->tasks.clear();
+  }
+  const std::size_t entries = job->entries.size();
+  job->entries.clear();
+  job->waiting.clear();
+  --waiting_jobs;
+  queue.OnDropped(entries);
+}
+
+bool Engine::Impl::RemoveWaiting(const JobPtr& job, std::uint32_t task_index, SteadyTime now) {
+  if (job->waiting.erase(task_index) == 0) return false;
+  for (const QueueEntryPtr& entry : job->entries) {
+    const auto removed = std::erase_if(
+        entry->tasks, [&](const WaitingTask& task) { return task.index == task_index; });
+    if (removed > 0) LeaveQueue(*job, removed, now);
+  }
+  if (job->waiting.empty()) --waiting_jobs;
+  return true;
+}
+
+void Engine::Impl::GiveUp(const JobPtr& job, schema::Code code, const std::string& message,
+                          SteadyTime now) {
+  DropWaiting(job, now);
+  job->closed = true;
+  Action action;
+  action.kind = ActionKind::kGiveUp;
+  action.task.request_id = job->spec.id;
+  action.code = code;
+  action.message = message;
+  actions.push_back(std::move(action));
+  ForgetIfDone(job);
+}
+
+void Engine::Impl::StopRunning(const Job& job) {
+  for (const auto& [task_index, task] : job.running) {
+    const auto found = running.find(task);
+    if (found == running.end()) continue;
+    found->second.stopping = true;
     Action action;
     action.kind = ActionKind::kStop;
     action.task = task;
-    action.worker = running.worker;
+    action.worker = index.Spec(found->second.worker).id;
     action.code = schema::CODE_CANCELLED;
-    m_impl->pending_actions.push_back(std::move(action));
+    actions.push_back(std::move(action));
   }
+}
+
+Result<std::unique_ptr<Engine>> Engine::Create(const EngineOptions& options) {
+  return std::unique_ptr<Engine>(new Engine(options));
+}
+
+Engine::Engine(const EngineOptions& options) : m_impl(std::make_unique<Impl>(options)) {}
+
+Engine::~Engine() = default;
+
+void Engine::SetQuota(const std::string& team, const Resources& quota) {
+  m_impl->shares.SetQuota(team, quota);
+  m_impl->RoomChanged();
+}
+
+Admission Engine::Submit(const JobSpec& spec, SteadyTime now) {
+  Impl::JobPtr job = m_impl->FindJob(spec.id);
+  if (job && job->closed) return {schema::CODE_CANCELLED, "the job was cancelled or given up", {}};
+  if (!job) {
+    Admission admission = m_impl->Check(spec, now);
+    if (admission.code != schema::CODE_OK) return admission;
+    job = std::make_shared<Impl::Job>();
+    m_impl->jobs[spec.id] = job;
+    m_impl->Describe(*job, spec);
+  } else if (!job->is_known) {
+    m_impl->Describe(*job, spec);
+  }
+  std::deque<WaitingTask> tasks;
+  for (std::uint32_t i = 0; i < spec.task_count; ++i) {
+    const std::uint32_t task_index = spec.first_index + i;
+    // A task that waits or runs already is not started twice.
+    if (job->waiting.contains(task_index) || job->running.contains(task_index)) continue;
+    tasks.push_back({task_index, spec.first_attempt});
+    if (spec.first_attempt > 0) job->attempts[task_index].failures = spec.first_attempt;
+  }
+  m_impl->Enqueue(job, std::move(tasks), false, now);
+  m_impl->ForgetIfDone(job);
+  return {schema::CODE_OK, {}, {}};
+}
+
+bool Engine::Cancel(const std::string& id, SteadyTime now) {
+  const Impl::JobPtr job = m_impl->FindJob(id);
+  if (!job) return false;
+  const bool holds_reservation = m_impl->IsReservedFor(*job);
+  m_impl->DropWaiting(job, now);
+  job->closed = true;
+  job->interrupted.clear();
+  m_impl->StopRunning(*job);
+  if (holds_reservation) m_impl->reservation.reset();
+  if (holds_reservation) m_impl->RoomChanged();
+  m_impl->ForgetIfDone(job);
   return true;
 }
 
 std::vector<JobSpec> Engine::WaitingTasks(std::size_t max, SteadyTime) const {
   std::vector<JobSpec> tasks;
-  for (const std::string& id : m_impl->queue) {
-    const auto found = m_impl->jobs.find(id);
-    if (found == m_impl->jobs.end() || found->second.spec.all_at_once) continue;
-    for (const TaskKey& task : found->second.waiting) {
-      if (tasks.size() >= max) return tasks;
-      JobSpec part = found->second.spec;
+  m_impl->queue.Visit([&](const WaitingGroup& group, const QueueEntry& entry) {
+    if (group.shape.gang_tasks > 0) return true;
+    const Impl::JobPtr job = m_impl->FindJob(entry.job);
+    if (!job) return true;
+    for (const WaitingTask& task : entry.tasks) {
+      if (tasks.size() >= max) return false;
+      JobSpec part = job->spec;
       part.task_count = 1;
       part.first_index = task.index;
       part.first_attempt = task.attempt;
       tasks.push_back(std::move(part));
     }
-  }
+    return true;
+  });
   return tasks;
 }
 
-bool Engine::Withdraw(const TaskKey& task, SteadyTime) {
-  const auto found = m_impl->jobs.find(task.request_id);
-  if (found == m_impl->jobs.end()) return false;
-  if (std::erase(found->second.waiting, task) == 0) return false;
-  if (found->second.waiting.empty() && found->second.running == 0) m_impl->jobs.erase(found);
-  return true;
-}
-
-void Engine::OnStarted(const TaskKey&, SteadyTime) {}
-
-bool Engine::OnEnded(const TaskKey& task, TaskOutcome outcome, SteadyTime) {
-  if (outcome == TaskOutcome::kLost) return false;
-  m_impl->Release(task);
-  const auto found = m_impl->jobs.find(task.request_id);
-  if (found == m_impl->jobs.end()) return false;
-  Impl::Job& job = found->second;
-  if (job.running > 0) --job.running;
-  const bool again = outcome == TaskOutcome::kNotStarted ||
-                     (outcome != TaskOutcome::kSucceeded && job.spec.idempotent);
-  if (again && !job.cancelled && task.attempt + 1 < job.spec.max_attempts) {
-    job.waiting.push_back(TaskKey{task.request_id, task.index, task.attempt + 1});
-    m_impl->queue.push_back(task.request_id);
+bool Engine::Withdraw(const TaskKey& task, SteadyTime now) {
+  const Impl::JobPtr job = m_impl->FindJob(task.request_id);
+  if (!job || !job->waiting.contains(task.index)) return false;
+  for (const QueueEntryPtr& entry : job->entries) {
+    const auto found =
+        std::find_if(entry->tasks.begin(), entry->tasks.end(), [&](const WaitingTask& one) {
+          return one.index == task.index && one.attempt == task.attempt;
+        });
+    if (found == entry->tasks.end()) continue;
+    entry->tasks.erase(found);
+    job->waiting.erase(task.index);
+    if (job->waiting.empty()) --m_impl->waiting_jobs;
+    m_impl->CountOut(*job, 1);
+    m_impl->GateOf(job->lane).OnTaken(job->spec.team, job->work, now - entry->since, now);
+    m_impl->ForgetIfDone(job);
     return true;
   }
-  if (job.running == 0 && job.waiting.empty()) m_impl->jobs.erase(found);
   return false;
 }
 
-void Engine::OnUsage(const TaskKey&, const Resources&, SteadyTime) {}
-
-std::vector<Action> Engine::Poll(SteadyTime now) {
-  std::vector<Action> actions = std::move(m_impl->pending_actions);
-  m_impl->pending_actions.clear();
-  std::deque<std::string> still_waiting;
-  for (std::string& id : m_impl->queue) {
-    const auto found = m_impl->jobs.find(id);
-    if (found == m_impl->jobs.end()) continue;
-    Impl::Job& job = found->second;
-    if (job.spec.deadline && *job.spec.deadline <= now && !job.waiting.empty()) {
-      Action action;
-      action.kind = ActionKind::kGiveUp;
-      action.task.request_id = id;
-      action.code = schema::CODE_DEADLINE_PASSED;
-      action.message = "no worker had room before the deadline";
-      actions.push_back(std::move(action));
-      job.waiting.clear();
-      if (job.running == 0) m_impl->jobs.erase(found);
-      continue;
-    }
-    m_impl->PlaceJob(job, actions);
-    if (!job.waiting.empty()) still_waiting.push_back(std::move(id));
-  }
-  m_impl->queue = std::move(still_waiting);
-  return actions;
+std::optional<SteadyTime> Engine::NextWake() const {
+  std::optional<SteadyTime> wake;
+  const auto earliest = [&](SteadyTime time) { wake = wake ? std::min(*wake, time) : time; };
+  if (!m_impl->deadlines.empty()) earliest(m_impl->deadlines.begin()->first);
+  if (!m_impl->delayed.empty()) earliest(m_impl->delayed.begin()->first);
+  if (!m_impl->overruns.empty()) earliest(m_impl->overruns.begin()->first);
+  for (const auto& [worker, hold] : m_impl->holds) earliest(hold.since + Impl::kHoldTime);
+  return wake;
 }
 
-std::optional<SteadyTime> Engine::NextWake() const { return std::nullopt; }
-
 EngineStats Engine::Stats() const {
   EngineStats stats;
   stats.workers = m_impl->workers.size();
-  stats.waiting_jobs = m_impl->queue.size();
+  stats.waiting_jobs = m_impl->waiting_jobs;
   stats.running_tasks = m_impl->running.size();
+  stats.capacity = m_impl->capacity;
   for (const auto& [id, worker] : m_impl->workers) {
-    stats.capacity += worker.spec.capacity;
-    stats.used += worker.used;
-    stats.free_slots += worker.spec.slots - std::min(worker.spec.slots, worker.used_slots);
+    const Resources free = m_impl->index.Free(worker);
+    stats.used += m_impl->index.Spec(worker).capacity;
+    stats.used -= free;
+    stats.free_slots += m_impl->index.FreeSlots(worker);
   }
   return stats;
 }
--- /dev/null
+++ b/src/engine_place.cc
@@ -0,0 +1,257 @@
+#include "engine_state.h"
+
+namespace citronsill {
+namespace {
+
+// Limits that depend on time alone, such as the room kept for short work, are looked at this often.
+constexpr std::chrono::milliseconds kRefreshPeriod{250};
+
+// A waiting large task gets a reservation after this time; a gang job gets one at once, because it
+// needs its room at one moment.
+constexpr std::chrono::milliseconds kReservationAge{5000};
+
+// After this time the reservation holds against short work too, which otherwise may use its
+// workers when no other has room.
+constexpr std::chrono::milliseconds kStrictAge{30000};
+constexpr std::chrono::milliseconds kReservationRefresh{1000};
+
+// A team that has had less than this part of its even share for this long while it had work
+// waiting goes before all but urgent work until it has the part.
+constexpr double kStarvedPart = 0.9;
+constexpr std::chrono::milliseconds kStarvedAfter{5000};
+
+bool IsLong(Lane lane) { return lane != Lane::kUrgent && lane != Lane::kShort; }
+
+Action MakeAction(ActionKind kind, const TaskKey& task, const std::string& worker) {
+  Action action;
+  action.kind = kind;
+  action.task = task;
+  action.worker = worker;
+  return action;
+}
+
+}  // namespace
+
+void Engine::Impl::Promote(SteadyTime now) {
+  while (!delayed.empty() && delayed.begin()->first <= now) {
+    const Delayed due = delayed.begin()->second;
+    delayed.erase(delayed.begin());
+    if (due.job->closed || due.job->waiting.erase(due.task.index) == 0) continue;
+    if (due.job->waiting.empty()) --waiting_jobs;
+    Enqueue(due.job, {due.task}, true, now);
+  }
+}
+
+void Engine::Impl::ExpireDeadlines(SteadyTime now) {
+  while (!deadlines.empty() && deadlines.begin()->first < now) {
+    const JobPtr job = FindJob(deadlines.begin()->second);
+    deadlines.erase(deadlines.begin());
+    if (!job || job->waiting.empty() || !job->spec.deadline) continue;
+    if (*job->spec.deadline - job->run_time >= now) continue;
+    GiveUp(job, schema::CODE_DEADLINE_PASSED, "no worker had room before the latest start", now);
+  }
+}
+
+bool Engine::Impl::IsReservedFor(const Job& job) const {
+  return reservation && reservation->job == job.spec.id;
+}
+
+bool Engine::Impl::MayPlace(const Job& job, const QueueEntry& entry, std::uint32_t count,
+                            SteadyTime now) const {
+  if (!shares.WithinQuota(job.spec.team, job.spec.size, count)) return false;
+  if (!IsLong(job.lane)) return true;
+  // A gang job that smaller long work keeps overtaking is let past the limit in the end.
+  if (IsReservedFor(job) && now - entry.since >= kStrictAge) return true;
+  return headroom.AllowsLong(job.spec.size, count);
+}
+
+bool Engine::Impl::KeepsOffReservation(const Job& job, SteadyTime now) const {
+  if (!reservation || IsReservedFor(job) || job.lane == Lane::kUrgent) return false;
+  const bool may_never_end = job.spec.policy == SchedulingPolicy::kService;
+  return may_never_end || now + job.run_time > reservation->start;
+}
+
+std::vector<WorkerHandle> Engine::Impl::ExcludedFor(const Job& job, std::uint32_t task_index,
+                                                    SteadyTime now) const {
+  std::vector<WorkerHandle> excluded;
+  if (job.lane != Lane::kUrgent) {
+    for (const auto& [worker, hold] : holds) excluded.push_back(worker);
+  }
+  if (KeepsOffReservation(job, now)) {
+    excluded.insert(excluded.end(), reservation->workers.begin(), reservation->workers.end());
+  }
+  const auto found = job.attempts.find(task_index);
+  // A cell whose every worker failed the task once has to take one of them.
+  if (found == job.attempts.end() || found->second.excluded.size() >= workers.size()) {
+    return excluded;
+  }
+  for (const std::string& id : found->second.excluded) {
+    if (const auto worker = workers.find(id); worker != workers.end()) {
+      excluded.push_back(worker->second);
+    }
+  }
+  return excluded;
+}
+
+std::optional<WorkerHandle> Engine::Impl::ChooseFor(const Job& job, std::uint32_t task_index,
+                                                    SteadyTime now) const {
+  const std::vector<WorkerHandle> excluded = ExcludedFor(job, task_index, now);
+  std::vector<WorkerHandle> siblings;
+  if (job.spec.policy == SchedulingPolicy::kService) {
+    for (const auto& [other, task] : job.running) siblings.push_back(running.at(task).worker);
+  }
+  PlacementQuery query;
+  query.size = job.spec.size;
+  query.policy = job.spec.policy;
+  query.siblings = siblings;
+  query.excluded = excluded;
+  auto worker = index.Choose(query);
+  const bool may_borrow = job.lane == Lane::kShort && reservation && !reservation->strict;
+  if (worker || !may_borrow || excluded.empty()) return worker;
+  std::vector<WorkerHandle> held;
+  for (const auto& [held_worker, hold] : holds) held.push_back(held_worker);
+  query.excluded = held;
+  return index.Choose(query);
+}
+
+void Engine::Impl::Start(const JobPtr& job, QueueEntry& entry, WorkerHandle worker,
+                         SteadyTime now) {
+  const WaitingTask next = entry.tasks.front();
+  entry.tasks.pop_front();
+  job->waiting.erase(next.index);
+  if (job->waiting.empty()) --waiting_jobs;
+  CountOut(*job, 1);
+  if (job->lane == Lane::kUrgent) holds.erase(worker);
+  GateOf(job->lane).OnTaken(job->spec.team, job->work, now - entry.since, now);
+  const TaskKey task{job->spec.id, next.index, next.attempt};
+  Reserve(job, task, worker, now);
+  Action action = MakeAction(ActionKind::kStart, task, index.Spec(worker).id);
+  action.size = job->spec.size;
+  action.latest_start = job->spec.deadline;
+  actions.push_back(std::move(action));
+}
+
+bool Engine::Impl::PlaceOne(const JobPtr& job, QueueEntry& entry, SteadyTime now) {
+  if (!MayPlace(*job, entry, 1, now)) return false;
+  const auto worker = ChooseFor(*job, entry.tasks.front().index, now);
+  if (!worker) {
+    if (IsLong(job->lane) && now - entry.since >= kReservationAge) PlanReservation(*job, entry, now);
+    return false;
+  }
+  Start(job, entry, *worker, now);
+  if (IsReservedFor(*job)) reservation.reset();
+  return true;
+}
+
+bool Engine::Impl::PlaceGang(const JobPtr& job, QueueEntry& entry, SteadyTime now) {
+  const auto count = static_cast<std::uint32_t>(entry.tasks.size());
+  if (!shares.WithinQuota(job->spec.team, job->spec.size, count)) return false;
+  std::vector<WorkerHandle> chosen;
+  if (MayPlace(*job, entry, count, now)) {
+    const std::vector<WorkerHandle> excluded = ExcludedFor(*job, entry.tasks.front().index, now);
+    PlacementQuery query;
+    query.size = job->spec.size;
+    query.policy = job->spec.policy;
+    query.excluded = excluded;
+    chosen = index.ChooseGang(query, count);
+  }
+  if (chosen.empty()) {
+    PlanReservation(*job, entry, now);
+    return false;
+  }
+  for (const WorkerHandle worker : chosen) Start(job, entry, worker, now);
+  if (IsReservedFor(*job)) reservation.reset();
+  return true;
+}
+
+void Engine::Impl::PlaceGroup(WaitingGroup* group, SteadyTime now) {
+  if (!queue.Tidy(group)) return;
+  QueueEntry& entry = *group->entries.front();
+  const JobPtr job = FindJob(entry.job);
+  const bool placed =
+      group->shape.gang_tasks > 0 ? PlaceGang(job, entry, now) : PlaceOne(job, entry, now);
+  if (!placed) group->blocked_at = generation;
+  if (placed) queue.Tidy(group);
+}
+
+void Engine::Impl::PlaceLane(Lane lane, SteadyTime now) {
+  // A team's own batch work must not hold up its short work, so that short work counts by itself.
+  const WaitingQueue::ShareOf share_of = [this, lane](const std::string& team) {
+    return lane == Lane::kShort ? shares.ShortShare(team) : shares.Share(team);
+  };
+  while (WaitingGroup* group = queue.Next(lane, generation, share_of)) PlaceGroup(group, now);
+}
+
+void Engine::Impl::PlaceStarved(SteadyTime now) {
+  std::set<std::string> waiting_teams;
+  for (const Lane lane : {Lane::kShort, Lane::kService, Lane::kLong, Lane::kBatch}) {
+    for (std::string& team : queue.Teams(lane)) waiting_teams.insert(std::move(team));
+  }
+  std::erase_if(starved_since, [&](const auto& one) { return !waiting_teams.contains(one.first); });
+  const double enough = kStarvedPart / static_cast<double>(std::max<std::size_t>(
+                                           shares.CountTeams(waiting_teams), 1));
+  for (const std::string& team : waiting_teams) {
+    if (shares.Share(team) >= enough) {
+      starved_since.erase(team);
+      continue;
+    }
+    if (now - starved_since.try_emplace(team, now).first->second < kStarvedAfter) continue;
+    for (const Lane lane : {Lane::kShort, Lane::kService, Lane::kLong, Lane::kBatch}) {
+      while (shares.Share(team) < enough) {
+        WaitingGroup* group = queue.NextOf(lane, team, generation);
+        if (group == nullptr) break;
+        PlaceGroup(group, now);
+      }
+    }
+  }
+}
+
+void Engine::Impl::RefreshReservation(SteadyTime now) {
+  if (!reservation) return;
+  const JobPtr job = FindJob(reservation->job);
+  const bool is_old = now - reservation->computed >= kReservationRefresh;
+  if (job && !job->waiting.empty() && !is_old) return;
+  reservation.reset();
+  RoomChanged();
+}
+
+void Engine::Impl::PlanReservation(const Job& job, const QueueEntry& entry, SteadyTime now) {
+  if (reservation) return;
+  auto plan = PlanStart(job.spec.size, static_cast<std::uint32_t>(
+                                           job.spec.all_at_once ? entry.tasks.size() : 1),
+                        now);
+  if (!plan) return;
+  reservation = std::move(plan);
+  reservation->job = job.spec.id;
+  reservation->strict = now - entry.since >= kStrictAge;
+}
+
+std::vector<Action> Engine::Poll(SteadyTime now) {
+  Impl& impl = *m_impl;
+  if (now - impl.last_refresh >= kRefreshPeriod) {
+    impl.last_refresh = now;
+    impl.RoomChanged();
+  }
+  impl.FindOverruns(now);
+  impl.headroom.Observe(now);
+  const double rest = impl.slots > 0 ? std::max(0.05, 1.0 - impl.headroom.LongShare()) : 0.0;
+  impl.short_gate.SetExpectedRate(rest);
+  impl.long_gate.SetExpectedRate(impl.slots > 0 ? 1.0 : 0.0);
+  impl.Promote(now);
+  impl.ExpireDeadlines(now);
+  impl.RefreshReservation(now);
+  impl.ReleaseHolds(now);
+  impl.PlaceLane(Lane::kUrgent, now);
+  impl.Preempt(now);
+  impl.PlaceStarved(now);
+  impl.PlaceLane(Lane::kShort, now);
+  impl.Reclaim(now);
+  for (const Lane lane : {Lane::kService, Lane::kLong, Lane::kBatch}) {
+    impl.PlaceLane(lane, now);
+  }
+  std::vector<Action> actions = std::move(impl.actions);
+  impl.actions.clear();
+  return actions;
+}
+
+}  // namespace citronsill
--- /dev/null
+++ b/src/engine_preempt.cc
@@ -0,0 +1,141 @@
+#include "engine_state.h"
+
+namespace citronsill {
+namespace {
+
+// Room for short work is reclaimed when it has waited this long, and not more often than this, so
+// that the effect of one round is seen before the next.
+constexpr std::chrono::milliseconds kReclaimAfter{100};
+constexpr std::chrono::milliseconds kReclaimPeriod{500};
+constexpr std::size_t kMaxReclaimsPerCall = 8;
+
+// Preemption looks at every running task, so that one call makes room for at most this many.
+constexpr std::size_t kMaxPreemptionsPerCall = 16;
+
+// A checkpoint keeps most of the work; what is left is the time to write and read it.
+constexpr double kCheckpointCost = 0.1;
+
+// Bands of cost, far above any amount of lost work: a caller waits for interactive work, and
+// services go last.
+constexpr double kInteractiveCost = 1e6;
+constexpr double kServiceCost = 1e9;
+
+// Work of a cell that has no run time yet must still be told apart by size.
+constexpr double kLeastSeconds = 0.001;
+
+double CostOf(const JobSpec& spec, double seconds) {
+  const double lost = static_cast<double>(std::max<std::int64_t>(spec.size.processors_milli, 1)) /
+                      1000.0 * std::max(seconds, kLeastSeconds);
+  switch (spec.policy) {
+    case SchedulingPolicy::kBatch:
+      return kCheckpointCost * lost;
+    case SchedulingPolicy::kInteractive:
+      return kInteractiveCost + lost;
+    case SchedulingPolicy::kService:
+      break;
+  }
+  return kServiceCost + lost;
+}
+
+}  // namespace
+
+std::vector<PreemptionCandidate> Engine::Impl::Candidates(SteadyTime now) const {
+  std::vector<PreemptionCandidate> candidates;
+  for (const auto& [task, run] : running) {
+    const JobSpec& spec = run.job->spec;
+    // A gang job would lose the work of all its tasks; what runs it is not known to survive.
+    const bool may_stop = run.job->is_known && spec.idempotent && !spec.urgent &&
+                          !spec.all_at_once && !run.stopping && !run.lost;
+    if (!may_stop || holds.contains(run.worker) || !states.at(run.worker).accepting) continue;
+    const double seconds = std::chrono::duration<double>(now - run.started).count();
+    candidates.push_back({task, run.worker, run.size, CostOf(spec, seconds)});
+  }
+  std::ranges::sort(candidates, {}, &PreemptionCandidate::task);
+  return candidates;
+}
+
+void Engine::Impl::StopVictim(const TaskKey& task, Running& run, const char* reason) {
+  run.stopping = true;
+  run.preempted = true;
+  Action action;
+  action.kind = run.job->spec.policy == SchedulingPolicy::kBatch ? ActionKind::kCheckpoint
+                                                                 : ActionKind::kStop;
+  action.task = task;
+  action.worker = index.Spec(run.worker).id;
+  action.message = reason;
+  actions.push_back(std::move(action));
+}
+
+bool Engine::Impl::PreemptFor(const Job& job, std::vector<PreemptionCandidate>& candidates,
+                              SteadyTime now) {
+  const std::vector<std::size_t> victims = index.ChooseVictims(job.spec.size, candidates);
+  if (victims.empty()) return false;
+  const WorkerHandle worker = candidates[victims.front()].worker;
+  for (const std::size_t victim : victims) {
+    const TaskKey& task = candidates[victim].task;
+    StopVictim(task, running.at(task), "makes room for urgent work");
+  }
+  holds[worker] = Hold{now};
+  std::erase_if(candidates, [&](const auto& one) { return one.worker == worker; });
+  return true;
+}
+
+void Engine::Impl::Preempt(SteadyTime now) {
+  if (urgent_waiting <= holds.size()) return;
+  std::size_t wanted = std::min(urgent_waiting - holds.size(), kMaxPreemptionsPerCall);
+  std::size_t covered = holds.size();
+  std::optional<std::vector<PreemptionCandidate>> candidates;
+  queue.Visit([&](const WaitingGroup& group, const QueueEntry& entry) {
+    if (group.lane != Lane::kUrgent || wanted == 0) return false;
+    const JobPtr job = FindJob(entry.job);
+    if (!job || !shares.WithinQuota(job->spec.team, job->spec.size, 1)) return true;
+    for (std::size_t i = 0; i < entry.tasks.size() && wanted > 0; ++i) {
+      // The tasks that wait longest are covered by the holds that exist.
+      if (covered > 0) {
+        --covered;
+        continue;
+      }
+      if (!candidates) candidates = Candidates(now);
+      if (!PreemptFor(*job, *candidates, now)) return true;
+      --wanted;
+    }
+    return true;
+  });
+}
+
+void Engine::Impl::Reclaim(SteadyTime now) {
+  if (!headroom.IsExceeded() || now - last_reclaim < kReclaimPeriod) return;
+  Resources wanted;
+  std::size_t count = 0;
+  queue.VisitLane(Lane::kShort, [&](const WaitingGroup&, const QueueEntry& entry) {
+    if (now - entry.since < kReclaimAfter) return true;
+    wanted += FindJob(entry.job)->spec.size;
+    ++count;
+    return count < kMaxReclaimsPerCall * 8;
+  });
+  if (count == 0) return;
+  last_reclaim = now;
+  std::vector<PreemptionCandidate> candidates = Candidates(now);
+  std::erase_if(candidates, [&](const PreemptionCandidate& one) {
+    return running.at(one.task).job->spec.policy != SchedulingPolicy::kBatch;
+  });
+  std::ranges::sort(candidates, {}, &PreemptionCandidate::cost);
+  Resources freed;
+  std::size_t stopped = 0;
+  for (const PreemptionCandidate& one : candidates) {
+    const bool is_enough = freed.Covers(wanted) && stopped >= 1;
+    if (is_enough || stopped == kMaxReclaimsPerCall) break;
+    StopVictim(one.task, running.at(one.task), "makes room for short work");
+    freed += one.size;
+    ++stopped;
+  }
+}
+
+void Engine::Impl::ReleaseHolds(SteadyTime now) {
+  const std::size_t before = holds.size();
+  std::erase_if(holds, [&](const auto& one) { return one.second.since + kHoldTime < now; });
+  while (holds.size() > urgent_waiting) holds.erase(std::prev(holds.end()));
+  if (holds.size() != before) RoomChanged();
+}
+
+}  // namespace citronsill
--- /dev/null
+++ b/src/engine_state.h
@@ -0,0 +1,177 @@
+/// State of the engine. Private to src/engine*.cc.
+#pragma once
+
+#include "citronsill/admission.h"
+#include "citronsill/engine.h"
+#include "citronsill/fairness.h"
+#include "citronsill/headroom.h"
+#include "citronsill/placement.h"
+#include "citronsill/queue.h"
+#include "internal.h"
+
+namespace citronsill {
+
+struct Engine::Impl {
+  /// What is known about the attempts of one task.
+  struct Attempts {
+    std::uint32_t failures = 0;
+    std::uint32_t not_started = 0;
+    std::vector<std::string> excluded;  ///< Workers on which it failed.
+  };
+
+  struct Job {
+    JobSpec spec;
+    Lane lane{};
+    std::uint64_t sequence = 0;
+    std::chrono::milliseconds run_time{0};  ///< Expected, of one task.
+    double work = 0.0;                      ///< Of one task, in cell-seconds.
+    std::set<std::uint32_t> waiting;        ///< Indexes in the queue or waiting for a delay.
+    bool is_known = true;                   ///< The spec is known, not only the id and a size.
+    bool closed = false;                    ///< Cancelled or given up: nothing is started any more.
+    std::vector<QueueEntryPtr> entries;
+    std::map<std::uint32_t, TaskKey> running;  ///< By task index.
+    std::map<std::uint32_t, Attempts> attempts;
+    std::set<TaskKey> interrupted;  ///< Were on a worker that was removed.
+  };
+  using JobPtr = std::shared_ptr<Job>;
+
+  struct Running {
+    JobPtr job;
+    WorkerHandle worker;
+    Resources size;
+    std::string team;
+    SteadyTime started;
+    SteadyTime expected_end;
+    SteadyTime overrun_at;
+    bool is_short = false;
+    bool stopping = false;
+    bool preempted = false;
+    bool lost = false;
+  };
+
+  struct WorkerState {
+    std::unordered_set<TaskKey> tasks;
+    bool accepting = true;
+  };
+
+  struct Delayed {
+    JobPtr job;
+    WaitingTask task;
+  };
+
+  /// Room on a worker that is being made for an urgent task.
+  static constexpr std::chrono::milliseconds kHoldTime{2000};
+  struct Hold {
+    SteadyTime since;
+  };
+
+  /// Workers that the oldest gang job waits for, and when it can start there.
+  struct Reservation {
+    std::string job;
+    std::vector<WorkerHandle> workers;
+    SteadyTime start;
+    SteadyTime computed;
+    bool strict = false;  ///< Short work keeps away from the workers too.
+  };
+
+  explicit Impl(const EngineOptions& engine_options);
+
+  // Workers and running tasks (engine_tasks.cc).
+  void UpdateCapacity();
+  void RoomChanged() { ++generation; }
+  void Reserve(const JobPtr& job, const TaskKey& task, WorkerHandle worker, SteadyTime now);
+  bool Release(const TaskKey& task);
+  void SetLong(Running& run);
+  void FindOverruns(SteadyTime now);
+  bool EndRunning(const TaskKey& task, TaskOutcome outcome, SteadyTime now);
+  bool EndInterrupted(const JobPtr& job, const TaskKey& task, TaskOutcome outcome, SteadyTime now);
+  bool MayRetry(Job& job, const TaskKey& task, TaskOutcome outcome, bool preempted);
+  void Retry(const JobPtr& job, const TaskKey& task, TaskOutcome outcome, SteadyTime now);
+  void LearnRunTime(const Running& run, SteadyTime now);
+  static bool HasLaterAttempt(const Job& job, const TaskKey& task);
+  void Interrupt(const JobPtr& job, const TaskKey& task);
+
+  // Jobs and their waiting tasks (engine.cc).
+  void Describe(Job& job, const JobSpec& spec);
+  [[nodiscard]] std::chrono::milliseconds RunTimeOf(const JobSpec& spec) const;
+  [[nodiscard]] double WorkOf(const JobSpec& spec) const;
+  JobPtr FindJob(const std::string& id) const;
+  void ForgetIfDone(const JobPtr& job);
+  [[nodiscard]] Admission Check(const JobSpec& spec, SteadyTime now);
+  [[nodiscard]] AdmissionControl& GateOf(Lane lane);
+  [[nodiscard]] Lane LaneOf(const JobSpec& spec, std::chrono::milliseconds run_time) const;
+  [[nodiscard]] Shape ShapeOf(const Job& job, std::uint32_t index) const;
+  void Enqueue(const JobPtr& job, std::deque<WaitingTask> tasks, bool again, SteadyTime now);
+  void LeaveQueue(Job& job, std::size_t count, SteadyTime now);
+  void CountOut(const Job& job, std::size_t count);
+  void DropWaiting(const JobPtr& job, SteadyTime now);
+  bool RemoveWaiting(const JobPtr& job, std::uint32_t index, SteadyTime now);
+  void GiveUp(const JobPtr& job, schema::Code code, const std::string& message, SteadyTime now);
+  void StopRunning(const Job& job);
+
+  // Decisions (engine_place.cc).
+  void Promote(SteadyTime now);
+  void ExpireDeadlines(SteadyTime now);
+  void PlaceStarved(SteadyTime now);
+  void PlaceLane(Lane lane, SteadyTime now);
+  void PlaceGroup(WaitingGroup* group, SteadyTime now);
+  bool PlaceOne(const JobPtr& job, QueueEntry& entry, SteadyTime now);
+  bool PlaceGang(const JobPtr& job, QueueEntry& entry, SteadyTime now);
+  [[nodiscard]] bool MayPlace(const Job& job, const QueueEntry& entry, std::uint32_t count,
+                              SteadyTime now) const;
+  [[nodiscard]] bool IsReservedFor(const Job& job) const;
+  [[nodiscard]] std::vector<WorkerHandle> ExcludedFor(const Job& job, std::uint32_t task_index,
+                                                      SteadyTime now) const;
+  [[nodiscard]] bool KeepsOffReservation(const Job& job, SteadyTime now) const;
+  [[nodiscard]] std::optional<WorkerHandle> ChooseFor(const Job& job, std::uint32_t task_index,
+                                                      SteadyTime now) const;
+  void Start(const JobPtr& job, QueueEntry& entry, WorkerHandle worker, SteadyTime now);
+  void RefreshReservation(SteadyTime now);
+  void PlanReservation(const Job& job, const QueueEntry& entry, SteadyTime now);
+
+  // When and where a job could start (engine_reserve.cc).
+  [[nodiscard]] std::optional<Reservation> PlanStart(const Resources& size, std::uint32_t count,
+                                                     SteadyTime now) const;
+
+  // Room for urgent work (engine_preempt.cc).
+  void Preempt(SteadyTime now);
+  bool PreemptFor(const Job& job, std::vector<PreemptionCandidate>& candidates, SteadyTime now);
+  [[nodiscard]] std::vector<PreemptionCandidate> Candidates(SteadyTime now) const;
+  void ReleaseHolds(SteadyTime now);
+  void Reclaim(SteadyTime now);
+  void StopVictim(const TaskKey& task, Running& run, const char* reason);
+
+  EngineOptions options;
+  WorkerIndex index;
+  std::map<std::string, WorkerHandle> workers;
+  std::map<WorkerHandle, WorkerState> states;
+  Resources capacity;
+  std::uint32_t slots = 0;
+
+  std::unordered_map<std::string, JobPtr> jobs;
+  std::unordered_map<TaskKey, Running> running;
+  WaitingQueue queue;
+  std::size_t waiting_jobs = 0;
+  std::size_t urgent_waiting = 0;  ///< Tasks.
+  std::uint64_t next_sequence = 1;
+  std::uint64_t generation = 1;  ///< Of free room; a group without room waits for the next one.
+
+  FairShares shares;
+  Headroom headroom;
+  AdmissionControl short_gate;  ///< In front of the short lane.
+  AdmissionControl long_gate;   ///< In front of services, batch and long interactive work.
+  std::unordered_map<std::string, double> run_time_ratio;  ///< By class: actual to declared.
+
+  std::multimap<SteadyTime, Delayed> delayed;
+  std::set<std::pair<SteadyTime, std::string>> deadlines;  ///< Latest starts; may be out of date.
+  std::set<std::pair<SteadyTime, TaskKey>> overruns;
+  std::deque<TaskKey> interrupted_order;
+  std::map<WorkerHandle, Hold> holds;
+  std::optional<Reservation> reservation;
+  std::unordered_map<std::string, SteadyTime> starved_since;
+  SteadyTime last_refresh{};
+  SteadyTime last_reclaim{};
+  std::vector<Action> actions;
+};
+
+}  // namespace citronsill
--- /dev/null
+++ b/src/engine_tasks.cc
@@ -0,0 +1,274 @@
+#include "engine_state.h"
+
+namespace citronsill {
+namespace {
+
+// An interactive task counts as long when it has run for this many times its expected time, and at
+// least for the second figure: run times vary, and short ones more than long ones.
+constexpr int kOverrunFactor = 3;
+constexpr std::chrono::milliseconds kOverrunAtLeast{500};
+
+// Weight of the newest run time in a class's ratio, and the largest ratio that one sample adds: a
+// straggler of 50 times the length must not make its whole class look long.
+constexpr double kRatioWeight = 0.05;
+constexpr double kLargestRatio = 4.0;
+constexpr double kSmallestRatio = 0.05;
+
+// A start that a worker or the journal rejected is tried again after a delay that doubles, so that
+// an outage of minutes costs about one try a second.
+constexpr std::chrono::milliseconds kFirstRetryDelay{50};
+constexpr std::chrono::milliseconds kLongestRetryDelay{1000};
+
+// Workers that a task avoids after failures there; more would leave small cells without a choice.
+constexpr std::size_t kMaxExcluded = 8;
+
+std::chrono::milliseconds RetryDelay(std::uint32_t tries) {
+  const auto delay = kFirstRetryDelay * (1U << std::min(tries, 5U));
+  return std::min<std::chrono::milliseconds>(delay, kLongestRetryDelay);
+}
+
+}  // namespace
+
+void Engine::Impl::UpdateCapacity() {
+  capacity = {};
+  slots = 0;
+  for (const auto& [id, worker] : workers) {
+    capacity += index.Spec(worker).capacity;
+    slots += index.Spec(worker).slots;
+  }
+  shares.SetCapacity(capacity, slots);
+  headroom.SetCapacity(capacity, slots);
+  RoomChanged();
+}
+
+void Engine::Impl::Reserve(const JobPtr& job, const TaskKey& task, WorkerHandle worker,
+                           SteadyTime now) {
+  Running run;
+  run.job = job;
+  run.worker = worker;
+  run.size = job->spec.size;
+  run.team = job->spec.team;
+  run.started = now;
+  run.expected_end = now + job->run_time;
+  run.is_short = job->spec.policy == SchedulingPolicy::kInteractive &&
+                 job->run_time <= options.short_run_time;
+  index.Reserve(worker, run.size);
+  shares.Add(run.team, run.size, run.is_short);
+  if (run.is_short) {
+    headroom.AddShort(run.size);
+    run.overrun_at = now + std::max(kOverrunFactor * job->run_time, kOverrunAtLeast);
+    overruns.emplace(run.overrun_at, task);
+  } else {
+    headroom.AddLong(run.size);
+  }
+  states[worker].tasks.insert(task);
+  TaskKey& latest = job->running.try_emplace(task.index, task).first->second;
+  if (latest.attempt < task.attempt) latest = task;
+  running.emplace(task, std::move(run));
+}
+
+bool Engine::Impl::Release(const TaskKey& task) {
+  const auto found = running.find(task);
+  if (found == running.end()) return false;
+  const Running& run = found->second;
+  index.Release(run.worker, run.size);
+  shares.Remove(run.team, run.size, run.is_short);
+  if (run.is_short) {
+    headroom.RemoveShort(run.size);
+    overruns.erase({run.overrun_at, task});
+  } else {
+    headroom.RemoveLong(run.size);
+  }
+  states[run.worker].tasks.erase(task);
+  if (const auto one = run.job->running.find(task.index);
+      one != run.job->running.end() && one->second == task) {
+    run.job->running.erase(one);
+  }
+  running.erase(found);
+  RoomChanged();
+  return true;
+}
+
+void Engine::Impl::SetLong(Running& run) {
+  shares.Remove(run.team, run.size, true);
+  shares.Add(run.team, run.size, false);
+  headroom.RemoveShort(run.size);
+  headroom.AddLong(run.size);
+  run.is_short = false;
+}
+
+void Engine::Impl::FindOverruns(SteadyTime now) {
+  while (!overruns.empty() && overruns.begin()->first <= now) {
+    const TaskKey task = overruns.begin()->second;
+    overruns.erase(overruns.begin());
+    if (const auto found = running.find(task); found != running.end()) SetLong(found->second);
+  }
+}
+
+bool Engine::Impl::HasLaterAttempt(const Job& job, const TaskKey& task) {
+  if (job.waiting.contains(task.index)) return true;
+  const auto found = job.running.find(task.index);
+  return found != job.running.end() && found->second.attempt > task.attempt;
+}
+
+bool Engine::Impl::MayRetry(Job& job, const TaskKey& task, TaskOutcome outcome, bool preempted) {
+  if (job.closed || outcome == TaskOutcome::kSucceeded) return false;
+  Attempts& attempts = job.attempts[task.index];
+  if (outcome == TaskOutcome::kNotStarted) {
+    ++attempts.not_started;
+    return true;
+  }
+  if (!job.spec.idempotent) return false;
+  if (preempted && outcome == TaskOutcome::kStopped) return true;
+  ++attempts.failures;
+  return attempts.failures < job.spec.max_attempts;
+}
+
+void Engine::Impl::Retry(const JobPtr& job, const TaskKey& task, TaskOutcome outcome,
+                         SteadyTime now) {
+  const WaitingTask next{task.index, task.attempt + 1};
+  if (outcome != TaskOutcome::kNotStarted) return Enqueue(job, {next}, true, now);
+  if (job->waiting.empty()) ++waiting_jobs;
+  job->waiting.insert(task.index);
+  const std::uint32_t tries = job->attempts[task.index].not_started;
+  delayed.emplace(now + RetryDelay(tries), Delayed{job, next});
+}
+
+void Engine::Impl::LearnRunTime(const Running& run, SteadyTime now) {
+  const auto& spec = run.job->spec;
+  if (!run.job->is_known || spec.run_time.count() <= 0) return;
+  const auto actual = std::chrono::duration<double, std::milli>(now - run.started).count();
+  const double sample = std::clamp(actual / static_cast<double>(spec.run_time.count()),
+                                   kSmallestRatio, kLargestRatio);
+  double& ratio = run_time_ratio.try_emplace(spec.work_class, 1.0).first->second;
+  ratio += kRatioWeight * (sample - ratio);
+}
+
+bool Engine::Impl::EndRunning(const TaskKey& task, TaskOutcome outcome, SteadyTime now) {
+  const Running run = running.at(task);
+  if (outcome == TaskOutcome::kSucceeded) LearnRunTime(run, now);
+  if (outcome == TaskOutcome::kFailed) {
+    auto& excluded = run.job->attempts[task.index].excluded;
+    const std::string& worker = index.Spec(run.worker).id;
+    if (excluded.size() < kMaxExcluded && std::ranges::find(excluded, worker) == excluded.end()) {
+      excluded.push_back(worker);
+    }
+  }
+  Release(task);
+  const bool again = run.job->is_known && MayRetry(*run.job, task, outcome, run.preempted);
+  if (again) Retry(run.job, task, outcome, now);
+  ForgetIfDone(run.job);
+  return again;
+}
+
+bool Engine::Impl::EndInterrupted(const JobPtr& job, const TaskKey& task, TaskOutcome outcome,
+                                  SteadyTime now) {
+  if (outcome == TaskOutcome::kLost) return false;
+  job->interrupted.erase(task);
+  const bool again =
+      outcome == TaskOutcome::kNotStarted && MayRetry(*job, task, outcome, false);
+  if (again) Retry(job, task, outcome, now);
+  ForgetIfDone(job);
+  return again;
+}
+
+void Engine::Impl::Interrupt(const JobPtr& job, const TaskKey& task) {
+  job->interrupted.insert(task);
+  interrupted_order.push_back(task);
+  if (interrupted_order.size() <= options.max_waiting_jobs) return;
+  const TaskKey oldest = interrupted_order.front();
+  interrupted_order.pop_front();
+  if (const JobPtr old = FindJob(oldest.request_id)) {
+    old->interrupted.erase(oldest);
+    ForgetIfDone(old);
+  }
+}
+
+void Engine::PutWorker(const WorkerSpec& spec, SteadyTime) {
+  const WorkerHandle worker = m_impl->index.Put(spec);
+  m_impl->workers[spec.id] = worker;
+  m_impl->states.try_emplace(worker);
+  m_impl->UpdateCapacity();
+}
+
+std::vector<TaskKey> Engine::RemoveWorker(const std::string& id, SteadyTime now) {
+  const auto found = m_impl->workers.find(id);
+  if (found == m_impl->workers.end()) return {};
+  const WorkerHandle worker = found->second;
+  const auto& on_worker = m_impl->states[worker].tasks;
+  std::vector<TaskKey> tasks(on_worker.begin(), on_worker.end());
+  std::ranges::sort(tasks);
+  for (const TaskKey& task : tasks) {
+    const Impl::Running run = m_impl->running.at(task);
+    m_impl->Release(task);
+    if (run.job->is_known && !run.job->closed) m_impl->Interrupt(run.job, task);
+    m_impl->ForgetIfDone(run.job);
+  }
+  m_impl->holds.erase(worker);
+  m_impl->reservation.reset();
+  m_impl->states.erase(worker);
+  m_impl->index.Remove(worker);
+  m_impl->workers.erase(found);
+  m_impl->UpdateCapacity();
+  static_cast<void>(now);
+  return tasks;
+}
+
+void Engine::SetAccepting(const std::string& id, bool accepting, SteadyTime) {
+  const auto found = m_impl->workers.find(id);
+  if (found == m_impl->workers.end()) return;
+  Impl::WorkerState& state = m_impl->states[found->second];
+  if (state.accepting == accepting) return;
+  state.accepting = accepting;
+  m_impl->index.SetAccepting(found->second, accepting);
+  m_impl->RoomChanged();
+}
+
+void Engine::AdoptTask(const JobSpec& spec, const TaskKey& task, const std::string& worker,
+                       SteadyTime now) {
+  const auto found = m_impl->workers.find(worker);
+  if (found == m_impl->workers.end() || m_impl->running.contains(task)) return;
+  Impl::JobPtr job = m_impl->FindJob(task.request_id);
+  if (!job) {
+    job = std::make_shared<Impl::Job>();
+    m_impl->Describe(*job, spec);
+    // A job that is only known by its id and size is never started again or preempted.
+    job->is_known = !spec.work_class.empty();
+    job->spec.id = task.request_id;
+    m_impl->jobs[task.request_id] = job;
+  }
+  m_impl->RemoveWaiting(job, task.index, now);
+  job->interrupted.erase(task);
+  m_impl->Reserve(job, task, found->second, now);
+}
+
+void Engine::Requeue(const TaskKey& task, SteadyTime now) {
+  const Impl::JobPtr job = m_impl->FindJob(task.request_id);
+  if (!job || job->closed || !job->spec.idempotent || job->spec.exclusive) return;
+  if (job->interrupted.erase(task) == 0) return;
+  if (Impl::HasLaterAttempt(*job, task)) return;
+  m_impl->Enqueue(job, {{task.index, task.attempt + 1}}, true, now);
+}
+
+void Engine::OnStarted(const TaskKey&, SteadyTime) {}
+
+bool Engine::OnEnded(const TaskKey& task, TaskOutcome outcome, SteadyTime now) {
+  const Impl::JobPtr job = m_impl->FindJob(task.request_id);
+  const auto found = m_impl->running.find(task);
+  if (found == m_impl->running.end()) {
+    if (job && job->interrupted.contains(task)) {
+      return m_impl->EndInterrupted(job, task, outcome, now);
+    }
+    // The end was reported before.
+    return job && Impl::HasLaterAttempt(*job, task);
+  }
+  if (outcome == TaskOutcome::kLost) {
+    found->second.lost = true;
+    return false;
+  }
+  return m_impl->EndRunning(task, outcome, now);
+}
+
+void Engine::OnUsage(const TaskKey&, const Resources&, SteadyTime) {}
+
+}  // namespace citronsill
