Index workers by free capacity and choose among them

Workers are grouped into cells by free accelerators, free slots and 64 levels of free processors and memory, so that a choice reads bit masks instead of all workers. Batch and interactive tasks go to the worker with the least of the scarcest resource left; services are spread over failure domains and racks.

--- a/include/citronsill/placement.h
+++ b/include/citronsill/placement.h
@@ -38,18 +38,27 @@
   double cost = 0.0;  ///< Work that would be lost, in processor-seconds; lower is stopped first.
 };
 
-/// Not thread-safe. Every choice is deterministic.
+/// Work done by the choices so far; for bounds that do not depend on the clock.
+struct PlacementStats {
+  std::uint64_t choices = 0;           ///< Tasks for which a worker was sought.
+  std::uint64_t workers_examined = 0;  ///< Workers whose free capacity was compared with a task.
+  std::uint64_t cells_examined = 0;    ///< Groups of workers and racks that were looked at.
+};
+
+/// Not thread-safe. Every choice is deterministic: it depends only on the calls made before.
+/// @remarks Calls with a handle of a removed worker have no effect.
 class WorkerIndex {
  public:
   WorkerIndex();
   ~WorkerIndex();
 
+  /// Adds a worker, or changes the one with the same id; what is reserved on it stays.
   WorkerHandle Put(const WorkerSpec& spec);
   void Remove(WorkerHandle worker);
   [[nodiscard]] std::optional<WorkerHandle> Find(const std::string& id) const;
   [[nodiscard]] const WorkerSpec& Spec(WorkerHandle worker) const;
 
-  /// Workers that do not accept are never chosen.
+  /// Workers that do not accept are never chosen. A new worker accepts.
   void SetAccepting(WorkerHandle worker, bool accepting);
 
   /// @returns a worker with room for the task, or none. Reserves nothing.
@@ -78,6 +87,8 @@
   [[nodiscard]] std::vector<std::size_t> ChooseVictims(
       const Resources& size, std::span<const PreemptionCandidate> candidates) const;
 
+  [[nodiscard]] const PlacementStats& Stats() const;
+
  private:
   struct Impl;
   std::unique_ptr<Impl> m_impl;
--- /dev/null
+++ b/src/placement.cc
@@ -0,0 +1,772 @@
+#include "citronsill/placement.h"
+
+#include <algorithm>
+#include <array>
+#include <bit>
+#include <map>
+#include <tuple>
+#include <unordered_map>
+#include <utility>
+
+namespace citronsill {
+namespace {
+
+constexpr std::uint32_t kNone = UINT32_MAX;
+
+// Free processors and memory are indexed in this many steps of the largest capacity: the levels of
+// one resource fit into the bits of one word.
+constexpr std::uint32_t kLevels = 64;
+
+// Free slots are indexed exactly up to this number; plane 0 is the union of the others.
+constexpr std::uint32_t kSlotPlanes = 8;
+
+// Free accelerators are indexed exactly below this number. Tasks without accelerators take workers
+// of the lowest pool first, and so keep accelerators free.
+constexpr std::uint32_t kPools = 8;
+
+// Workers in cells at the edge of the need are compared one by one. After this many that do not
+// fit, the search goes on among cells of which every worker fits.
+constexpr std::uint32_t kMisfitBudget = 32;
+
+// All subsets of so many candidates on one worker are considered; of more, only the cheapest ones.
+constexpr std::size_t kMaxVictimCandidates = 16;
+
+constexpr std::uint64_t BitsFrom(std::uint32_t first) {
+  return first >= kLevels ? 0 : ~std::uint64_t{0} << first;
+}
+
+enum Axis : std::uint32_t { kProcessors = 0, kMemory = 1 };
+
+/// Place of a worker in the index.
+struct CellId {
+  std::uint8_t pool = 0;
+  std::uint8_t plane = 0;  ///< 0 when the worker is not in the index.
+  std::uint8_t processors = 0;
+  std::uint8_t memory = 0;
+  auto operator<=>(const CellId&) const = default;
+};
+
+/// Workers with the same number of free accelerators, grouped into cells by free slots and by
+/// levels of free processors and memory.
+class Grid {
+ public:
+  Grid() : m_heads(kSlotPlanes * kLevels * kLevels, kNone) {}
+
+  /// First worker of a cell.
+  std::uint32_t& Head(std::uint32_t plane, std::uint32_t processors, std::uint32_t memory) {
+    return m_heads[((plane - 1) * kLevels + processors) * kLevels + memory];
+  }
+
+  void MarkUsed(const CellId& cell) {
+    for (Plane* plane : {&m_planes[0], &m_planes[cell.plane]}) {
+      SetBit(*plane, kProcessors, cell.processors, cell.memory);
+      SetBit(*plane, kMemory, cell.memory, cell.processors);
+    }
+  }
+
+  void MarkEmpty(const CellId& cell) {
+    ClearCell(m_planes[cell.plane], cell);
+    std::uint64_t others = 0;
+    for (std::uint32_t plane = 1; plane <= kSlotPlanes; ++plane) {
+      others |= m_planes[plane].lines[kProcessors][cell.processors];
+    }
+    if ((others >> cell.memory & 1) == 0) ClearCell(m_planes[0], cell);
+  }
+
+  [[nodiscard]] bool IsEmpty(std::uint32_t plane) const {
+    return m_planes[plane].used[kProcessors] == 0;
+  }
+
+  /// Visits the used cells of a plane from the given levels up, in ascending order of the level of
+  /// `axis`, then of the other, until `visit` returns true.
+  template <class Visit>
+  void Walk(std::uint32_t plane, Axis axis, std::array<std::uint32_t, 2> from, Visit visit) const {
+    const Plane& p = m_planes[plane];
+    const std::uint64_t allowed = BitsFrom(from[1 - axis]);
+    for (std::uint64_t lines = p.used[axis] & BitsFrom(from[axis]); lines != 0;
+         lines &= lines - 1) {
+      const auto line = static_cast<std::uint32_t>(std::countr_zero(lines));
+      for (std::uint64_t bits = p.lines[axis][line] & allowed; bits != 0; bits &= bits - 1) {
+        const auto bit = static_cast<std::uint32_t>(std::countr_zero(bits));
+        if (axis == kProcessors ? visit(line, bit) : visit(bit, line)) return;
+      }
+    }
+  }
+
+ private:
+  struct Plane {
+    std::array<std::array<std::uint64_t, kLevels>, 2> lines{};
+    std::array<std::uint64_t, 2> used{};  ///< Lines that have a bit.
+  };
+
+  static void SetBit(Plane& plane, Axis axis, std::uint32_t line, std::uint32_t bit) {
+    plane.lines[axis][line] |= std::uint64_t{1} << bit;
+    plane.used[axis] |= std::uint64_t{1} << line;
+  }
+
+  static void ClearBit(Plane& plane, Axis axis, std::uint32_t line, std::uint32_t bit) {
+    plane.lines[axis][line] &= ~(std::uint64_t{1} << bit);
+    if (plane.lines[axis][line] == 0) plane.used[axis] &= ~(std::uint64_t{1} << line);
+  }
+
+  static void ClearCell(Plane& plane, const CellId& cell) {
+    ClearBit(plane, kProcessors, cell.processors, cell.memory);
+    ClearBit(plane, kMemory, cell.memory, cell.processors);
+  }
+
+  std::array<Plane, kSlotPlanes + 1> m_planes{};
+  std::vector<std::uint32_t> m_heads;
+};
+
+/// Monotonic map from an amount to a level.
+class Scale {
+ public:
+  void SetLargest(std::int64_t largest) {
+    m_levels_per_unit = kLevels / static_cast<double>(std::max<std::int64_t>(largest, 1));
+  }
+
+  /// Half a unit keeps amounts at the edge of a level from being rounded into the one below.
+  [[nodiscard]] std::uint32_t LevelOf(std::int64_t amount) const {
+    const double level = (static_cast<double>(amount) + 0.5) * m_levels_per_unit;
+    return level >= kLevels ? kLevels - 1 : static_cast<std::uint32_t>(level);
+  }
+
+  /// @returns the lowest level at which every amount covers `amount`.
+  [[nodiscard]] std::uint32_t CoveringLevel(std::int64_t amount) const {
+    const std::uint32_t level = LevelOf(amount);
+    return amount == 0 || LevelOf(amount - 1) < level ? level : level + 1;
+  }
+
+ private:
+  double m_levels_per_unit = kLevels;
+};
+
+struct Rack {
+  std::uint32_t domain = 0;
+  std::vector<std::uint32_t> workers;
+  std::uint32_t siblings = 0;  ///< Used during one choice only.
+  // Upper bounds of what accepting workers have free; computed when a service is placed.
+  bool stale = true;
+  Resources most_free;
+  std::int32_t most_slots = 0;
+};
+
+struct Domain {
+  std::vector<std::uint32_t> racks;
+  std::int64_t used_slots = 0;
+  std::uint32_t siblings = 0;  ///< Used during one choice only.
+};
+
+struct Totals {
+  Resources resources;
+  std::int64_t slots = 0;
+
+  void Add(const Resources& size, std::int64_t more_slots) {
+    resources += size;
+    slots += more_slots;
+  }
+  void Subtract(const Resources& size, std::int64_t fewer_slots) {
+    resources -= size;
+    slots -= fewer_slots;
+  }
+};
+
+double UsedFraction(std::int64_t used, std::int64_t capacity) {
+  return capacity <= 0 ? 0.0 : static_cast<double>(used) / static_cast<double>(capacity);
+}
+
+std::string FormatProcessors(std::int64_t milli) {
+  std::string text = std::to_string(milli / 1000);
+  if (milli % 1000 != 0) {
+    std::string fraction = std::to_string(1000 + milli % 1000).substr(1);
+    fraction.erase(fraction.find_last_not_of('0') + 1);
+    text += "." + fraction;
+  }
+  return text + " processors";
+}
+
+std::string FormatMemory(std::int64_t mb) { return std::to_string(mb) + " MiB of memory"; }
+
+std::string FormatAccelerators(std::int64_t count) {
+  return std::to_string(count) + " accelerators";
+}
+
+std::string FormatSize(const Resources& size) {
+  return FormatProcessors(size.processors_milli) + ", " + FormatMemory(size.memory_mb) + " and " +
+         FormatAccelerators(size.accelerators);
+}
+
+/// Finds the cheapest set of candidates of one worker by depth-first search, cheapest first.
+class VictimSearch {
+ public:
+  VictimSearch(const Resources& size, std::span<const PreemptionCandidate> candidates)
+      : m_size(size), m_candidates(candidates) {}
+
+  /// @param indexes of candidates on one worker.
+  /// @param free and free_slots of that worker; negative when it is overcommitted.
+  void Try(std::vector<std::size_t> indexes, const Resources& free, std::int32_t free_slots) {
+    std::sort(indexes.begin(), indexes.end(), [this](std::size_t a, std::size_t b) {
+      return std::pair(m_candidates[a].cost, a) < std::pair(m_candidates[b].cost, b);
+    });
+    if (indexes.size() > kMaxVictimCandidates) indexes.resize(kMaxVictimCandidates);
+    m_indexes = std::move(indexes);
+    m_chosen.clear();
+    Descend(0, free, free_slots, 0.0);
+  }
+
+  [[nodiscard]] const std::vector<std::size_t>& Best() const { return m_best; }
+
+ private:
+  void Descend(std::size_t next, const Resources& free, std::int32_t free_slots, double cost) {
+    if (!m_best.empty() && !IsBetter(cost)) return;
+    if (free_slots > 0 && !m_chosen.empty() && free.Covers(m_size)) {
+      m_best = m_chosen;
+      m_best_cost = cost;
+      return;
+    }
+    for (std::size_t i = next; i < m_indexes.size(); ++i) {
+      const PreemptionCandidate& candidate = m_candidates[m_indexes[i]];
+      Resources more = free;
+      more += candidate.size;
+      m_chosen.push_back(m_indexes[i]);
+      Descend(i + 1, more, free_slots + 1, cost + candidate.cost);
+      m_chosen.pop_back();
+    }
+  }
+
+  [[nodiscard]] bool IsBetter(double cost) const {
+    return std::pair(cost, m_chosen.size()) < std::pair(m_best_cost, m_best.size());
+  }
+
+  Resources m_size;
+  std::span<const PreemptionCandidate> m_candidates;
+  std::vector<std::size_t> m_indexes;
+  std::vector<std::size_t> m_chosen;
+  std::vector<std::size_t> m_best;
+  double m_best_cost = 0.0;
+};
+
+}  // namespace
+
+struct WorkerIndex::Impl {
+  /// What choices read of a worker; one cache line.
+  struct alignas(64) Worker {
+    Resources free;
+    std::int32_t free_slots = 0;
+    std::uint32_t next = kNone;  ///< In the list of the cell.
+    std::uint32_t previous = kNone;
+    std::uint32_t rack = 0;
+    std::uint64_t excluded_by = 0;  ///< Number of the last choice that excludes the worker.
+    std::uint32_t siblings = 0;     ///< Used during one choice only.
+    CellId cell;
+    bool accepting = true;
+    bool known = false;
+  };
+
+  std::vector<Worker> workers;
+  std::vector<WorkerSpec> specs;
+  std::vector<std::uint32_t> unused;
+  std::unordered_map<std::string, std::uint32_t> handles;
+  std::array<std::unique_ptr<Grid>, kPools> grids;
+  std::array<Scale, 2> scales;
+  std::vector<Rack> racks;
+  std::vector<Domain> domains;
+  std::map<std::pair<std::string, std::string>, std::uint32_t> rack_numbers;
+  std::map<std::string, std::uint32_t> domain_numbers;
+  std::map<Resources, std::uint32_t> shapes;  ///< Capacities of workers with slots.
+  Resources largest;                          ///< In each dimension, of all workers ever known.
+  Totals capacity;
+  Totals used;
+  std::uint64_t choice = 0;
+  PlacementStats stats;
+
+  [[nodiscard]] bool IsKnown(WorkerHandle worker) const {
+    return worker.value < workers.size() && workers[worker.value].known;
+  }
+
+  // --- Changes of workers ---
+
+  std::uint32_t NewHandle() {
+    if (unused.empty()) {
+      workers.emplace_back();
+      specs.emplace_back();
+      return static_cast<std::uint32_t>(workers.size() - 1);
+    }
+    const std::uint32_t handle = unused.back();
+    unused.pop_back();
+    workers[handle] = Worker{};
+    return handle;
+  }
+
+  std::uint32_t DomainNumber(const std::string& name) {
+    const auto [entry, added] =
+        domain_numbers.try_emplace(name, static_cast<std::uint32_t>(domains.size()));
+    if (added) domains.emplace_back();
+    return entry->second;
+  }
+
+  std::uint32_t RackNumber(const WorkerSpec& spec) {
+    const auto [entry, added] = rack_numbers.try_emplace({spec.failure_domain, spec.rack},
+                                                         static_cast<std::uint32_t>(racks.size()));
+    if (added) {
+      const std::uint32_t domain = DomainNumber(spec.failure_domain);
+      racks.emplace_back().domain = domain;
+      domains[domain].racks.push_back(entry->second);
+    }
+    return entry->second;
+  }
+
+  /// Adds the capacity of a known worker to what is counted over all workers.
+  void Attach(std::uint32_t handle, const WorkerSpec& spec) {
+    Worker& worker = workers[handle];
+    worker.free += spec.capacity;
+    worker.free_slots += static_cast<std::int32_t>(spec.slots);
+    worker.rack = RackNumber(spec);
+    racks[worker.rack].workers.push_back(handle);
+    racks[worker.rack].stale = true;
+    domains[racks[worker.rack].domain].used_slots += UsedSlots(worker, spec);
+    capacity.Add(spec.capacity, spec.slots);
+    if (spec.slots > 0) ++shapes[spec.capacity];
+    specs[handle] = spec;
+    Enlarge(spec.capacity);
+    PutIntoCell(handle);
+  }
+
+  /// Reverts `Attach`: what stays is the negative of the reserved room.
+  void Detach(std::uint32_t handle) {
+    Worker& worker = workers[handle];
+    const WorkerSpec& spec = specs[handle];
+    TakeFromCell(handle);
+    Rack& rack = racks[worker.rack];
+    std::erase(rack.workers, handle);
+    rack.stale = true;
+    domains[rack.domain].used_slots -= UsedSlots(worker, spec);
+    capacity.Subtract(spec.capacity, spec.slots);
+    if (const auto shape = shapes.find(spec.capacity);
+        shape != shapes.end() && spec.slots > 0 && --shape->second == 0) {
+      shapes.erase(shape);
+    }
+    worker.free -= spec.capacity;
+    worker.free_slots -= static_cast<std::int32_t>(spec.slots);
+  }
+
+  static std::int64_t UsedSlots(const Worker& worker, const WorkerSpec& spec) {
+    return static_cast<std::int64_t>(spec.slots) - worker.free_slots;
+  }
+
+  /// Levels are steps of the largest capacity; a larger one moves all workers.
+  void Enlarge(const Resources& size) {
+    if (size.processors_milli <= largest.processors_milli && size.memory_mb <= largest.memory_mb) {
+      return;
+    }
+    for (std::uint32_t handle = 0; handle < workers.size(); ++handle) TakeFromCell(handle);
+    largest.processors_milli = std::max(largest.processors_milli, size.processors_milli);
+    largest.memory_mb = std::max(largest.memory_mb, size.memory_mb);
+    scales[kProcessors].SetLargest(largest.processors_milli);
+    scales[kMemory].SetLargest(largest.memory_mb);
+    for (std::uint32_t handle = 0; handle < workers.size(); ++handle) PutIntoCell(handle);
+  }
+
+  // --- Cells ---
+
+  [[nodiscard]] CellId CellOf(const Worker& worker) const {
+    CellId cell;
+    if (!worker.known || !worker.accepting || worker.free_slots <= 0 ||
+        !worker.free.Covers(Resources{})) {
+      return cell;
+    }
+    const auto pool = std::min<std::int64_t>(worker.free.accelerators, kPools - 1);
+    cell.pool = static_cast<std::uint8_t>(pool);
+    cell.plane = static_cast<std::uint8_t>(
+        std::min<std::uint32_t>(static_cast<std::uint32_t>(worker.free_slots), kSlotPlanes));
+    cell.processors =
+        static_cast<std::uint8_t>(scales[kProcessors].LevelOf(worker.free.processors_milli));
+    cell.memory = static_cast<std::uint8_t>(scales[kMemory].LevelOf(worker.free.memory_mb));
+    return cell;
+  }
+
+  void PutIntoCell(std::uint32_t handle) {
+    Worker& worker = workers[handle];
+    const CellId cell = CellOf(worker);
+    if (cell.plane == 0) return;
+    worker.cell = cell;
+    if (!grids[cell.pool]) grids[cell.pool] = std::make_unique<Grid>();
+    Grid& grid = *grids[cell.pool];
+    std::uint32_t& head = grid.Head(cell.plane, cell.processors, cell.memory);
+    worker.previous = kNone;
+    worker.next = head;
+    if (head == kNone) {
+      grid.MarkUsed(cell);
+    } else {
+      workers[head].previous = handle;
+    }
+    head = handle;
+  }
+
+  void TakeFromCell(std::uint32_t handle) {
+    Worker& worker = workers[handle];
+    if (worker.cell.plane == 0) return;
+    if (worker.next != kNone) workers[worker.next].previous = worker.previous;
+    if (worker.previous != kNone) {
+      workers[worker.previous].next = worker.next;
+    } else {
+      Grid& grid = *grids[worker.cell.pool];
+      grid.Head(worker.cell.plane, worker.cell.processors, worker.cell.memory) = worker.next;
+      if (worker.next == kNone) grid.MarkEmpty(worker.cell);
+    }
+    worker.cell = CellId{};
+  }
+
+  void MoveToCell(std::uint32_t handle) {
+    if (workers[handle].cell == CellOf(workers[handle])) return;
+    TakeFromCell(handle);
+    PutIntoCell(handle);
+  }
+
+  // --- Room ---
+
+  void Reserve(std::uint32_t handle, const Resources& size) {
+    Worker& worker = workers[handle];
+    worker.free -= size;
+    --worker.free_slots;
+    used.Add(size, 1);
+    NoteChange(worker, 1);
+    MoveToCell(handle);
+  }
+
+  void Release(std::uint32_t handle, const Resources& size) {
+    Worker& worker = workers[handle];
+    worker.free += size;
+    ++worker.free_slots;
+    used.Subtract(size, 1);
+    NoteChange(worker, -1);
+    MoveToCell(handle);
+  }
+
+  void NoteChange(const Worker& worker, std::int64_t slots) {
+    Rack& rack = racks[worker.rack];
+    rack.stale = true;
+    domains[rack.domain].used_slots += slots;
+  }
+
+  [[nodiscard]] bool Fits(const Worker& worker, const Resources& size) const {
+    return worker.accepting && worker.free_slots > 0 && worker.free.Covers(size) &&
+           worker.excluded_by != choice;
+  }
+
+  // --- Choices ---
+
+  /// Order in which a choice prefers workers: those with the least of the scarcest resource first.
+  struct Order {
+    bool slots_first = false;
+    Axis axis = kProcessors;
+  };
+
+  [[nodiscard]] Order OrderByScarcity() const {
+    const double processors =
+        UsedFraction(used.resources.processors_milli, capacity.resources.processors_milli);
+    const double memory = UsedFraction(used.resources.memory_mb, capacity.resources.memory_mb);
+    const double slots = UsedFraction(used.slots, capacity.slots);
+    Order order;
+    order.axis = memory > processors ? kMemory : kProcessors;
+    order.slots_first = slots > std::max(processors, memory);
+    return order;
+  }
+
+  /// Starts a choice from which `excluded` are left out.
+  void Begin(std::span<const WorkerHandle> excluded) {
+    ++choice;
+    ++stats.choices;
+    for (const WorkerHandle worker : excluded) {
+      if (IsKnown(worker)) workers[worker.value].excluded_by = choice;
+    }
+  }
+
+  [[nodiscard]] std::uint32_t Choose(const PlacementQuery& query) {
+    Begin(query.excluded);
+    return query.policy == SchedulingPolicy::kService ? ChooseSpread(query)
+                                                      : ChoosePacked(query.size);
+  }
+
+  [[nodiscard]] std::uint32_t ChoosePacked(const Resources& size) {
+    const Order order = OrderByScarcity();
+    const auto first = std::clamp<std::int64_t>(size.accelerators, 0, kPools - 1);
+    for (auto pool = static_cast<std::uint32_t>(first); pool < kPools; ++pool) {
+      if (!grids[pool] || grids[pool]->IsEmpty(0)) continue;
+      if (const std::uint32_t found = SearchPool(*grids[pool], order, size); found != kNone) {
+        return found;
+      }
+    }
+    return kNone;
+  }
+
+  [[nodiscard]] std::uint32_t SearchPool(Grid& grid, Order order, const Resources& size) {
+    const std::array<std::uint32_t, 2> edge = {scales[kProcessors].LevelOf(size.processors_milli),
+                                               scales[kMemory].LevelOf(size.memory_mb)};
+    const std::array<std::uint32_t, 2> covering = {
+        scales[kProcessors].CoveringLevel(size.processors_milli),
+        scales[kMemory].CoveringLevel(size.memory_mb)};
+    std::uint32_t budget = kMisfitBudget;
+    if (const std::uint32_t found = Search(grid, order, size, edge, budget);
+        found != kNone || budget > 0) {
+      return found;
+    }
+    budget = UINT32_MAX;
+    if (const std::uint32_t found = Search(grid, order, size, covering, budget); found != kNone) {
+      return found;
+    }
+    return Search(grid, order, size, edge, budget);
+  }
+
+  /// @param from lowest levels to look at.
+  /// @param budget number of workers that may turn out not to fit; 0 when it was used up.
+  [[nodiscard]] std::uint32_t Search(Grid& grid, Order order, const Resources& size,
+                                     std::array<std::uint32_t, 2> from, std::uint32_t& budget) {
+    std::uint32_t found = kNone;
+    const std::uint32_t first = order.slots_first ? 1 : 0;
+    const std::uint32_t last = order.slots_first ? kSlotPlanes : 0;
+    for (std::uint32_t plane = first; plane <= last && found == kNone && budget > 0; ++plane) {
+      if (grid.IsEmpty(plane)) continue;
+      grid.Walk(plane, order.axis, from, [&](std::uint32_t processors, std::uint32_t memory) {
+        found = plane == 0 ? SearchColumn(grid, processors, memory, size, budget)
+                           : SearchCell(grid.Head(plane, processors, memory), size, budget);
+        return found != kNone || budget == 0;
+      });
+    }
+    return found;
+  }
+
+  /// Looks at the cells of all numbers of free slots, the lowest first.
+  [[nodiscard]] std::uint32_t SearchColumn(Grid& grid, std::uint32_t processors,
+                                           std::uint32_t memory, const Resources& size,
+                                           std::uint32_t& budget) {
+    for (std::uint32_t plane = 1; plane <= kSlotPlanes && budget > 0; ++plane) {
+      const std::uint32_t head = grid.Head(plane, processors, memory);
+      if (head == kNone) continue;
+      if (const std::uint32_t found = SearchCell(head, size, budget); found != kNone) return found;
+    }
+    return kNone;
+  }
+
+  [[nodiscard]] std::uint32_t SearchCell(std::uint32_t head, const Resources& size,
+                                         std::uint32_t& budget) {
+    ++stats.cells_examined;
+    for (std::uint32_t handle = head; handle != kNone && budget > 0;
+         handle = workers[handle].next) {
+      ++stats.workers_examined;
+      if (Fits(workers[handle], size)) return handle;
+      --budget;
+    }
+    return kNone;
+  }
+
+  // --- Services ---
+
+  void CountSiblings(std::span<const WorkerHandle> siblings, std::uint32_t change) {
+    for (const WorkerHandle sibling : siblings) {
+      if (!IsKnown(sibling)) continue;
+      Worker& worker = workers[sibling.value];
+      worker.siblings += change;
+      racks[worker.rack].siblings += change;
+      domains[racks[worker.rack].domain].siblings += change;
+    }
+  }
+
+  [[nodiscard]] std::uint32_t ChooseSpread(const PlacementQuery& query) {
+    CountSiblings(query.siblings, 1);
+    std::vector<std::uint32_t> order(domains.size());
+    for (std::uint32_t i = 0; i < order.size(); ++i) order[i] = i;
+    std::sort(order.begin(), order.end(), [this](std::uint32_t a, std::uint32_t b) {
+      return std::tuple(domains[a].siblings, domains[a].used_slots, a) <
+             std::tuple(domains[b].siblings, domains[b].used_slots, b);
+    });
+    std::uint32_t found = kNone;
+    for (const std::uint32_t domain : order) {
+      found = ChooseInDomain(domains[domain], query.size);
+      if (found != kNone) break;
+    }
+    CountSiblings(query.siblings, UINT32_MAX);  // Wraps around: subtracts one.
+    return found;
+  }
+
+  [[nodiscard]] std::uint32_t ChooseInDomain(const Domain& domain, const Resources& size) {
+    for (std::uint32_t siblings = 0; siblings != kNone;) {
+      std::uint32_t more = kNone;
+      for (const std::uint32_t number : domain.racks) {
+        Rack& rack = racks[number];
+        if (rack.siblings > siblings) more = std::min(more, rack.siblings);
+        if (rack.siblings != siblings) continue;
+        if (const std::uint32_t found = ChooseInRack(rack, size); found != kNone) return found;
+      }
+      siblings = more;
+    }
+    return kNone;
+  }
+
+  [[nodiscard]] std::uint32_t ChooseInRack(Rack& rack, const Resources& size) {
+    if (rack.stale) Refresh(rack);
+    ++stats.cells_examined;
+    if (rack.most_slots <= 0 || !rack.most_free.Covers(size)) return kNone;
+    std::uint32_t best = kNone;
+    for (const std::uint32_t handle : rack.workers) {
+      ++stats.workers_examined;
+      if (!Fits(workers[handle], size)) continue;
+      if (best == kNone || SpreadKey(handle) < SpreadKey(best)) best = handle;
+    }
+    return best;
+  }
+
+  [[nodiscard]] std::tuple<std::uint32_t, std::int64_t, std::int64_t> SpreadKey(
+      std::uint32_t handle) const {
+    const Worker& worker = workers[handle];
+    return {worker.siblings, worker.free.processors_milli, worker.free.memory_mb};
+  }
+
+  void Refresh(Rack& rack) {
+    rack.most_free = Resources{-1, -1, -1};
+    rack.most_slots = 0;
+    for (const std::uint32_t handle : rack.workers) {
+      const Worker& worker = workers[handle];
+      if (!worker.accepting) continue;
+      rack.most_slots = std::max(rack.most_slots, worker.free_slots);
+      Resources& most = rack.most_free;
+      most.processors_milli = std::max(most.processors_milli, worker.free.processors_milli);
+      most.memory_mb = std::max(most.memory_mb, worker.free.memory_mb);
+      most.accelerators = std::max(most.accelerators, worker.free.accelerators);
+    }
+    rack.stale = false;
+  }
+};
+
+WorkerIndex::WorkerIndex() : m_impl(std::make_unique<Impl>()) {}
+
+WorkerIndex::~WorkerIndex() = default;
+
+WorkerHandle WorkerIndex::Put(const WorkerSpec& spec) {
+  const auto found = m_impl->handles.find(spec.id);
+  if (found != m_impl->handles.end()) {
+    m_impl->Detach(found->second);
+    m_impl->Attach(found->second, spec);
+    return WorkerHandle{found->second};
+  }
+  const std::uint32_t handle = m_impl->NewHandle();
+  m_impl->handles.emplace(spec.id, handle);
+  m_impl->workers[handle].known = true;
+  m_impl->Attach(handle, spec);
+  return WorkerHandle{handle};
+}
+
+void WorkerIndex::Remove(WorkerHandle worker) {
+  if (!m_impl->IsKnown(worker)) return;
+  m_impl->Detach(worker.value);
+  Impl::Worker& entry = m_impl->workers[worker.value];
+  // What remains is the negative of the reserved room.
+  m_impl->used.resources += entry.free;
+  m_impl->used.slots += entry.free_slots;
+  entry.known = false;
+  m_impl->handles.erase(m_impl->specs[worker.value].id);
+  m_impl->unused.push_back(worker.value);
+}
+
+std::optional<WorkerHandle> WorkerIndex::Find(const std::string& id) const {
+  const auto found = m_impl->handles.find(id);
+  if (found == m_impl->handles.end()) return std::nullopt;
+  return WorkerHandle{found->second};
+}
+
+const WorkerSpec& WorkerIndex::Spec(WorkerHandle worker) const {
+  return m_impl->specs.at(worker.value);
+}
+
+void WorkerIndex::SetAccepting(WorkerHandle worker, bool accepting) {
+  if (!m_impl->IsKnown(worker)) return;
+  m_impl->workers[worker.value].accepting = accepting;
+  m_impl->racks[m_impl->workers[worker.value].rack].stale = true;
+  m_impl->MoveToCell(worker.value);
+}
+
+std::optional<WorkerHandle> WorkerIndex::Choose(const PlacementQuery& query) const {
+  const std::uint32_t found = m_impl->Choose(query);
+  if (found == kNone) return std::nullopt;
+  return WorkerHandle{found};
+}
+
+std::vector<WorkerHandle> WorkerIndex::ChooseGang(const PlacementQuery& query,
+                                                  std::uint32_t count) const {
+  // Tasks are reserved one after another and released again. As all have the same size, a failure
+  // to place one means that they do not all fit.
+  std::vector<WorkerHandle> chosen;
+  std::vector<WorkerHandle> siblings(query.siblings.begin(), query.siblings.end());
+  PlacementQuery next = query;
+  while (chosen.size() < count) {
+    next.siblings = siblings;
+    const std::uint32_t found = m_impl->Choose(next);
+    if (found == kNone) break;
+    m_impl->Reserve(found, query.size);
+    chosen.push_back(WorkerHandle{found});
+    siblings.push_back(WorkerHandle{found});
+  }
+  for (auto worker = chosen.rbegin(); worker != chosen.rend(); ++worker) {
+    m_impl->Release(worker->value, query.size);
+  }
+  if (chosen.size() < count) chosen.clear();
+  return chosen;
+}
+
+void WorkerIndex::Reserve(WorkerHandle worker, const Resources& size) {
+  if (m_impl->IsKnown(worker)) m_impl->Reserve(worker.value, size);
+}
+
+void WorkerIndex::Release(WorkerHandle worker, const Resources& size) {
+  if (m_impl->IsKnown(worker)) m_impl->Release(worker.value, size);
+}
+
+Resources WorkerIndex::Free(WorkerHandle worker) const {
+  return m_impl->IsKnown(worker) ? m_impl->workers[worker.value].free : Resources{};
+}
+
+std::uint32_t WorkerIndex::FreeSlots(WorkerHandle worker) const {
+  if (!m_impl->IsKnown(worker)) return 0;
+  return static_cast<std::uint32_t>(std::max(m_impl->workers[worker.value].free_slots, 0));
+}
+
+std::string WorkerIndex::WhyNever(const Resources& size) const {
+  Resources most;
+  for (const auto& [shape, count] : m_impl->shapes) {
+    if (shape.Covers(size)) return {};
+    most.processors_milli = std::max(most.processors_milli, shape.processors_milli);
+    most.memory_mb = std::max(most.memory_mb, shape.memory_mb);
+    most.accelerators = std::max(most.accelerators, shape.accelerators);
+  }
+  if (m_impl->shapes.empty()) return "no worker with slots is known";
+  std::string reason;
+  const auto compare = [&reason](std::int64_t needed, std::int64_t available, auto format) {
+    if (needed <= available) return;
+    if (!reason.empty()) reason += "; ";
+    reason += "needs " + format(needed) + ", the most of any worker is " + format(available);
+  };
+  compare(size.processors_milli, most.processors_milli, FormatProcessors);
+  compare(size.memory_mb, most.memory_mb, FormatMemory);
+  compare(size.accelerators, most.accelerators, FormatAccelerators);
+  return reason.empty() ? "no single worker has " + FormatSize(size) : reason;
+}
+
+std::vector<std::size_t> WorkerIndex::ChooseVictims(
+    const Resources& size, std::span<const PreemptionCandidate> candidates) const {
+  std::map<std::uint32_t, std::vector<std::size_t>> by_worker;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const WorkerHandle worker = candidates[i].worker;
+    if (!m_impl->IsKnown(worker) || !m_impl->workers[worker.value].accepting) continue;
+    by_worker[worker.value].push_back(i);
+  }
+  VictimSearch search(size, candidates);
+  for (auto& [handle, indexes] : by_worker) {
+    const Impl::Worker& worker = m_impl->workers[handle];
+    search.Try(std::move(indexes), worker.free, worker.free_slots);
+  }
+  return search.Best();
+}
+
+const PlacementStats& WorkerIndex::Stats() const { return m_impl->stats; }
+
+}  // namespace citronsill
