Count the room for short work in places for whole tasks

Cause: the room was summed for each resource by itself. Now the room is the number of short tasks of the usual size that fit into what the workers have free, kept up to date for each worker. A team may queue as many jobs as the queue has places left: one team's 60,000 jobs had filled the queue and got the jobs of all other teams refused.

--- a/bench/policy_cases.h
+++ b/bench/policy_cases.h
@@ -308,14 +308,13 @@
   AddWorkers(cell, model);
   Source source(model, seed);
   const Ms end(150000);
-  const double cores = static_cast<double>(cell.capacity.processors_milli) / 1000.0 * cell.workers;
   for (int team = 0; team < kTeams; ++team) {
     Kind kind{"fair", SchedulingPolicy::kBatch, {1000, 1024, 0}, Ms(10000)};
     if (team % 2 == 1) {
       kind.size = {1000, cell.capacity.memory_mb / 8, 0};
     }
-    // Enough for the whole time even if the team had a quarter of the cell.
-    const int jobs = static_cast<int>(cores * 15 / 4) * (team == 0 ? 10 : 1);
+    // More than a team's share of the slots does in the whole time.
+    const int jobs = team == 0 ? 8000 : 300;
     for (int i = 0; i < jobs; ++i) {
       Arrival arrival = source.Make(kind, Ms(team == 0 ? 0 : 100));
       arrival.spec.team = "team-" + std::to_string(team);
--- a/include/citronsill/headroom.h
+++ b/include/citronsill/headroom.h
@@ -1,58 +1,76 @@
 /// Room that long work leaves free for short work, sized from the observed load.
 #pragma once
 
-#include <array>
 #include <cstdint>
+#include <map>
 
+#include "citronsill/placement.h"
 #include "citronsill/types.h"
 
 namespace citronsill {
 
-/// Sizes the room from the mean and the spread of what short work uses. Not thread-safe.
+/// Counts places: how many short tasks of the usual size fit into what each worker has free. Free
+/// slots on one worker and free processors on another make no place, so that sums over the cell
+/// would not do. Not thread-safe.
 class Headroom {
  public:
-  void SetCapacity(const Resources& capacity, std::uint32_t slots);
+  /// Sets the capacity of a worker, and what it has free; a worker that does not accept has no
+  /// places.
+  void SetWorker(WorkerHandle worker, const WorkerSpec& spec);
+  void SetFree(WorkerHandle worker, const Resources& free, std::uint32_t free_slots,
+               bool accepting);
+  void RemoveWorker(WorkerHandle worker);
 
-  /// A task starts or ends, or changes from short to long because it overran its estimate.
-  void AddShort(const Resources& size) { Apply(m_short, size, 1.0); }
-  void RemoveShort(const Resources& size) { Apply(m_short, size, -1.0); }
-  void AddLong(const Resources& size) { Apply(m_long, size, 1.0); }
-  void RemoveLong(const Resources& size) { Apply(m_long, size, -1.0); }
+  /// A short task starts or ends, or changes to long because it overran its estimate.
+  void AddShort(const Resources& size);
+  void RemoveShort() { --m_short; }
 
   /// Short tasks that wait count as load too.
-  void AddWaiting(const Resources& size, std::size_t count) {
-    Apply(m_waiting, size, static_cast<double>(count));
-  }
-  void RemoveWaiting(const Resources& size, std::size_t count) {
-    Apply(m_waiting, size, -static_cast<double>(count));
-  }
+  void AddWaiting(std::size_t count) { m_waiting += static_cast<std::int64_t>(count); }
+  void RemoveWaiting(std::size_t count) { m_waiting -= static_cast<std::int64_t>(count); }
 
   /// Takes a sample of the load. To be called whenever decisions are made.
   void Observe(SteadyTime now);
 
-  /// @returns whether `count` more long tasks of this size leave enough room for short work.
-  [[nodiscard]] bool AllowsLong(const Resources& size, std::uint32_t count) const;
+  /// @returns how many places `count` more tasks of this size take on the worker.
+  [[nodiscard]] std::int64_t PlacesTaken(WorkerHandle worker, const Resources& size,
+                                         std::uint32_t count) const;
+
+  /// @returns whether long work may take this many places.
+  [[nodiscard]] bool Allows(std::int64_t places) const;
 
   /// @returns whether long work holds more than it may, because the load of short work grew.
-  [[nodiscard]] bool IsExceeded() const;
+  [[nodiscard]] bool IsExceeded() const { return !Allows(0); }
 
-  /// @returns the part of the cell, 0 to 1, that long work holds of its most used resource.
-  [[nodiscard]] double LongShare() const;
+  /// @returns the part of all places, 0 to 1, that short work has or can get.
+  [[nodiscard]] double ShortPart() const;
 
  private:
-  static constexpr std::size_t kDimensions = 4;  // Processors, memory, accelerators, slots.
-  using Amounts = std::array<double, kDimensions>;
-
-  static Amounts ToAmounts(const Resources& size);
-  static void Apply(Amounts& amounts, const Resources& size, double count);
-
-  Amounts m_capacity{};
-  Amounts m_short{};
-  Amounts m_waiting{};
-  Amounts m_long{};
-  Amounts m_mean{};
-  Amounts m_square{};
-  Amounts m_reserve{};
+  struct Worker {
+    Resources capacity;
+    std::uint32_t slots = 0;
+    Resources free;
+    std::uint32_t free_slots = 0;
+    bool accepting = true;
+    std::int64_t free_places = 0;
+    std::int64_t all_places = 0;
+  };
+
+  [[nodiscard]] std::int64_t PlacesIn(const Resources& free, std::int64_t free_slots) const;
+  void Count(Worker& worker);
+  void CountAll();
+
+  std::map<WorkerHandle, Worker> m_workers;
+  std::int64_t m_free = 0;  // Places.
+  std::int64_t m_all = 0;   // Places of the empty cell.
+  std::int64_t m_short = 0;
+  std::int64_t m_waiting = 0;
+  double m_mean = 0.0;
+  double m_square = 0.0;
+  double m_reserve = 0.0;
+  double m_mean_processors = 1000.0;
+  double m_mean_memory = 512.0;
+  Resources m_usual{1000, 512, 0};  // Size of a short task, for which the places are counted.
   SteadyTime m_last{};
   bool m_observed = false;
 };
--- a/src/engine.cc
+++ b/src/engine.cc
@@ -13,6 +13,10 @@
 
 constexpr std::chrono::milliseconds kFullQueueRetry{1000};
 
+// A team may have as many jobs waiting as the queue has places left, so that one team fills half of
+// it at most, and always this part of the queue, whatever the others have.
+constexpr std::size_t kGuaranteedPart = 64;
+
 AdmissionOptions ShortGate(const EngineOptions& options) {
   AdmissionOptions gate;
   gate.max_queue_wait = options.max_queue_wait;
@@ -77,8 +81,27 @@
   }
 }
 
+bool Engine::Impl::IsQueueFull(const std::string& team) const {
+  const std::size_t limit = options.max_waiting_jobs;
+  const auto found = waiting_by_team.find(team);
+  const std::size_t own = found == waiting_by_team.end() ? 0 : found->second;
+  if (own < limit / kGuaranteedPart) return false;
+  return own >= limit - std::min(limit, waiting_jobs);
+}
+
+void Engine::Impl::BeginWaiting(const Job& job) {
+  ++waiting_jobs;
+  ++waiting_by_team[job.spec.team];
+}
+
+void Engine::Impl::EndWaiting(const Job& job) {
+  --waiting_jobs;
+  const auto found = waiting_by_team.find(job.spec.team);
+  if (--found->second == 0) waiting_by_team.erase(found);
+}
+
 Admission Engine::Impl::Check(const JobSpec& spec, SteadyTime now) {
-  if (waiting_jobs >= options.max_waiting_jobs) {
+  if (IsQueueFull(spec.team)) {
     return {schema::CODE_OVERLOADED, "too many jobs wait", kFullQueueRetry};
   }
   if (spec.deadline && *spec.deadline <= now) {
@@ -120,10 +143,10 @@
 void Engine::Impl::Enqueue(const JobPtr& job, std::deque<WaitingTask> tasks, bool again,
                            SteadyTime now) {
   if (tasks.empty()) return;
-  if (job->waiting.empty()) ++waiting_jobs;
+  if (job->waiting.empty()) BeginWaiting(*job);
   for (const WaitingTask& task : tasks) job->waiting.insert(task.index);
   if (job->lane == Lane::kUrgent) urgent_waiting += tasks.size();
-  if (job->lane == Lane::kShort) headroom.AddWaiting(job->spec.size, tasks.size());
+  if (job->lane == Lane::kShort) headroom.AddWaiting(tasks.size());
   GateOf(job->lane).OnQueued(job->spec.team, job->work * static_cast<double>(tasks.size()), now);
   auto entry = std::make_shared<QueueEntry>();
   entry->job = job->spec.id;
@@ -143,7 +166,7 @@
 
 void Engine::Impl::CountOut(const Job& job, std::size_t count) {
   if (job.lane == Lane::kUrgent) urgent_waiting -= std::min(urgent_waiting, count);
-  if (job.lane == Lane::kShort) headroom.RemoveWaiting(job.spec.size, count);
+  if (job.lane == Lane::kShort) headroom.RemoveWaiting(count);
 }
 
 void Engine::Impl::DropWaiting(const JobPtr& job, SteadyTime now) {
@@ -155,7 +178,7 @@
   const std::size_t entries = job->entries.size();
   job->entries.clear();
   job->waiting.clear();
-  --waiting_jobs;
+  EndWaiting(*job);
   queue.OnDropped(entries);
 }
 
@@ -166,7 +189,7 @@
         entry->tasks, [&](const WaitingTask& task) { return task.index == task_index; });
     if (removed > 0) LeaveQueue(*job, removed, now);
   }
-  if (job->waiting.empty()) --waiting_jobs;
+  if (job->waiting.empty()) EndWaiting(*job);
   return true;
 }
 
@@ -279,7 +302,7 @@
     if (found == entry->tasks.end()) continue;
     entry->tasks.erase(found);
     job->waiting.erase(task.index);
-    if (job->waiting.empty()) --m_impl->waiting_jobs;
+    if (job->waiting.empty()) m_impl->EndWaiting(*job);
     m_impl->CountOut(*job, 1);
     m_impl->GateOf(job->lane).OnTaken(job->spec.team, job->work, now - entry->since, now);
     m_impl->ForgetIfDone(job);
--- a/src/engine_place.cc
+++ b/src/engine_place.cc
@@ -37,7 +37,7 @@
     const Delayed due = delayed.begin()->second;
     delayed.erase(delayed.begin());
     if (due.job->closed || due.job->waiting.erase(due.task.index) == 0) continue;
-    if (due.job->waiting.empty()) --waiting_jobs;
+    if (due.job->waiting.empty()) EndWaiting(*due.job);
     Enqueue(due.job, {due.task}, true, now);
   }
 }
@@ -56,13 +56,18 @@
   return reservation && reservation->job == job.spec.id;
 }
 
-bool Engine::Impl::MayPlace(const Job& job, const QueueEntry& entry, std::uint32_t count,
-                            SteadyTime now) const {
-  if (!shares.WithinQuota(job.spec.team, job.spec.size, count)) return false;
+bool Engine::Impl::LeavesHeadroom(const Job& job, const QueueEntry& entry,
+                                  std::span<const WorkerHandle> chosen, SteadyTime now) const {
   if (!IsLong(job.lane)) return true;
-  // A gang job that smaller long work keeps overtaking is let past the limit in the end.
+  // A job that other long work keeps overtaking is let past the limit in the end.
   if (IsReservedFor(job) && now - entry.since >= kStrictAge) return true;
-  return headroom.AllowsLong(job.spec.size, count);
+  std::map<WorkerHandle, std::uint32_t> counts;
+  for (const WorkerHandle worker : chosen) ++counts[worker];
+  std::int64_t places = 0;
+  for (const auto& [worker, count] : counts) {
+    places += headroom.PlacesTaken(worker, job.spec.size, count);
+  }
+  return headroom.Allows(places);
 }
 
 bool Engine::Impl::KeepsOffReservation(const Job& job, SteadyTime now) const {
@@ -119,7 +124,7 @@
   const WaitingTask next = entry.tasks.front();
   entry.tasks.pop_front();
   job->waiting.erase(next.index);
-  if (job->waiting.empty()) --waiting_jobs;
+  if (job->waiting.empty()) EndWaiting(*job);
   CountOut(*job, 1);
   if (job->lane == Lane::kUrgent) holds.erase(worker);
   GateOf(job->lane).OnTaken(job->spec.team, job->work, now - entry.since, now);
@@ -132,12 +137,13 @@
 }
 
 bool Engine::Impl::PlaceOne(const JobPtr& job, QueueEntry& entry, SteadyTime now) {
-  if (!MayPlace(*job, entry, 1, now)) return false;
+  if (!shares.WithinQuota(job->spec.team, job->spec.size, 1)) return false;
   const auto worker = ChooseFor(*job, entry.tasks.front().index, now);
   if (!worker) {
     if (IsLong(job->lane) && now - entry.since >= kReservationAge) PlanReservation(*job, entry, now);
     return false;
   }
+  if (!LeavesHeadroom(*job, entry, {&*worker, 1}, now)) return false;
   Start(job, entry, *worker, now);
   if (IsReservedFor(*job)) reservation.reset();
   return true;
@@ -146,16 +152,13 @@
 bool Engine::Impl::PlaceGang(const JobPtr& job, QueueEntry& entry, SteadyTime now) {
   const auto count = static_cast<std::uint32_t>(entry.tasks.size());
   if (!shares.WithinQuota(job->spec.team, job->spec.size, count)) return false;
-  std::vector<WorkerHandle> chosen;
-  if (MayPlace(*job, entry, count, now)) {
-    const std::vector<WorkerHandle> excluded = ExcludedFor(*job, entry.tasks.front().index, now);
-    PlacementQuery query;
-    query.size = job->spec.size;
-    query.policy = job->spec.policy;
-    query.excluded = excluded;
-    chosen = index.ChooseGang(query, count);
-  }
-  if (chosen.empty()) {
+  const std::vector<WorkerHandle> excluded = ExcludedFor(*job, entry.tasks.front().index, now);
+  PlacementQuery query;
+  query.size = job->spec.size;
+  query.policy = job->spec.policy;
+  query.excluded = excluded;
+  const std::vector<WorkerHandle> chosen = index.ChooseGang(query, count);
+  if (chosen.empty() || !LeavesHeadroom(*job, entry, chosen, now)) {
     PlanReservation(*job, entry, now);
     return false;
   }
@@ -234,7 +237,7 @@
   }
   impl.FindOverruns(now);
   impl.headroom.Observe(now);
-  const double rest = impl.slots > 0 ? std::max(0.05, 1.0 - impl.headroom.LongShare()) : 0.0;
+  const double rest = impl.slots > 0 ? std::max(0.05, impl.headroom.ShortPart()) : 0.0;
   impl.short_gate.SetExpectedRate(rest);
   impl.long_gate.SetExpectedRate(impl.slots > 0 ? 1.0 : 0.0);
   impl.Promote(now);
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -79,6 +79,7 @@
   // Workers and running tasks (engine_tasks.cc).
   void UpdateCapacity();
   void RoomChanged() { ++generation; }
+  void RoomTaken(WorkerHandle worker);
   void Reserve(const JobPtr& job, const TaskKey& task, WorkerHandle worker, SteadyTime now);
   bool Release(const TaskKey& task);
   void SetLong(Running& run);
@@ -97,6 +98,9 @@
   [[nodiscard]] double WorkOf(const JobSpec& spec) const;
   JobPtr FindJob(const std::string& id) const;
   void ForgetIfDone(const JobPtr& job);
+  [[nodiscard]] bool IsQueueFull(const std::string& team) const;
+  void BeginWaiting(const Job& job);
+  void EndWaiting(const Job& job);
   [[nodiscard]] Admission Check(const JobSpec& spec, SteadyTime now);
   [[nodiscard]] AdmissionControl& GateOf(Lane lane);
   [[nodiscard]] Lane LaneOf(const JobSpec& spec, std::chrono::milliseconds run_time) const;
@@ -117,8 +121,8 @@
   void PlaceGroup(WaitingGroup* group, SteadyTime now);
   bool PlaceOne(const JobPtr& job, QueueEntry& entry, SteadyTime now);
   bool PlaceGang(const JobPtr& job, QueueEntry& entry, SteadyTime now);
-  [[nodiscard]] bool MayPlace(const Job& job, const QueueEntry& entry, std::uint32_t count,
-                              SteadyTime now) const;
+  [[nodiscard]] bool LeavesHeadroom(const Job& job, const QueueEntry& entry,
+                                    std::span<const WorkerHandle> chosen, SteadyTime now) const;
   [[nodiscard]] bool IsReservedFor(const Job& job) const;
   [[nodiscard]] std::vector<WorkerHandle> ExcludedFor(const Job& job, std::uint32_t task_index,
                                                       SteadyTime now) const;
@@ -152,6 +156,7 @@
   std::unordered_map<TaskKey, Running> running;
   WaitingQueue queue;
   std::size_t waiting_jobs = 0;
+  std::unordered_map<std::string, std::size_t> waiting_by_team;
   std::size_t urgent_waiting = 0;  ///< Tasks.
   std::uint64_t next_sequence = 1;
   std::uint64_t generation = 1;  ///< Of free room; a group without room waits for the next one.
--- a/src/engine_tasks.cc
+++ b/src/engine_tasks.cc
@@ -37,10 +37,14 @@
     slots += index.Spec(worker).slots;
   }
   shares.SetCapacity(capacity, slots);
-  headroom.SetCapacity(capacity, slots);
   RoomChanged();
 }
 
+void Engine::Impl::RoomTaken(WorkerHandle worker) {
+  headroom.SetFree(worker, index.Free(worker), index.FreeSlots(worker),
+                   states[worker].accepting);
+}
+
 void Engine::Impl::Reserve(const JobPtr& job, const TaskKey& task, WorkerHandle worker,
                            SteadyTime now) {
   Running run;
@@ -54,12 +58,11 @@
                  job->run_time <= options.short_run_time;
   index.Reserve(worker, run.size);
   shares.Add(run.team, run.size, run.is_short);
+  RoomTaken(worker);
   if (run.is_short) {
     headroom.AddShort(run.size);
     run.overrun_at = now + std::max(kOverrunFactor * job->run_time, kOverrunAtLeast);
     overruns.emplace(run.overrun_at, task);
-  } else {
-    headroom.AddLong(run.size);
   }
   states[worker].tasks.insert(task);
   TaskKey& latest = job->running.try_emplace(task.index, task).first->second;
@@ -73,11 +76,10 @@
   const Running& run = found->second;
   index.Release(run.worker, run.size);
   shares.Remove(run.team, run.size, run.is_short);
+  RoomTaken(run.worker);
   if (run.is_short) {
-    headroom.RemoveShort(run.size);
+    headroom.RemoveShort();
     overruns.erase({run.overrun_at, task});
-  } else {
-    headroom.RemoveLong(run.size);
   }
   states[run.worker].tasks.erase(task);
   if (const auto one = run.job->running.find(task.index);
@@ -92,8 +94,7 @@
 void Engine::Impl::SetLong(Running& run) {
   shares.Remove(run.team, run.size, true);
   shares.Add(run.team, run.size, false);
-  headroom.RemoveShort(run.size);
-  headroom.AddLong(run.size);
+  headroom.RemoveShort();
   run.is_short = false;
 }
 
@@ -128,7 +129,7 @@
                          SteadyTime now) {
   const WaitingTask next{task.index, task.attempt + 1};
   if (outcome != TaskOutcome::kNotStarted) return Enqueue(job, {next}, true, now);
-  if (job->waiting.empty()) ++waiting_jobs;
+  if (job->waiting.empty()) BeginWaiting(*job);
   job->waiting.insert(task.index);
   const std::uint32_t tries = job->attempts[task.index].not_started;
   delayed.emplace(now + RetryDelay(tries), Delayed{job, next});
@@ -193,6 +194,8 @@
   const WorkerHandle worker = m_impl->index.Put(spec);
   m_impl->workers[spec.id] = worker;
   m_impl->states.try_emplace(worker);
+  m_impl->headroom.SetWorker(worker, spec);
+  m_impl->RoomTaken(worker);
   m_impl->UpdateCapacity();
 }
 
@@ -212,6 +215,7 @@
   m_impl->holds.erase(worker);
   m_impl->reservation.reset();
   m_impl->states.erase(worker);
+  m_impl->headroom.RemoveWorker(worker);
   m_impl->index.Remove(worker);
   m_impl->workers.erase(found);
   m_impl->UpdateCapacity();
@@ -226,6 +230,7 @@
   if (state.accepting == accepting) return;
   state.accepting = accepting;
   m_impl->index.SetAccepting(found->second, accepting);
+  m_impl->RoomTaken(found->second);
   m_impl->RoomChanged();
 }
 
--- a/src/headroom.cc
+++ b/src/headroom.cc
@@ -11,8 +11,8 @@
 // short against the changes of load within a day.
 constexpr double kMemorySeconds = 30.0;
 
-// The room covers the mean and three standard deviations, and at most half of the cell, so that
-// long work always gets on.
+// The room covers the mean and three standard deviations of the load, and at most half of the cell,
+// so that long work always gets on.
 constexpr double kDeviations = 3.0;
 constexpr double kLargestReserve = 0.5;
 
@@ -20,67 +20,108 @@
 // run of ten minutes to end. It costs packing, whose target leaves 5% in all.
 constexpr double kSmallestReserve = 0.03;
 
+// Weight of the newest task in the usual size, and the change that makes a new count worthwhile.
+constexpr double kSizeWeight = 0.01;
+constexpr double kSizeChange = 0.2;
+
+bool Differs(double mean, std::int64_t usual) {
+  return std::abs(mean - static_cast<double>(usual)) > kSizeChange * static_cast<double>(usual);
+}
+
 }  // namespace
 
-Headroom::Amounts Headroom::ToAmounts(const Resources& size) {
-  return {static_cast<double>(size.processors_milli), static_cast<double>(size.memory_mb),
-          static_cast<double>(size.accelerators), 1.0};
+std::int64_t Headroom::PlacesIn(const Resources& free, std::int64_t free_slots) const {
+  std::int64_t places = free_slots;
+  const auto limit = [&places](std::int64_t amount, std::int64_t each) {
+    if (each > 0) places = std::min(places, amount / each);
+  };
+  limit(free.processors_milli, m_usual.processors_milli);
+  limit(free.memory_mb, m_usual.memory_mb);
+  return std::max<std::int64_t>(places, 0);
 }
 
-void Headroom::Apply(Amounts& amounts, const Resources& size, double count) {
-  const Amounts change = ToAmounts(size);
-  for (std::size_t i = 0; i < kDimensions; ++i) amounts[i] += count * change[i];
+void Headroom::Count(Worker& worker) {
+  m_free -= worker.free_places;
+  m_all -= worker.all_places;
+  worker.free_places = worker.accepting ? PlacesIn(worker.free, worker.free_slots) : 0;
+  worker.all_places = worker.accepting ? PlacesIn(worker.capacity, worker.slots) : 0;
+  m_free += worker.free_places;
+  m_all += worker.all_places;
 }
 
-void Headroom::SetCapacity(const Resources& capacity, std::uint32_t slots) {
-  m_capacity = ToAmounts(capacity);
-  m_capacity.back() = slots;
-  for (std::size_t i = 0; i < kDimensions; ++i) {
-    m_reserve[i] = std::max(m_reserve[i], kSmallestReserve * m_capacity[i]);
-  }
+void Headroom::CountAll() {
+  for (auto& [handle, worker] : m_workers) Count(worker);
+}
+
+void Headroom::SetWorker(WorkerHandle worker, const WorkerSpec& spec) {
+  Worker& entry = m_workers[worker];
+  entry.capacity = spec.capacity;
+  entry.slots = spec.slots;
+  Count(entry);
+}
+
+void Headroom::SetFree(WorkerHandle worker, const Resources& free, std::uint32_t free_slots,
+                       bool accepting) {
+  Worker& entry = m_workers[worker];
+  entry.free = free;
+  entry.free_slots = free_slots;
+  entry.accepting = accepting;
+  Count(entry);
+}
+
+void Headroom::RemoveWorker(WorkerHandle worker) {
+  const auto found = m_workers.find(worker);
+  if (found == m_workers.end()) return;
+  m_free -= found->second.free_places;
+  m_all -= found->second.all_places;
+  m_workers.erase(found);
+}
+
+void Headroom::AddShort(const Resources& size) {
+  ++m_short;
+  m_mean_processors +=
+      kSizeWeight * (static_cast<double>(size.processors_milli) - m_mean_processors);
+  m_mean_memory += kSizeWeight * (static_cast<double>(size.memory_mb) - m_mean_memory);
 }
 
 void Headroom::Observe(SteadyTime now) {
+  if (Differs(m_mean_processors, m_usual.processors_milli) ||
+      Differs(m_mean_memory, m_usual.memory_mb)) {
+    m_usual = {static_cast<std::int64_t>(m_mean_processors) + 1,
+               static_cast<std::int64_t>(m_mean_memory) + 1, 0};
+    CountAll();
+  }
   const double elapsed =
       m_observed ? std::chrono::duration<double>(now - m_last).count() : kMemorySeconds;
-  if (elapsed <= 0.0) return;
   const double keep = m_observed ? std::exp(-elapsed / kMemorySeconds) : 0.0;
-  for (std::size_t i = 0; i < kDimensions; ++i) {
-    const double load = m_short[i] + m_waiting[i];
-    m_mean[i] = keep * m_mean[i] + (1.0 - keep) * load;
-    m_square[i] = keep * m_square[i] + (1.0 - keep) * load * load;
-    const double spread = std::sqrt(std::max(0.0, m_square[i] - m_mean[i] * m_mean[i]));
-    m_reserve[i] = std::clamp(m_mean[i] + kDeviations * spread, kSmallestReserve * m_capacity[i],
-                              kLargestReserve * m_capacity[i]);
-  }
+  const auto load = static_cast<double>(m_short + m_waiting);
+  m_mean = keep * m_mean + (1.0 - keep) * load;
+  m_square = keep * m_square + (1.0 - keep) * load * load;
+  const double spread = std::sqrt(std::max(0.0, m_square - m_mean * m_mean));
+  const auto all = static_cast<double>(m_all);
+  m_reserve =
+      std::clamp(m_mean + kDeviations * spread, kSmallestReserve * all, kLargestReserve * all);
   m_last = now;
   m_observed = true;
 }
 
-bool Headroom::AllowsLong(const Resources& size, std::uint32_t count) const {
-  // A cell without long work takes any, so that a large task on a small cell is not kept out.
-  if (m_long.back() <= 0.0) return true;
-  const Amounts wanted = ToAmounts(size);
-  for (std::size_t i = 0; i < kDimensions; ++i) {
-    if (wanted[i] <= 0.0) continue;
-    if (m_long[i] + wanted[i] * count > m_capacity[i] - m_reserve[i]) return false;
-  }
-  return true;
+std::int64_t Headroom::PlacesTaken(WorkerHandle worker, const Resources& size,
+                                   std::uint32_t count) const {
+  const auto found = m_workers.find(worker);
+  if (found == m_workers.end()) return 0;
+  Resources left = found->second.free;
+  for (std::uint32_t i = 0; i < count; ++i) left -= size;
+  return found->second.free_places -
+         PlacesIn(left, static_cast<std::int64_t>(found->second.free_slots) - count);
 }
 
-bool Headroom::IsExceeded() const {
-  for (std::size_t i = 0; i < kDimensions; ++i) {
-    if (m_long[i] > m_capacity[i] - m_reserve[i]) return true;
-  }
-  return false;
+bool Headroom::Allows(std::int64_t places) const {
+  return static_cast<double>(m_free - places + m_short) >= m_reserve;
 }
 
-double Headroom::LongShare() const {
-  double share = 0.0;
-  for (std::size_t i = 0; i < kDimensions; ++i) {
-    if (m_capacity[i] > 0.0) share = std::max(share, m_long[i] / m_capacity[i]);
-  }
-  return std::min(share, 1.0);
+double Headroom::ShortPart() const {
+  if (m_all <= 0) return 0.0;
+  return std::min(1.0, static_cast<double>(m_free + m_short) / static_cast<double>(m_all));
 }
 
 }  // namespace citronsill
