Choose the batch shape that fills a worker best

Cause: tasks were placed in order of age, so that a hole of 8 processors took a task of 5 while one of 8 waited, and every shape of a backlog older than 5 s asked for a reservation, which keeps room idle. The first unblocked shapes of the team are now compared by what stays unused of the worker, and a reservation is made only when no task of the shape was started for 30 s.

--- a/bench/policy_cases.h
+++ b/bench/policy_cases.h
@@ -309,10 +309,10 @@
   Source source(model, seed);
   const Ms end(150000);
   for (int team = 0; team < kTeams; ++team) {
-    Kind kind{"fair", SchedulingPolicy::kBatch, {1000, 1024, 0}, Ms(10000)};
-    if (team % 2 == 1) {
-      kind.size = {1000, cell.capacity.memory_mb / 8, 0};
-    }
+    const bool is_memory = team % 2 == 1;
+    Kind kind{"fair", SchedulingPolicy::kBatch, {}, Ms(10000)};
+    kind.size.processors_milli = cell.capacity.processors_milli / (is_memory ? 8 : 4);
+    kind.size.memory_mb = cell.capacity.memory_mb / (is_memory ? 4 : 8);
     // More than a team's share of the slots does in the whole time.
     const int jobs = team == 0 ? 8000 : 300;
     for (int i = 0; i < jobs; ++i) {
--- a/include/citronsill/queue.h
+++ b/include/citronsill/queue.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "citronsill/engine.h"
 #include "citronsill/types.h"
@@ -57,6 +58,7 @@
   std::deque<QueueEntryPtr> entries;
   std::uint64_t order = 0;       ///< Key in the team's order: the sequence of the first entry.
   std::uint64_t blocked_at = 0;  ///< Generation of room in which the group had no room.
+  SteadyTime last_placed;        ///< When a task of the group was last started.
 };
 
 /// Not thread-safe.
@@ -72,6 +74,11 @@
   /// lowest share that is not blocked in this generation; null when there is none.
   WaitingGroup* Next(Lane lane, std::uint64_t generation, const ShareOf& share_of);
 
+  /// @returns the groups of the same lane and team, oldest first, that are not blocked; at most
+  /// `max`.
+  std::vector<WaitingGroup*> Alternatives(const WaitingGroup& group, std::uint64_t generation,
+                                          std::size_t max);
+
   /// As `Next`, for one team.
   WaitingGroup* NextOf(Lane lane, const std::string& team, std::uint64_t generation);
 
--- a/src/engine_place.cc
+++ b/src/engine_place.cc
@@ -6,15 +6,21 @@
 // Limits that depend on time alone, such as the room kept for short work, are looked at this often.
 constexpr std::chrono::milliseconds kRefreshPeriod{250};
 
-// A waiting large task gets a reservation after this time; a gang job gets one at once, because it
-// needs its room at one moment.
-constexpr std::chrono::milliseconds kReservationAge{5000};
+// A task gets a reservation when no task of its shape was started for this time; a gang job gets
+// one at once, because it needs its room at one moment. A reservation keeps room idle: at 5 s from
+// the submission, every shape of a backlog asked for one.
+constexpr std::chrono::milliseconds kReservationAge{30000};
 
 // After this time the reservation holds against short work too, which otherwise may use its
 // workers when no other has room.
 constexpr std::chrono::milliseconds kStrictAge{30000};
 constexpr std::chrono::milliseconds kReservationRefresh{1000};
 
+// Batch work may wait, so that the shape goes first that fills a worker best; this many shapes of
+// the team are compared, with this many more tasks on the worker.
+constexpr std::size_t kShapesTried = 6;
+constexpr std::uint32_t kFillDepth = 4;
+
 // A team that has had less than this part of its even share for this long while it had work
 // waiting goes before all but urgent work until it has the part.
 constexpr double kStarvedPart = 0.9;
@@ -22,6 +28,26 @@
 
 bool IsLong(Lane lane) { return lane != Lane::kUrgent && lane != Lane::kShort; }
 
+/// @returns the least that stays unused of `left` when tasks of the given sizes fill it, as the sum
+/// of the parts of processors and memory.
+double LeastWaste(const Resources& left, std::uint32_t slots, std::span<const Resources> sizes,
+                  const Resources& capacity, std::uint32_t depth = kFillDepth) {
+  const auto part = [](std::int64_t amount, std::int64_t whole) {
+    return whole > 0 ? static_cast<double>(amount) / static_cast<double>(whole) : 0.0;
+  };
+  double least = part(left.processors_milli, capacity.processors_milli) +
+                 part(left.memory_mb, capacity.memory_mb);
+  if (slots == 0 || depth == 0) return least;
+  for (std::size_t i = 0; i < sizes.size(); ++i) {
+    if (!left.Covers(sizes[i])) continue;
+    Resources rest = left;
+    rest -= sizes[i];
+    // The sizes in descending position only: the order of the tasks does not matter.
+    least = std::min(least, LeastWaste(rest, slots - 1, sizes.subspan(i), capacity, depth - 1));
+  }
+  return least;
+}
+
 Action MakeAction(ActionKind kind, const TaskKey& task, const std::string& worker) {
   Action action;
   action.kind = kind;
@@ -136,11 +162,13 @@
   actions.push_back(std::move(action));
 }
 
-bool Engine::Impl::PlaceOne(const JobPtr& job, QueueEntry& entry, SteadyTime now) {
+bool Engine::Impl::PlaceOne(WaitingGroup& group, const JobPtr& job, SteadyTime now) {
+  QueueEntry& entry = *group.entries.front();
   if (!shares.WithinQuota(job->spec.team, job->spec.size, 1)) return false;
   const auto worker = ChooseFor(*job, entry.tasks.front().index, now);
   if (!worker) {
-    if (IsLong(job->lane) && now - entry.since >= kReservationAge) PlanReservation(*job, entry, now);
+    const SteadyTime since = std::max(entry.since, group.last_placed);
+    if (IsLong(job->lane) && now - since >= kReservationAge) PlanReservation(*job, entry, now);
     return false;
   }
   if (!LeavesHeadroom(*job, entry, {&*worker, 1}, now)) return false;
@@ -172,9 +200,40 @@
   QueueEntry& entry = *group->entries.front();
   const JobPtr job = FindJob(entry.job);
   const bool placed =
-      group->shape.gang_tasks > 0 ? PlaceGang(job, entry, now) : PlaceOne(job, entry, now);
-  if (!placed) group->blocked_at = generation;
-  if (placed) queue.Tidy(group);
+      group->shape.gang_tasks > 0 ? PlaceGang(job, entry, now) : PlaceOne(*group, job, now);
+  if (!placed) {
+    group->blocked_at = generation;
+    return;
+  }
+  group->last_placed = now;
+  queue.Tidy(group);
+}
+
+WaitingGroup* Engine::Impl::BestFitting(WaitingGroup* oldest, SteadyTime now) {
+  if (!queue.Tidy(oldest)) return oldest;
+  if (oldest->shape.gang_tasks > 0 || now - oldest->last_placed >= kReservationAge) return oldest;
+  const std::vector<WaitingGroup*> groups = queue.Alternatives(*oldest, generation, kShapesTried);
+  if (groups.size() < 2) return oldest;
+  std::vector<Resources> sizes;
+  for (const WaitingGroup* group : groups) sizes.push_back(group->shape.size);
+  WaitingGroup* best = oldest;
+  double least = std::numeric_limits<double>::max();
+  for (WaitingGroup* group : groups) {
+    if (group->shape.gang_tasks > 0) continue;
+    PlacementQuery query;
+    query.size = group->shape.size;
+    query.policy = group->shape.policy;
+    const auto worker = index.Choose(query);
+    if (!worker) continue;
+    Resources left = index.Free(*worker);
+    left -= group->shape.size;
+    const double waste =
+        LeastWaste(left, index.FreeSlots(*worker) - 1, sizes, index.Spec(*worker).capacity);
+    if (waste >= least) continue;
+    least = waste;
+    best = group;
+  }
+  return best;
 }
 
 void Engine::Impl::PlaceLane(Lane lane, SteadyTime now) {
@@ -182,7 +241,9 @@
   const WaitingQueue::ShareOf share_of = [this, lane](const std::string& team) {
     return lane == Lane::kShort ? shares.ShortShare(team) : shares.Share(team);
   };
-  while (WaitingGroup* group = queue.Next(lane, generation, share_of)) PlaceGroup(group, now);
+  while (WaitingGroup* group = queue.Next(lane, generation, share_of)) {
+    PlaceGroup(lane == Lane::kBatch ? BestFitting(group, now) : group, now);
+  }
 }
 
 void Engine::Impl::PlaceStarved(SteadyTime now) {
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -119,7 +119,8 @@
   void PlaceStarved(SteadyTime now);
   void PlaceLane(Lane lane, SteadyTime now);
   void PlaceGroup(WaitingGroup* group, SteadyTime now);
-  bool PlaceOne(const JobPtr& job, QueueEntry& entry, SteadyTime now);
+  WaitingGroup* BestFitting(WaitingGroup* oldest, SteadyTime now);
+  bool PlaceOne(WaitingGroup& group, const JobPtr& job, SteadyTime now);
   bool PlaceGang(const JobPtr& job, QueueEntry& entry, SteadyTime now);
   [[nodiscard]] bool LeavesHeadroom(const Job& job, const QueueEntry& entry,
                                     std::span<const WorkerHandle> chosen, SteadyTime now) const;
--- a/src/queue.cc
+++ b/src/queue.cc
@@ -60,6 +60,17 @@
   return best;
 }
 
+std::vector<WaitingGroup*> WaitingQueue::Alternatives(const WaitingGroup& group,
+                                                      std::uint64_t generation, std::size_t max) {
+  std::vector<WaitingGroup*> groups;
+  TeamQueue& queue = m_lanes[static_cast<std::size_t>(group.lane)].at(group.team);
+  for (const auto& [order, other] : queue.order) {
+    if (groups.size() == max) break;
+    if (other->blocked_at != generation) groups.push_back(other);
+  }
+  return groups;
+}
+
 WaitingGroup* WaitingQueue::NextOf(Lane lane, const std::string& team, std::uint64_t generation) {
   auto& teams = m_lanes[static_cast<std::size_t>(lane)];
   const auto found = teams.find(team);
