Test the worker index against a full scan, and fix a double insert

The first worker, and each one larger than those before, was put into its cell twice, which made its list endless. Queries have defaults for their lists.

--- a/include/citronsill/placement.h
+++ b/include/citronsill/placement.h
@@ -25,9 +25,9 @@
   SchedulingPolicy policy = SchedulingPolicy::kInteractive;
   /// Workers that hold tasks of the same service; the choice spreads away from their failure
   /// domains first, then from their racks.
-  std::span<const WorkerHandle> siblings;
+  std::span<const WorkerHandle> siblings = {};
   /// Workers not to be chosen, for example those on which the task failed before.
-  std::span<const WorkerHandle> excluded;
+  std::span<const WorkerHandle> excluded = {};
 };
 
 /// A running task that may be stopped for an urgent one.
--- a/src/placement.cc
+++ b/src/placement.cc
@@ -329,7 +329,7 @@
     if (spec.slots > 0) ++shapes[spec.capacity];
     specs[handle] = spec;
     Enlarge(spec.capacity);
-    PutIntoCell(handle);
+    MoveToCell(handle);
   }
 
   /// Reverts `Attach`: what stays is the negative of the reserved room.
--- /dev/null
+++ b/tests/placement_test.cc
@@ -0,0 +1,344 @@
+#include "citronsill/placement.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <array>
+#include <map>
+
+namespace citronsill {
+namespace {
+
+constexpr Resources kFairing{8000, 16384, 0};
+constexpr Resources kLashingCheck{2000, 2048, 0};
+constexpr Resources kCutList{1000, 512, 0};
+constexpr std::array<Resources, 3> kShipyardMix = {kFairing, kLashingCheck, kCutList};
+
+WorkerSpec ShipyardWorker(std::uint32_t number) {
+  WorkerSpec spec;
+  spec.id = "worker-" + std::to_string(number);
+  spec.rack = "rack-" + std::to_string(number / 8);
+  spec.failure_domain = "domain-" + std::to_string(number / 8 % 3);
+  spec.capacity = Resources{16000, 32768, 0};
+  spec.slots = 8;
+  return spec;
+}
+
+/// Reference: every worker in a list, every question answered by a full scan.
+struct Model {
+  struct Worker {
+    WorkerSpec spec;
+    Resources free;
+    std::int64_t free_slots = 0;
+    bool accepting = true;
+    std::vector<Resources> tasks;
+  };
+  std::map<WorkerHandle, Worker> workers;
+
+  [[nodiscard]] bool Fits(WorkerHandle handle, const PlacementQuery& query) const {
+    const Worker& worker = workers.at(handle);
+    return worker.accepting && worker.free_slots > 0 && worker.free.Covers(query.size) &&
+           std::find(query.excluded.begin(), query.excluded.end(), handle) == query.excluded.end();
+  }
+
+  [[nodiscard]] std::vector<WorkerHandle> Fitting(const PlacementQuery& query) const {
+    std::vector<WorkerHandle> fitting;
+    for (const auto& [handle, worker] : workers) {
+      if (Fits(handle, query)) fitting.push_back(handle);
+    }
+    return fitting;
+  }
+
+  /// Number of tasks of this size that fit in all.
+  [[nodiscard]] std::int64_t Room(const PlacementQuery& query) const {
+    std::int64_t room = 0;
+    for (const WorkerHandle handle : Fitting(query)) {
+      const Worker& worker = workers.at(handle);
+      std::int64_t count = worker.free_slots;
+      const auto limit = [&count](std::int64_t free, std::int64_t size) {
+        if (size > 0) count = std::min(count, free / size);
+      };
+      limit(worker.free.processors_milli, query.size.processors_milli);
+      limit(worker.free.memory_mb, query.size.memory_mb);
+      limit(worker.free.accelerators, query.size.accelerators);
+      room += count;
+    }
+    return room;
+  }
+
+  void Reserve(WorkerHandle handle, const Resources& size) {
+    Worker& worker = workers.at(handle);
+    worker.free -= size;
+    --worker.free_slots;
+    worker.tasks.push_back(size);
+  }
+};
+
+/// The index and the model side by side.
+struct Pair {
+  WorkerIndex index;
+  Model model;
+
+  void Put(const WorkerSpec& spec) {
+    Model::Worker& worker = model.workers[index.Put(spec)];
+    worker.free += spec.capacity;
+    worker.free -= worker.spec.capacity;
+    worker.free_slots += spec.slots;
+    worker.free_slots -= worker.spec.slots;
+    worker.spec = spec;
+  }
+
+  void Reserve(WorkerHandle handle, const Resources& size) {
+    index.Reserve(handle, size);
+    model.Reserve(handle, size);
+  }
+
+  void ReleaseOne(WorkerHandle handle) {
+    Model::Worker& worker = model.workers.at(handle);
+    if (worker.tasks.empty()) return;
+    const Resources size = worker.tasks.back();
+    worker.tasks.pop_back();
+    worker.free += size;
+    ++worker.free_slots;
+    index.Release(handle, size);
+  }
+
+  void CheckEqual() const {
+    for (const auto& [handle, worker] : model.workers) {
+      RC_ASSERT(index.Free(handle) == worker.free);
+      RC_ASSERT(index.FreeSlots(handle) == std::max<std::int64_t>(worker.free_slots, 0));
+    }
+  }
+};
+
+Resources AnySize() {
+  return *rc::gen::oneOf(
+      rc::gen::elementOf(kShipyardMix),
+      rc::gen::build<Resources>(
+          rc::gen::set(&Resources::processors_milli, rc::gen::inRange(0, 9000)),
+          rc::gen::set(&Resources::memory_mb, rc::gen::inRange(0, 20000)),
+          rc::gen::set(&Resources::accelerators,
+                       rc::gen::weightedElement<std::int64_t>({{6, 0}, {1, 1}, {1, 3}}))));
+}
+
+WorkerSpec AnyWorker(std::uint32_t number) {
+  WorkerSpec spec = ShipyardWorker(number);
+  spec.capacity.processors_milli = *rc::gen::elementOf(std::vector{4000, 16000, 16000, 31900});
+  spec.capacity.memory_mb = *rc::gen::elementOf(std::vector{8192, 32768, 32768, 131072});
+  spec.capacity.accelerators = *rc::gen::elementOf(std::vector{0, 0, 2, 12});
+  spec.slots = *rc::gen::elementOf(std::vector<std::uint32_t>{0, 1, 8, 8, 20});
+  return spec;
+}
+
+WorkerHandle AnyHandle(const Model& model) {
+  auto position = model.workers.begin();
+  std::advance(position, *rc::gen::inRange<std::size_t>(0, model.workers.size()));
+  return position->first;
+}
+
+// Places one task and checks the choice against the model.
+void CheckChoice(Pair& pair, const PlacementQuery& query) {
+  const auto chosen = pair.index.Choose(query);
+  RC_ASSERT(chosen.has_value() == !pair.model.Fitting(query).empty());
+  if (!chosen) return;
+  RC_ASSERT(pair.model.Fits(*chosen, query));
+  pair.Reserve(*chosen, query.size);
+}
+
+void CheckGang(Pair& pair, const PlacementQuery& query, std::uint32_t count) {
+  const std::int64_t room = pair.model.Room(query);
+  const auto chosen = pair.index.ChooseGang(query, count);
+  RC_ASSERT(chosen.size() == (room >= count ? count : 0));
+  for (const WorkerHandle handle : chosen) {
+    RC_ASSERT(pair.model.Fits(handle, query));
+    pair.Reserve(handle, query.size);
+  }
+}
+
+void ChangeWorker(Pair& pair, std::uint32_t number) {
+  const WorkerHandle handle = AnyHandle(pair.model);
+  switch (*rc::gen::inRange(0, 4)) {
+    case 0:
+      pair.index.Remove(handle);
+      pair.model.workers.erase(handle);
+      pair.Put(AnyWorker(1000 + number));
+      break;
+    case 1: {
+      WorkerSpec spec = AnyWorker(number);
+      spec.id = pair.model.workers.at(handle).spec.id;
+      pair.Put(spec);
+      break;
+    }
+    case 2:
+      pair.Reserve(handle, AnySize());  // A task that was found running; may exceed the capacity.
+      break;
+    default:
+      pair.model.workers.at(handle).accepting ^= true;
+      pair.index.SetAccepting(handle, pair.model.workers.at(handle).accepting);
+  }
+}
+
+// Guards against tasks on workers without room, and against tasks that wait although there is room.
+TEST_CASE("placement: choices agree with a full scan") {
+  const bool holds = rc::check([] {
+    Pair pair;
+    const auto count = *rc::gen::inRange<std::uint32_t>(1, 40);
+    for (std::uint32_t i = 0; i < count; ++i) pair.Put(AnyWorker(i));
+    const auto steps = *rc::gen::inRange<std::uint32_t>(1, 120);
+    for (std::uint32_t step = 0; step < steps; ++step) {
+      PlacementQuery query;
+      query.size = AnySize();
+      query.policy = *rc::gen::element(SchedulingPolicy::kInteractive, SchedulingPolicy::kBatch,
+                                       SchedulingPolicy::kService);
+      const std::vector<WorkerHandle> excluded = {AnyHandle(pair.model), AnyHandle(pair.model)};
+      if (*rc::gen::inRange(0, 3) == 0) query.excluded = excluded;
+      const auto kind = *rc::gen::inRange(0, 10);
+      if (kind < 5) CheckChoice(pair, query);
+      if (kind == 5) CheckGang(pair, query, *rc::gen::inRange<std::uint32_t>(1, 40));
+      if (kind == 6) ChangeWorker(pair, step);
+      if (kind > 6) pair.ReleaseOne(AnyHandle(pair.model));
+    }
+    pair.CheckEqual();
+  });
+  CHECK(holds);
+}
+
+// Guards against a service whose tasks share a failure domain or a rack while others have room.
+TEST_CASE("placement: services survive the loss of one failure domain") {
+  const bool holds = rc::check([] {
+    Pair pair;
+    for (std::uint32_t i = 0; i < 48; ++i) pair.Put(ShipyardWorker(i));
+    const auto load = *rc::gen::inRange(0, 150);
+    for (int i = 0; i < load; ++i) {
+      const WorkerHandle handle = AnyHandle(pair.model);
+      const PlacementQuery query{.size = *rc::gen::elementOf(kShipyardMix)};
+      if (pair.model.Fits(handle, query)) pair.Reserve(handle, query.size);
+    }
+    std::vector<WorkerHandle> siblings;
+    std::map<std::string, int> in_domain;
+    std::map<std::string, int> in_rack;
+    for (int i = 0; i < 12; ++i) {
+      const PlacementQuery query{
+          .size = kLashingCheck, .policy = SchedulingPolicy::kService, .siblings = siblings};
+      const auto chosen = pair.index.Choose(query);
+      const auto fitting = pair.model.Fitting(query);
+      RC_ASSERT(chosen.has_value() == !fitting.empty());
+      if (!chosen) return;
+      const WorkerSpec& spec = pair.index.Spec(*chosen);
+      for (const WorkerHandle other : fitting) {
+        const WorkerSpec& other_spec = pair.index.Spec(other);
+        RC_ASSERT(in_domain[spec.failure_domain] <= in_domain[other_spec.failure_domain]);
+        if (spec.failure_domain == other_spec.failure_domain) {
+          RC_ASSERT(in_rack[spec.rack] <= in_rack[other_spec.rack]);
+        }
+      }
+      ++in_domain[spec.failure_domain];
+      ++in_rack[spec.rack];
+      pair.Reserve(*chosen, query.size);
+      siblings.push_back(*chosen);
+    }
+  });
+  CHECK(holds);
+}
+
+/// Keeps a cell of shipyard workers busy with a mix that always waits.
+class BusyCell {
+ public:
+  BusyCell(std::uint32_t workers, std::array<unsigned, 3> weights) : m_weights(weights) {
+    for (std::uint32_t i = 0; i < workers; ++i) m_index.Put(ShipyardWorker(i));
+    m_workers = workers;
+  }
+
+  /// Fills the cell, then ends tasks at random and starts waiting ones `steps` times.
+  void Run(std::size_t steps) {
+    for (std::size_t i = 0; i < std::size_t{m_workers} * 8; ++i) m_waiting.push_back(NextSize());
+    Start();
+    for (std::size_t i = 0; i < steps; ++i) {
+      const std::size_t ended = Random(m_running.size());
+      m_index.Release(m_running[ended].first, m_running[ended].second);
+      m_running[ended] = m_running.back();
+      m_running.pop_back();
+      Start();
+    }
+  }
+
+  /// Share of the scarcest resource of the mix, slots included, that is in use.
+  [[nodiscard]] double PackedShare() const {
+    Resources used;
+    for (const auto& [worker, size] : m_running) used += size;
+    std::array<double, 3> need{};
+    for (std::size_t i = 0; i < 3; ++i) {
+      need[0] += m_weights[i] * static_cast<double>(kShipyardMix[i].processors_milli) / 16000;
+      need[1] += m_weights[i] * static_cast<double>(kShipyardMix[i].memory_mb) / 32768;
+      need[2] += m_weights[i] / 8.0;
+    }
+    const std::array<double, 3> share = {
+        static_cast<double>(used.processors_milli) / (16000.0 * m_workers),
+        static_cast<double>(used.memory_mb) / (32768.0 * m_workers),
+        static_cast<double>(m_running.size()) / (8.0 * m_workers)};
+    return share[static_cast<std::size_t>(std::max_element(need.begin(), need.end()) -
+                                          need.begin())];
+  }
+
+  WorkerIndex& Index() { return m_index; }
+
+ private:
+  std::size_t Random(std::size_t bound) {
+    m_state = m_state * 6364136223846793005ULL + 1442695040888963407ULL;
+    return (m_state >> 33) % bound;
+  }
+
+  Resources NextSize() {
+    auto ticket = Random(m_weights[0] + m_weights[1] + m_weights[2]);
+    std::size_t kind = 0;
+    while (ticket >= m_weights[kind]) ticket -= m_weights[kind++];
+    return kShipyardMix[kind];
+  }
+
+  /// Starts waiting tasks in their order; those that do not fit let others pass. A task that
+  /// starts is replaced by a new one at the end.
+  void Start() {
+    std::array<bool, 3> full{};
+    for (std::size_t i = 0; i < m_waiting.size();) {
+      const Resources size = m_waiting[i];
+      const auto kind = static_cast<std::size_t>(
+          std::find(kShipyardMix.begin(), kShipyardMix.end(), size) - kShipyardMix.begin());
+      if (full[0] && full[1] && full[2]) return;
+      const auto chosen = full[kind] ? std::nullopt : m_index.Choose({.size = size});
+      if (!chosen) {
+        full[kind] = true;
+        ++i;
+        continue;
+      }
+      m_index.Reserve(*chosen, size);
+      m_running.emplace_back(*chosen, size);
+      m_waiting.erase(m_waiting.begin() + static_cast<std::ptrdiff_t>(i));
+      m_waiting.push_back(NextSize());
+    }
+  }
+
+  std::array<unsigned, 3> m_weights;
+  WorkerIndex m_index;
+  std::uint32_t m_workers = 0;
+  std::uint64_t m_state = 7;
+  std::vector<std::pair<WorkerHandle, Resources>> m_running;
+  std::vector<Resources> m_waiting;
+};
+
+// Guards against capacity that stays unused while work waits. The bound is that of the design page.
+TEST_CASE("placement: the shipyard mix is packed to 95% of the volume bound") {
+  for (const std::array<unsigned, 3> weights :
+       {std::array{1U, 2U, 3U}, std::array{2U, 3U, 5U}, std::array{1U, 1U, 1U},
+        std::array{1U, 2U, 10U}, std::array{1U, 10U, 1U}}) {
+    BusyCell cell(50, weights);
+    cell.Run(3000);
+    CAPTURE(weights[0]);
+    CAPTURE(weights[1]);
+    CAPTURE(weights[2]);
+    CHECK(cell.PackedShare() >= 0.95);
+  }
+}
+
+}  // namespace
+}  // namespace citronsill
