Let bursts of short work use up to three quarters of the cell

Cause: the room for short work was capped at half of the cell, so that bursts to 60% waited for batch work to end. The cap is now 0.75, a peak of short work is remembered for 2 minutes, and reclaiming counts the places that a stopped task makes, once a second for at most 64. Ruled out: a cap of 0.9, which gave the same waits at 30% load.

--- a/include/citronsill/headroom.h
+++ b/include/citronsill/headroom.h
@@ -36,6 +36,9 @@
   [[nodiscard]] std::int64_t PlacesTaken(WorkerHandle worker, const Resources& size,
                                          std::uint32_t count) const;
 
+  /// @returns how many places the end of a task of this size makes on the worker.
+  [[nodiscard]] std::int64_t PlacesMade(WorkerHandle worker, const Resources& size) const;
+
   /// @returns whether long work may take this many places.
   [[nodiscard]] bool Allows(std::int64_t places) const;
 
@@ -67,6 +70,7 @@
   std::int64_t m_waiting = 0;
   double m_mean = 0.0;
   double m_square = 0.0;
+  double m_peak = 0.0;
   double m_reserve = 0.0;
   double m_mean_processors = 1000.0;
   double m_mean_memory = 512.0;
--- a/src/engine_preempt.cc
+++ b/src/engine_preempt.cc
@@ -5,9 +5,9 @@
 
 // Room for short work is reclaimed when it has waited this long, and not more often than this, so
 // that the effect of one round is seen before the next.
-constexpr std::chrono::milliseconds kReclaimAfter{100};
-constexpr std::chrono::milliseconds kReclaimPeriod{500};
-constexpr std::size_t kMaxReclaimsPerCall = 8;
+constexpr std::chrono::milliseconds kReclaimAfter{50};
+constexpr std::chrono::milliseconds kReclaimPeriod{1000};
+constexpr std::size_t kMaxReclaimsPerCall = 64;
 
 // Preemption looks at every running task, so that one call makes room for at most this many.
 constexpr std::size_t kMaxPreemptionsPerCall = 16;
@@ -105,29 +105,26 @@
 
 void Engine::Impl::Reclaim(SteadyTime now) {
   if (!headroom.IsExceeded() || now - last_reclaim < kReclaimPeriod) return;
-  Resources wanted;
-  std::size_t count = 0;
+  std::int64_t wanted = 0;
   queue.VisitLane(Lane::kShort, [&](const WaitingGroup&, const QueueEntry& entry) {
-    if (now - entry.since < kReclaimAfter) return true;
-    wanted += FindJob(entry.job)->spec.size;
-    ++count;
-    return count < kMaxReclaimsPerCall * 8;
+    if (now - entry.since >= kReclaimAfter) {
+      wanted += static_cast<std::int64_t>(entry.tasks.size());
+    }
+    return wanted < static_cast<std::int64_t>(kMaxReclaimsPerCall);
   });
-  if (count == 0) return;
+  if (wanted == 0) return;
   last_reclaim = now;
   std::vector<PreemptionCandidate> candidates = Candidates(now);
   std::erase_if(candidates, [&](const PreemptionCandidate& one) {
     return running.at(one.task).job->spec.policy != SchedulingPolicy::kBatch;
   });
   std::ranges::sort(candidates, {}, &PreemptionCandidate::cost);
-  Resources freed;
-  std::size_t stopped = 0;
   for (const PreemptionCandidate& one : candidates) {
-    const bool is_enough = freed.Covers(wanted) && stopped >= 1;
-    if (is_enough || stopped == kMaxReclaimsPerCall) break;
+    if (wanted <= 0) break;
+    const std::int64_t places = headroom.PlacesMade(one.worker, one.size);
+    if (places <= 0) continue;
     StopVictim(one.task, running.at(one.task), "makes room for short work");
-    freed += one.size;
-    ++stopped;
+    wanted -= places;
   }
 }
 
--- a/src/headroom.cc
+++ b/src/headroom.cc
@@ -11,10 +11,14 @@
 // short against the changes of load within a day.
 constexpr double kMemorySeconds = 30.0;
 
+// Time constant by which a peak is forgotten: bursts come again within a minute or so, and after
+// one burst the averages alone do not cover the next.
+constexpr double kPeakSeconds = 120.0;
+
 // The room covers the mean and three standard deviations of the load, and at most half of the cell,
 // so that long work always gets on.
 constexpr double kDeviations = 3.0;
-constexpr double kLargestReserve = 0.5;
+constexpr double kLargestReserve = 0.75;
 
 // Kept free before any short work was seen: the first task after a quiet night must not wait for a
 // run of ten minutes to end. It costs packing, whose target leaves 5% in all.
@@ -98,9 +102,10 @@
   m_mean = keep * m_mean + (1.0 - keep) * load;
   m_square = keep * m_square + (1.0 - keep) * load * load;
   const double spread = std::sqrt(std::max(0.0, m_square - m_mean * m_mean));
+  m_peak = std::max(m_peak * std::exp(-elapsed / kPeakSeconds), static_cast<double>(m_short));
   const auto all = static_cast<double>(m_all);
-  m_reserve =
-      std::clamp(m_mean + kDeviations * spread, kSmallestReserve * all, kLargestReserve * all);
+  m_reserve = std::clamp(std::max(m_mean + kDeviations * spread, m_peak), kSmallestReserve * all,
+                         kLargestReserve * all);
   m_last = now;
   m_observed = true;
 }
@@ -115,6 +120,15 @@
          PlacesIn(left, static_cast<std::int64_t>(found->second.free_slots) - count);
 }
 
+std::int64_t Headroom::PlacesMade(WorkerHandle worker, const Resources& size) const {
+  const auto found = m_workers.find(worker);
+  if (found == m_workers.end()) return 0;
+  Resources more = found->second.free;
+  more += size;
+  return PlacesIn(more, static_cast<std::int64_t>(found->second.free_slots) + 1) -
+         found->second.free_places;
+}
+
 bool Headroom::Allows(std::int64_t places) const {
   return static_cast<double>(m_free - places + m_short) >= m_reserve;
 }
