--- a/src/placement.cc
+++ b/src/placement.cc
@@ -17,7 +17,7 @@
 // one resource fit into the bits of one word.
 constexpr std::uint32_t kLevels = 64;
 
-// Free slots are indexed exactly up to this number; plane 0 is the union of the others.
+// Free slots are indexed exactly below this number.
 constexpr std::uint32_t kSlotPlanes = 8;
 
 // Free accelerators are indexed exactly below this number. Tasks without accelerators take workers
@@ -47,75 +47,101 @@
 };
 
 /// Workers with the same number of free accelerators, grouped into cells by free slots and by
-/// levels of free processors and memory.
+/// levels of free processors and memory. A column is the cells of all numbers of free slots.
 class Grid {
  public:
-  Grid() : m_heads(kSlotPlanes * kLevels * kLevels, kNone) {}
+  Grid() : m_columns(kLevels * kLevels) {}
 
   /// First worker of a cell.
   std::uint32_t& Head(std::uint32_t plane, std::uint32_t processors, std::uint32_t memory) {
-    return m_heads[((plane - 1) * kLevels + processors) * kLevels + memory];
+    return ColumnAt(processors, memory).heads[plane - 1];
+  }
+
+  /// @returns one bit for each used cell of a column, that of plane 1 first.
+  [[nodiscard]] std::uint32_t UsedPlanes(std::uint32_t processors, std::uint32_t memory) {
+    return ColumnAt(processors, memory).used;
   }
 
   void MarkUsed(const CellId& cell) {
-    for (Plane* plane : {&m_planes[0], &m_planes[cell.plane]}) {
-      SetBit(*plane, kProcessors, cell.processors, cell.memory);
-      SetBit(*plane, kMemory, cell.memory, cell.processors);
+    Column& column = ColumnAt(cell.processors, cell.memory);
+    if (column.used == 0) {
+      m_lines[kProcessors].Set(cell.processors, cell.memory);
+      m_lines[kMemory].Set(cell.memory, cell.processors);
     }
+    column.used |= PlaneBit(cell);
+    m_planes[cell.plane - 1].Set(cell.processors, cell.memory);
   }
 
   void MarkEmpty(const CellId& cell) {
-    ClearCell(m_planes[cell.plane], cell);
-    std::uint64_t others = 0;
-    for (std::uint32_t plane = 1; plane <= kSlotPlanes; ++plane) {
-      others |= m_planes[plane].lines[kProcessors][cell.processors];
+    Column& column = ColumnAt(cell.processors, cell.memory);
+    column.used &= ~PlaneBit(cell);
+    m_planes[cell.plane - 1].Clear(cell.processors, cell.memory);
+    if (column.used == 0) {
+      m_lines[kProcessors].Clear(cell.processors, cell.memory);
+      m_lines[kMemory].Clear(cell.memory, cell.processors);
     }
-    if ((others >> cell.memory & 1) == 0) ClearCell(m_planes[0], cell);
   }
 
-  [[nodiscard]] bool IsEmpty(std::uint32_t plane) const {
-    return m_planes[plane].used[kProcessors] == 0;
+  [[nodiscard]] bool IsEmpty() const { return m_lines[kProcessors].used == 0; }
+
+  /// Visits the used columns from the given levels up, in ascending order of the level of `axis`,
+  /// then of the other, until `visit` returns true.
+  template <class Visit>
+  void WalkColumns(Axis axis, std::array<std::uint32_t, 2> from, Visit visit) const {
+    m_lines[axis].Walk(from[axis], from[1 - axis], [&](std::uint32_t line, std::uint32_t bit) {
+      return axis == kProcessors ? visit(line, bit) : visit(bit, line);
+    });
   }
 
-  /// Visits the used cells of a plane from the given levels up, in ascending order of the level of
-  /// `axis`, then of the other, until `visit` returns true.
+  /// Visits the used cells of one number of free slots; otherwise as `WalkColumns`.
   template <class Visit>
-  void Walk(std::uint32_t plane, Axis axis, std::array<std::uint32_t, 2> from, Visit visit) const {
-    const Plane& p = m_planes[plane];
-    const std::uint64_t allowed = BitsFrom(from[1 - axis]);
-    for (std::uint64_t lines = p.used[axis] & BitsFrom(from[axis]); lines != 0;
-         lines &= lines - 1) {
-      const auto line = static_cast<std::uint32_t>(std::countr_zero(lines));
-      for (std::uint64_t bits = p.lines[axis][line] & allowed; bits != 0; bits &= bits - 1) {
-        const auto bit = static_cast<std::uint32_t>(std::countr_zero(bits));
-        if (axis == kProcessors ? visit(line, bit) : visit(bit, line)) return;
-      }
-    }
+  void WalkPlane(std::uint32_t plane, std::array<std::uint32_t, 2> from, Visit visit) const {
+    m_planes[plane - 1].Walk(from[kProcessors], from[kMemory], visit);
   }
 
  private:
-  struct Plane {
-    std::array<std::array<std::uint64_t, kLevels>, 2> lines{};
-    std::array<std::uint64_t, 2> used{};  ///< Lines that have a bit.
+  struct Column {
+    Column() { heads.fill(kNone); }
+    std::array<std::uint32_t, kSlotPlanes> heads;
+    std::uint32_t used = 0;
   };
 
-  static void SetBit(Plane& plane, Axis axis, std::uint32_t line, std::uint32_t bit) {
-    plane.lines[axis][line] |= std::uint64_t{1} << bit;
-    plane.used[axis] |= std::uint64_t{1} << line;
-  }
+  /// A bit for each pair of levels.
+  struct Lines {
+    std::array<std::uint64_t, kLevels> bits{};
+    std::uint64_t used = 0;  ///< Lines that have a bit.
 
-  static void ClearBit(Plane& plane, Axis axis, std::uint32_t line, std::uint32_t bit) {
-    plane.lines[axis][line] &= ~(std::uint64_t{1} << bit);
-    if (plane.lines[axis][line] == 0) plane.used[axis] &= ~(std::uint64_t{1} << line);
-  }
+    void Set(std::uint32_t line, std::uint32_t bit) {
+      bits[line] |= std::uint64_t{1} << bit;
+      used |= std::uint64_t{1} << line;
+    }
+
+    void Clear(std::uint32_t line, std::uint32_t bit) {
+      bits[line] &= ~(std::uint64_t{1} << bit);
+      if (bits[line] == 0) used &= ~(std::uint64_t{1} << line);
+    }
 
-  static void ClearCell(Plane& plane, const CellId& cell) {
-    ClearBit(plane, kProcessors, cell.processors, cell.memory);
-    ClearBit(plane, kMemory, cell.memory, cell.processors);
+    template <class Visit>
+    void Walk(std::uint32_t from_line, std::uint32_t from_bit, Visit visit) const {
+      const std::uint64_t allowed = BitsFrom(from_bit);
+      for (std::uint64_t rest = used & BitsFrom(from_line); rest != 0; rest &= rest - 1) {
+        const auto line = static_cast<std::uint32_t>(std::countr_zero(rest));
+        for (std::uint64_t set = bits[line] & allowed; set != 0; set &= set - 1) {
+          if (visit(line, static_cast<std::uint32_t>(std::countr_zero(set)))) return;
+        }
+      }
+    }
+  };
+
+  static std::uint32_t PlaneBit(const CellId& cell) { return 1U << (cell.plane - 1U); }
+
+  Column& ColumnAt(std::uint32_t processors, std::uint32_t memory) {
+    return m_columns[processors * kLevels + memory];
   }
 
-  std::array<Plane, kSlotPlanes + 1> m_planes{};
-  std::vector<std::uint32_t> m_heads;
+  std::array<Lines, 2> m_lines;             ///< Used columns, by processors and by memory.
+  std::array<Lines, kSlotPlanes> m_planes;  ///< Used cells, by processors.
+  std::vector<Column> m_columns;
 };
 
 /// Monotonic map from an amount to a level.
@@ -171,9 +197,13 @@
   }
 };
 
-double UsedFraction(std::int64_t used, std::int64_t capacity) {
-  return capacity <= 0 ? 0.0 : static_cast<double>(used) / static_cast<double>(capacity);
-}
+/// Compared as a fraction, but without a division in each choice.
+struct Usage {
+  Usage(std::int64_t used_amount, std::int64_t total)
+      : used(static_cast<double>(used_amount)), capacity(static_cast<double>(total)) {}
+  double used;
+  double capacity;
+};
 
 std::string FormatProcessors(std::int64_t milli) {
   std::string text = std::to_string(milli / 1000);
@@ -463,13 +493,15 @@
   };
 
   [[nodiscard]] Order OrderByScarcity() const {
-    const double processors =
-        UsedFraction(used.resources.processors_milli, capacity.resources.processors_milli);
-    const double memory = UsedFraction(used.resources.memory_mb, capacity.resources.memory_mb);
-    const double slots = UsedFraction(used.slots, capacity.slots);
+    const auto is_scarcer = [](const Usage& a, const Usage& b) {
+      return a.used * b.capacity > b.used * a.capacity;
+    };
+    const Usage processors = {used.resources.processors_milli, capacity.resources.processors_milli};
+    const Usage memory = {used.resources.memory_mb, capacity.resources.memory_mb};
+    const Usage slots = {used.slots, capacity.slots};
     Order order;
-    order.axis = memory > processors ? kMemory : kProcessors;
-    order.slots_first = slots > std::max(processors, memory);
+    order.axis = is_scarcer(memory, processors) ? kMemory : kProcessors;
+    order.slots_first = is_scarcer(slots, order.axis == kMemory ? memory : processors);
     return order;
   }
 
@@ -492,7 +524,7 @@
     const Order order = OrderByScarcity();
     const auto first = std::clamp<std::int64_t>(size.accelerators, 0, kPools - 1);
     for (auto pool = static_cast<std::uint32_t>(first); pool < kPools; ++pool) {
-      if (!grids[pool] || grids[pool]->IsEmpty(0)) continue;
+      if (!grids[pool] || grids[pool]->IsEmpty()) continue;
       if (const std::uint32_t found = SearchPool(*grids[pool], order, size); found != kNone) {
         return found;
       }
@@ -523,13 +555,16 @@
   [[nodiscard]] std::uint32_t Search(Grid& grid, Order order, const Resources& size,
                                      std::array<std::uint32_t, 2> from, std::uint32_t& budget) {
     std::uint32_t found = kNone;
-    const std::uint32_t first = order.slots_first ? 1 : 0;
-    const std::uint32_t last = order.slots_first ? kSlotPlanes : 0;
-    for (std::uint32_t plane = first; plane <= last && found == kNone && budget > 0; ++plane) {
-      if (grid.IsEmpty(plane)) continue;
-      grid.Walk(plane, order.axis, from, [&](std::uint32_t processors, std::uint32_t memory) {
-        found = plane == 0 ? SearchColumn(grid, processors, memory, size, budget)
-                           : SearchCell(grid.Head(plane, processors, memory), size, budget);
+    if (!order.slots_first) {
+      grid.WalkColumns(order.axis, from, [&](std::uint32_t processors, std::uint32_t memory) {
+        found = SearchColumn(grid, processors, memory, size, budget);
+        return found != kNone || budget == 0;
+      });
+      return found;
+    }
+    for (std::uint32_t plane = 1; plane <= kSlotPlanes && found == kNone && budget > 0; ++plane) {
+      grid.WalkPlane(plane, from, [&](std::uint32_t processors, std::uint32_t memory) {
+        found = SearchCell(grid.Head(plane, processors, memory), size, budget);
         return found != kNone || budget == 0;
       });
     }
@@ -540,9 +575,10 @@
   [[nodiscard]] std::uint32_t SearchColumn(Grid& grid, std::uint32_t processors,
                                            std::uint32_t memory, const Resources& size,
                                            std::uint32_t& budget) {
-    for (std::uint32_t plane = 1; plane <= kSlotPlanes && budget > 0; ++plane) {
+    for (std::uint32_t planes = grid.UsedPlanes(processors, memory); planes != 0 && budget > 0;
+         planes &= planes - 1) {
+      const auto plane = static_cast<std::uint32_t>(std::countr_zero(planes)) + 1;
       const std::uint32_t head = grid.Head(plane, processors, memory);
-      if (head == kNone) continue;
       if (const std::uint32_t found = SearchCell(head, size, budget); found != kNone) return found;
     }
     return kNone;
