Use learned sizes and run times in decisions

A learned size that would make an admitted job impossible is not used. likely_straggler of the learner is not used: it compares with the median of all runs, by which a lashing check of 2 s beside quotes of 0.2 s would be long; the engine's limit of 5 s decides.

--- a/src/engine.cc
+++ b/src/engine.cc
@@ -45,27 +45,33 @@
   return lane == Lane::kShort || lane == Lane::kUrgent ? short_gate : long_gate;
 }
 
-std::chrono::milliseconds Engine::Impl::RunTimeOf(const JobSpec& spec) const {
+LearnedEstimate Engine::Impl::EstimateOf(const JobSpec& spec) const {
   const auto declared = spec.run_time.count() > 0 ? spec.run_time : kUnknownRunTime;
-  const auto ratio = run_time_ratio.find(spec.work_class);
-  if (ratio == run_time_ratio.end()) return declared;
-  return std::chrono::milliseconds(
-      static_cast<std::int64_t>(static_cast<double>(declared.count()) * ratio->second));
+  LearnedEstimate estimate = learner.Estimate(spec.work_class, spec.size, declared);
+  // What was admitted by its declared size must not become impossible by a learned one.
+  const std::uint32_t together = spec.all_at_once ? spec.task_count : 1;
+  if (!index.WhyNever(estimate.size).empty() ||
+      !shares.WhyNeverWithinQuota(spec.team, estimate.size, together).empty()) {
+    estimate.size = spec.size;
+  }
+  return estimate;
 }
 
-double Engine::Impl::WorkOf(const JobSpec& spec) const {
+double Engine::Impl::WorkOf(const LearnedEstimate& estimate) const {
   // Without workers there is no cell to relate the work to.
   if (slots == 0) return 0.0;
-  return shares.DominantShare(spec.size, 1) *
-         std::chrono::duration<double>(RunTimeOf(spec)).count();
+  return shares.DominantShare(estimate.size, 1) *
+         std::chrono::duration<double>(estimate.run_time).count();
 }
 
 void Engine::Impl::Describe(Job& job, const JobSpec& spec) {
+  const LearnedEstimate estimate = EstimateOf(spec);
   job.spec = spec;
   job.is_known = true;
-  job.run_time = RunTimeOf(spec);
+  job.size = estimate.size;
+  job.run_time = estimate.run_time;
   job.lane = LaneOf(spec, job.run_time);
-  job.work = WorkOf(spec);
+  job.work = WorkOf(estimate);
   job.sequence = next_sequence++;
   if (spec.deadline) deadlines.emplace(*spec.deadline - job.run_time, spec.id);
 }
@@ -119,18 +125,19 @@
   AdmissionQuery query;
   query.job = spec.id;
   query.team = spec.team;
-  query.run_time = RunTimeOf(spec);
+  const LearnedEstimate estimate = EstimateOf(spec);
+  query.run_time = estimate.run_time;
   query.deadline = spec.deadline;
   const Lane lane = LaneOf(spec, query.run_time);
   // Urgent work goes before all that is queued.
   if (lane == Lane::kUrgent) return AdmissionControl({}).Decide(query, now);
-  query.work = WorkOf(spec) * spec.task_count;
+  query.work = WorkOf(estimate) * spec.task_count;
   return GateOf(lane).Decide(query, now);
 }
 
 Shape Engine::Impl::ShapeOf(const Job& job, std::uint32_t task_index) const {
   Shape shape;
-  shape.size = job.spec.size;
+  shape.size = job.size;
   shape.policy = job.spec.policy;
   if (job.spec.all_at_once) shape.gang_tasks = job.spec.task_count;
   const auto found = job.attempts.find(task_index);
--- a/src/engine_place.cc
+++ b/src/engine_place.cc
@@ -94,7 +94,7 @@
   for (const WorkerHandle worker : chosen) ++counts[worker];
   std::int64_t places = 0;
   for (const auto& [worker, count] : counts) {
-    places += headroom.PlacesTaken(worker, job.spec.size, count);
+    places += headroom.PlacesTaken(worker, job.size, count);
   }
   return headroom.Allows(places);
 }
@@ -135,7 +135,7 @@
     for (const TaskKey& task : job.running) siblings.push_back(running.at(task).worker);
   }
   PlacementQuery query;
-  query.size = job.spec.size;
+  query.size = job.size;
   query.policy = job.spec.policy;
   query.siblings = siblings;
   query.excluded = excluded;
@@ -158,16 +158,16 @@
   if (job->lane == Lane::kUrgent) holds.erase(worker);
   GateOf(job->lane).OnTaken(job->spec.team, job->work, now - entry.since, now);
   const TaskKey task{job->spec.id, next.index, next.attempt};
-  Reserve(job, task, worker, now);
+  Reserve(job, task, worker, job->size, now);
   Action action = MakeAction(ActionKind::kStart, task, index.Spec(worker).id);
-  action.size = job->spec.size;
+  action.size = job->size;
   action.latest_start = job->spec.deadline;
   actions.push_back(std::move(action));
 }
 
 bool Engine::Impl::PlaceOne(WaitingGroup& group, const JobPtr& job, SteadyTime now) {
   QueueEntry& entry = *group.entries.front();
-  if (!shares.WithinQuota(job->spec.team, job->spec.size, 1)) return false;
+  if (!shares.WithinQuota(job->spec.team, job->size, 1)) return false;
   const auto worker = ChooseFor(*job, entry.tasks.front().index, now);
   if (!worker) {
     const SteadyTime since = std::max(entry.since, group.last_placed);
@@ -182,10 +182,10 @@
 
 bool Engine::Impl::PlaceGang(const JobPtr& job, QueueEntry& entry, SteadyTime now) {
   const auto count = static_cast<std::uint32_t>(entry.tasks.size());
-  if (!shares.WithinQuota(job->spec.team, job->spec.size, count)) return false;
+  if (!shares.WithinQuota(job->spec.team, job->size, count)) return false;
   const std::vector<WorkerHandle> excluded = ExcludedFor(*job, entry.tasks.front().index, now);
   PlacementQuery query;
-  query.size = job->spec.size;
+  query.size = job->size;
   query.policy = job->spec.policy;
   query.excluded = excluded;
   const std::vector<WorkerHandle> chosen = index.ChooseGang(query, count);
@@ -288,7 +288,7 @@
 
 void Engine::Impl::PlanReservation(const Job& job, const QueueEntry& entry, SteadyTime now) {
   if (reservation) return;
-  auto plan = PlanStart(job.spec.size, static_cast<std::uint32_t>(
+  auto plan = PlanStart(job.size, static_cast<std::uint32_t>(
                                            job.spec.all_at_once ? entry.tasks.size() : 1),
                         now);
   if (!plan) return;
--- a/src/engine_preempt.cc
+++ b/src/engine_preempt.cc
@@ -68,7 +68,7 @@
 
 bool Engine::Impl::PreemptFor(const Job& job, std::vector<PreemptionCandidate>& candidates,
                               SteadyTime now) {
-  const std::vector<std::size_t> victims = index.ChooseVictims(job.spec.size, candidates);
+  const std::vector<std::size_t> victims = index.ChooseVictims(job.size, candidates);
   if (victims.empty()) return false;
   const WorkerHandle worker = candidates[victims.front()].worker;
   for (const std::size_t victim : victims) {
@@ -88,7 +88,7 @@
   queue.Visit([&](const WaitingGroup& group, const QueueEntry& entry) {
     if (group.lane != Lane::kUrgent || wanted == 0) return false;
     const JobPtr job = FindJob(entry.job);
-    if (!job || !shares.WithinQuota(job->spec.team, job->spec.size, 1)) return true;
+    if (!job || !shares.WithinQuota(job->spec.team, job->size, 1)) return true;
     for (std::size_t i = 0; i < entry.tasks.size() && wanted > 0; ++i) {
       // The tasks that wait longest are covered by the holds that exist.
       if (covered > 0) {
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -5,6 +5,7 @@
 #include "citronsill/engine.h"
 #include "citronsill/fairness.h"
 #include "citronsill/headroom.h"
+#include "citronsill/learner.h"
 #include "citronsill/placement.h"
 #include "citronsill/queue.h"
 #include "internal.h"
@@ -23,6 +24,7 @@
     JobSpec spec;
     Lane lane{};
     std::uint64_t sequence = 0;
+    Resources size;                         ///< Learned or declared, of one task.
     std::chrono::milliseconds run_time{0};  ///< Expected, of one task.
     double work = 0.0;                      ///< Of one task, in cell-seconds.
     std::set<std::uint32_t> waiting;        ///< Indexes in the queue or waiting for a delay.
@@ -40,6 +42,7 @@
     JobPtr job;
     WorkerHandle worker;
     Resources size;
+    Resources most_used;  ///< Reported so far.
     std::string team;
     SteadyTime started;
     SteadyTime expected_end;
@@ -81,7 +84,8 @@
   void UpdateCapacity();
   void RoomChanged() { ++generation; }
   void RoomTaken(WorkerHandle worker);
-  void Reserve(const JobPtr& job, const TaskKey& task, WorkerHandle worker, SteadyTime now);
+  void Reserve(const JobPtr& job, const TaskKey& task, WorkerHandle worker, const Resources& size,
+               SteadyTime now);
   bool Release(const TaskKey& task);
   void SetLong(Running& run);
   void FindOverruns(SteadyTime now);
@@ -89,15 +93,15 @@
   bool EndInterrupted(const JobPtr& job, const TaskKey& task, TaskOutcome outcome, SteadyTime now);
   bool MayRetry(Job& job, const TaskKey& task, TaskOutcome outcome, bool preempted);
   void Retry(const JobPtr& job, const TaskKey& task, TaskOutcome outcome, SteadyTime now);
-  void LearnRunTime(const Running& run, SteadyTime now);
+  void Learn(const Running& run, SteadyTime now);
   static bool HasLaterAttempt(const Job& job, const TaskKey& task);
   static bool IsRunning(const Job& job, std::uint32_t task_index, std::uint32_t from_attempt);
   void Interrupt(const JobPtr& job, const TaskKey& task);
 
   // Jobs and their waiting tasks (engine.cc).
   void Describe(Job& job, const JobSpec& spec);
-  [[nodiscard]] std::chrono::milliseconds RunTimeOf(const JobSpec& spec) const;
-  [[nodiscard]] double WorkOf(const JobSpec& spec) const;
+  [[nodiscard]] LearnedEstimate EstimateOf(const JobSpec& spec) const;
+  [[nodiscard]] double WorkOf(const LearnedEstimate& estimate) const;
   JobPtr FindJob(const std::string& id) const;
   void ForgetIfDone(const JobPtr& job);
   [[nodiscard]] bool IsQueueFull(const std::string& team) const;
@@ -168,7 +172,7 @@
   Headroom headroom;
   AdmissionControl short_gate;  ///< In front of the short lane.
   AdmissionControl long_gate;   ///< In front of services, batch and long interactive work.
-  std::unordered_map<std::string, double> run_time_ratio;  ///< By class: actual to declared.
+  Learner learner;
 
   std::multimap<SteadyTime, Delayed> delayed;
   std::set<std::pair<SteadyTime, std::string>> deadlines;  ///< Latest starts; may be out of date.
--- a/src/engine_tasks.cc
+++ b/src/engine_tasks.cc
@@ -8,12 +8,6 @@
 constexpr int kOverrunFactor = 3;
 constexpr std::chrono::milliseconds kOverrunAtLeast{500};
 
-// Weight of the newest run time in a class's ratio, and the largest ratio that one sample adds: a
-// straggler of 50 times the length must not make its whole class look long.
-constexpr double kRatioWeight = 0.05;
-constexpr double kLargestRatio = 4.0;
-constexpr double kSmallestRatio = 0.05;
-
 // A start that a worker or the journal rejected is tried again after a delay that doubles, so that
 // an outage of minutes costs about one try a second.
 constexpr std::chrono::milliseconds kFirstRetryDelay{50};
@@ -46,11 +40,11 @@
 }
 
 void Engine::Impl::Reserve(const JobPtr& job, const TaskKey& task, WorkerHandle worker,
-                           SteadyTime now) {
+                           const Resources& size, SteadyTime now) {
   Running run;
   run.job = job;
   run.worker = worker;
-  run.size = job->spec.size;
+  run.size = size;
   run.team = job->spec.team;
   run.started = now;
   run.expected_end = now + job->run_time;
@@ -138,19 +132,16 @@
   delayed.emplace(now + RetryDelay(tries), Delayed{job, next});
 }
 
-void Engine::Impl::LearnRunTime(const Running& run, SteadyTime now) {
-  const auto& spec = run.job->spec;
-  if (!run.job->is_known || spec.run_time.count() <= 0) return;
-  const auto actual = std::chrono::duration<double, std::milli>(now - run.started).count();
-  const double sample = std::clamp(actual / static_cast<double>(spec.run_time.count()),
-                                   kSmallestRatio, kLargestRatio);
-  double& ratio = run_time_ratio.try_emplace(spec.work_class, 1.0).first->second;
-  ratio += kRatioWeight * (sample - ratio);
+void Engine::Impl::Learn(const Running& run, SteadyTime now) {
+  const JobSpec& spec = run.job->spec;
+  if (!run.job->is_known || spec.work_class.empty()) return;
+  learner.Observe(spec.work_class, spec.size, run.most_used,
+                  std::chrono::duration_cast<std::chrono::milliseconds>(now - run.started));
 }
 
 bool Engine::Impl::EndRunning(const TaskKey& task, TaskOutcome outcome, SteadyTime now) {
   const Running run = running.at(task);
-  if (outcome == TaskOutcome::kSucceeded) LearnRunTime(run, now);
+  if (outcome == TaskOutcome::kSucceeded) Learn(run, now);
   if (outcome == TaskOutcome::kFailed) {
     auto& excluded = run.job->attempts[task.index].excluded;
     const std::string& worker = index.Spec(run.worker).id;
@@ -247,7 +238,7 @@
   }
   m_impl->RemoveWaiting(job, task.index, now);
   job->interrupted.erase(task);
-  m_impl->Reserve(job, task, found->second, now);
+  m_impl->Reserve(job, task, found->second, spec.size, now);
 }
 
 void Engine::Requeue(const TaskKey& task, SteadyTime now) {
@@ -277,6 +268,13 @@
   return m_impl->EndRunning(task, outcome, now);
 }
 
-void Engine::OnUsage(const TaskKey&, const Resources&, SteadyTime) {}
+void Engine::OnUsage(const TaskKey& task, const Resources& used, SteadyTime) {
+  const auto found = m_impl->running.find(task);
+  if (found == m_impl->running.end()) return;
+  Resources& most = found->second.most_used;
+  most.processors_milli = std::max(most.processors_milli, used.processors_milli);
+  most.memory_mb = std::max(most.memory_mb, used.memory_mb);
+  most.accelerators = std::max(most.accelerators, used.accelerators);
+}
 
 }  // namespace citronsill
