--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -340,5 +340,75 @@
   }
 }
 
+// Guards against a choice whose cost grows with the number of workers. Counts, because times vary.
+TEST_CASE("placement: a choice examines few workers in cells of any size") {
+  std::map<std::uint32_t, double> examined;
+  for (const std::uint32_t workers : {50U, 930U, 5000U}) {
+    BusyCell cell(workers, {1, 2, 3});
+    cell.Run(500);
+    const PlacementStats& stats = cell.Index().Stats();
+    examined[workers] = static_cast<double>(stats.workers_examined + stats.cells_examined) /
+                        static_cast<double>(stats.choices);
+  }
+  CHECK(examined[930] <= 930.0 / 20);
+  CHECK(examined[930] < 3 * examined[50]);
+  CHECK(examined[5000] < 3 * examined[50]);
+}
+
+// Guards against sizes off the steps of the index, for which workers are compared one by one.
+TEST_CASE("placement: learned sizes need few comparisons") {
+  WorkerIndex index;
+  for (std::uint32_t i = 0; i < 930; ++i) index.Put(ShipyardWorker(i));
+  for (std::uint32_t i = 0; i < 6000; ++i) {
+    const Resources size{201 + i * 7919 % 4000, 101 + i * 104729 % 8000, 0};
+    if (const auto chosen = index.Choose({.size = size})) index.Reserve(*chosen, size);
+  }
+  const PlacementStats& stats = index.Stats();
+  CHECK(static_cast<double>(stats.workers_examined) / static_cast<double>(stats.choices) <=
+        930.0 / 20);
+}
+
+// Guards against a refusal that does not tell the caller what to change.
+TEST_CASE("placement: a task that never fits is told what is missing") {
+  WorkerIndex index;
+  CHECK_FALSE(index.WhyNever(kCutList).empty());
+  index.Put(ShipyardWorker(0));
+  WorkerSpec other = ShipyardWorker(1);
+  other.capacity = Resources{4500, 131072, 2};
+  index.Put(other);
+  CHECK(index.WhyNever(kFairing).empty());
+  CHECK(index.WhyNever({64000, 1024, 3}) ==
+        "needs 64 processors, the most of any worker is 16 processors; needs 3 accelerators, the "
+        "most of any worker is 2 accelerators");
+  CHECK(index.WhyNever({5500, 65536, 0}) ==
+        "no single worker has 5.5 processors, 65536 MiB of memory and 0 accelerators");
+  index.Remove(*index.Find("worker-1"));
+  CHECK(index.WhyNever({1000, 1024, 1}) ==
+        "needs 1 accelerators, the most of any worker is 0 accelerators");
+}
+
+// Guards against urgent work that stops more than it must, on several workers, or in vain.
+TEST_CASE("placement: victims are the cheapest set that suffices on one worker") {
+  WorkerIndex index;
+  std::vector<PreemptionCandidate> candidates;
+  const auto run = [&](WorkerHandle worker, const Resources& size, double cost) {
+    index.Reserve(worker, size);
+    candidates.push_back({TaskKey{}, worker, size, cost});
+  };
+  const WorkerHandle first = index.Put(ShipyardWorker(0));
+  const WorkerHandle second = index.Put(ShipyardWorker(1));
+  const WorkerHandle third = index.Put(ShipyardWorker(2));
+  for (int i = 0; i < 8; ++i) run(first, kLashingCheck, 3.0);
+  run(second, kFairing, 100.0);
+  run(second, kFairing, 10.0);
+  for (int i = 0; i < 8; ++i) run(third, kCutList, 1.0);
+  CHECK(index.ChooseVictims(kCutList, candidates) == std::vector<std::size_t>{10});
+  CHECK(index.ChooseVictims(kFairing, candidates) == std::vector<std::size_t>{10});
+  index.SetAccepting(third, false);
+  CHECK(index.ChooseVictims(kCutList, candidates) == std::vector<std::size_t>{0});
+  CHECK(index.ChooseVictims(kFairing, candidates) == std::vector<std::size_t>{9});
+  CHECK(index.ChooseVictims({32000, 1, 0}, candidates).empty());
+}
+
 }  // namespace
 }  // namespace citronsill
