Quarantine failing workers and limit retries in the engine

Workers on probation get one task that may safely run again, and no gang, urgent, exclusive or non-idempotent work.

--- a/src/engine.cc
+++ b/src/engine.cc
@@ -83,6 +83,7 @@
 
 void Engine::Impl::ForgetIfDone(const JobPtr& job) {
   if (job->waiting.empty() && job->running.empty() && job->interrupted.empty()) {
+    health.ForgetJob(job->spec.id);
     jobs.erase(job->spec.id);
   }
 }
@@ -327,6 +328,7 @@
   if (!m_impl->delayed.empty()) earliest(m_impl->delayed.begin()->first);
   if (!m_impl->overruns.empty()) earliest(m_impl->overruns.begin()->first);
   for (const auto& [worker, hold] : m_impl->holds) earliest(hold.since + Impl::kHoldTime);
+  if (m_impl->waiting_jobs > 0) earliest(m_impl->last_refresh + Impl::kRefreshPeriod);
   return wake;
 }
 
@@ -336,6 +338,7 @@
   stats.waiting_jobs = m_impl->waiting_jobs;
   stats.running_tasks = m_impl->running.size();
   stats.capacity = m_impl->capacity;
+  stats.quarantined = m_impl->health.QuarantinedCount();
   for (const auto& [id, worker] : m_impl->workers) {
     const Resources free = m_impl->index.Free(worker);
     stats.used += m_impl->index.Spec(worker).capacity;
--- a/src/engine_place.cc
+++ b/src/engine_place.cc
@@ -3,9 +3,6 @@
 namespace citronsill {
 namespace {
 
-// Limits that depend on time alone, such as the room kept for short work, are looked at this often.
-constexpr std::chrono::milliseconds kRefreshPeriod{250};
-
 // A task gets a reservation when no task of its shape was started for this time; a gang job gets
 // one at once, because it needs its room at one moment. A reservation keeps room idle: at 5 s from
 // the submission, every shape of a backlog asked for one.
@@ -114,6 +111,10 @@
   if (KeepsOffReservation(job, now)) {
     excluded.insert(excluded.end(), reservation->workers.begin(), reservation->workers.end());
   }
+  // A worker on probation gets work that may safely be started again elsewhere.
+  const bool may_probe = job.spec.idempotent && !job.spec.exclusive && !job.spec.all_at_once &&
+                         job.lane != Lane::kUrgent;
+  if (!may_probe) excluded.insert(excluded.end(), probes.begin(), probes.end());
   const auto found = job.attempts.find(task_index);
   // A cell whose every worker failed the task once has to take one of them.
   if (found == job.attempts.end() || found->second.excluded.size() >= workers.size()) {
@@ -158,6 +159,9 @@
   if (job->lane == Lane::kUrgent) holds.erase(worker);
   GateOf(job->lane).OnTaken(job->spec.team, job->work, now - entry.since, now);
   const TaskKey task{job->spec.id, next.index, next.attempt};
+  if (next.attempt == 0) retry_budgets[job->spec.team].OnFirstTry();
+  health.OnPlaced(index.Spec(worker).id, job->spec.id, now);
+  if (probes.contains(worker)) UpdateOpen(worker, now);
   Reserve(job, task, worker, job->size, now);
   Action action = MakeAction(ActionKind::kStart, task, index.Spec(worker).id);
   action.size = job->size;
@@ -299,9 +303,10 @@
 
 std::vector<Action> Engine::Poll(SteadyTime now) {
   Impl& impl = *m_impl;
-  if (now - impl.last_refresh >= kRefreshPeriod) {
+  if (now - impl.last_refresh >= Impl::kRefreshPeriod) {
     impl.last_refresh = now;
     impl.RoomChanged();
+    impl.UpdateHealth(now);
   }
   impl.FindOverruns(now);
   impl.headroom.Observe(now);
--- a/src/engine_preempt.cc
+++ b/src/engine_preempt.cc
@@ -46,7 +46,7 @@
     // A gang job would lose the work of all its tasks; what runs it is not known to survive.
     const bool may_stop = run.job->is_known && spec.idempotent && !spec.urgent &&
                           !spec.all_at_once && !run.stopping && !run.lost;
-    if (!may_stop || holds.contains(run.worker) || !states.at(run.worker).accepting) continue;
+    if (!may_stop || holds.contains(run.worker) || !states.at(run.worker).IsOpen()) continue;
     const double seconds = std::chrono::duration<double>(now - run.started).count();
     candidates.push_back({task, run.worker, run.size, CostOf(spec, seconds)});
   }
--- a/src/engine_reserve.cc
+++ b/src/engine_reserve.cc
@@ -46,7 +46,7 @@
   std::map<WorkerHandle, Room> rooms;
   std::int64_t total = 0;
   for (const auto& [id, worker] : workers) {
-    if (!states.at(worker).accepting) continue;
+    if (!states.at(worker).IsOpen()) continue;
     Room room{index.Free(worker), index.FreeSlots(worker), 0};
     room.units = UnitsOf(room.free, room.slots, size);
     total += room.units;
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -5,6 +5,7 @@
 #include "citronsill/engine.h"
 #include "citronsill/fairness.h"
 #include "citronsill/headroom.h"
+#include "citronsill/health.h"
 #include "citronsill/learner.h"
 #include "citronsill/placement.h"
 #include "citronsill/queue.h"
@@ -55,7 +56,9 @@
 
   struct WorkerState {
     std::unordered_set<TaskKey> tasks;
-    bool accepting = true;
+    bool accepting = true;   ///< By the caller.
+    bool may_place = true;   ///< By its health.
+    [[nodiscard]] bool IsOpen() const { return accepting && may_place; }
   };
 
   struct Delayed {
@@ -78,12 +81,19 @@
     bool strict = false;  ///< Short work keeps away from the workers too.
   };
 
+  // Limits that depend on time alone, such as the room kept for short work and the quarantine of
+  // workers, are looked at this often.
+  static constexpr std::chrono::milliseconds kRefreshPeriod{250};
+
   explicit Impl(const EngineOptions& engine_options);
 
   // Workers and running tasks (engine_tasks.cc).
   void UpdateCapacity();
   void RoomChanged() { ++generation; }
   void RoomTaken(WorkerHandle worker);
+  void UpdateOpen(WorkerHandle worker, SteadyTime now);
+  void UpdateHealth(SteadyTime now);
+  void ReportResult(const Running& run, TaskOutcome outcome, SteadyTime now);
   void Reserve(const JobPtr& job, const TaskKey& task, WorkerHandle worker, const Resources& size,
                SteadyTime now);
   bool Release(const TaskKey& task);
@@ -173,6 +183,9 @@
   AdmissionControl short_gate;  ///< In front of the short lane.
   AdmissionControl long_gate;   ///< In front of services, batch and long interactive work.
   Learner learner;
+  HealthTracker health;
+  std::set<WorkerHandle> probes;  ///< Quarantined workers that may get one task.
+  std::unordered_map<std::string, RetryBudget> retry_budgets;  ///< By team.
 
   std::multimap<SteadyTime, Delayed> delayed;
   std::set<std::pair<SteadyTime, std::string>> deadlines;  ///< Latest starts; may be out of date.
--- a/src/engine_tasks.cc
+++ b/src/engine_tasks.cc
@@ -35,8 +35,39 @@
 }
 
 void Engine::Impl::RoomTaken(WorkerHandle worker) {
-  headroom.SetFree(worker, index.Free(worker), index.FreeSlots(worker),
-                   states[worker].accepting);
+  headroom.SetFree(worker, index.Free(worker), index.FreeSlots(worker), states[worker].IsOpen());
+}
+
+void Engine::Impl::UpdateOpen(WorkerHandle worker, SteadyTime now) {
+  WorkerState& state = states[worker];
+  const std::string& id = index.Spec(worker).id;
+  const bool was_open = state.IsOpen();
+  state.may_place = health.MayPlace(id, now);
+  if (state.may_place && health.IsQuarantined(id)) {
+    probes.insert(worker);
+  } else {
+    probes.erase(worker);
+  }
+  index.SetAccepting(worker, state.IsOpen());
+  if (was_open == state.IsOpen()) return;
+  RoomTaken(worker);
+  if (state.IsOpen()) RoomChanged();
+}
+
+void Engine::Impl::UpdateHealth(SteadyTime now) {
+  if (health.QuarantinedCount() == 0 && probes.empty()) return;
+  for (const auto& [id, worker] : workers) UpdateOpen(worker, now);
+}
+
+void Engine::Impl::ReportResult(const Running& run, TaskOutcome outcome, SteadyTime now) {
+  const std::string& worker = index.Spec(run.worker).id;
+  const std::string& job = run.job->spec.id;
+  if (outcome == TaskOutcome::kSucceeded || outcome == TaskOutcome::kFailed) {
+    health.OnResult(worker, job, outcome == TaskOutcome::kSucceeded, now);
+  } else {
+    health.OnNoResult(worker, job, now);
+  }
+  UpdateOpen(run.worker, now);
 }
 
 void Engine::Impl::Reserve(const JobPtr& job, const TaskKey& task, WorkerHandle worker,
@@ -118,7 +149,8 @@
   if (!job.spec.idempotent) return false;
   if (preempted && outcome == TaskOutcome::kStopped) return true;
   ++attempts.failures;
-  return attempts.failures < job.spec.max_attempts;
+  if (attempts.failures >= job.spec.max_attempts || health.IsJobFailing(job.spec.id)) return false;
+  return retry_budgets[job.spec.team].TryTake();
 }
 
 void Engine::Impl::Retry(const JobPtr& job, const TaskKey& task, TaskOutcome outcome,
@@ -150,6 +182,7 @@
     }
   }
   Release(task);
+  ReportResult(run, outcome, now);
   const bool again = run.job->is_known && MayRetry(*run.job, task, outcome, run.preempted);
   if (again) Retry(run.job, task, outcome, now);
   ForgetIfDone(run.job);
@@ -179,16 +212,18 @@
   }
 }
 
-void Engine::PutWorker(const WorkerSpec& spec, SteadyTime) {
+void Engine::PutWorker(const WorkerSpec& spec, SteadyTime now) {
   const WorkerHandle worker = m_impl->index.Put(spec);
   m_impl->workers[spec.id] = worker;
   m_impl->states.try_emplace(worker);
   m_impl->headroom.SetWorker(worker, spec);
+  m_impl->health.AddWorker(spec.id);
+  m_impl->UpdateOpen(worker, now);
   m_impl->RoomTaken(worker);
   m_impl->UpdateCapacity();
 }
 
-std::vector<TaskKey> Engine::RemoveWorker(const std::string& id, SteadyTime now) {
+std::vector<TaskKey> Engine::RemoveWorker(const std::string& id, SteadyTime) {
   const auto found = m_impl->workers.find(id);
   if (found == m_impl->workers.end()) return {};
   const WorkerHandle worker = found->second;
@@ -202,24 +237,26 @@
     m_impl->ForgetIfDone(run.job);
   }
   m_impl->holds.erase(worker);
+  m_impl->probes.erase(worker);
+  m_impl->health.RemoveWorker(id);
   m_impl->reservation.reset();
   m_impl->states.erase(worker);
   m_impl->headroom.RemoveWorker(worker);
   m_impl->index.Remove(worker);
   m_impl->workers.erase(found);
   m_impl->UpdateCapacity();
-  static_cast<void>(now);
   return tasks;
 }
 
-void Engine::SetAccepting(const std::string& id, bool accepting, SteadyTime) {
+void Engine::SetAccepting(const std::string& id, bool accepting, SteadyTime now) {
   const auto found = m_impl->workers.find(id);
   if (found == m_impl->workers.end()) return;
   Impl::WorkerState& state = m_impl->states[found->second];
   if (state.accepting == accepting) return;
+  const bool was_open = state.IsOpen();
   state.accepting = accepting;
-  m_impl->index.SetAccepting(found->second, accepting);
-  m_impl->RoomTaken(found->second);
+  m_impl->UpdateOpen(found->second, now);
+  if (was_open != state.IsOpen()) m_impl->RoomTaken(found->second);
   m_impl->RoomChanged();
 }
 
