Never use the number of an attempt twice

Cause: an earlier attempt that was found running again and then failed was followed by its number plus one, although a later attempt of that number was interrupted on a removed worker, where it may still run; the worker would reject the start as seen before.

--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -16,6 +16,7 @@
 struct Engine::Impl {
   /// What is known about the attempts of one task.
   struct Attempts {
+    std::uint32_t next = 0;  ///< Number of the next attempt; a worker rejects a number it has seen.
     std::uint32_t failures = 0;
     std::uint32_t not_started = 0;
     std::vector<std::string> excluded;  ///< Workers on which it failed.
--- a/src/engine_tasks.cc
+++ b/src/engine_tasks.cc
@@ -91,6 +91,8 @@
   }
   states[worker].tasks.insert(task);
   job->running.insert(task);
+  std::uint32_t& next_attempt = job->attempts[task.index].next;
+  next_attempt = std::max(next_attempt, task.attempt + 1);
   running.emplace(task, std::move(run));
 }
 
@@ -155,7 +157,7 @@
 
 void Engine::Impl::Retry(const JobPtr& job, const TaskKey& task, TaskOutcome outcome,
                          SteadyTime now) {
-  const WaitingTask next{task.index, task.attempt + 1};
+  const WaitingTask next{task.index, job->attempts[task.index].next};
   if (outcome != TaskOutcome::kNotStarted) return Enqueue(job, {next}, true, now);
   if (job->waiting.empty()) BeginWaiting(*job);
   job->waiting.insert(task.index);
@@ -283,7 +285,7 @@
   if (!job || job->closed || !job->spec.idempotent || job->spec.exclusive) return;
   if (job->interrupted.erase(task) == 0) return;
   if (Impl::HasLaterAttempt(*job, task)) return;
-  m_impl->Enqueue(job, {{task.index, task.attempt + 1}}, true, now);
+  m_impl->Enqueue(job, {{task.index, job->attempts[task.index].next}}, true, now);
 }
 
 void Engine::OnStarted(const TaskKey&, SteadyTime) {}
