Share the busy shipyard cell between tests and bench of placement

The levels of the index are computed without floating point. The cell that the packing test and the packing bench keep busy is one class, bench/shipyard_cell.h; the test's bounds are unchanged.

--- a/bench/placement_bench.cc
+++ b/bench/placement_bench.cc
@@ -5,47 +5,31 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
-#include <cmath>
-#include <deque>
+#include <tuple>
 
 #include "citronsill/placement.h"
+#include "shipyard_cell.h"
 
 namespace citronsill {
 namespace {
 
-constexpr std::array<Resources, 3> kMix = {Resources{8000, 16384, 0}, Resources{2000, 2048, 0},
-                                           Resources{1000, 512, 0}};
-constexpr Resources kWorkerCapacity{16000, 32768, 0};
-constexpr std::uint32_t kSlots = 8;
 constexpr double kFullShare = 0.85;
 
-class Random {
- public:
-  std::size_t Below(std::size_t bound) {
-    m_state = m_state * 6364136223846793005ULL + 1442695040888963407ULL;
-    return (m_state >> 33) % bound;
-  }
+/// What a scan reads of a worker and nothing else: 32 bytes.
+struct Entry {
+  Resources free;
+  std::uint32_t free_slots = 0;
+  bool accepting = true;
 
- private:
-  std::uint64_t m_state = 7;
+  explicit Entry(const WorkerSpec& spec) : free(spec.capacity), free_slots(spec.slots) {}
 };
 
-WorkerSpec Worker(std::uint32_t number) {
-  WorkerSpec spec;
-  spec.id = "worker-" + std::to_string(number);
-  spec.rack = "rack-" + std::to_string(number / 8);
-  spec.failure_domain = "domain-" + std::to_string(number / 8 % 3);
-  spec.capacity = kWorkerCapacity;
-  spec.slots = kSlots;
-  return spec;
-}
-
 /// The rule of the index for batch tasks, without an index: of all workers with room, the one with
 /// the least of the scarcest resource free.
 class FullScan {
  public:
   WorkerHandle Put(const WorkerSpec& spec) {
-    m_workers.push_back({spec.capacity, spec.slots, true});
+    m_workers.emplace_back(spec);
     m_capacity += spec.capacity;
     m_slots += spec.slots;
     return WorkerHandle{static_cast<std::uint32_t>(m_workers.size() - 1)};
@@ -88,12 +72,6 @@
   }
 
  private:
-  struct Entry {
-    Resources free;
-    std::uint32_t free_slots = 0;
-    bool accepting = true;
-  };
-
   static double Share(std::int64_t used, std::int64_t capacity) {
     return static_cast<double>(used) / static_cast<double>(capacity);
   }
@@ -121,12 +99,12 @@
 class BusyCell {
  public:
   explicit BusyCell(std::uint32_t workers) {
-    for (std::uint32_t i = 0; i < workers; ++i) m_index.Put(Worker(i));
+    for (std::uint32_t i = 0; i < workers; ++i) m_index.Put(ShipyardWorker(i));
     const double target =
-        kFullShare * workers * static_cast<double>(kWorkerCapacity.processors_milli);
+        kFullShare * workers * static_cast<double>(kShipyardCapacity.processors_milli);
     double used = 0;
     while (used < target) {
-      const Resources size = kMix[m_random.Below(kMix.size())];
+      const Resources size = kShipyardMix[m_random.Below(kShipyardMix.size())];
       const auto worker = m_index.Choose({.size = size});
       if (!worker) continue;
       m_index.Reserve(*worker, size);
@@ -144,12 +122,6 @@
     m_index.Reserve(task.worker, task.size);
   }
 
-  [[nodiscard]] std::vector<Resources> RunningSizes() const {
-    std::vector<Resources> sizes;
-    for (const Running& task : m_running) sizes.push_back(task.size);
-    return sizes;
-  }
-
   Index& Workers() { return m_index; }
 
  private:
@@ -176,7 +148,7 @@
 template <class Index>
 void ChooseNone(benchmark::State& state) {
   BusyCell<Index> cell(static_cast<std::uint32_t>(state.range(0)));
-  for (auto _ : state) benchmark::DoNotOptimize(cell.Workers().Choose({.size = kWorkerCapacity}));
+  for (auto _ : state) benchmark::DoNotOptimize(cell.Workers().Choose({.size = kShipyardCapacity}));
 }
 BENCHMARK(ChooseNone<WorkerIndex>)->Arg(50)->Arg(930)->Arg(5000);
 BENCHMARK(ChooseNone<FullScan>)->Arg(50)->Arg(930)->Arg(5000);
@@ -187,7 +159,7 @@
   Random random;
   std::vector<std::pair<WorkerHandle, Resources>> running;
   const auto workers = static_cast<std::uint32_t>(state.range(0));
-  for (std::uint32_t i = 0; i < workers; ++i) index.Put(Worker(i));
+  for (std::uint32_t i = 0; i < workers; ++i) index.Put(ShipyardWorker(i));
   const auto start = [&] {
     const auto processors = static_cast<std::int64_t>(200 + random.Below(4000));
     const auto memory = static_cast<std::int64_t>(100 + random.Below(8000));
@@ -237,7 +209,7 @@
 void Gang(benchmark::State& state) {
   BusyCell<WorkerIndex> cell(static_cast<std::uint32_t>(state.range(0)));
   const auto policy = static_cast<SchedulingPolicy>(state.range(1));
-  const PlacementQuery query{.size = kMix[2], .policy = policy};
+  const PlacementQuery query{.size = kShipyardMix[2], .policy = policy};
   std::size_t chosen = 0;
   for (auto _ : state) chosen = cell.Workers().ChooseGang(query, 64).size();
   state.counters["chosen"] = static_cast<double>(chosen);
@@ -251,7 +223,7 @@
   std::vector<WorkerHandle> siblings;
   for (std::uint32_t i = 0; i < 12; ++i) siblings.push_back(WorkerHandle{i * 4});
   const PlacementQuery query{
-      .size = kMix[1], .policy = SchedulingPolicy::kService, .siblings = siblings};
+      .size = kShipyardMix[1], .policy = SchedulingPolicy::kService, .siblings = siblings};
   for (auto _ : state) {
     const auto worker = cell.Workers().Choose(query);
     cell.Workers().Reserve(*worker, query.size);
@@ -260,64 +232,25 @@
 }
 BENCHMARK(Spread)->Arg(50)->Arg(930)->Arg(5000);
 
-/// Starts tasks of a waiting list in their order, those that do not fit let others pass; each task
-/// that ends is replaced by a waiting one.
 void Packing(benchmark::State& state) {
-  const std::array<std::size_t, 3> weights = {static_cast<std::size_t>(state.range(0)),
-                                              static_cast<std::size_t>(state.range(1)),
-                                              static_cast<std::size_t>(state.range(2))};
-  constexpr std::uint32_t kWorkers = 50;
-  const std::size_t depth = static_cast<std::size_t>(state.range(3));
-  std::array<double, 3> sum{};
-  std::size_t samples = 0;
+  constexpr std::size_t kSamples = 5000;
+  Shares sum{};
   for (auto _ : state) {
-    WorkerIndex index;
-    Random random;
-    std::deque<std::size_t> waiting;
-    std::vector<std::pair<WorkerHandle, std::size_t>> running;
-    Resources used;
-    for (std::uint32_t i = 0; i < kWorkers; ++i) index.Put(Worker(i));
-    const auto draw = [&] {
-      std::size_t ticket = random.Below(weights[0] + weights[1] + weights[2]);
-      std::size_t kind = 0;
-      while (ticket >= weights[kind]) ticket -= weights[kind++];
-      return kind;
-    };
-    const auto start = [&] {
-      for (std::size_t i = 0; i < waiting.size();) {
-        const std::size_t kind = waiting[i];
-        const auto worker = index.Choose({.size = kMix[kind]});
-        if (!worker) {
-          ++i;
-          continue;
-        }
-        index.Reserve(*worker, kMix[kind]);
-        used += kMix[kind];
-        running.emplace_back(*worker, kind);
-        waiting.erase(waiting.begin() + static_cast<std::ptrdiff_t>(i));
-        waiting.push_back(draw());
-      }
-    };
-    for (std::size_t i = 0; i < depth; ++i) waiting.push_back(draw());
-    start();
-    for (int step = 0; step < 6000; ++step) {
-      auto& ended = running[random.Below(running.size())];
-      index.Release(ended.first, kMix[ended.second]);
-      used -= kMix[ended.second];
-      ended = running.back();
-      running.pop_back();
-      start();
-      if (step < 1000) continue;
-      ++samples;
-      sum[0] += static_cast<double>(used.processors_milli) / (16000.0 * kWorkers);
-      sum[1] += static_cast<double>(used.memory_mb) / (32768.0 * kWorkers);
-      sum[2] += static_cast<double>(running.size()) / (8.0 * kWorkers);
+    const ShipyardCell::Weights weights = {static_cast<std::size_t>(state.range(0)),
+                                           static_cast<std::size_t>(state.range(1)),
+                                           static_cast<std::size_t>(state.range(2))};
+    ShipyardCell cell(50, weights, static_cast<std::size_t>(state.range(3)));
+    cell.Run(1000);
+    for (std::size_t sample = 0; sample < kSamples; ++sample) {
+      cell.Run(1);
+      const Shares shares = cell.UsedShares();
+      for (std::size_t i = 0; i < sum.size(); ++i) sum[i] += shares[i] / kSamples;
     }
+    state.counters["of_bound"] = sum[cell.Scarcest()];
   }
-  const auto mean = [&](std::size_t i) { return sum[i] / static_cast<double>(samples); };
-  state.counters["processors"] = mean(0);
-  state.counters["memory"] = mean(1);
-  state.counters["slots"] = mean(2);
+  state.counters["processors"] = sum[0];
+  state.counters["memory"] = sum[1];
+  state.counters["slots"] = sum[2];
 }
 // Weights of fairing runs, lashing checks and cut lists, and the number of waiting tasks.
 BENCHMARK(Packing)
--- a/src/placement.cc
+++ b/src/placement.cc
@@ -148,23 +148,30 @@
 class Scale {
  public:
   void SetLargest(std::int64_t largest) {
-    m_levels_per_unit = kLevels / static_cast<double>(std::max<std::int64_t>(largest, 1));
+    m_largest = static_cast<std::uint64_t>(std::max<std::int64_t>(largest, 1));
+    // Rounded up, so that amounts at the edge of a level are not counted to the one below.
+    m_factor = ((std::uint64_t{kLevels} << kFractionBits) + m_largest - 1) / m_largest;
   }
 
-  /// Half a unit keeps amounts at the edge of a level from being rounded into the one below.
+  /// @param amount not negative.
   [[nodiscard]] std::uint32_t LevelOf(std::int64_t amount) const {
-    const double level = (static_cast<double>(amount) + 0.5) * m_levels_per_unit;
-    return level >= kLevels ? kLevels - 1 : static_cast<std::uint32_t>(level);
+    const std::uint64_t bounded = std::min(static_cast<std::uint64_t>(amount), m_largest);
+    const std::uint64_t level = (bounded * m_factor) >> kFractionBits;
+    return static_cast<std::uint32_t>(std::min<std::uint64_t>(level, kLevels - 1));
   }
 
   /// @returns the lowest level at which every amount covers `amount`.
   [[nodiscard]] std::uint32_t CoveringLevel(std::int64_t amount) const {
     const std::uint32_t level = LevelOf(amount);
-    return amount == 0 || LevelOf(amount - 1) < level ? level : level + 1;
+    return amount <= 0 || LevelOf(amount - 1) < level ? level : level + 1;
   }
 
  private:
-  double m_levels_per_unit = kLevels;
+  // Leaves room for the product: amounts up to `m_largest` give at most 2^38, rounding aside.
+  static constexpr unsigned kFractionBits = 32;
+
+  std::uint64_t m_largest = 1;
+  std::uint64_t m_factor = std::uint64_t{kLevels} << kFractionBits;
 };
 
 struct Rack {
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -4,27 +4,13 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
-#include <array>
 #include <map>
 
+#include "../bench/shipyard_cell.h"
+
 namespace citronsill {
 namespace {
 
-constexpr Resources kFairing{8000, 16384, 0};
-constexpr Resources kLashingCheck{2000, 2048, 0};
-constexpr Resources kCutList{1000, 512, 0};
-constexpr std::array<Resources, 3> kShipyardMix = {kFairing, kLashingCheck, kCutList};
-
-WorkerSpec ShipyardWorker(std::uint32_t number) {
-  WorkerSpec spec;
-  spec.id = "worker-" + std::to_string(number);
-  spec.rack = "rack-" + std::to_string(number / 8);
-  spec.failure_domain = "domain-" + std::to_string(number / 8 % 3);
-  spec.capacity = Resources{16000, 32768, 0};
-  spec.slots = 8;
-  return spec;
-}
-
 /// Reference: every worker in a list, every question answered by a full scan.
 struct Model {
   struct Worker {
@@ -242,101 +228,17 @@
   CHECK(holds);
 }
 
-/// Keeps a cell of shipyard workers busy with a mix that always waits.
-class BusyCell {
- public:
-  BusyCell(std::uint32_t workers, std::array<unsigned, 3> weights) : m_weights(weights) {
-    for (std::uint32_t i = 0; i < workers; ++i) m_index.Put(ShipyardWorker(i));
-    m_workers = workers;
-  }
-
-  /// Fills the cell, then ends tasks at random and starts waiting ones `steps` times.
-  void Run(std::size_t steps) {
-    for (std::size_t i = 0; i < std::size_t{m_workers} * 8; ++i) m_waiting.push_back(NextSize());
-    Start();
-    for (std::size_t i = 0; i < steps; ++i) {
-      const std::size_t ended = Random(m_running.size());
-      m_index.Release(m_running[ended].first, m_running[ended].second);
-      m_running[ended] = m_running.back();
-      m_running.pop_back();
-      Start();
-    }
-  }
-
-  /// Share of the scarcest resource of the mix, slots included, that is in use.
-  [[nodiscard]] double PackedShare() const {
-    Resources used;
-    for (const auto& [worker, size] : m_running) used += size;
-    std::array<double, 3> need{};
-    for (std::size_t i = 0; i < 3; ++i) {
-      need[0] += m_weights[i] * static_cast<double>(kShipyardMix[i].processors_milli) / 16000;
-      need[1] += m_weights[i] * static_cast<double>(kShipyardMix[i].memory_mb) / 32768;
-      need[2] += m_weights[i] / 8.0;
-    }
-    const std::array<double, 3> share = {
-        static_cast<double>(used.processors_milli) / (16000.0 * m_workers),
-        static_cast<double>(used.memory_mb) / (32768.0 * m_workers),
-        static_cast<double>(m_running.size()) / (8.0 * m_workers)};
-    return share[static_cast<std::size_t>(std::max_element(need.begin(), need.end()) -
-                                          need.begin())];
-  }
-
-  WorkerIndex& Index() { return m_index; }
-
- private:
-  std::size_t Random(std::size_t bound) {
-    m_state = m_state * 6364136223846793005ULL + 1442695040888963407ULL;
-    return (m_state >> 33) % bound;
-  }
-
-  Resources NextSize() {
-    auto ticket = Random(m_weights[0] + m_weights[1] + m_weights[2]);
-    std::size_t kind = 0;
-    while (ticket >= m_weights[kind]) ticket -= m_weights[kind++];
-    return kShipyardMix[kind];
-  }
-
-  /// Starts waiting tasks in their order; those that do not fit let others pass. A task that
-  /// starts is replaced by a new one at the end.
-  void Start() {
-    std::array<bool, 3> full{};
-    for (std::size_t i = 0; i < m_waiting.size();) {
-      const Resources size = m_waiting[i];
-      const auto kind = static_cast<std::size_t>(
-          std::find(kShipyardMix.begin(), kShipyardMix.end(), size) - kShipyardMix.begin());
-      if (full[0] && full[1] && full[2]) return;
-      const auto chosen = full[kind] ? std::nullopt : m_index.Choose({.size = size});
-      if (!chosen) {
-        full[kind] = true;
-        ++i;
-        continue;
-      }
-      m_index.Reserve(*chosen, size);
-      m_running.emplace_back(*chosen, size);
-      m_waiting.erase(m_waiting.begin() + static_cast<std::ptrdiff_t>(i));
-      m_waiting.push_back(NextSize());
-    }
-  }
-
-  std::array<unsigned, 3> m_weights;
-  WorkerIndex m_index;
-  std::uint32_t m_workers = 0;
-  std::uint64_t m_state = 7;
-  std::vector<std::pair<WorkerHandle, Resources>> m_running;
-  std::vector<Resources> m_waiting;
-};
-
 // Guards against capacity that stays unused while work waits. The bound is that of the design page.
 TEST_CASE("placement: the shipyard mix is packed to 95% of the volume bound") {
-  for (const std::array<unsigned, 3> weights :
-       {std::array{1U, 2U, 3U}, std::array{2U, 3U, 5U}, std::array{1U, 1U, 1U},
-        std::array{1U, 2U, 10U}, std::array{1U, 10U, 1U}}) {
-    BusyCell cell(50, weights);
+  using Weights = ShipyardCell::Weights;
+  for (const Weights& weights : {Weights{1, 2, 3}, Weights{2, 3, 5}, Weights{1, 1, 1},
+                                 Weights{1, 2, 10}, Weights{1, 10, 1}}) {
+    ShipyardCell cell(50, weights, 400);
     cell.Run(3000);
     CAPTURE(weights[0]);
     CAPTURE(weights[1]);
     CAPTURE(weights[2]);
-    CHECK(cell.PackedShare() >= 0.95);
+    CHECK(cell.UsedShares()[cell.Scarcest()] >= 0.95);
   }
 }
 
@@ -344,7 +246,7 @@
 TEST_CASE("placement: a choice examines few workers in cells of any size") {
   std::map<std::uint32_t, double> examined;
   for (const std::uint32_t workers : {50U, 930U, 5000U}) {
-    BusyCell cell(workers, {1, 2, 3});
+    ShipyardCell cell(workers, {1, 2, 3}, 400);
     cell.Run(500);
     const PlacementStats& stats = cell.Index().Stats();
     examined[workers] = static_cast<double>(stats.workers_examined + stats.cells_examined) /
