--- a/bench/policy_cases.h
+++ b/bench/policy_cases.h
@@ -141,12 +141,12 @@
 
 /// Tasks of this kind a second that the empty cell can do.
 inline double CapacityOf(const Deployment& cell, const Kind& kind) {
-  const double slots = std::min<double>(
-      {static_cast<double>(cell.slots),
-       std::floor(static_cast<double>(cell.capacity.processors_milli) /
-                  static_cast<double>(kind.size.processors_milli)),
-       std::floor(static_cast<double>(cell.capacity.memory_mb) /
-                  static_cast<double>(kind.size.memory_mb))});
+  const double slots =
+      std::min<double>({static_cast<double>(cell.slots),
+                        std::floor(static_cast<double>(cell.capacity.processors_milli) /
+                                   static_cast<double>(kind.size.processors_milli)),
+                        std::floor(static_cast<double>(cell.capacity.memory_mb) /
+                                   static_cast<double>(kind.size.memory_mb))});
   return slots * cell.workers * 1000.0 / static_cast<double>(kind.run_time.count());
 }
 
@@ -197,11 +197,10 @@
   source.Stream(cell.check, check, Ms(0), end, straggle);
   model.RunUntil(end);
   // The first 40 s fill the cell and have the first burst.
-  return Quantile(Waits(model, end,
-                        [](const Record& record) {
-                          return IsShort(record) && record.arrival.at >= Ms(40000);
-                        }),
-                  0.99);
+  return Quantile(
+      Waits(model, end,
+            [](const Record& record) { return IsShort(record) && record.arrival.at >= Ms(40000); }),
+      0.99);
 }
 
 /// More batch work than fits, with light short work.
@@ -224,8 +223,9 @@
     count += 1.0;
   }
   const double workers = cell.workers;
-  return std::max(processors / count / workers / static_cast<double>(cell.capacity.processors_milli),
-                  memory / count / workers / static_cast<double>(cell.capacity.memory_mb));
+  return std::max(
+      processors / count / workers / static_cast<double>(cell.capacity.processors_milli),
+      memory / count / workers / static_cast<double>(cell.capacity.memory_mb));
 }
 
 struct OverloadFigures {
@@ -238,10 +238,10 @@
 };
 
 struct OverloadOptions {
-  bool returns = false;      ///< Refused callers come back when told.
-  double declared = 1.0;     ///< Declared by actual run time.
-  double one_team = 0.0;     ///< Part of the demand above the ordinary that one team makes.
-  std::optional<Ms> deadline;
+  bool returns = false;   ///< Refused callers come back when told.
+  double declared = 1.0;  ///< Declared by actual run time.
+  double one_team = 0.0;  ///< Part of the demand above the ordinary that one team makes.
+  std::optional<Ms> deadline = std::nullopt;
 };
 
 /// Half the capacity, then 4 times the capacity from 5 s to 15 s, then half again.
@@ -272,8 +272,8 @@
   double in_time = 0.0;
   double others = 0.0;
   for (const Record& record : model.Records()) {
-    const bool is_other = record.arrival.spec.team != "flood" && record.arrival.at >= from &&
-                          record.arrival.at < to;
+    const bool is_other =
+        record.arrival.spec.team != "flood" && record.arrival.at >= from && record.arrival.at < to;
     if (is_other) others += 1.0;
     if (!record.accepted && is_other) figures.others_refused += 1.0;
     if (!record.accepted) continue;
@@ -291,8 +291,8 @@
   const double normal = Quantile(waits[from.count() / 250 - 2], 0.99) + 50.0;
   for (const auto& [bin, values] : waits) {
     if (bin * 250 < to.count() || Quantile(values, 0.99) <= normal) continue;
-    figures.recovery_s = (static_cast<double>(bin + 1) * 250.0 -
-                          static_cast<double>(to.count())) / 1000.0;
+    figures.recovery_s =
+        (static_cast<double>(bin + 1) * 250.0 - static_cast<double>(to.count())) / 1000.0;
   }
   figures.returns = static_cast<double>(model.Returns());
   if (model.Returns() > 0) {
@@ -392,8 +392,8 @@
   source.Stream(cell.batch.front(), batch, Ms(0), end);
   model.RunUntil(end);
   SteadyFigures figures;
-  figures.starts_per_s = static_cast<double>(model.Starts()) * 1000.0 /
-                         static_cast<double>(end.count());
+  figures.starts_per_s =
+      static_cast<double>(model.Starts()) * 1000.0 / static_cast<double>(end.count());
   figures.running = static_cast<double>(model.Samples().back().running);
   figures.core_percent = model.SchedulerSeconds() * 100000.0 / static_cast<double>(end.count());
   figures.p99_wait_ms = Quantile(Waits(model, end, IsShort), 0.99);
--- a/bench/policy_model.h
+++ b/bench/policy_model.h
@@ -57,7 +57,9 @@
 /// Baseline: first come, first served, first fit by a full scan, nothing refused.
 class FirstComeScheduler : public Scheduler {
  public:
-  void PutWorker(const WorkerSpec& spec, SteadyTime) override { m_workers.push_back({spec, {}, 0}); }
+  void PutWorker(const WorkerSpec& spec, SteadyTime) override {
+    m_workers.push_back({spec, {}, 0});
+  }
 
   Admission Submit(const JobSpec& job, SteadyTime) override {
     for (std::uint32_t i = 0; i < job.task_count; ++i) m_queue.push_back({job, i});
@@ -108,9 +110,9 @@
 
 struct Arrival {
   Ms at{0};
-  JobSpec spec;        ///< The id is set by the model.
-  Ms run_time{0};      ///< Actual, of each task.
-  Ms deadline{0};      ///< From arrival; 0 stands for none.
+  JobSpec spec;          ///< The id is set by the model.
+  Ms run_time{0};        ///< Actual, of each task.
+  Ms deadline{0};        ///< From arrival; 0 stands for none.
   bool returns = false;  ///< Comes back when told so.
 };
 
@@ -130,7 +132,7 @@
   Ms at{0};
   Resources used;
   std::size_t running = 0;
-  std::size_t waiting = 0;                         ///< Accepted jobs that were not started.
+  std::size_t waiting = 0;  ///< Accepted jobs that were not started.
   std::map<std::string, Resources> used_by_team;
   std::map<std::string, std::size_t> waiting_by_team;
 };
--- a/bench/policy_table.cc
+++ b/bench/policy_table.cc
@@ -50,8 +50,8 @@
 
 void PrintDeployment(const Deployment& cell, const Weights& weight, std::uint64_t seed) {
   const auto wait = Both([&](Scheduler& one) { return WaitCase(cell, one, seed, 0.0); });
-  Print({cell.name, "p99 wait of short work, ms", weight.waiting, wait.first,
-         wait.second, wait.second, true});
+  Print({cell.name, "p99 wait of short work, ms", weight.waiting, wait.first, wait.second,
+         wait.second, true});
   const auto straggle = Both([&](Scheduler& one) { return WaitCase(cell, one, seed, 0.01); });
   const auto ratio = [](double with, double without) {
     return std::max(with, kLeastWaitMs) / std::max(without, kLeastWaitMs);
--- a/include/citronsill/engine.h
+++ b/include/citronsill/engine.h
@@ -142,8 +142,8 @@
   /// @returns whether another attempt of the task follows.
   bool OnEnded(const TaskKey& task, TaskOutcome outcome, SteadyTime now);
 
-  /// Starts a task again that was on a removed worker. Only for the owner of the job, who knows that
-  /// a second run does no harm.
+  /// Starts a task again that was on a removed worker. Only for the owner of the job, who knows
+  /// that a second run does no harm.
   /// @remarks Ignored for tasks that are unknown, not idempotent or exclusive.
   void Requeue(const TaskKey& task, SteadyTime now);
 
--- a/include/citronsill/fairness.h
+++ b/include/citronsill/fairness.h
@@ -16,7 +16,8 @@
  public:
   void SetCapacity(const Resources& capacity, std::uint32_t slots);
 
-  /// @param quota limit of what the team's running tasks hold; 0 stands for no limit in a dimension.
+  /// @param quota limit of what the team's running tasks hold; 0 stands for no limit in a
+  /// dimension.
   void SetQuota(const std::string& team, const Resources& quota);
 
   /// @param is_short whether the task counts as short work.
--- a/src/admission.cc
+++ b/src/admission.cc
@@ -140,8 +140,8 @@
   const std::chrono::duration<double> gap(query.work / (kPromisedPart * DrainRate()));
   m_next_booking = due + std::chrono::duration_cast<SteadyTime::duration>(gap);
   Admission refused{schema::CODE_OVERLOADED, "cannot be answered in time at the current load", {}};
-  refused.retry_after = std::min(
-      kLargestRetry, std::chrono::ceil<std::chrono::milliseconds>(due - now));
+  refused.retry_after =
+      std::min(kLargestRetry, std::chrono::ceil<std::chrono::milliseconds>(due - now));
   if (m_bookings.size() < kMaxBookings) {
     m_bookings[query.job] = {now + refused.retry_after};
     m_booking_order.emplace_back(now + refused.retry_after, query.job);
--- a/src/engine.cc
+++ b/src/engine.cc
@@ -83,7 +83,8 @@
 
 void Engine::Impl::ForgetIfDone(const JobPtr& job) {
   if (job->waiting.empty() && job->running.empty() && job->interrupted.empty()) {
-    health.ForgetJob(job->spec.id);
+    // Jobs that were never started have no results.
+    if (!job->attempts.empty()) health.ForgetJob(job->spec.id);
     jobs.erase(job->spec.id);
   }
 }
--- a/src/engine_place.cc
+++ b/src/engine_place.cc
@@ -82,11 +82,16 @@
   return reservation && reservation->job == job.spec.id;
 }
 
+bool Engine::Impl::IsPatient(const Job& job) {
+  return job.spec.all_at_once || job.spec.policy == SchedulingPolicy::kService;
+}
+
 bool Engine::Impl::LeavesHeadroom(const Job& job, const QueueEntry& entry,
                                   std::span<const WorkerHandle> chosen, SteadyTime now) const {
-  if (!IsLong(job.lane)) return true;
-  // A job that other long work keeps overtaking is let past the limit in the end.
-  if (IsReservedFor(job) && now - entry.since >= kStrictAge) return true;
+  if (!IsLong(job.lane) || long_running == 0) return true;
+  // Services and gang jobs that other long work keeps overtaking are let past the limit in the end;
+  // single batch tasks are not, because a backlog of them would use the room up.
+  if (IsReservedFor(job) && now - entry.since >= kStrictAge && IsPatient(job)) return true;
   std::map<WorkerHandle, std::uint32_t> counts;
   for (const WorkerHandle worker : chosen) ++counts[worker];
   std::int64_t places = 0;
@@ -178,7 +183,10 @@
     if (IsLong(job->lane) && now - since >= kReservationAge) PlanReservation(*job, entry, now);
     return false;
   }
-  if (!LeavesHeadroom(*job, entry, {&*worker, 1}, now)) return false;
+  if (!LeavesHeadroom(*job, entry, {&*worker, 1}, now)) {
+    if (IsPatient(*job)) PlanReservation(*job, entry, now);
+    return false;
+  }
   Start(job, entry, *worker, now);
   if (IsReservedFor(*job)) reservation.reset();
   return true;
@@ -292,9 +300,8 @@
 
 void Engine::Impl::PlanReservation(const Job& job, const QueueEntry& entry, SteadyTime now) {
   if (reservation) return;
-  auto plan = PlanStart(job.size, static_cast<std::uint32_t>(
-                                           job.spec.all_at_once ? entry.tasks.size() : 1),
-                        now);
+  auto plan = PlanStart(
+      job.size, static_cast<std::uint32_t>(job.spec.all_at_once ? entry.tasks.size() : 1), now);
   if (!plan) return;
   reservation = std::move(plan);
   reservation->job = job.spec.id;
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -31,8 +31,8 @@
     double work = 0.0;                      ///< Of one task, in cell-seconds.
     std::set<std::uint32_t> waiting;        ///< Indexes in the queue or waiting for a delay.
     std::map<std::uint32_t, std::uint32_t> delayed;  ///< Attempts by index, until the delay ends.
-    bool is_known = true;                   ///< The spec is known, not only the id and a size.
-    bool closed = false;                    ///< Cancelled or given up: nothing is started any more.
+    bool is_known = true;  ///< The spec is known, not only the id and a size.
+    bool closed = false;   ///< Cancelled or given up: nothing is started any more.
     std::vector<QueueEntryPtr> entries;
     std::set<TaskKey> running;
     std::map<std::uint32_t, Attempts> attempts;
@@ -57,8 +57,8 @@
 
   struct WorkerState {
     std::unordered_set<TaskKey> tasks;
-    bool accepting = true;   ///< By the caller.
-    bool may_place = true;   ///< By its health.
+    bool accepting = true;  ///< By the caller.
+    bool may_place = true;  ///< By its health.
     [[nodiscard]] bool IsOpen() const { return accepting && may_place; }
   };
 
@@ -139,6 +139,7 @@
   WaitingGroup* BestFitting(WaitingGroup* oldest, SteadyTime now);
   bool PlaceOne(WaitingGroup& group, const JobPtr& job, SteadyTime now);
   bool PlaceGang(const JobPtr& job, QueueEntry& entry, SteadyTime now);
+  [[nodiscard]] static bool IsPatient(const Job& job);
   [[nodiscard]] bool LeavesHeadroom(const Job& job, const QueueEntry& entry,
                                     std::span<const WorkerHandle> chosen, SteadyTime now) const;
   [[nodiscard]] bool IsReservedFor(const Job& job) const;
@@ -172,6 +173,7 @@
 
   std::unordered_map<std::string, JobPtr> jobs;
   std::unordered_map<TaskKey, Running> running;
+  std::size_t long_running = 0;  ///< Tasks that do not count as short work.
   WaitingQueue queue;
   std::size_t waiting_jobs = 0;
   std::unordered_map<std::string, std::size_t> waiting_by_team;
--- a/src/engine_tasks.cc
+++ b/src/engine_tasks.cc
@@ -79,8 +79,8 @@
   run.team = job->spec.team;
   run.started = now;
   run.expected_end = now + job->run_time;
-  run.is_short = job->spec.policy == SchedulingPolicy::kInteractive &&
-                 job->run_time <= options.short_run_time;
+  run.is_short =
+      job->spec.policy == SchedulingPolicy::kInteractive && job->run_time <= options.short_run_time;
   index.Reserve(worker, run.size);
   shares.Add(run.team, run.size, run.is_short);
   RoomTaken(worker);
@@ -88,6 +88,8 @@
     headroom.AddShort(run.size);
     run.overrun_at = now + std::max(kOverrunFactor * job->run_time, kOverrunAtLeast);
     overruns.emplace(run.overrun_at, task);
+  } else {
+    ++long_running;
   }
   states[worker].tasks.insert(task);
   job->running.insert(task);
@@ -106,6 +108,8 @@
   if (run.is_short) {
     headroom.RemoveShort();
     overruns.erase({run.overrun_at, task});
+  } else {
+    --long_running;
   }
   states[run.worker].tasks.erase(task);
   run.job->running.erase(task);
@@ -118,6 +122,7 @@
   shares.Remove(run.team, run.size, true);
   shares.Add(run.team, run.size, false);
   headroom.RemoveShort();
+  ++long_running;
   run.is_short = false;
 }
 
@@ -129,8 +134,7 @@
   }
 }
 
-bool Engine::Impl::IsRunning(const Job& job, std::uint32_t task_index,
-                             std::uint32_t from_attempt) {
+bool Engine::Impl::IsRunning(const Job& job, std::uint32_t task_index, std::uint32_t from_attempt) {
   const auto found = job.running.lower_bound({job.spec.id, task_index, from_attempt});
   return found != job.running.end() && found->index == task_index;
 }
@@ -195,8 +199,7 @@
                                   SteadyTime now) {
   if (outcome == TaskOutcome::kLost) return false;
   job->interrupted.erase(task);
-  const bool again =
-      outcome == TaskOutcome::kNotStarted && MayRetry(*job, task, outcome, false);
+  const bool again = outcome == TaskOutcome::kNotStarted && MayRetry(*job, task, outcome, false);
   if (again) Retry(job, task, outcome, now);
   ForgetIfDone(job);
   return again;
--- a/src/headroom.cc
+++ b/src/headroom.cc
@@ -104,8 +104,9 @@
   const double spread = std::sqrt(std::max(0.0, m_square - m_mean * m_mean));
   m_peak = std::max(m_peak * std::exp(-elapsed / kPeakSeconds), static_cast<double>(m_short));
   const auto all = static_cast<double>(m_all);
-  m_reserve = std::clamp(std::max(m_mean + kDeviations * spread, m_peak), kSmallestReserve * all,
-                         kLargestReserve * all);
+  // Whole places: a part of one would keep a large task off a small cell for ever.
+  m_reserve = std::floor(std::clamp(std::max(m_mean + kDeviations * spread, m_peak),
+                                    kSmallestReserve * all, kLargestReserve * all));
   m_last = now;
   m_observed = true;
 }
--- a/src/queue.cc
+++ b/src/queue.cc
@@ -10,8 +10,8 @@
 
 }  // namespace
 
-void WaitingQueue::Push(Lane lane, const std::string& team, const Shape& shape,
-                        QueueEntryPtr entry, bool first) {
+void WaitingQueue::Push(Lane lane, const std::string& team, const Shape& shape, QueueEntryPtr entry,
+                        bool first) {
   TeamQueue& queue = m_lanes[static_cast<std::size_t>(lane)][team];
   queue.blocked_at = 0;
   ++m_entries;
