--- a/src/placement.cc
+++ b/src/placement.cc
@@ -43,14 +43,17 @@
   std::uint8_t plane = 0;  ///< 0 when the worker is not in the index.
   std::uint8_t processors = 0;
   std::uint8_t memory = 0;
-  auto operator<=>(const CellId&) const = default;
+
+  bool operator==(const CellId& other) const {
+    return std::bit_cast<std::uint32_t>(*this) == std::bit_cast<std::uint32_t>(other);
+  }
 };
 
 /// Workers with the same number of free accelerators, grouped into cells by free slots and by
 /// levels of free processors and memory. A column is the cells of all numbers of free slots.
 class Grid {
  public:
-  Grid() : m_columns(kLevels * kLevels) {}
+  Grid() : m_columns(std::size_t{kLevels} * kLevels) {}
 
   /// First worker of a cell.
   std::uint32_t& Head(std::uint32_t plane, std::uint32_t processors, std::uint32_t memory) {
@@ -291,6 +294,7 @@
     Resources free;
     std::int32_t free_slots = 0;
     std::uint32_t rack = 0;
+    std::uint32_t domain = 0;
     std::uint64_t excluded_by = 0;  ///< Number of the last choice that excludes the worker.
     std::uint32_t siblings = 0;     ///< Used during one choice only.
     CellId cell;
@@ -365,9 +369,10 @@
     worker.free += spec.capacity;
     worker.free_slots += static_cast<std::int32_t>(spec.slots);
     worker.rack = RackNumber(spec);
+    worker.domain = racks[worker.rack].domain;
     racks[worker.rack].workers.push_back(handle);
     racks[worker.rack].stale = true;
-    domains[racks[worker.rack].domain].used_slots += UsedSlots(worker, spec);
+    domains[worker.domain].used_slots += UsedSlots(worker, spec);
     capacity.Add(spec.capacity, spec.slots);
     if (spec.slots > 0) ++shapes[spec.capacity];
     specs[handle] = spec;
@@ -383,7 +388,7 @@
     Rack& rack = racks[worker.rack];
     std::erase(rack.workers, handle);
     rack.stale = true;
-    domains[rack.domain].used_slots -= UsedSlots(worker, spec);
+    domains[worker.domain].used_slots -= UsedSlots(worker, spec);
     capacity.Subtract(spec.capacity, spec.slots);
     if (const auto shape = shapes.find(spec.capacity);
         shape != shapes.end() && spec.slots > 0 && --shape->second == 0) {
@@ -485,9 +490,8 @@
   }
 
   void NoteChange(const Worker& worker, std::int64_t slots) {
-    Rack& rack = racks[worker.rack];
-    rack.stale = true;
-    domains[rack.domain].used_slots += slots;
+    racks[worker.rack].stale = true;
+    domains[worker.domain].used_slots += slots;
   }
 
   [[nodiscard]] bool Fits(const Worker& worker, const Resources& size) const {
@@ -614,7 +618,7 @@
       Worker& worker = workers[sibling.value];
       worker.siblings += change;
       racks[worker.rack].siblings += change;
-      domains[racks[worker.rack].domain].siblings += change;
+      domains[worker.domain].siblings += change;
     }
   }
 
