Test near misses and the order of preference of the worker index

Trials with faults put in showed that neither the fallback after the misfit budget nor the order by scarcity was covered.

--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -270,6 +270,46 @@
         930.0 / 20);
 }
 
+/// Adds a shipyard worker of which only `free` is left.
+WorkerHandle PutWithFree(WorkerIndex& index, std::uint32_t number, const Resources& free) {
+  const WorkerHandle worker = index.Put(ShipyardWorker(number));
+  Resources used = kShipyardCapacity;
+  used -= free;
+  index.Reserve(worker, used);
+  return worker;
+}
+
+// Guards against workers that almost have room and hide the one that has, or delay the choice.
+TEST_CASE("placement: near misses neither hide nor delay a worker with room") {
+  WorkerIndex index;
+  const Resources size{1200, 512, 0};
+  const WorkerHandle hidden = PutWithFree(index, 0, {1210, 1024, 0});
+  for (std::uint32_t i = 1; i <= 100; ++i) PutWithFree(index, i, {1100, 1024, 0});
+  CHECK(index.Choose({.size = size}) == hidden);
+  const WorkerHandle roomy = PutWithFree(index, 101, {5000, 1024, 0});
+  const std::uint64_t before = index.Stats().workers_examined;
+  CHECK(index.Choose({.size = size}) == roomy);
+  CHECK(index.Stats().workers_examined - before <= 50);
+}
+
+// Guards against small tasks on the workers that large ones need.
+TEST_CASE("placement: the worker with the least of the scarcest resource is taken first") {
+  WorkerIndex index;
+  const WorkerHandle few_processors = PutWithFree(index, 0, {2000, 20000, 0});
+  const WorkerHandle little_memory = PutWithFree(index, 1, {6000, 3000, 0});
+  CHECK(index.Choose({.size = kLashingCheck}) == few_processors);
+  PutWithFree(index, 2, {14000, 1000, 0});
+  CHECK(index.Choose({.size = kLashingCheck}) == little_memory);
+  const WorkerHandle few_slots = index.Put(ShipyardWorker(3));
+  for (int i = 0; i < 7; ++i) index.Reserve(few_slots, Resources{});
+  for (int i = 0; i < 16; ++i) index.Reserve(index.Put(ShipyardWorker(4 + i / 8)), Resources{});
+  CHECK(index.Choose({.size = kLashingCheck}) == few_slots);
+  WorkerSpec accelerated = ShipyardWorker(6);
+  accelerated.capacity.accelerators = 1;
+  index.Reserve(index.Put(accelerated), Resources{14000, 30000, 0});
+  CHECK(index.Choose({.size = kLashingCheck}) == few_slots);
+}
+
 // Guards against a refusal that does not tell the caller what to change.
 TEST_CASE("placement: a task that never fits is told what is missing") {
   WorkerIndex index;
