--- a/src/placement.cc
+++ b/src/placement.cc
@@ -17,8 +17,8 @@
 // one resource fit into the bits of one word.
 constexpr std::uint32_t kLevels = 64;
 
-// Free slots are indexed exactly below this number.
-constexpr std::uint32_t kSlotPlanes = 8;
+// Free slots are indexed exactly below this number. A column of cells takes half a cache line.
+constexpr std::uint32_t kSlotPlanes = 7;
 
 // Free accelerators are indexed exactly below this number. Tasks without accelerators take workers
 // of the lowest pool first, and so keep accelerators free.
@@ -43,14 +43,17 @@
   std::uint8_t plane = 0;  ///< 0 when the worker is not in the index.
   std::uint8_t processors = 0;
   std::uint8_t memory = 0;
-  auto operator<=>(const CellId&) const = default;
+
+  bool operator==(const CellId& other) const {
+    return std::bit_cast<std::uint32_t>(*this) == std::bit_cast<std::uint32_t>(other);
+  }
 };
 
 /// Workers with the same number of free accelerators, grouped into cells by free slots and by
 /// levels of free processors and memory. A column is the cells of all numbers of free slots.
 class Grid {
  public:
-  Grid() : m_columns(kLevels * kLevels) {}
+  Grid() : m_columns(std::size_t{kLevels} * kLevels) {}
 
   /// First worker of a cell.
   std::uint32_t& Head(std::uint32_t plane, std::uint32_t processors, std::uint32_t memory) {
@@ -100,7 +103,7 @@
   }
 
  private:
-  struct Column {
+  struct alignas(32) Column {
     Column() { heads.fill(kNone); }
     std::array<std::uint32_t, kSlotPlanes> heads;
     std::uint32_t used = 0;
@@ -290,9 +293,8 @@
   struct alignas(64) Worker {
     Resources free;
     std::int32_t free_slots = 0;
-    std::uint32_t next = kNone;  ///< In the list of the cell.
-    std::uint32_t previous = kNone;
     std::uint32_t rack = 0;
+    std::uint32_t domain = 0;
     std::uint64_t excluded_by = 0;  ///< Number of the last choice that excludes the worker.
     std::uint32_t siblings = 0;     ///< Used during one choice only.
     CellId cell;
@@ -300,7 +302,14 @@
     bool known = false;
   };
 
+  /// Neighbours in the list of a cell. Apart from the workers, so that a change of one reads less.
+  struct Links {
+    std::uint32_t next = kNone;
+    std::uint32_t previous = kNone;
+  };
+
   std::vector<Worker> workers;
+  std::vector<Links> links;
   std::vector<WorkerSpec> specs;
   std::vector<std::uint32_t> unused;
   std::unordered_map<std::string, std::uint32_t> handles;
@@ -326,6 +335,7 @@
   std::uint32_t NewHandle() {
     if (unused.empty()) {
       workers.emplace_back();
+      links.emplace_back();
       specs.emplace_back();
       return static_cast<std::uint32_t>(workers.size() - 1);
     }
@@ -359,9 +369,10 @@
     worker.free += spec.capacity;
     worker.free_slots += static_cast<std::int32_t>(spec.slots);
     worker.rack = RackNumber(spec);
+    worker.domain = racks[worker.rack].domain;
     racks[worker.rack].workers.push_back(handle);
     racks[worker.rack].stale = true;
-    domains[racks[worker.rack].domain].used_slots += UsedSlots(worker, spec);
+    domains[worker.domain].used_slots += UsedSlots(worker, spec);
     capacity.Add(spec.capacity, spec.slots);
     if (spec.slots > 0) ++shapes[spec.capacity];
     specs[handle] = spec;
@@ -377,7 +388,7 @@
     Rack& rack = racks[worker.rack];
     std::erase(rack.workers, handle);
     rack.stale = true;
-    domains[rack.domain].used_slots -= UsedSlots(worker, spec);
+    domains[worker.domain].used_slots -= UsedSlots(worker, spec);
     capacity.Subtract(spec.capacity, spec.slots);
     if (const auto shape = shapes.find(spec.capacity);
         shape != shapes.end() && spec.slots > 0 && --shape->second == 0) {
@@ -401,7 +412,7 @@
     largest.memory_mb = std::max(largest.memory_mb, size.memory_mb);
     scales[kProcessors].SetLargest(largest.processors_milli);
     scales[kMemory].SetLargest(largest.memory_mb);
-    for (std::uint32_t handle = 0; handle < workers.size(); ++handle) PutIntoCell(handle);
+    for (std::uint32_t handle = 0; handle < workers.size(); ++handle) MoveToCell(handle);
   }
 
   // --- Cells ---
@@ -422,42 +433,40 @@
     return cell;
   }
 
-  void PutIntoCell(std::uint32_t handle) {
-    Worker& worker = workers[handle];
-    const CellId cell = CellOf(worker);
+  void PutIntoCell(std::uint32_t handle, const CellId& cell) {
+    workers[handle].cell = cell;
     if (cell.plane == 0) return;
-    worker.cell = cell;
     if (!grids[cell.pool]) grids[cell.pool] = std::make_unique<Grid>();
     Grid& grid = *grids[cell.pool];
     std::uint32_t& head = grid.Head(cell.plane, cell.processors, cell.memory);
-    worker.previous = kNone;
-    worker.next = head;
     if (head == kNone) {
       grid.MarkUsed(cell);
     } else {
-      workers[head].previous = handle;
+      links[head].previous = handle;
     }
+    links[handle] = {head, kNone};
     head = handle;
   }
 
   void TakeFromCell(std::uint32_t handle) {
-    Worker& worker = workers[handle];
-    if (worker.cell.plane == 0) return;
-    if (worker.next != kNone) workers[worker.next].previous = worker.previous;
-    if (worker.previous != kNone) {
-      workers[worker.previous].next = worker.next;
-    } else {
-      Grid& grid = *grids[worker.cell.pool];
-      grid.Head(worker.cell.plane, worker.cell.processors, worker.cell.memory) = worker.next;
-      if (worker.next == kNone) grid.MarkEmpty(worker.cell);
+    const CellId cell = std::exchange(workers[handle].cell, CellId{});
+    if (cell.plane == 0) return;
+    const auto [next, previous] = links[handle];
+    if (next != kNone) links[next].previous = previous;
+    if (previous != kNone) {
+      links[previous].next = next;
+      return;
     }
-    worker.cell = CellId{};
+    Grid& grid = *grids[cell.pool];
+    grid.Head(cell.plane, cell.processors, cell.memory) = next;
+    if (next == kNone) grid.MarkEmpty(cell);
   }
 
   void MoveToCell(std::uint32_t handle) {
-    if (workers[handle].cell == CellOf(workers[handle])) return;
+    const CellId cell = CellOf(workers[handle]);
+    if (workers[handle].cell == cell) return;
     TakeFromCell(handle);
-    PutIntoCell(handle);
+    PutIntoCell(handle, cell);
   }
 
   // --- Room ---
@@ -481,9 +490,8 @@
   }
 
   void NoteChange(const Worker& worker, std::int64_t slots) {
-    Rack& rack = racks[worker.rack];
-    rack.stale = true;
-    domains[rack.domain].used_slots += slots;
+    racks[worker.rack].stale = true;
+    domains[worker.domain].used_slots += slots;
   }
 
   [[nodiscard]] bool Fits(const Worker& worker, const Resources& size) const {
@@ -542,14 +550,14 @@
   [[nodiscard]] std::uint32_t SearchPool(Grid& grid, Order order, const Resources& size) {
     const std::array<std::uint32_t, 2> edge = {scales[kProcessors].LevelOf(size.processors_milli),
                                                scales[kMemory].LevelOf(size.memory_mb)};
-    const std::array<std::uint32_t, 2> covering = {
-        scales[kProcessors].CoveringLevel(size.processors_milli),
-        scales[kMemory].CoveringLevel(size.memory_mb)};
     std::uint32_t budget = kMisfitBudget;
     if (const std::uint32_t found = Search(grid, order, size, edge, budget);
         found != kNone || budget > 0) {
       return found;
     }
+    const std::array<std::uint32_t, 2> covering = {
+        scales[kProcessors].CoveringLevel(size.processors_milli),
+        scales[kMemory].CoveringLevel(size.memory_mb)};
     budget = UINT32_MAX;
     if (const std::uint32_t found = Search(grid, order, size, covering, budget); found != kNone) {
       return found;
@@ -594,8 +602,7 @@
   [[nodiscard]] std::uint32_t SearchCell(std::uint32_t head, const Resources& size,
                                          std::uint32_t& budget) {
     ++stats.cells_examined;
-    for (std::uint32_t handle = head; handle != kNone && budget > 0;
-         handle = workers[handle].next) {
+    for (std::uint32_t handle = head; handle != kNone && budget > 0; handle = links[handle].next) {
       ++stats.workers_examined;
       if (Fits(workers[handle], size)) return handle;
       --budget;
@@ -611,7 +618,7 @@
       Worker& worker = workers[sibling.value];
       worker.siblings += change;
       racks[worker.rack].siblings += change;
-      domains[racks[worker.rack].domain].siblings += change;
+      domains[worker.domain].siblings += change;
     }
   }
 
