--- a/include/citronsill/queue.h
+++ b/include/citronsill/queue.h
@@ -45,7 +45,7 @@
 struct QueueEntry {
   std::string job;
   std::uint64_t sequence = 0;  ///< Order of arrival of the job.
-  std::deque<WaitingTask> tasks;
+  std::vector<WaitingTask> tasks;
   SteadyTime since;
 };
 using QueueEntryPtr = std::shared_ptr<QueueEntry>;
--- a/src/engine.cc
+++ b/src/engine.cc
@@ -149,7 +149,7 @@
   return shape;
 }
 
-void Engine::Impl::Enqueue(const JobPtr& job, std::deque<WaitingTask> tasks, bool again,
+void Engine::Impl::Enqueue(const JobPtr& job, std::vector<WaitingTask> tasks, bool again,
                            SteadyTime now) {
   if (tasks.empty()) return;
   if (job->waiting.empty()) BeginWaiting(*job);
@@ -256,7 +256,7 @@
   } else if (!job->is_known) {
     m_impl->Describe(*job, spec);
   }
-  std::deque<WaitingTask> tasks;
+  std::vector<WaitingTask> tasks;
   for (std::uint32_t i = 0; i < spec.task_count; ++i) {
     const std::uint32_t task_index = spec.first_index + i;
     // A task that waits or runs already is not started twice.
--- a/src/engine_place.cc
+++ b/src/engine_place.cc
@@ -157,7 +157,7 @@
 void Engine::Impl::Start(const JobPtr& job, QueueEntry& entry, WorkerHandle worker,
                          SteadyTime now) {
   const WaitingTask next = entry.tasks.front();
-  entry.tasks.pop_front();
+  entry.tasks.erase(entry.tasks.begin());
   job->waiting.erase(next.index);
   if (job->waiting.empty()) EndWaiting(*job);
   CountOut(*job, 1);
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -122,7 +122,7 @@
   [[nodiscard]] AdmissionControl& GateOf(Lane lane);
   [[nodiscard]] Lane LaneOf(const JobSpec& spec, std::chrono::milliseconds run_time) const;
   [[nodiscard]] Shape ShapeOf(const Job& job, std::uint32_t index) const;
-  void Enqueue(const JobPtr& job, std::deque<WaitingTask> tasks, bool again, SteadyTime now);
+  void Enqueue(const JobPtr& job, std::vector<WaitingTask> tasks, bool again, SteadyTime now);
   void LeaveQueue(Job& job, std::size_t count, SteadyTime now);
   void CountOut(const Job& job, std::size_t count);
   void DropWaiting(const JobPtr& job, SteadyTime now);
--- a/tests/engine_model_test.cc
+++ b/tests/engine_model_test.cc
@@ -63,7 +63,7 @@
  private:
   static constexpr Resources kQuota{4000, 4000, 0};
 
-  static int Pick(int end) { return *rc::gen::inRange(0, end); }
+  static std::int64_t Pick(std::int64_t end) { return *rc::gen::inRange<std::int64_t>(0, end); }
 
   void PutWorker() {
     WorkerSpec spec;
@@ -123,7 +123,7 @@
 
   void Cancel() {
     if (m_jobs.empty()) return;
-    const std::string id = std::next(m_jobs.begin(), Pick(static_cast<int>(m_jobs.size())))->first;
+    const std::string id = std::next(m_jobs.begin(), Pick(static_cast<std::int64_t>(m_jobs.size())))->first;
     m_engine->Cancel(id, m_now);
     m_cancelled.insert(id);
   }
@@ -131,7 +131,7 @@
   void Requeue() {
     if (m_interrupted.empty()) return;
     const TaskKey task =
-        *std::next(m_interrupted.begin(), Pick(static_cast<int>(m_interrupted.size())));
+        *std::next(m_interrupted.begin(), Pick(static_cast<std::int64_t>(m_interrupted.size())));
     m_engine->Requeue(task, m_now);
   }
 
@@ -163,7 +163,7 @@
   void End() {
     if (m_places.empty()) return;
     const TaskKey task =
-        std::next(m_places.begin(), Pick(static_cast<int>(m_places.size())))->first;
+        std::next(m_places.begin(), Pick(static_cast<std::int64_t>(m_places.size())))->first;
     const auto outcome = static_cast<TaskOutcome>(Pick(6));
     m_engine->OnEnded(task, outcome, m_now);
     if (outcome == TaskOutcome::kLost) return;
--- a/tests/engine_test.cc
+++ b/tests/engine_test.cc
@@ -260,7 +260,10 @@
     Cell cell;
     cell.Add("w", 1, 1);
     for (std::size_t i = 0; i < kJobs; ++i) {
-      JobSpec job = MakeJob("job-" + std::to_string(i), SchedulingPolicy::kBatch, 1);
+      // As long as the ids of requests.
+      const std::string number = std::to_string(i);
+      JobSpec job = MakeJob(std::string(32 - number.size(), '0') + number,
+                            SchedulingPolicy::kBatch, 1);
       job.team = "team-" + std::to_string(i % 24);
       REQUIRE(cell.Submit(job) == schema::CODE_OK);
     }
