--- a/bench/placement_bench.cc
+++ b/bench/placement_bench.cc
@@ -147,6 +147,30 @@
 BENCHMARK(ChooseReserveRelease<WorkerIndex>)->Arg(930)->Iterations(100000);
 BENCHMARK(ChooseReserveRelease<FullScan>)->Arg(930)->Iterations(100000);
 
+template <class Index>
+std::chrono::nanoseconds TimeSteps(BusyCell<Index>& cell) {
+  const auto begin = std::chrono::steady_clock::now();
+  for (int i = 0; i < 1000; ++i) cell.Step();
+  return std::chrono::steady_clock::now() - begin;
+}
+
+// Both in turns, so that other work on the machine slows down both alike.
+void RatioToFullScan(benchmark::State& state) {
+  BusyCell<WorkerIndex> indexed(static_cast<std::uint32_t>(state.range(0)));
+  BusyCell<FullScan> scanned(static_cast<std::uint32_t>(state.range(0)));
+  std::vector<double> ratios;
+  for (auto _ : state) {
+    const std::chrono::nanoseconds index_time = TimeSteps(indexed);
+    const std::chrono::nanoseconds scan_time = TimeSteps(scanned);
+    ratios.push_back(static_cast<double>(scan_time.count()) /
+                     static_cast<double>(index_time.count()));
+  }
+  std::sort(ratios.begin(), ratios.end());
+  state.counters["median"] = ratios[ratios.size() / 2];
+  state.counters["p10"] = ratios[ratios.size() / 10];
+}
+BENCHMARK(RatioToFullScan)->Arg(50)->Arg(930)->Arg(5000)->Iterations(300);
+
 // A task that fits nowhere, while there is room of every single resource.
 template <class Index>
 void ChooseNone(benchmark::State& state) {
