Settings: refuse every kind of fault with file, key, value and what is allowed

Cause: the parser of the schema named neither the path of a bad key nor what is allowed, took numbers in quotes, and left combinations unchecked.

Ruled out: reading the path out of the parser's message, because its text names only the last key and changes between versions.

--- a/include/citronsill/settings.h
+++ b/include/citronsill/settings.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <string>
+#include <string_view>
 
 #include "citronsill/result.h"
 
@@ -12,8 +13,20 @@
 /// allowed.
 Result<schema::Settings> LoadSettings(const std::string& path);
 
+/// Parses and checks the text of a settings file.
+/// @param source name of the file, for messages.
+Result<schema::Settings> ParseSettings(const std::string& source, std::string_view text);
+
 /// Fills in defaults and checks every value.
 /// @param source name of the file, for messages.
 Result<void> CheckSettings(const std::string& source, schema::Settings* settings);
 
+/// Checks the values of a work class, from the settings or from a record.
+/// @param path prefix of the keys in messages, for example "classes[2]".
+/// @returns CODE_INVALID_FIELD with key, value and what is allowed.
+Result<void> CheckWorkClass(const std::string& path, const schema::WorkClass& work_class);
+
+/// @returns whether `name` has 1 to `kMaxNameBytes` of a-z, 0-9, "-", "_" and ".".
+bool IsName(std::string_view name);
+
 }  // namespace citronsill
