Records: work classes, limits and targets with a global revision

One transaction, conditional on the row record-head, writes the head and the changed rows; an instance takes only higher revisions, from the table, from pushes and from peers that it hears of by gossip. The text of each record is kept as submitted and travels as serialized bytes, so that an older instance drops no field of a newer one.

Ruled out: a condition on each record's row alone, because readers then cannot tell whether they have all records up to a revision.

A lost answer of a commit takes one read and no second write.

--- /dev/null
+++ b/include/citronsill/records.h
@@ -0,0 +1,110 @@
+/// Operators' records: work classes, limits of teams and targets. They are table rows
+/// `record/<kind>/<name>`; the row `record-head` holds the global revision. A change is one
+/// conditional transaction over both.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "citronsill/result.h"
+#include "citronsill/table.h"
+#include "citronsill/types.h"
+
+namespace citronsill {
+
+/// Highest schema version of records that this build knows; all from 1 on are valid side by side.
+inline constexpr std::uint32_t kRecordSchemaVersion = 2;
+
+/// Checks one record as submitted.
+/// @param max_version highest schema version that is known.
+/// @returns the record; CODE_MALFORMED, CODE_UNKNOWN_FIELD, CODE_INVALID_FIELD or
+/// CODE_UNKNOWN_VERSION with the path of the field.
+Result<schema::Record> ParseRecord(std::string_view json,
+                                   std::uint32_t max_version = kRecordSchemaVersion);
+
+/// Parses the body of an apply: `{"apply_id", "base_revision", "author", "dry_run", "records":
+/// [{...}]}`. The text of each record is kept as submitted.
+Result<schema::ApplyRequest> ParseApply(std::string_view json,
+                                        std::uint32_t max_version = kRecordSchemaVersion);
+
+struct RecordsOptions {
+  std::string instance;
+  /// The table is read this often, so that a change arrives although all pushes were lost.
+  std::chrono::milliseconds read_period{2000};
+  /// A fetch without an answer for this long is given up.
+  std::chrono::milliseconds fetch_timeout{1000};
+  std::uint32_t max_version = kRecordSchemaVersion;
+};
+
+struct RecordsHooks {
+  /// Asks the instance at `address` for its records above a revision.
+  std::function<void(const std::string& address, std::uint64_t above,
+                     std::function<void(Result<schema::RecordSet>)> done)>
+      fetch;
+  /// Sends a change to all live peers.
+  std::function<void(const schema::RecordSet&)> push;
+  /// Records changed; called without a lock.
+  std::function<void()> on_change;
+  /// @returns milliseconds since the Unix epoch, for people.
+  std::function<std::int64_t()> unix_ms;
+  /// @returns false when the table is known not to answer; an apply is then refused at once.
+  std::function<bool()> is_table_up;
+};
+
+/// Thread-safe. Has no clock and no timers of its own.
+class Records {
+ public:
+  using ApplyDone = std::function<void(schema::ApplyResult)>;
+
+  static Result<std::unique_ptr<Records>> Create(Table& table, const RecordsOptions& options,
+                                                 RecordsHooks hooks);
+  ~Records();
+
+  /// Writes a checked request to the table, or shows what it would change.
+  /// @param done gets CODE_OK with the revision; CODE_CONFLICT with both contents when a record
+  /// changed after the base revision; CODE_TABLE_UNAVAILABLE when nothing was written;
+  /// CODE_COMMIT_UNKNOWN when that could not be found out.
+  void Apply(const schema::ApplyRequest& request, SteadyTime now, ApplyDone done);
+
+  /// Reads the table when that is due.
+  void Tick(SteadyTime now);
+
+  /// A peer has the given revision; a higher one than ours is fetched from it.
+  void OnHeard(const std::string& address, std::uint64_t revision, SteadyTime now);
+
+  /// Takes over records of higher revisions. Lower ones never replace higher ones.
+  /// @param source "table" or "peer".
+  void Merge(const schema::RecordSet& set, const std::string& source, SteadyTime now);
+
+  /// @returns all records above a revision.
+  [[nodiscard]] schema::RecordSet Above(std::uint64_t revision) const;
+
+  /// @returns the revision in force here, since when, and from where.
+  [[nodiscard]] schema::InstanceRevision Revision() const;
+
+  /// @returns whether the table or a peer was read since the start.
+  [[nodiscard]] bool IsKnown() const;
+
+  /// @returns all records that are not erased, ordered by kind and name.
+  [[nodiscard]] std::vector<schema::StoredRecord> All() const;
+
+  [[nodiscard]] std::optional<schema::WorkClass> FindClass(const std::string& name) const;
+  [[nodiscard]] std::optional<schema::TeamLimit> FindLimit(const std::string& team) const;
+  [[nodiscard]] std::optional<schema::Target> FindTarget(const std::string& worker) const;
+
+  /// @returns names and contents of all targets.
+  [[nodiscard]] std::vector<std::pair<std::string, schema::Target>> Targets() const;
+
+ private:
+  struct Impl;
+  explicit Records(std::shared_ptr<Impl> impl);
+  std::shared_ptr<Impl> m_impl;
+};
+
+}  // namespace citronsill
--- a/include/citronsill/schemafwd.h
+++ b/include/citronsill/schemafwd.h
@@ -23,6 +23,7 @@
 class Directory;
 class Forward;
 class Gossip;
+class InstanceRevision;
 class InstanceRow;
 class JournalBatch;
 class JournalEntry;
