--- a/include/citronsill/api.h
+++ b/include/citronsill/api.h
@@ -1,6 +1,7 @@
 /// HTTP addresses for callers, operators and the load balancer.
 #pragma once
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -22,8 +23,16 @@
   std::function<bool()> is_ready;
   /// Starts draining.
   std::function<void()> drain;
-  /// @returns metrics in the Prometheus text format.
-  std::function<std::string()> metrics;
+  /// @param authorization value of the Authorization header.
+  /// @returns the name of the access key, CODE_UNAUTHENTICATED or CODE_FORBIDDEN.
+  std::function<Result<std::string>(const std::string& authorization, schema::Role needed)>
+      authorize;
+  /// Answers an address for operators. @returns false when it is none.
+  std::function<bool(const HttpRequest&, const std::string& who, const HttpReply&)> operate;
+  /// A submitted request was answered. @param work_class empty when the body could not be read.
+  std::function<void(const std::string& work_class, schema::Code code,
+                     std::chrono::steady_clock::duration elapsed)>
+      on_answer;
 };
 
 class Api {
@@ -35,6 +44,9 @@
 
  private:
   explicit Api(ApiHooks hooks);
+  void Submit(const HttpRequest& request, const HttpReply& reply) const;
+  void HandleRequest(const HttpRequest& request, const std::string& path,
+                     const HttpReply& reply) const;
   ApiHooks m_hooks;
 };
 
--- a/include/citronsill/http.h
+++ b/include/citronsill/http.h
@@ -37,6 +37,8 @@
   std::string address;  ///< IP:port; port 0 takes a free one.
   std::size_t max_connections = kMaxHttpConnections;
   std::size_t max_body_bytes = kMaxHttpBodyBytes;
+  std::string tls_certificate_file;  ///< PEM; TLS is used when set.
+  std::string tls_key_file;          ///< PEM.
 };
 
 class HttpServer {
@@ -66,6 +68,7 @@
   std::string address;  ///< IP:port.
   std::size_t max_connections = 4;
   std::size_t max_waiting = 1024;  ///< Calls that wait for a connection; more are refused.
+  std::string tls_ca_file;         ///< PEM; TLS is used when set.
 };
 
 /// A pool of connections to one address. Every call has a deadline; a connection that missed one is
@@ -76,8 +79,9 @@
   ~HttpClient();
 
   /// Sends `request` and calls `done` once: with the response, or with CODE_TIMEOUT,
-  /// CODE_CONNECTION_CLOSED or CODE_OVERLOADED.
-  /// @remarks A call that failed may have taken effect unless the error is CODE_OVERLOADED.
+  /// CODE_CONNECTION_CLOSED, CODE_PEER_UNREACHABLE or CODE_OVERLOADED.
+  /// @remarks A call that failed may have taken effect unless the error is CODE_OVERLOADED or
+  /// CODE_PEER_UNREACHABLE: then nothing was sent.
   void Send(HttpRequest request, std::chrono::milliseconds timeout,
             std::function<void(Result<HttpResponse>)> done);
 
--- /dev/null
+++ b/include/citronsill/operators.h
@@ -0,0 +1,82 @@
+/// What an instance offers its operators: records, reports, metrics and the log level. Also the
+/// peer methods behind them.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "citronsill/engine.h"
+#include "citronsill/http.h"
+#include "citronsill/metrics.h"
+#include "citronsill/peer.h"
+#include "citronsill/records.h"
+#include "citronsill/result.h"
+#include "citronsill/table.h"
+#include "citronsill/timer.h"
+
+namespace citronsill {
+
+/// An instance that a report expects to hear from.
+struct ExpectedInstance {
+  std::string id;
+  std::string address;
+};
+
+struct OperatorsHooks {
+  /// Calls a peer method with a deadline.
+  std::function<void(const std::string& address, const std::string& method, std::string params,
+                     std::function<void(Result<std::string>)> done)>
+      call;
+  /// @returns all other instances that are known, the silent ones included.
+  std::function<std::vector<ExpectedInstance>()> peers;
+  std::function<EngineStats()> stats;
+  std::function<bool()> is_table_up;
+  std::function<bool()> is_draining;
+  /// @returns number of workers in the platform's list, if it was read.
+  std::function<std::optional<std::uint32_t>()> listed_workers;
+  /// Records changed.
+  std::function<void()> on_records;
+};
+
+struct OperatorsOptions {
+  std::string instance;
+  std::string cell;
+  std::string peer_address;
+};
+
+/// Thread-safe.
+class Operators {
+ public:
+  static Result<std::unique_ptr<Operators>> Create(TimerService& timers, Table& table,
+                                                   Metrics& metrics,
+                                                   const OperatorsOptions& options,
+                                                   OperatorsHooks hooks);
+  ~Operators();
+
+  /// Registers the peer methods `records` and `report`.
+  void Register(PeerServer& server);
+
+  /// Starts reading the table and evaluating alerts.
+  void Start();
+
+  /// Answers /v1/records, /v1/report, /v1/log-level and /metrics.
+  /// @param who name of the access key.
+  /// @returns false when the address is none of these; `reply` is then not called.
+  bool Handle(const HttpRequest& request, const std::string& who, const HttpReply& reply);
+
+  /// Counts an answer to a caller.
+  void OnAnswer(const std::string& work_class, schema::Code code,
+                std::chrono::steady_clock::duration elapsed);
+
+  Records& GetRecords();
+
+ private:
+  struct Impl;
+  explicit Operators(std::shared_ptr<Impl> impl);
+  std::shared_ptr<Impl> m_impl;
+};
+
+}  // namespace citronsill
--- a/src/api.cc
+++ b/src/api.cc
@@ -1,6 +1,7 @@
 #include "citronsill/api.h"
 
 #include "citronsill/entry.h"
+#include "citronsill/log.h"
 #include "internal.h"
 
 namespace citronsill {
@@ -52,33 +53,74 @@
 
 void Api::Handle(const HttpRequest& request, const HttpReply& reply) const {
   const std::string path = request.target.substr(0, request.target.find('?'));
+  // The load balancer has no access key.
   if (path == "/healthz") return reply(Text(200, "ok\n"));
   if (path == "/readyz") {
     return reply(m_hooks.is_ready() ? Text(200, "ready\n") : Text(503, "not ready\n"));
   }
-  if (path == "/metrics") return reply(Text(200, m_hooks.metrics()));
+  const bool is_request = path.starts_with(kRequestsPath);
+  const auto who = m_hooks.authorize(request.authorization,
+                                     is_request ? schema::ROLE_CALLER : schema::ROLE_OPERATOR);
+  if (!who) {
+    spdlog::warn("event=access_refused code={} method={} path={}",
+                 static_cast<int>(who.error().code), LogText(request.method), LogText(path));
+    return reply(ToResponse(who.error()));
+  }
+  if (is_request) return HandleRequest(request, path, reply);
   if (path == "/v1/drain" && request.method == "POST") {
+    spdlog::info("event=drain key={}", LogText(who.value()));
     m_hooks.drain();
     return reply(Text(202, "draining\n"));
   }
+  if (m_hooks.operate(request, who.value(), reply)) return;
+  static const std::map<std::string, const char*> methods{{"/metrics", "GET"},
+                                                          {"/v1/report", "GET"},
+                                                          {"/v1/records", "GET or POST"},
+                                                          {"/v1/log-level", "PUT"},
+                                                          {"/v1/drain", "POST"}};
+  if (const auto known = methods.find(path); known != methods.end()) {
+    return reply(ToResponse(
+        Error{schema::CODE_METHOD_NOT_ALLOWED, std::string("use ") + known->second + " " + path}));
+  }
+  reply(ToResponse(Error{schema::CODE_NOT_FOUND, "no address " + LogText(path)}));
+}
+
+void Api::HandleRequest(const HttpRequest& request, const std::string& path,
+                        const HttpReply& reply) const {
   if (path == kRequestsPath) {
-    if (request.method != "POST") {
-      return reply(ToResponse(Error{schema::CODE_METHOD_NOT_ALLOWED, "use POST " + path}));
-    }
-    schema::Request message;
-    auto checked = FromJson(request.body, UnknownFields::kReject, &message);
-    if (checked) checked = CheckRequest(message);
-    if (!checked) return reply(ToResponse(checked.error()));
-    return m_hooks.submit(std::move(message),
-                          [reply](const schema::Answer& answer) { reply(ToResponse(answer)); });
+    if (request.method == "POST") return Submit(request, reply);
+    return reply(ToResponse(Error{schema::CODE_METHOD_NOT_ALLOWED, "use POST " + path}));
   }
-  if (path.size() > kRequestsPath.size() + 1 && path.starts_with(kRequestsPath)) {
-    const std::string id = path.substr(kRequestsPath.size() + 1);
-    if (request.method == "GET") return m_hooks.status(id, ReplyWith(reply));
-    if (request.method == "DELETE") return m_hooks.cancel(id, ReplyWith(reply));
-    return reply(ToResponse(Error{schema::CODE_METHOD_NOT_ALLOWED, "use GET or DELETE " + path}));
+  const std::string id = path.substr(kRequestsPath.size());
+  if (id.size() < 2 || id.front() != '/') {
+    return reply(ToResponse(Error{schema::CODE_NOT_FOUND, "no address " + LogText(path)}));
+  }
+  if (request.method == "GET") return m_hooks.status(id.substr(1), ReplyWith(reply));
+  if (request.method == "DELETE") return m_hooks.cancel(id.substr(1), ReplyWith(reply));
+  reply(ToResponse(Error{schema::CODE_METHOD_NOT_ALLOWED, "use GET or DELETE " + LogText(path)}));
+}
+
+void Api::Submit(const HttpRequest& request, const HttpReply& reply) const {
+  const auto arrived = std::chrono::steady_clock::now();
+  schema::Request message;
+  auto checked = FromJson(request.body, UnknownFields::kReject, &message);
+  if (checked) checked = CheckRequest(message);
+  if (!checked) {
+    m_hooks.on_answer("", checked.error().code, std::chrono::steady_clock::now() - arrived);
+    return reply(ToResponse(checked.error()));
   }
-  reply(ToResponse(Error{schema::CODE_NOT_FOUND, "no address " + path}));
+  const std::string work_class = message.work_class();
+  m_hooks.submit(
+      std::move(message), [this, arrived, work_class, reply](const schema::Answer& answer) {
+        const auto elapsed = std::chrono::steady_clock::now() - arrived;
+        const auto level =
+            answer.code() == schema::CODE_OK ? spdlog::level::debug : spdlog::level::info;
+        spdlog::log(level, "event=answer id={} class={} code={} ms={}", answer.id(),
+                    LogText(work_class), static_cast<int>(answer.code()),
+                    std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count());
+        m_hooks.on_answer(work_class, answer.code(), elapsed);
+        reply(ToResponse(answer));
+      });
 }
 
 }  // namespace citronsill
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -16,8 +16,6 @@
 }  // namespace
 
 struct HttpClient::Impl : std::enable_shared_from_this<Impl> {
-  using Stream = beast::tcp_stream;
-
   Impl(Runtime& runtime, HttpClientOptions client_options, Tcp::endpoint remote)
       : context(runtime.Context()),
         options(std::move(client_options)),
@@ -28,7 +26,8 @@
   Tcp::endpoint endpoint;
   std::mutex mutex;
   std::deque<Call> waiting;
-  std::vector<std::unique_ptr<Stream>> idle;
+  std::shared_ptr<asio::ssl::context> tls;
+  std::vector<std::unique_ptr<HttpChannel>> idle;
   std::size_t active = 0;
 
   void Send(Call call) {
@@ -71,7 +70,7 @@
     }
   }
 
-  std::unique_ptr<Stream> TakeIdle() {
+  std::unique_ptr<HttpChannel> TakeIdle() {
     std::lock_guard lock(mutex);
     if (idle.empty()) return nullptr;
     auto stream = std::move(idle.back());
@@ -84,29 +83,18 @@
       co_return Error{schema::CODE_TIMEOUT,
                       "the call to " + options.address + " was not sent in time"};
     }
-    auto stream = TakeIdle();
-    const bool reused = stream != nullptr;
-    boost::system::error_code error;
-    if (!reused) {
-      stream = std::make_unique<Stream>(asio::make_strand(context));
-      stream->expires_at(
-          std::min(call.deadline, std::chrono::steady_clock::now() + kConnectTimeout));
-      co_await stream->async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
-      if (error) {
-        co_return Error{schema::CODE_CONNECTION_CLOSED,
-                        "cannot connect to " + options.address + ": " + error.message()};
-      }
-      stream->socket().set_option(Tcp::no_delay(true), error);
+    auto channel = TakeIdle();
+    if (!channel) {
+      BOOST_OUTCOME_CO_TRY(channel, co_await Connect(call.deadline));
     }
-    stream->expires_at(call.deadline);
+    channel->Lowest().expires_at(call.deadline);
     auto message = MakeMessage(call.request);
-    co_await http::async_write(*stream, message, asio::redirect_error(asio::use_awaitable, error));
+    boost::system::error_code error = co_await channel->Write(message);
     if (error) co_return Failure(error, "sending to ");
     http::response_parser<http::string_body> parser;
     parser.body_limit(64 * kMaxHttpBodyBytes);
     beast::flat_buffer buffer;
-    co_await http::async_read(*stream, buffer, parser,
-                              asio::redirect_error(asio::use_awaitable, error));
+    error = co_await channel->Read(buffer, parser);
     if (error) co_return Failure(error, "no answer from ");
     HttpResponse response;
     response.status = parser.get().result_int();
@@ -116,13 +104,33 @@
     }
     response.body = std::move(parser.get().body());
     if (parser.get().keep_alive()) {
-      stream->expires_never();
+      channel->Lowest().expires_never();
       std::lock_guard lock(mutex);
-      idle.push_back(std::move(stream));
+      idle.push_back(std::move(channel));
     }
     co_return response;
   }
 
+  Task<Result<std::unique_ptr<HttpChannel>>> Connect(
+      std::chrono::steady_clock::time_point deadline) {
+    auto channel =
+        std::make_unique<HttpChannel>(Tcp::socket(asio::make_strand(context)), tls.get());
+    beast::tcp_stream& stream = channel->Lowest();
+    stream.expires_at(std::min(deadline, std::chrono::steady_clock::now() + kConnectTimeout));
+    boost::system::error_code error;
+    co_await stream.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
+    if (!error) {
+      boost::system::error_code ignored;
+      stream.socket().set_option(Tcp::no_delay(true), ignored);
+      error = co_await channel->HandshakeAsClient(endpoint.address().to_string());
+    }
+    if (error) {
+      co_return Error{schema::CODE_PEER_UNREACHABLE,
+                      "cannot connect to " + options.address + ": " + error.message()};
+    }
+    co_return std::move(channel);
+  }
+
   http::request<http::string_body> MakeMessage(const HttpRequest& request) const {
     http::request<http::string_body> message(http::string_to_verb(request.method), request.target,
                                              11);
@@ -148,8 +156,11 @@
 Result<std::unique_ptr<HttpClient>> HttpClient::Create(Runtime& runtime,
                                                        HttpClientOptions options) {
   BOOST_OUTCOME_TRY(auto endpoint, ParseAddress(options.address));
-  return std::unique_ptr<HttpClient>(
-      new HttpClient(std::make_shared<Impl>(runtime, std::move(options), std::move(endpoint))));
+  auto impl = std::make_shared<Impl>(runtime, std::move(options), std::move(endpoint));
+  if (!impl->options.tls_ca_file.empty()) {
+    BOOST_OUTCOME_TRY(impl->tls, MakeClientTls(impl->options.tls_ca_file));
+  }
+  return std::unique_ptr<HttpClient>(new HttpClient(std::move(impl)));
 }
 
 HttpClient::HttpClient(std::shared_ptr<Impl> impl) : m_impl(std::move(impl)) {}
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -8,11 +8,14 @@
 namespace {
 
 using Clock = std::chrono::steady_clock;
-using Stream = beast::tcp_stream;
+// After a refusal, this many bytes are read and dropped for at most this long, because closing a
+// connection with unread data discards the answer that was just sent.
+constexpr std::chrono::seconds kLingerTimeout{1};
+constexpr std::size_t kMaxLingerBytes = 4 * kMaxHttpBodyBytes;
 
 struct Session {
-  explicit Session(Tcp::socket socket) : stream(std::move(socket)) {}
-  Stream stream;
+  Session(Tcp::socket socket, asio::ssl::context* tls) : channel(std::move(socket), tls) {}
+  HttpChannel channel;
   beast::flat_buffer buffer;
   std::atomic<bool> silenced{false};
 };
@@ -44,6 +47,7 @@
   HttpHandler handler;
   std::mutex mutex;
   std::unordered_set<std::shared_ptr<Session>> sessions;
+  std::shared_ptr<asio::ssl::context> tls;
 
   Result<void> Listen() {
     BOOST_OUTCOME_TRY(auto endpoint, ParseAddress(options.address));
@@ -78,7 +82,7 @@
     boost::system::error_code ignored;
     socket.set_option(Tcp::no_delay(true), ignored);
     auto executor = socket.get_executor();
-    auto session = std::make_shared<Session>(std::move(socket));
+    auto session = std::make_shared<Session>(std::move(socket), tls.get());
     {
       std::lock_guard lock(mutex);
       if (sessions.size() >= options.max_connections) return;
@@ -95,21 +99,21 @@
   }
 
   Task<void> Serve(std::shared_ptr<Session> session) {
+    HttpChannel& channel = session->channel;
+    channel.Lowest().expires_after(kHttpReadTimeout);
+    boost::system::error_code error = co_await channel.HandshakeAsServer();
     bool first = true;
-    while (true) {
+    while (!error) {
       http::request_parser<http::string_body> parser;
       parser.body_limit(options.max_body_bytes);
       parser.header_limit(kMaxHttpHeaderBytes);
-      boost::system::error_code error;
       // An idle connection may wait longer than a request that has begun may take.
-      session->stream.expires_after(first ? kHttpReadTimeout : kHttpIdleTimeout);
+      channel.Lowest().expires_after(first ? kHttpReadTimeout : kHttpIdleTimeout);
       first = false;
-      co_await http::async_read_header(session->stream, session->buffer, parser,
-                                       asio::redirect_error(asio::use_awaitable, error));
+      error = co_await channel.ReadHeader(session->buffer, parser);
       if (!error) {
-        session->stream.expires_after(kHttpReadTimeout);
-        co_await http::async_read(session->stream, session->buffer, parser,
-                                  asio::redirect_error(asio::use_awaitable, error));
+        channel.Lowest().expires_after(kHttpReadTimeout);
+        error = co_await channel.Read(session->buffer, parser);
       }
       if (error) {
         co_await Reject(session, error);
@@ -124,13 +128,14 @@
       if (!co_await Write(session, response, keep_alive)) break;
     }
     boost::system::error_code ignored;
-    session->stream.socket().shutdown(Tcp::socket::shutdown_both, ignored);
-    session->stream.close();
+    channel.Lowest().socket().shutdown(Tcp::socket::shutdown_both, ignored);
+    channel.Lowest().close();
   }
 
   Task<void> Reject(const std::shared_ptr<Session>& session, boost::system::error_code error) {
-    if (error == http::error::end_of_stream || error == asio::error::eof ||
-        error == beast::error::timeout || error == asio::error::connection_reset) {
+    if (error == http::error::end_of_stream || error == http::error::partial_message ||
+        error == asio::error::eof || error == beast::error::timeout ||
+        error == asio::error::connection_reset) {
       co_return;
     }
     const bool too_large = error == http::error::body_limit || error == http::error::header_limit;
@@ -138,6 +143,18 @@
         too_large ? ErrorResponse(413, schema::CODE_TOO_LARGE, "the message is too large")
                   : ErrorResponse(400, schema::CODE_MALFORMED, "not HTTP: " + error.message());
     co_await Write(session, response, false);
+    co_await Linger(session->channel.Lowest());
+  }
+
+  Task<void> Linger(beast::tcp_stream& stream) {
+    boost::system::error_code error;
+    stream.socket().shutdown(Tcp::socket::shutdown_send, error);
+    stream.expires_after(kLingerTimeout);
+    std::array<char, 4096> dropped{};
+    for (std::size_t total = 0; total < kMaxLingerBytes && !error;) {
+      total += co_await stream.async_read_some(asio::buffer(dropped),
+                                               asio::redirect_error(asio::use_awaitable, error));
+    }
   }
 
   Task<HttpResponse> Handle(http::request<http::string_body> message) {
@@ -168,10 +185,8 @@
     message.keep_alive(keep_alive);
     message.body() = response.body;
     message.prepare_payload();
-    boost::system::error_code error;
-    session->stream.expires_after(kHttpWriteTimeout);
-    co_await http::async_write(session->stream, message,
-                               asio::redirect_error(asio::use_awaitable, error));
+    session->channel.Lowest().expires_after(kHttpWriteTimeout);
+    const boost::system::error_code error = co_await session->channel.Write(message);
     co_return !error && keep_alive;
   }
 };
@@ -179,6 +194,10 @@
 Result<std::unique_ptr<HttpServer>> HttpServer::Create(Runtime& runtime, HttpServerOptions options,
                                                        HttpHandler handler) {
   auto impl = std::make_shared<Impl>(runtime, std::move(options), std::move(handler));
+  if (!impl->options.tls_certificate_file.empty()) {
+    BOOST_OUTCOME_TRY(
+        impl->tls, MakeServerTls(impl->options.tls_certificate_file, impl->options.tls_key_file));
+  }
   BOOST_OUTCOME_TRY(impl->Listen());
   asio::co_spawn(
       impl->context, [impl]() -> Task<void> { co_await impl->Accept(); }, asio::detached);
--- a/src/instance.cc
+++ b/src/instance.cc
@@ -1,5 +1,6 @@
 #include "citronsill/instance.h"
 
+#include "citronsill/access.h"
 #include "citronsill/api.h"
 #include "citronsill/directory.h"
 #include "citronsill/dispatcher.h"
@@ -9,6 +10,8 @@
 #include "citronsill/journal.h"
 #include "citronsill/ledger.h"
 #include "citronsill/membership.h"
+#include "citronsill/metrics.h"
+#include "citronsill/operators.h"
 #include "citronsill/ownership.h"
 #include "citronsill/peer.h"
 #include "citronsill/table.h"
@@ -21,6 +24,7 @@
 // An entry instance that cannot be reached for this many tries has failed; its caller asks again.
 constexpr int kMaxDeliverTries = 20;
 constexpr std::chrono::milliseconds kDrainCheckPeriod{200};
+constexpr std::chrono::milliseconds kAccessPeriod{2000};
 
 template <class Message>
 Result<Message> ParseMessage(const Result<std::string>& json) {
@@ -41,15 +45,18 @@
   std::uint64_t incarnation = 0;
   std::string peer_address;
   std::unique_ptr<TimerService> timers;
+  std::unique_ptr<Metrics> metrics;
+  std::unique_ptr<AccessControl> access;
   std::unique_ptr<Table> table;
   std::unique_ptr<InstanceDirectory> directory;
   std::unique_ptr<PeerServer> peer_server;
-  std::unique_ptr<PeerClient> peer_client;
+  std::unique_ptr<MeteredPeerClient> peer_client;
   std::unique_ptr<Membership> membership;
   std::unique_ptr<Ownership> ownership;
   std::unique_ptr<Journal> journal;
   std::unique_ptr<Ledger> ledger;
   std::unique_ptr<Dispatcher> dispatcher;
+  std::unique_ptr<Operators> operators;
   std::unique_ptr<Home> home;
   std::unique_ptr<Entry> entry;
   std::unique_ptr<Api> api;
@@ -70,15 +77,19 @@
   Result<void> Build() {
     incarnation = RandomId();
     BOOST_OUTCOME_TRY(timers, TimerService::Create(runtime));
-    BOOST_OUTCOME_TRY(table, CreateHttpTable(runtime, settings.table_address()));
+    BOOST_OUTCOME_TRY(BuildObservation());
+    BOOST_OUTCOME_TRY(auto http_table, CreateHttpTable(runtime, settings.table_address()));
+    table = CreateMeteredTable(std::move(http_table), *metrics);
     BOOST_OUTCOME_TRY(directory, CreateHttpDirectory(runtime, settings.directory_address()));
     BOOST_OUTCOME_TRY(peer_server, PeerServer::Create(runtime, settings.peer_address()));
-    BOOST_OUTCOME_TRY(peer_client, PeerClient::Create(runtime));
+    BOOST_OUTCOME_TRY(auto client, PeerClient::Create(runtime));
+    peer_client = std::make_unique<MeteredPeerClient>(std::move(client), *metrics);
     BOOST_OUTCOME_TRY(ledger, Ledger::Create(kMaxFinishedRequests));
     BOOST_OUTCOME_TRY(BuildMembership());
     BOOST_OUTCOME_TRY(BuildOwnership());
     BOOST_OUTCOME_TRY(BuildJournal());
     BOOST_OUTCOME_TRY(BuildDispatcher());
+    BOOST_OUTCOME_TRY(BuildOperators());
     BOOST_OUTCOME_TRY(BuildHome());
     BOOST_OUTCOME_TRY(BuildEntry());
     BOOST_OUTCOME_TRY(BuildApi());
@@ -170,6 +181,73 @@
     return Success();
   }
 
+  // Access keys and metrics.
+  Result<void> BuildObservation() {
+    BOOST_OUTCOME_TRY(access, AccessControl::Create(settings.access_keys_file()));
+    MetricsHooks hooks;
+    hooks.is_known_class = [this](const std::string& name) { return FindClass(name).has_value(); };
+    BOOST_OUTCOME_TRY(metrics, Metrics::Create(std::move(hooks)));
+    return Success();
+  }
+
+  Result<void> BuildOperators() {
+    OperatorsOptions options;
+    options.instance = settings.instance_id();
+    options.cell = settings.cell();
+    options.peer_address = settings.peer_address();
+    OperatorsHooks hooks;
+    hooks.call = [this](const std::string& address, const std::string& method, std::string params,
+                        std::function<void(Result<std::string>)> done) {
+      peer_client->Call(address, method, std::move(params), kPeerTimeout, std::move(done));
+    };
+    hooks.peers = [this] { return KnownPeers(); };
+    hooks.stats = [this] { return dispatcher->Stats(); };
+    hooks.is_table_up = [this] { return ownership->IsTableUp(); };
+    hooks.is_draining = [this] { return draining.load(); };
+    hooks.listed_workers = [this]() -> std::optional<std::uint32_t> {
+      std::lock_guard lock(mutex);
+      if (last_directory.workers().empty()) return std::nullopt;
+      return static_cast<std::uint32_t>(last_directory.workers_size());
+    };
+    hooks.on_records = [this] {
+      runtime.Post([weak = weak_from_this()] {
+        if (auto self = weak.lock()) self->RefreshWorkers();
+      });
+    };
+    BOOST_OUTCOME_TRY(operators,
+                      Operators::Create(*timers, *table, *metrics, options, std::move(hooks)));
+    return Success();
+  }
+
+  // Other instances that gossip or the platform's list knows, the silent ones included. Those that
+  // left on purpose are not expected any more.
+  std::vector<ExpectedInstance> KnownPeers() {
+    std::map<std::string, std::string> addresses;
+    {
+      std::lock_guard lock(mutex);
+      for (const schema::DirectoryEntry& instance : last_directory.instances()) {
+        if (!instance.leaving()) addresses[instance.id()] = instance.address();
+      }
+    }
+    for (const schema::MemberState& member : membership->Digest(Now())) {
+      addresses[member.id()] = member.peer_address();
+      if (member.leaving() && !membership->IsLive(member.id(), Now())) addresses.erase(member.id());
+    }
+    addresses.erase(settings.instance_id());
+    std::vector<ExpectedInstance> peers;
+    for (const auto& [id, address] : addresses) peers.push_back({id, address});
+    return peers;
+  }
+
+  // A record replaces the class of the same name in the settings.
+  std::optional<schema::WorkClass> FindClass(const std::string& name) {
+    if (auto recorded = operators->GetRecords().FindClass(name)) return recorded;
+    for (const schema::WorkClass& work_class : settings.classes()) {
+      if (work_class.name() == name) return work_class;
+    }
+    return std::nullopt;
+  }
+
   Result<void> BuildHome() {
     HomeOptions options;
     options.partition_count = settings.partition_count();
@@ -182,12 +260,7 @@
     };
     hooks.submit = [this](const JobSpec& job) { return dispatcher->Submit(job); };
     hooks.cancel = [this](const std::string& id) { return dispatcher->Cancel(id); };
-    hooks.find_class = [this](const std::string& name) -> std::optional<schema::WorkClass> {
-      for (const schema::WorkClass& work_class : settings.classes()) {
-        if (work_class.name() == name) return work_class;
-      }
-      return std::nullopt;
-    };
+    hooks.find_class = [this](const std::string& name) { return FindClass(name); };
     BOOST_OUTCOME_TRY(home, Home::Create(*ledger, *journal, options, std::move(hooks)));
     return Success();
   }
@@ -219,10 +292,22 @@
     };
     hooks.is_ready = [this] { return IsReady(); };
     hooks.drain = [this] { StartDraining(); };
-    hooks.metrics = [this] { return Metrics(); };
+    hooks.authorize = [this](const std::string& authorization, schema::Role needed) {
+      return access->Authorize(authorization, needed);
+    };
+    hooks.operate = [this](const HttpRequest& request, const std::string& who,
+                           const HttpReply& reply) {
+      return operators->Handle(request, who, reply);
+    };
+    hooks.on_answer = [this](const std::string& work_class, schema::Code code,
+                             std::chrono::steady_clock::duration elapsed) {
+      operators->OnAnswer(work_class, code, elapsed);
+    };
     BOOST_OUTCOME_TRY(api, Api::Create(std::move(hooks)));
     HttpServerOptions options;
     options.address = settings.api_address();
+    options.tls_certificate_file = settings.tls_certificate_file();
+    options.tls_key_file = settings.tls_key_file();
     BOOST_OUTCOME_TRY(
         api_server, HttpServer::Create(runtime, options,
                                        [this](const HttpRequest& request, const HttpReply& reply) {
@@ -243,6 +328,7 @@
   }
 
   void RegisterMethods() {
+    operators->Register(*peer_server);
     Register<schema::Gossip, schema::Gossip>(
         "gossip", [this](const schema::Gossip& gossip) -> Result<schema::Gossip> {
           MergeGossip(gossip);
@@ -271,12 +357,20 @@
       }));
     };
     every(kGossipPeriod, &Impl::Gossip);
+    every(kAccessPeriod, &Impl::RefreshAccess);
     every(kOwnershipPeriod, &Impl::TickOwnership);
     every(kDirectoryPeriod, &Impl::RefreshDirectory);
     runtime.Post([self = shared_from_this()] { self->RefreshDirectory(); });
+    operators->Start();
   }
 
-  void TickOwnership() { ownership->Tick(Now()); }
+  void RefreshAccess() { access->Refresh(); }
+
+  // Without records, requests would run under the classes of the settings, which records may have
+  // replaced long ago.
+  void TickOwnership() {
+    if (operators->GetRecords().IsKnown()) ownership->Tick(Now());
+  }
 
   schema::Gossip MakeGossip() {
     schema::Gossip gossip;
@@ -292,6 +386,10 @@
   void MergeGossip(const schema::Gossip& gossip) {
     membership->Merge({gossip.members().begin(), gossip.members().end()}, Now());
     ownership->MergeOwners({gossip.owners().begin(), gossip.owners().end()});
+    for (const schema::MemberState& member : gossip.members()) {
+      if (member.id() == settings.instance_id()) continue;
+      operators->GetRecords().OnHeard(member.peer_address(), member.record_revision(), Now());
+    }
   }
 
   // The next few known peers in turn, from gossip and from the platform's list.
@@ -320,6 +418,7 @@
     load.set_leaving(draining);
     load.set_free_slots(stats.free_slots);
     load.set_waiting(static_cast<std::uint32_t>(stats.waiting_jobs));
+    load.set_record_revision(operators->GetRecords().Revision().revision());
     membership->Beat(load);
     const std::string message = ToJson(MakeGossip());
     for (const std::string& address : GossipTargets()) {
@@ -345,15 +444,35 @@
     });
   }
 
-  void RefreshWorkers() {
-    std::vector<OwnedWorker> workers;
+  // Workers of the platform's list, as the target records change them.
+  std::vector<OwnedWorker> MarkedWorkers() {
+    std::map<std::string, OwnedWorker> workers;
     {
       std::lock_guard lock(mutex);
       for (const schema::DirectoryEntry& worker : last_directory.workers()) {
-        const auto epoch = ownership->OwnedEpoch(Partition(worker.id()));
-        if (epoch) workers.push_back({worker.id(), worker.address(), *epoch, worker.leaving()});
+        workers[worker.id()] = {worker.id(), worker.address(), 0, worker.leaving()};
       }
     }
+    for (const auto& [id, target] : operators->GetRecords().Targets()) {
+      OwnedWorker& worker = workers[id];
+      worker.id = id;
+      worker.address = target.address();
+      worker.leaving = worker.leaving || target.mark() == schema::TARGET_MARK_DRAIN;
+      if (target.mark() == schema::TARGET_MARK_REMOVED) workers.erase(id);
+    }
+    std::vector<OwnedWorker> list;
+    for (auto& [id, worker] : workers) list.push_back(std::move(worker));
+    return list;
+  }
+
+  void RefreshWorkers() {
+    std::vector<OwnedWorker> workers;
+    for (OwnedWorker& worker : MarkedWorkers()) {
+      const auto epoch = ownership->OwnedEpoch(Partition(worker.id));
+      if (!epoch) continue;
+      worker.epoch = *epoch;
+      workers.push_back(std::move(worker));
+    }
     dispatcher->SetWorkers(workers);
   }
 
@@ -424,13 +543,6 @@
 
   bool IsReady() const { return !draining && !ownership->Owners().empty(); }
 
-  std::string Metrics() const {
-    const EngineStats stats = dispatcher->Stats();
-    return fmt::format(
-        "citronsill_waiting_jobs {}\ncitronsill_running_tasks {}\ncitronsill_owned_workers {}\n",
-        stats.waiting_jobs, stats.running_tasks, stats.workers);
-  }
-
   void StartDraining() {
     if (draining.exchange(true)) return;
     entry->Drain();
--- /dev/null
+++ b/src/report_text.cc
@@ -0,0 +1,196 @@
+#include <ctime>
+
+#include "citronsill/report.h"
+#include "internal.h"
+
+namespace citronsill {
+namespace {
+
+constexpr int kMaxClassLines = 5;
+constexpr int kMaxAlertLines = 2;
+constexpr int kMaxNeedLines = 3;
+constexpr int kMaxRefusalLines = 2;
+constexpr std::size_t kClassColumns = 17;
+
+std::string Fit(const std::string& text, std::size_t columns) {
+  if (text.size() <= columns) return text;
+  return text.substr(0, columns - 1) + "~";
+}
+
+// "7/8": how many of how many instances a figure comes from.
+std::string From(const schema::Report& report) {
+  return fmt::format("{}/{}", report.heard(), report.expected());
+}
+
+std::string Rate(double burn) {
+  return burn >= 99.95 ? std::string("100+") : fmt::format("{:.1f}", burn);
+}
+
+std::string Budget(const schema::ClassBurn& burn) {
+  return fmt::format("{:.0f}%", std::clamp(burn.budget_left(), -9.99, 1.0) * 100.0);
+}
+
+// Figures for which no instance was heard are unknown, not zero.
+std::string Figure(const schema::Report& report, std::uint64_t value) {
+  return report.heard() == 0 ? "unknown" : std::to_string(value);
+}
+
+std::string Unknown(const schema::Report& report) {
+  if (report.unknown_size() == 0) return "unknown: none";
+  std::string text = "unknown " + std::to_string(report.unknown_size()) + ":";
+  for (const std::string& instance : report.unknown()) text += " " + instance;
+  return text;
+}
+
+std::string Workers(const schema::Report& report) {
+  const std::string listed =
+      report.listed_known() ? std::to_string(report.listed_workers()) : "unknown";
+  return "workers " + Figure(report, report.workers()) + " of " + listed + " quar " +
+         Figure(report, report.quarantined());
+}
+
+std::string RecordLine(const schema::Report& report) {
+  std::uint64_t highest = 0;
+  for (const auto& one : report.revisions()) highest = std::max(highest, one.revision());
+  unsigned at_highest = 0;
+  for (const auto& one : report.revisions()) {
+    if (one.heard() && one.revision() == highest) ++at_highest;
+  }
+  return fmt::format("records rev {} on {}/{}", highest, at_highest, report.expected());
+}
+
+// One list per kind of line, shared by text and page.
+struct Lines {
+  std::string head;
+  std::vector<std::string> needs;
+  std::vector<std::string> alerts;
+  std::vector<std::string> state;
+  std::vector<std::string> refusals;
+};
+
+template <class Items, class Format>
+std::vector<std::string> Some(const Items& items, int most, Format format) {
+  std::vector<std::string> lines;
+  for (const auto& item : items) {
+    if (static_cast<int>(lines.size()) + 1 == most && items.size() > most) {
+      lines.push_back(fmt::format("+{} more", items.size() - static_cast<int>(lines.size())));
+      break;
+    }
+    lines.push_back(format(item));
+  }
+  return lines;
+}
+
+Lines MakeLines(const std::string& cell, const schema::Report& report) {
+  const std::string from = From(report);
+  Lines lines;
+  lines.head = fmt::format("{} {} from {}", Fit(cell, 14), ClockTime(report.as_of_unix_ms()), from);
+  lines.needs =
+      Some(report.needs(), kMaxNeedLines, [](const std::string& need) { return "! " + need; });
+  lines.alerts = Some(report.alerts(), kMaxAlertLines, [](const schema::Alert& alert) {
+    return alert.name() + " " + Fit(alert.work_class(), kClassColumns) + " " +
+           ClockTime(alert.since_unix_ms());
+  });
+  lines.state = {
+      Unknown(report),
+      "waiting " + Figure(report, report.waiting()) + " running " +
+          Figure(report, report.running()) + " " + from,
+      Workers(report) + " " + from,
+      fmt::format("table up on {}/{}", report.table_up(), report.expected()),
+      RecordLine(report),
+  };
+  lines.refusals = Some(report.refusals(), kMaxRefusalLines, [&](const schema::CodeCount& count) {
+    return fmt::format("refused {} {} {}", count.count(), CodeName(count.code()), from);
+  });
+  return lines;
+}
+
+std::string Escape(const std::string& text) {
+  std::string escaped;
+  for (const char c : text) {
+    switch (c) {
+      case '<':
+        escaped += "&lt;";
+        break;
+      case '>':
+        escaped += "&gt;";
+        break;
+      case '&':
+        escaped += "&amp;";
+        break;
+      case '"':
+        escaped += "&quot;";
+        break;
+      default:
+        escaped += c;
+    }
+  }
+  return escaped;
+}
+
+std::string Paragraphs(const std::vector<std::string>& lines, const char* style) {
+  std::string html;
+  for (const std::string& line : lines) {
+    html += std::string("<p") + style + ">" + Escape(line) + "</p>\n";
+  }
+  return html;
+}
+
+}  // namespace
+
+std::string ClockTime(std::int64_t unix_ms) {
+  const std::time_t seconds = unix_ms / 1000;
+  std::tm time{};
+  gmtime_r(&seconds, &time);
+  return fmt::format("{:02}:{:02}:{:02}Z", time.tm_hour, time.tm_min, time.tm_sec);
+}
+
+std::string ReportText(const std::string& cell, const schema::Report& report) {
+  const Lines lines = MakeLines(cell, report);
+  std::vector<std::string> all{lines.head};
+  const auto add = [&](const std::vector<std::string>& more) {
+    all.insert(all.end(), more.begin(), more.end());
+  };
+  if (report.heard() == 0) all.emplace_back("state unknown");
+  if (report.heard() > 0 && lines.needs.empty()) all.emplace_back("nothing needs a person");
+  add(lines.needs);
+  add(lines.alerts);
+  all.push_back(fmt::format("{:<17}{:>6}{:>6}{:>7}", "burn " + From(report), "5min", "1h", "left"));
+  add(Some(report.classes(), kMaxClassLines, [](const schema::ClassBurn& burn) {
+    return fmt::format("{:<17}{:>6}{:>6}{:>7}", Fit(burn.work_class(), kClassColumns - 1),
+                       Rate(burn.short_burn()), Rate(burn.long_burn()), Budget(burn));
+  }));
+  add(lines.state);
+  add(lines.refusals);
+  std::string text;
+  for (std::size_t i = 0; i < std::min(all.size(), kReportLines); ++i) {
+    text += Fit(all[i], kReportColumns) + "\n";
+  }
+  return text;
+}
+
+std::string ReportHtml(const std::string& cell, const schema::Report& report) {
+  const Lines lines = MakeLines(cell, report);
+  std::string html =
+      "<!doctype html>\n<html lang=\"en\"><head><meta charset=\"utf-8\">\n"
+      "<meta name=\"viewport\" content=\"width=device-width,initial-scale=1\">\n"
+      "<title>" +
+      Escape(cell) +
+      "</title>\n<style>body{font:16px/1.4 sans-serif;margin:8px;max-width:40em;"
+      "overflow-wrap:anywhere}p{margin:4px 0}table{width:100%;border-collapse:collapse}"
+      "td,th{text-align:right;padding:3px}td:first-child,th:first-child{text-align:left}"
+      ".need{background:#fdd;color:#600;padding:4px}</style></head><body>\n";
+  html += "<h1 style=\"font-size:18px\">" + Escape(lines.head) + "</h1>\n";
+  if (report.heard() == 0) html += "<p class=\"need\">state unknown</p>\n";
+  if (report.heard() > 0 && lines.needs.empty()) html += "<p>nothing needs a person</p>\n";
+  html += Paragraphs(lines.needs, " class=\"need\"") + Paragraphs(lines.alerts, "");
+  html += "<table><tr><th>burn " + From(report) + "</th><th>5 min</th><th>1 h</th><th>left</th>";
+  for (const schema::ClassBurn& burn : report.classes()) {
+    html += "</tr>\n<tr><td>" + Escape(burn.work_class()) + "</td><td>" + Rate(burn.short_burn()) +
+            "</td><td>" + Rate(burn.long_burn()) + "</td><td>" + Budget(burn) + "</td>";
+  }
+  html += "</tr></table>\n" + Paragraphs(lines.state, "") + Paragraphs(lines.refusals, "");
+  return html + "</body></html>\n";
+}
+
+}  // namespace citronsill
--- /dev/null
+++ b/tools/citronsill.cc
@@ -0,0 +1,592 @@
+// The command line for callers and operators.
+#include <unistd.h>
+
+#include <boost/program_options.hpp>
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <sstream>
+
+#include "citronsill/client.h"
+#include "citronsill/codec.h"
+#include "citronsill/ledger.h"
+#include "citronsill/records.h"
+#include "citronsill/report.h"
+#include "citronsill/settings.h"
+#include "schema/citronsill.pb.h"
+
+namespace po = boost::program_options;
+
+namespace citronsill {
+namespace {
+
+using Json = nlohmann::ordered_json;
+using std::chrono::milliseconds;
+
+// An answer may come at the very deadline of a request; the rest is for the way.
+constexpr milliseconds kAnswerMargin{5000};
+constexpr milliseconds kDefaultWait{60000};
+constexpr milliseconds kQueryTimeout{10000};
+constexpr std::size_t kParallelSubmits = 32;
+
+const char* const kOverview = R"(usage: citronsill COMMAND [options]
+
+  submit   run work and wait for its answer
+             citronsill submit --class quick-quote --team north --payload "4 shoes"
+             citronsill submit --file jobs.json
+  status   show what became of a request
+             citronsill status 3f2a9c0d41b85e67
+  cancel   cancel a request
+             citronsill cancel 3f2a9c0d41b85e67
+  apply    put records in force, from a file or a folder of .json files
+             citronsill apply records/ --dry-run
+             citronsill apply records/quick-quote.json --author anna
+  get      show the records, and which revision is in force on each instance since when
+             citronsill get
+             citronsill get work_class quick-quote
+  report   show service level, load and what needs a person
+             citronsill report --server 127.0.0.1:8100
+  drain    let one instance finish its work and stop
+             citronsill drain --server 127.0.0.1:8100
+  check    check a settings file
+             citronsill check /etc/citronsill/settings.json
+
+"citronsill COMMAND --help" shows the options of a command.
+
+Exit codes: 0 success, 1 the work failed, 2 usage or bad input, 3 refused (nothing has happened),
+4 no server reachable (nothing was sent), 5 outcome unknown (ask by id, or repeat with the same
+key), 6 conflict, 7 not found, 8 fault in citronsill.
+)";
+
+// A command that cannot go on.
+struct Failure {
+  ExitCode exit;
+  std::string message;
+};
+
+[[noreturn]] void Fail(ExitCode exit, const std::string& message) { throw Failure{exit, message}; }
+
+[[noreturn]] void Fail(const Error& error) { Fail(ExitCodeOf(error.code), Describe(error)); }
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  std::stringstream text;
+  if (!file || !(text << file.rdbuf())) Fail(ExitCode::kUsage, path + ": cannot be read");
+  return text.str();
+}
+
+Json ParseFile(const std::string& path) {
+  Json json = Json::parse(ReadFile(path), nullptr, false, true);
+  if (json.is_discarded()) Fail(ExitCode::kUsage, path + ": not valid JSON with comments");
+  return json;
+}
+
+std::string RandomText() {
+  std::random_device device;
+  std::ostringstream text;
+  text << std::hex;
+  for (int i = 0; i < 4; ++i) text << device();
+  return text.str();
+}
+
+// A line on a terminal that is written over; nothing when stderr is not a terminal.
+class Progress {
+ public:
+  explicit Progress(std::string what) : m_what(std::move(what)) {}
+  ~Progress() {
+    if (m_shown) std::cerr << "\r\033[K" << std::flush;
+  }
+  Progress(const Progress&) = delete;
+  Progress& operator=(const Progress&) = delete;
+
+  void Show() {
+    if (isatty(STDERR_FILENO) == 0) return;
+    const auto waited = std::chrono::steady_clock::now() - m_start;
+    std::cerr << "\r" << m_what << " "
+              << std::chrono::duration_cast<std::chrono::seconds>(waited).count() << " s"
+              << std::flush;
+    m_shown = true;
+  }
+
+ private:
+  std::string m_what;
+  std::chrono::steady_clock::time_point m_start = std::chrono::steady_clock::now();
+  bool m_shown = false;
+};
+
+class Commands {
+ public:
+  Commands(Runtime& runtime, const po::variables_map& values) : m_values(values) {
+    ClientOptions options;
+    std::stringstream servers(Text("server"));
+    for (std::string server; std::getline(servers, server, ',');) options.servers.push_back(server);
+    m_server_count = options.servers.size();
+    options.access_key = AccessKey();
+    options.tls_ca_file = Text("ca");
+    auto client = Client::Create(runtime, options);
+    if (!client) Fail(ExitCode::kUsage, Describe(client.error()));
+    m_client = std::move(client).value();
+  }
+
+  ExitCode Submit() {
+    const std::vector<schema::Request> requests = Requests();
+    ExitCode exit = ExitCode::kSuccess;
+    Json answers = Json::array();
+    for (std::size_t first = 0; first < requests.size(); first += kParallelSubmits) {
+      std::vector<std::future<Result<HttpResponse>>> calls;
+      const std::size_t end = std::min(requests.size(), first + kParallelSubmits);
+      for (std::size_t i = first; i < end; ++i) calls.push_back(SendSubmit(requests[i]));
+      for (std::size_t i = first; i < end; ++i) {
+        const ExitCode one = ShowSubmit(requests[i], Await(calls[i - first], "waiting"), &answers);
+        if (exit == ExitCode::kSuccess) exit = one;
+      }
+    }
+    if (IsJson()) std::cout << (m_values.count("file") > 0 ? answers : answers[0]).dump() << '\n';
+    return exit;
+  }
+
+  ExitCode Ask(const std::string& method) {
+    const std::string id = Text("id");
+    if (id.empty()) Fail(ExitCode::kUsage, "the id of the request is missing");
+    return ShowAnswer(Call(method, "/v1/requests/" + id, "", Repeat::kSafe));
+  }
+
+  ExitCode Apply() {
+    Json body;
+    body["apply_id"] = Text("apply-id").empty() ? "apply-" + RandomText() : Text("apply-id");
+    const char* user = std::getenv("USER");
+    body["author"] = !Text("author").empty() ? Text("author") : user != nullptr ? user : "unknown";
+    body["dry_run"] = m_values.count("dry-run") > 0;
+    body["records"] = LoadRecords(Text("path"));
+    const std::uint64_t base = m_values.count("based-on") > 0
+                                   ? m_values["based-on"].as<std::uint64_t>()
+                                   : CurrentRevision();
+    body["base_revision"] = base;
+    std::cerr << "apply-id: " << body["apply_id"].get<std::string>() << ", based on revision "
+              << base << '\n';
+    const HttpResponse response = Call("POST", "/v1/records", body.dump(), Repeat::kSafe);
+    schema::ApplyResult result;
+    if (!FromJson(response.body, UnknownFields::kIgnore, &result) || result.apply_id().empty()) {
+      return ShowAnswer(response);
+    }
+    if (IsJson()) {
+      std::cout << response.body << '\n';
+    } else {
+      for (const schema::RecordDifference& one : result.differences()) ShowDifference(one);
+      std::cout << Describe({result.code(), result.message()}) << "; revision " << result.revision()
+                << '\n';
+    }
+    return ExitCodeOf(result.code());
+  }
+
+  ExitCode Get() {
+    const HttpResponse response = Call("GET", "/v1/records", "", Repeat::kSafe);
+    Json view = Json::parse(response.body, nullptr, false);
+    if (response.status != 200 || !view.is_object()) return ShowAnswer(response);
+    Json chosen = Json::array();
+    for (const Json& record : view.value("records", Json::array())) {
+      const bool is_kind = Text("kind").empty() || record["kind"] == Text("kind");
+      const bool is_name = Text("name").empty() || record["name"] == Text("name");
+      if (is_kind && is_name) chosen.push_back(record);
+    }
+    view["records"] = chosen;
+    if (IsJson()) {
+      std::cout << view.dump() << '\n';
+    } else {
+      ShowRecords(view);
+    }
+    return chosen.empty() && !Text("name").empty() ? ExitCode::kNotFound : ExitCode::kSuccess;
+  }
+
+  ExitCode Report() {
+    const std::string format = IsJson() ? "json" : "text";
+    const HttpResponse response = Call("GET", "/v1/report?format=" + format, "", Repeat::kSafe);
+    if (response.status != 200) return ShowAnswer(response);
+    std::cout << response.body << (IsJson() ? "\n" : "");
+    return ExitCode::kSuccess;
+  }
+
+  ExitCode Drain() {
+    // With several servers, one that fails to answer would let the next one be drained as well.
+    if (m_server_count != 1) Fail(ExitCode::kUsage, "drain takes exactly one --server");
+    const HttpResponse response = Call("POST", "/v1/drain", "", Repeat::kNever);
+    if (response.status != 202) return ShowAnswer(response);
+    std::cout << (IsJson() ? "{\"state\":\"draining\"}\n" : response.body);
+    return ExitCode::kSuccess;
+  }
+
+ private:
+  std::string Text(const char* name) const {
+    return m_values.count(name) > 0 ? m_values[name].as<std::string>() : std::string();
+  }
+
+  bool IsJson() const { return Text("output") == "json"; }
+
+  // Keys are never on the command line, where every process of the machine could read them.
+  std::string AccessKey() const {
+    const char* from_environment = std::getenv("CITRONSILL_KEY_FILE");
+    std::string path = Text("key-file");
+    if (path.empty() && from_environment != nullptr) path = from_environment;
+    if (path.empty()) return "";
+    std::string key = ReadFile(path);
+    while (!key.empty() && std::isspace(static_cast<unsigned char>(key.back())) != 0)
+      key.pop_back();
+    return key;
+  }
+
+  Result<HttpResponse> Await(std::future<Result<HttpResponse>>& call, const std::string& what) {
+    Progress progress(what);
+    while (call.wait_for(std::chrono::seconds(1)) != std::future_status::ready) progress.Show();
+    return call.get();
+  }
+
+  std::future<Result<HttpResponse>> Start(HttpRequest request, milliseconds timeout,
+                                          Repeat repeat) {
+    auto promise = std::make_shared<std::promise<Result<HttpResponse>>>();
+    m_client->Send(std::move(request), timeout, repeat, [promise](Result<HttpResponse> response) {
+      promise->set_value(std::move(response));
+    });
+    return promise->get_future();
+  }
+
+  HttpResponse Call(const std::string& method, const std::string& target, const std::string& body,
+                    Repeat repeat) {
+    HttpRequest request;
+    request.method = method;
+    request.target = target;
+    request.body = body;
+    auto call = Start(std::move(request), kQueryTimeout, repeat);
+    auto response = Await(call, method + " " + target);
+    if (!response) Fail(response.error());
+    return std::move(response).value();
+  }
+
+  std::vector<schema::Request> Requests() const {
+    std::vector<schema::Request> requests;
+    if (m_values.count("file") > 0) {
+      Json list = ParseFile(Text("file"));
+      if (!list.is_array()) list = Json::array({list});
+      for (std::size_t i = 0; i < list.size(); ++i) {
+        schema::Request& request = requests.emplace_back();
+        if (auto parsed = FromJson(list[i].dump(), UnknownFields::kReject, &request); !parsed) {
+          Fail(ExitCode::kUsage,
+               Text("file") + ": request " + std::to_string(i) + ": " + Describe(parsed.error()));
+        }
+      }
+    } else {
+      requests.push_back(RequestOfOptions());
+    }
+    for (schema::Request& request : requests) {
+      if (request.key().empty()) request.set_key("cli-" + RandomText());
+    }
+    return requests;
+  }
+
+  schema::Request RequestOfOptions() const {
+    Json json;
+    const std::pair<const char*, const char*> texts[] = {
+        {"class", "work_class"}, {"team", "team"},         {"key", "key"},
+        {"payload", "payload"},  {"run-time", "run_time"}, {"deadline", "deadline"}};
+    for (const auto& [option, field] : texts) {
+      if (m_values.count(option) > 0) json[field] = Text(option);
+    }
+    if (m_values.count("processors") > 0) {
+      json["size"]["processors"] = m_values["processors"].as<double>();
+    }
+    if (m_values.count("memory-mb") > 0) {
+      json["size"]["memory_mb"] = m_values["memory-mb"].as<std::uint64_t>();
+    }
+    if (m_values.count("accelerators") > 0) {
+      json["size"]["accelerators"] = m_values["accelerators"].as<std::uint32_t>();
+    }
+    if (m_values.count("tasks") > 0) json["task_count"] = m_values["tasks"].as<std::uint32_t>();
+    if (m_values.count("all-at-once") > 0) json["all_at_once"] = true;
+    if (m_values.count("urgent") > 0) json["urgency"] = "URGENCY_URGENT";
+    if (m_values.count("no-wait") > 0) json["no_wait"] = true;
+    schema::Request request;
+    if (auto parsed = FromJson(json.dump(), UnknownFields::kReject, &request); !parsed) {
+      Fail(ExitCode::kUsage, Describe(parsed.error()));
+    }
+    if (request.work_class().empty() || request.team().empty()) {
+      Fail(ExitCode::kUsage, "submit needs --class and --team, or --file");
+    }
+    return request;
+  }
+
+  std::future<Result<HttpResponse>> SendSubmit(const schema::Request& request) {
+    std::cerr << "key: " << request.key() << '\n';
+    HttpRequest message;
+    message.method = "POST";
+    message.target = "/v1/requests";
+    message.body = ToJson(request);
+    const milliseconds wait =
+        request.has_deadline() ? ToMilliseconds(request.deadline()) : kDefaultWait;
+    // The key makes a repeat at another server safe, also for work that is not idempotent.
+    return Start(std::move(message), wait + kAnswerMargin, Repeat::kSafe);
+  }
+
+  ExitCode ShowSubmit(const schema::Request& request, const Result<HttpResponse>& response,
+                      Json* answers) {
+    schema::Answer answer;
+    if (!response) {
+      answer.set_id(RequestIdOf(request.team(), request.key()));
+      answer.set_code(response.error().code);
+      answer.set_message(response.error().message);
+      answer.set_not_run(ExitCodeOf(answer.code()) == ExitCode::kUnreachable);
+    } else if (!FromJson(response.value().body, UnknownFields::kIgnore, &answer)) {
+      answer.set_code(schema::CODE_INTERNAL);
+      answer.set_message("the answer cannot be understood");
+    }
+    if (IsJson()) {
+      Json json = Json::parse(ToJson(answer));
+      json["key"] = request.key();
+      answers->push_back(std::move(json));
+    } else if (m_values.count("file") > 0) {
+      std::cout << request.key() << ' ' << answer.id() << ' '
+                << Describe({answer.code(), answer.message()}) << '\n';
+    } else {
+      ShowText(answer);
+    }
+    return ExitCodeOf(answer.code());
+  }
+
+  ExitCode ShowAnswer(const HttpResponse& response) {
+    schema::Answer answer;
+    if (!FromJson(response.body, UnknownFields::kIgnore, &answer)) {
+      Fail(ExitCode::kFault, "status " + std::to_string(response.status) + ": " + response.body);
+    }
+    if (IsJson()) {
+      std::cout << response.body << '\n';
+    } else {
+      ShowText(answer);
+    }
+    return ExitCodeOf(answer.code());
+  }
+
+  static void ShowText(const schema::Answer& answer) {
+    std::string state = schema::RequestState_Name(answer.state()).substr(6);
+    std::transform(state.begin(), state.end(), state.begin(), ::tolower);
+    if (!answer.id().empty()) std::cout << "id       " << answer.id() << '\n';
+    std::cout << "state    " << state << '\n';
+    std::cout << "code     " << Describe({answer.code(), answer.message()}) << '\n';
+    for (const std::string& result : answer.results()) std::cout << "result   " << result << '\n';
+    if (answer.not_run()) std::cout << "not run  yes\n";
+    if (!answer.location().empty()) std::cout << "outcome  " << answer.location() << '\n';
+    if (answer.has_retry_after()) {
+      std::cout << "retry in " << ToMilliseconds(answer.retry_after()).count() << " ms\n";
+    }
+  }
+
+  static Json LoadRecords(const std::string& path) {
+    if (path.empty()) Fail(ExitCode::kUsage, "the file or folder of records is missing");
+    std::vector<std::string> files;
+    if (std::filesystem::is_directory(path)) {
+      for (const auto& entry : std::filesystem::directory_iterator(path)) {
+        if (entry.path().extension() == ".json") files.push_back(entry.path().string());
+      }
+      std::sort(files.begin(), files.end());
+      if (files.empty()) Fail(ExitCode::kUsage, path + ": no .json files");
+    } else {
+      files.push_back(path);
+    }
+    Json records = Json::array();
+    for (const std::string& file : files) {
+      Json content = ParseFile(file);
+      if (!content.is_array()) content = Json::array({content});
+      for (Json& record : content) {
+        // Checked again by the instance, which may know a newer version than this program.
+        const auto checked = ParseRecord(record.dump());
+        if (!checked && checked.error().code != schema::CODE_UNKNOWN_VERSION) {
+          Fail(ExitCode::kUsage, file + ": " + Describe(checked.error()));
+        }
+        records.push_back(std::move(record));
+      }
+    }
+    return records;
+  }
+
+  std::uint64_t CurrentRevision() {
+    const HttpResponse response = Call("GET", "/v1/records", "", Repeat::kSafe);
+    const Json view = Json::parse(response.body, nullptr, false);
+    if (response.status != 200 || !view.is_object()) {
+      schema::Answer answer;
+      if (!FromJson(response.body, UnknownFields::kIgnore, &answer))
+        answer.set_code(schema::CODE_INTERNAL);
+      Fail(Error{answer.code(), answer.message()});
+    }
+    return std::stoull(view.value("revision", std::string("0")));
+  }
+
+  static void ShowDifference(const schema::RecordDifference& one) {
+    std::cout << one.kind() << ' ' << one.name();
+    if (one.current_revision() > 0) {
+      std::cout << ": in force since revision " << one.current_revision() << " by "
+                << one.current_author() << " at " << ClockTime(one.current_unix_ms());
+    }
+    std::cout << '\n';
+    if (!one.current().empty()) std::cout << "- " << one.current() << '\n';
+    if (!one.submitted().empty()) std::cout << "+ " << one.submitted() << '\n';
+  }
+
+  static void ShowRecords(const Json& view) {
+    std::cout << "revision " << view.value("revision", "0") << '\n';
+    for (const Json& record : view["records"]) {
+      std::cout << record.value("kind", "") << ' ' << record.value("name", "") << " revision "
+                << record.value("revision", "0") << " by " << record.value("author", "") << " at "
+                << ClockTime(std::stoll(record.value("applied_unix_ms", "0"))) << '\n'
+                << "  " << record["content"].dump() << '\n';
+    }
+    for (const Json& one : view.value("instances", Json::array())) {
+      std::cout << "instance " << one.value("instance", "");
+      if (!one.value("heard", false)) {
+        std::cout << " unknown: no answer\n";
+        continue;
+      }
+      std::cout << " revision " << one.value("revision", "0") << " since "
+                << ClockTime(std::stoll(one.value("since_unix_ms", "0"))) << " from "
+                << one.value("source", "settings") << '\n';
+    }
+  }
+
+  const po::variables_map& m_values;
+  std::unique_ptr<Client> m_client;
+  std::size_t m_server_count = 0;
+};
+
+ExitCode Check(const std::string& path) {
+  if (path.empty()) Fail(ExitCode::kUsage, "the settings file is missing");
+  const auto settings = LoadSettings(path);
+  if (!settings) Fail(ExitCode::kUsage, Describe(settings.error()));
+  std::cout << path << ": valid; instance " << settings.value().instance_id() << ", "
+            << settings.value().classes_size() << " work classes\n";
+  return ExitCode::kSuccess;
+}
+
+ExitCode Run(const std::string& command, const po::variables_map& values) {
+  if (command == "check") {
+    return Check(values.count("path") > 0 ? values["path"].as<std::string>() : "");
+  }
+  auto runtime = Runtime::Create(1);
+  runtime.value()->Start();
+  Commands commands(*runtime.value(), values);
+  if (command == "submit") return commands.Submit();
+  if (command == "status") return commands.Ask("GET");
+  if (command == "cancel") return commands.Ask("DELETE");
+  if (command == "apply") return commands.Apply();
+  if (command == "get") return commands.Get();
+  if (command == "report") return commands.Report();
+  return commands.Drain();
+}
+
+struct Syntax {
+  po::options_description options;
+  po::positional_options_description positional;
+  std::string example;
+};
+
+void AddSubmit(Syntax* syntax) {
+  const auto text = [] { return po::value<std::string>(); };
+  syntax->options.add_options()("class", text(), "work class")("team", text(), "team")(
+      "key", text(), "idempotency key; made and printed when absent")("payload", text(),
+                                                                      "text handed to each task")(
+      "run-time", text(), "declared run time, as in 2.5s")("deadline", text(),
+                                                           "from arrival, as in 10s")(
+      "processors", po::value<double>(), "of one task")("memory-mb", po::value<std::uint64_t>(),
+                                                        "of one task")(
+      "accelerators", po::value<std::uint32_t>(), "of one task")(
+      "tasks", po::value<std::uint32_t>(), "number of tasks")(
+      "all-at-once", "start all tasks at once or none")("urgent", "before other work")(
+      "no-wait", "return once accepted; ask later with status")(
+      "file", text(), "list of requests, JSON with comments, instead of the options above");
+  syntax->example =
+      "citronsill submit --class quick-quote --team north --payload \"4 shoes\" --deadline 5s\n"
+      "  echo '[{\"work_class\":\"quick-quote\",\"team\":\"north\"}]' > jobs.json\n"
+      "  citronsill submit --file jobs.json --output json";
+}
+
+Syntax SyntaxOf(const std::string& command) {
+  const auto text = [] { return po::value<std::string>(); };
+  Syntax syntax;
+  if (command == "submit") {
+    AddSubmit(&syntax);
+  } else if (command == "status" || command == "cancel") {
+    syntax.options.add_options()("id", text(), "id of the request, from the answer to submit");
+    syntax.positional.add("id", 1);
+    syntax.example = "citronsill " + command + " 3f2a9c0d41b85e67";
+  } else if (command == "apply") {
+    syntax.options.add_options()("path", text(), "file, or folder of .json files")(
+        "dry-run", "show the difference only")(
+        "based-on", po::value<std::uint64_t>(),
+        "revision that the change is based on; the one in force when absent")(
+        "author", text(), "name in the record; $USER when absent")(
+        "apply-id", text(), "id of an earlier apply whose outcome was unknown");
+    syntax.positional.add("path", 1);
+    syntax.example =
+        "citronsill apply records/ --dry-run\n"
+        "  citronsill apply records/quick-quote.json --based-on 12 --author anna";
+  } else if (command == "get") {
+    syntax.options.add_options()("kind", text(), "work_class, limit or target")("name", text(),
+                                                                                "name");
+    syntax.positional.add("kind", 1).add("name", 1);
+    syntax.example = "citronsill get limit north --output json";
+  } else if (command == "check") {
+    syntax.options.add_options()("path", text(), "settings file");
+    syntax.positional.add("path", 1);
+    syntax.example = "citronsill check examples/horseshoe.json";
+  } else {
+    syntax.example = "citronsill " + command + " --server 127.0.0.1:8100";
+  }
+  syntax.options.add_options()("help", "show this text")(
+      "server", text()->default_value("127.0.0.1:8100"), "IP:port[,IP:port], tried in turn")(
+      "output", text()->default_value("text"), "text or json")(
+      "key-file", text(), "file with the access key; or name it in CITRONSILL_KEY_FILE")(
+      "ca", text(),
+      "certificate, in PEM, that the servers' certificates are checked with; "
+      "turns TLS on");
+  return syntax;
+}
+
+ExitCode Main(int argc, char** argv) {
+  const std::string command = argc > 1 ? argv[1] : "";
+  static const std::set<std::string> commands{"submit", "status", "cancel", "apply",
+                                              "get",    "report", "drain",  "check"};
+  if (!commands.contains(command)) {
+    const bool asked = command == "--help" || command == "help";
+    (asked ? std::cout : std::cerr) << kOverview;
+    return asked ? ExitCode::kSuccess : ExitCode::kUsage;
+  }
+  const Syntax syntax = SyntaxOf(command);
+  po::variables_map values;
+  po::store(po::command_line_parser(argc - 1, argv + 1)
+                .options(syntax.options)
+                .positional(syntax.positional)
+                .run(),
+            values);
+  if (values.count("help") > 0) {
+    std::cout << "usage: citronsill " << command << " [options]\n\nexample:\n  " << syntax.example
+              << "\n\n"
+              << syntax.options;
+    return ExitCode::kSuccess;
+  }
+  const std::string output = values["output"].as<std::string>();
+  if (output != "text" && output != "json") Fail(ExitCode::kUsage, "--output is text or json");
+  return Run(command, values);
+}
+
+}  // namespace
+}  // namespace citronsill
+
+int main(int argc, char** argv) {
+  try {
+    return static_cast<int>(citronsill::Main(argc, argv));
+  } catch (const citronsill::Failure& failure) {
+    std::cerr << "citronsill: " << failure.message << '\n';
+    return static_cast<int>(failure.exit);
+  } catch (const std::exception& error) {
+    std::cerr << "citronsill: " << error.what() << "; see citronsill --help\n";
+    return static_cast<int>(citronsill::ExitCode::kUsage);
+  }
+}
--- a/tools/citronsilld.cc
+++ b/tools/citronsilld.cc
@@ -6,6 +6,7 @@
 
 #include <spdlog/spdlog.h>
 #include "citronsill/instance.h"
+#include "citronsill/log.h"
 #include "citronsill/runtime.h"
 #include "citronsill/settings.h"
 #include "schema/citronsill.pb.h"
@@ -18,10 +19,10 @@
 constexpr int kExitSettings = 3;
 
 int Run(const citronsill::schema::Settings& settings) {
-  spdlog::set_level(spdlog::level::from_str(settings.log_level()));
-  spdlog::set_pattern(
-      "time=%Y-%m-%dT%H:%M:%S.%eZ level=%l instance=" + settings.instance_id() + " %v",
-      spdlog::pattern_time_type::utc);
+  if (auto log = citronsill::ConfigureLog(settings.instance_id(), settings.log_level()); !log) {
+    std::cerr << citronsill::Describe(log.error()) << '\n';
+    return kExitSettings;
+  }
   auto runtime = citronsill::Runtime::Create(settings.threads());
   if (!runtime) {
     std::cerr << citronsill::Describe(runtime.error()) << '\n';
