--- a/include/citronsill/api.h
+++ b/include/citronsill/api.h
@@ -54,6 +54,8 @@
 HttpResponse ToResponse(const schema::Answer& answer);
 
 /// @returns the HTTP response for an error.
-HttpResponse ToResponse(const Error& error);
+/// @param not_run whether the error refuses a request that is certainly not run. Errors of other
+/// calls say nothing about any request.
+HttpResponse ToResponse(const Error& error, bool not_run);
 
 }  // namespace citronsill
--- a/include/citronsill/metrics.h
+++ b/include/citronsill/metrics.h
@@ -27,6 +27,9 @@
   void CountRequest(const std::string& work_class, schema::Code code,
                     std::chrono::steady_clock::duration elapsed);
 
+  /// @returns the label of a work class: its name, or "other" when it is not known.
+  [[nodiscard]] std::string ClassLabel(const std::string& work_class) const;
+
   /// @param operation "read", "scan" or "commit".
   void CountTableCall(const std::string& operation, schema::Code code);
 
--- a/include/citronsill/operators.h
+++ b/include/citronsill/operators.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "citronsill/dispatcher.h"
 #include "citronsill/engine.h"
 #include "citronsill/http.h"
 #include "citronsill/metrics.h"
@@ -25,6 +26,18 @@
   std::string address;
 };
 
+/// @returns the other instances that gossip or the platform's list knows, the silent ones included.
+/// Those that left on purpose are not expected any more.
+/// @param known all entries of gossip. @param live those heard lately.
+std::vector<ExpectedInstance> ExpectedPeers(const schema::Directory& list,
+                                            const std::vector<schema::MemberState>& known,
+                                            const std::vector<schema::MemberState>& live,
+                                            const std::string& self);
+
+/// @returns the workers of the platform's list as the target records change them: added, draining,
+/// or removed. Epochs are left at 0.
+std::vector<OwnedWorker> MarkWorkers(const schema::Directory& list, const Records& records);
+
 struct OperatorsHooks {
   /// Calls a peer method with a deadline.
   std::function<void(const std::string& address, const std::string& method, std::string params,
--- a/src/api.cc
+++ b/src/api.cc
@@ -19,7 +19,7 @@
 
 std::function<void(Result<schema::Answer>)> ReplyWith(const HttpReply& reply) {
   return [reply](Result<schema::Answer> answer) {
-    reply(answer ? ToResponse(answer.value()) : ToResponse(answer.error()));
+    reply(answer ? ToResponse(answer.value()) : ToResponse(answer.error(), false));
   };
 }
 
@@ -36,12 +36,12 @@
   return response;
 }
 
-HttpResponse ToResponse(const Error& error) {
+HttpResponse ToResponse(const Error& error, bool not_run) {
   schema::Answer answer;
-  answer.set_state(schema::STATE_REFUSED);
+  answer.set_state(not_run ? schema::STATE_REFUSED : schema::STATE_UNKNOWN);
   answer.set_code(error.code);
   answer.set_message(error.message);
-  answer.set_not_run(true);
+  answer.set_not_run(not_run);
   return ToResponse(answer);
 }
 
@@ -64,7 +64,8 @@
   if (!who) {
     spdlog::warn("event=access_refused code={} method={} path={}",
                  static_cast<int>(who.error().code), LogText(request.method), LogText(path));
-    return reply(ToResponse(who.error()));
+    const bool is_submit = path == kRequestsPath && request.method == "POST";
+    return reply(ToResponse(who.error(), is_submit));
   }
   if (is_request) return HandleRequest(request, path, reply);
   if (path == "/v1/drain" && request.method == "POST") {
@@ -80,24 +81,26 @@
                                                           {"/v1/drain", "POST"}};
   if (const auto known = methods.find(path); known != methods.end()) {
     return reply(ToResponse(
-        Error{schema::CODE_METHOD_NOT_ALLOWED, std::string("use ") + known->second + " " + path}));
+        Error{schema::CODE_METHOD_NOT_ALLOWED, std::string("use ") + known->second + " " + path},
+        false));
   }
-  reply(ToResponse(Error{schema::CODE_NOT_FOUND, "no address " + LogText(path)}));
+  reply(ToResponse(Error{schema::CODE_NOT_FOUND, "no address " + LogText(path)}, false));
 }
 
 void Api::HandleRequest(const HttpRequest& request, const std::string& path,
                         const HttpReply& reply) const {
   if (path == kRequestsPath) {
     if (request.method == "POST") return Submit(request, reply);
-    return reply(ToResponse(Error{schema::CODE_METHOD_NOT_ALLOWED, "use POST " + path}));
+    return reply(ToResponse(Error{schema::CODE_METHOD_NOT_ALLOWED, "use POST " + path}, false));
   }
   const std::string id = path.substr(kRequestsPath.size());
   if (id.size() < 2 || id.front() != '/') {
-    return reply(ToResponse(Error{schema::CODE_NOT_FOUND, "no address " + LogText(path)}));
+    return reply(ToResponse(Error{schema::CODE_NOT_FOUND, "no address " + LogText(path)}, false));
   }
   if (request.method == "GET") return m_hooks.status(id.substr(1), ReplyWith(reply));
   if (request.method == "DELETE") return m_hooks.cancel(id.substr(1), ReplyWith(reply));
-  reply(ToResponse(Error{schema::CODE_METHOD_NOT_ALLOWED, "use GET or DELETE " + LogText(path)}));
+  reply(ToResponse(Error{schema::CODE_METHOD_NOT_ALLOWED, "use GET or DELETE " + LogText(path)},
+                   false));
 }
 
 void Api::Submit(const HttpRequest& request, const HttpReply& reply) const {
@@ -107,7 +110,7 @@
   if (checked) checked = CheckRequest(message);
   if (!checked) {
     m_hooks.on_answer("", checked.error().code, std::chrono::steady_clock::now() - arrived);
-    return reply(ToResponse(checked.error()));
+    return reply(ToResponse(checked.error(), true));
   }
   const std::string work_class = message.work_class();
   m_hooks.submit(
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -100,7 +100,7 @@
 
   Task<void> Serve(std::shared_ptr<Session> session) {
     HttpChannel& channel = session->channel;
-    channel.Lowest().expires_after(kHttpReadTimeout);
+    channel.Lowest().expires_after(options.read_timeout);
     boost::system::error_code error = co_await channel.HandshakeAsServer();
     bool first = true;
     while (!error) {
@@ -108,11 +108,11 @@
       parser.body_limit(options.max_body_bytes);
       parser.header_limit(kMaxHttpHeaderBytes);
       // An idle connection may wait longer than a request that has begun may take.
-      channel.Lowest().expires_after(first ? kHttpReadTimeout : kHttpIdleTimeout);
+      channel.Lowest().expires_after(first ? options.read_timeout : options.idle_timeout);
       first = false;
       error = co_await channel.ReadHeader(session->buffer, parser);
       if (!error) {
-        channel.Lowest().expires_after(kHttpReadTimeout);
+        channel.Lowest().expires_after(options.read_timeout);
         error = co_await channel.Read(session->buffer, parser);
       }
       if (error) {
--- a/src/instance.cc
+++ b/src/instance.cc
@@ -200,14 +200,17 @@
                         std::function<void(Result<std::string>)> done) {
       peer_client->Call(address, method, std::move(params), kPeerTimeout, std::move(done));
     };
-    hooks.peers = [this] { return KnownPeers(); };
+    hooks.peers = [this] {
+      return ExpectedPeers(Directory(), membership->Digest(Now()), membership->Live(Now()),
+                           settings.instance_id());
+    };
     hooks.stats = [this] { return dispatcher->Stats(); };
     hooks.is_table_up = [this] { return ownership->IsTableUp(); };
     hooks.is_draining = [this] { return draining.load(); };
     hooks.listed_workers = [this]() -> std::optional<std::uint32_t> {
-      std::lock_guard lock(mutex);
-      if (last_directory.workers().empty()) return std::nullopt;
-      return static_cast<std::uint32_t>(last_directory.workers_size());
+      const schema::Directory list = Directory();
+      if (list.workers().empty()) return std::nullopt;
+      return static_cast<std::uint32_t>(MarkWorkers(list, operators->GetRecords()).size());
     };
     hooks.on_records = [this] {
       runtime.Post([weak = weak_from_this()] {
@@ -219,26 +222,6 @@
     return Success();
   }
 
-  // Other instances that gossip or the platform's list knows, the silent ones included. Those that
-  // left on purpose are not expected any more.
-  std::vector<ExpectedInstance> KnownPeers() {
-    std::map<std::string, std::string> addresses;
-    {
-      std::lock_guard lock(mutex);
-      for (const schema::DirectoryEntry& instance : last_directory.instances()) {
-        if (!instance.leaving()) addresses[instance.id()] = instance.address();
-      }
-    }
-    for (const schema::MemberState& member : membership->Digest(Now())) {
-      addresses[member.id()] = member.peer_address();
-      if (member.leaving() && !membership->IsLive(member.id(), Now())) addresses.erase(member.id());
-    }
-    addresses.erase(settings.instance_id());
-    std::vector<ExpectedInstance> peers;
-    for (const auto& [id, address] : addresses) peers.push_back({id, address});
-    return peers;
-  }
-
   // A record replaces the class of the same name in the settings.
   std::optional<schema::WorkClass> FindClass(const std::string& name) {
     if (auto recorded = operators->GetRecords().FindClass(name)) return recorded;
@@ -444,30 +427,14 @@
     });
   }
 
-  // Workers of the platform's list, as the target records change them.
-  std::vector<OwnedWorker> MarkedWorkers() {
-    std::map<std::string, OwnedWorker> workers;
-    {
-      std::lock_guard lock(mutex);
-      for (const schema::DirectoryEntry& worker : last_directory.workers()) {
-        workers[worker.id()] = {worker.id(), worker.address(), 0, worker.leaving()};
-      }
-    }
-    for (const auto& [id, target] : operators->GetRecords().Targets()) {
-      OwnedWorker& worker = workers[id];
-      worker.id = id;
-      worker.address = target.address();
-      worker.leaving = worker.leaving || target.mark() == schema::TARGET_MARK_DRAIN;
-      if (target.mark() == schema::TARGET_MARK_REMOVED) workers.erase(id);
-    }
-    std::vector<OwnedWorker> list;
-    for (auto& [id, worker] : workers) list.push_back(std::move(worker));
-    return list;
+  schema::Directory Directory() {
+    std::lock_guard lock(mutex);
+    return last_directory;
   }
 
   void RefreshWorkers() {
     std::vector<OwnedWorker> workers;
-    for (OwnedWorker& worker : MarkedWorkers()) {
+    for (OwnedWorker& worker : MarkWorkers(Directory(), operators->GetRecords())) {
       const auto epoch = ownership->OwnedEpoch(Partition(worker.id));
       if (!epoch) continue;
       worker.epoch = *epoch;
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -49,10 +49,6 @@
                              .Register(registry);
   std::mutex mutex;
   std::map<std::string, prometheus::Gauge*> gauges;
-
-  std::string ClassLabel(const std::string& work_class) const {
-    return hooks.is_known_class && hooks.is_known_class(work_class) ? work_class : kOther;
-  }
 };
 
 Result<std::unique_ptr<Metrics>> Metrics::Create(MetricsHooks hooks) {
@@ -63,9 +59,14 @@
 
 Metrics::~Metrics() = default;
 
+std::string Metrics::ClassLabel(const std::string& work_class) const {
+  const bool is_known = m_impl->hooks.is_known_class && m_impl->hooks.is_known_class(work_class);
+  return is_known ? work_class : kOther;
+}
+
 void Metrics::CountRequest(const std::string& work_class, schema::Code code,
                            std::chrono::steady_clock::duration elapsed) {
-  const std::string label = m_impl->ClassLabel(work_class);
+  const std::string label = ClassLabel(work_class);
   m_impl->requests.Add({{"work_class", label}, {"code", CodeLabel(code)}}).Increment();
   m_impl->latency.Add({{"work_class", label}}, kLatencyBoundsSeconds)
       .Observe(std::chrono::duration<double>(elapsed).count());
--- a/src/operators.cc
+++ b/src/operators.cc
@@ -200,7 +200,7 @@
 
   void HandleApply(const HttpRequest& request, const std::string& who, const HttpReply& reply) {
     auto apply = ParseApply(request.body);
-    if (!apply) return reply(ToResponse(apply.error()));
+    if (!apply) return reply(ToResponse(apply.error(), false));
     spdlog::info("event=apply_received apply_id={} author={} key={}",
                  LogText(apply.value().apply_id()), LogText(apply.value().author()), LogText(who));
     records->Apply(apply.value(), Now(), [reply](const schema::ApplyResult& result) {
@@ -214,7 +214,7 @@
     schema::LogLevel level;
     auto checked = FromJson(request.body, UnknownFields::kReject, &level);
     if (checked) checked = SetLogLevel(level.level());
-    if (!checked) return reply(ToResponse(checked.error()));
+    if (!checked) return reply(ToResponse(checked.error(), false));
     spdlog::info("event=log_level level={} key={}", level.level(), LogText(who));
     reply(Body(ToJson(level), "application/json"));
   }
@@ -291,7 +291,7 @@
 
 void Operators::OnAnswer(const std::string& work_class, schema::Code code,
                          std::chrono::steady_clock::duration elapsed) {
-  m_impl->counts.Count(work_class, code, Now());
+  m_impl->counts.Count(m_impl->metrics.ClassLabel(work_class), code, Now());
   m_impl->metrics.CountRequest(work_class, code, elapsed);
 }
 
--- a/src/records.cc
+++ b/src/records.cc
@@ -1,5 +1,6 @@
 #include "citronsill/records.h"
 
+#include "citronsill/log.h"
 #include "internal.h"
 
 namespace citronsill {
@@ -237,9 +238,9 @@
     result.set_revision(applied);
     result.set_apply_id(operation.request.apply_id());
     for (auto& difference : differences) *result.add_differences() = std::move(difference);
-    spdlog::info("event=apply apply_id={} author=\"{}\" code={} revision={}",
-                 operation.request.apply_id(), operation.request.author(), static_cast<int>(code),
-                 applied);
+    spdlog::info("event=apply apply_id={} author={} code={} revision={}",
+                 LogText(operation.request.apply_id()), LogText(operation.request.author()),
+                 static_cast<int>(code), applied);
     operation.done(std::move(result));
   }
 
--- a/tools/citronsill.cc
+++ b/tools/citronsill.cc
@@ -16,6 +16,7 @@
 #include "citronsill/records.h"
 #include "citronsill/report.h"
 #include "citronsill/settings.h"
+#include "command_line.h"
 #include "schema/citronsill.pb.h"
 
 namespace po = boost::program_options;
@@ -32,41 +33,17 @@
 constexpr milliseconds kQueryTimeout{10000};
 constexpr std::size_t kParallelSubmits = 32;
 
-const char* const kOverview = R"(usage: citronsill COMMAND [options]
-
-  submit   run work and wait for its answer
-             citronsill submit --class quick-quote --team north --payload "4 shoes"
-             citronsill submit --file jobs.json
-  status   show what became of a request
-             citronsill status 3f2a9c0d41b85e67
-  cancel   cancel a request
-             citronsill cancel 3f2a9c0d41b85e67
-  apply    put records in force, from a file or a folder of .json files
-             citronsill apply records/ --dry-run
-             citronsill apply records/quick-quote.json --author anna
-  get      show the records, and which revision is in force on each instance since when
-             citronsill get
-             citronsill get work_class quick-quote
-  report   show service level, load and what needs a person
-             citronsill report --server 127.0.0.1:8100
-  drain    let one instance finish its work and stop
-             citronsill drain --server 127.0.0.1:8100
-  check    check a settings file
-             citronsill check /etc/citronsill/settings.json
-
-"citronsill COMMAND --help" shows the options of a command.
-
-Exit codes: 0 success, 1 the work failed, 2 usage or bad input, 3 refused (nothing has happened),
-4 no server reachable (nothing was sent), 5 outcome unknown (ask by id, or repeat with the same
-key), 6 conflict, 7 not found, 8 fault in citronsill.
-)";
-
 // A command that cannot go on.
 struct Failure {
   ExitCode exit;
   std::string message;
 };
 
+std::string CodeText(schema::Code code, const std::string& message) {
+  const std::string text = Describe({code, message});
+  return message.empty() ? text.substr(0, text.size() - 2) : text;
+}
+
 [[noreturn]] void Fail(ExitCode exit, const std::string& message) { throw Failure{exit, message}; }
 
 [[noreturn]] void Fail(const Error& error) { Fail(ExitCodeOf(error.code), Describe(error)); }
@@ -176,7 +153,7 @@
       std::cout << response.body << '\n';
     } else {
       for (const schema::RecordDifference& one : result.differences()) ShowDifference(one);
-      std::cout << Describe({result.code(), result.message()}) << "; revision " << result.revision()
+      std::cout << CodeText(result.code(), result.message()) << "; revision " << result.revision()
                 << '\n';
     }
     return ExitCodeOf(result.code());
@@ -286,7 +263,7 @@
   }
 
   schema::Request RequestOfOptions() const {
-    Json json;
+    Json json = Json::object();
     const std::pair<const char*, const char*> texts[] = {
         {"class", "work_class"}, {"team", "team"},         {"key", "key"},
         {"payload", "payload"},  {"run-time", "run_time"}, {"deadline", "deadline"}};
@@ -346,7 +323,7 @@
       answers->push_back(std::move(json));
     } else if (m_values.count("file") > 0) {
       std::cout << request.key() << ' ' << answer.id() << ' '
-                << Describe({answer.code(), answer.message()}) << '\n';
+                << CodeText(answer.code(), answer.message()) << '\n';
     } else {
       ShowText(answer);
     }
@@ -371,7 +348,7 @@
     std::transform(state.begin(), state.end(), state.begin(), ::tolower);
     if (!answer.id().empty()) std::cout << "id       " << answer.id() << '\n';
     std::cout << "state    " << state << '\n';
-    std::cout << "code     " << Describe({answer.code(), answer.message()}) << '\n';
+    std::cout << "code     " << CodeText(answer.code(), answer.message()) << '\n';
     for (const std::string& result : answer.results()) std::cout << "result   " << result << '\n';
     if (answer.not_run()) std::cout << "not run  yes\n";
     if (!answer.location().empty()) std::cout << "outcome  " << answer.location() << '\n';
@@ -481,74 +458,6 @@
   return commands.Drain();
 }
 
-struct Syntax {
-  po::options_description options;
-  po::positional_options_description positional;
-  std::string example;
-};
-
-void AddSubmit(Syntax* syntax) {
-  const auto text = [] { return po::value<std::string>(); };
-  syntax->options.add_options()("class", text(), "work class")("team", text(), "team")(
-      "key", text(), "idempotency key; made and printed when absent")("payload", text(),
-                                                                      "text handed to each task")(
-      "run-time", text(), "declared run time, as in 2.5s")("deadline", text(),
-                                                           "from arrival, as in 10s")(
-      "processors", po::value<double>(), "of one task")("memory-mb", po::value<std::uint64_t>(),
-                                                        "of one task")(
-      "accelerators", po::value<std::uint32_t>(), "of one task")(
-      "tasks", po::value<std::uint32_t>(), "number of tasks")(
-      "all-at-once", "start all tasks at once or none")("urgent", "before other work")(
-      "no-wait", "return once accepted; ask later with status")(
-      "file", text(), "list of requests, JSON with comments, instead of the options above");
-  syntax->example =
-      "citronsill submit --class quick-quote --team north --payload \"4 shoes\" --deadline 5s\n"
-      "  echo '[{\"work_class\":\"quick-quote\",\"team\":\"north\"}]' > jobs.json\n"
-      "  citronsill submit --file jobs.json --output json";
-}
-
-Syntax SyntaxOf(const std::string& command) {
-  const auto text = [] { return po::value<std::string>(); };
-  Syntax syntax;
-  if (command == "submit") {
-    AddSubmit(&syntax);
-  } else if (command == "status" || command == "cancel") {
-    syntax.options.add_options()("id", text(), "id of the request, from the answer to submit");
-    syntax.positional.add("id", 1);
-    syntax.example = "citronsill " + command + " 3f2a9c0d41b85e67";
-  } else if (command == "apply") {
-    syntax.options.add_options()("path", text(), "file, or folder of .json files")(
-        "dry-run", "show the difference only")(
-        "based-on", po::value<std::uint64_t>(),
-        "revision that the change is based on; the one in force when absent")(
-        "author", text(), "name in the record; $USER when absent")(
-        "apply-id", text(), "id of an earlier apply whose outcome was unknown");
-    syntax.positional.add("path", 1);
-    syntax.example =
-        "citronsill apply records/ --dry-run\n"
-        "  citronsill apply records/quick-quote.json --based-on 12 --author anna";
-  } else if (command == "get") {
-    syntax.options.add_options()("kind", text(), "work_class, limit or target")("name", text(),
-                                                                                "name");
-    syntax.positional.add("kind", 1).add("name", 1);
-    syntax.example = "citronsill get limit north --output json";
-  } else if (command == "check") {
-    syntax.options.add_options()("path", text(), "settings file");
-    syntax.positional.add("path", 1);
-    syntax.example = "citronsill check examples/horseshoe.json";
-  } else {
-    syntax.example = "citronsill " + command + " --server 127.0.0.1:8100";
-  }
-  syntax.options.add_options()("help", "show this text")(
-      "server", text()->default_value("127.0.0.1:8100"), "IP:port[,IP:port], tried in turn")(
-      "output", text()->default_value("text"), "text or json")(
-      "key-file", text(), "file with the access key; or name it in CITRONSILL_KEY_FILE")(
-      "ca", text(),
-      "certificate, in PEM, that the servers' certificates are checked with; "
-      "turns TLS on");
-  return syntax;
-}
-
 ExitCode Main(int argc, char** argv) {
   const std::string command = argc > 1 ? argv[1] : "";
   static const std::set<std::string> commands{"submit", "status", "cancel", "apply",
