Decoders: check depth and UTF-8 before any parser sees the text

Cause: a peer frame nested deeper than 1000 levels made the library's parser throw out of the connection's coroutine, which also left the count of peer connections one too high for ever; bytes that are not UTF-8 were echoed in the error text, so that the answer could not be written as JSON and went out as an empty object, which reads as code OK.

Ruled out: catching the exception alone, because the client's parser prints nested values by recursion and would still exhaust its stack.

--- a/include/citronsill/codec.h
+++ b/include/citronsill/codec.h
@@ -21,6 +21,10 @@
 /// @returns JSON text with the field names of the schema.
 std::string ToJson(const google::protobuf::Message& message);
 
+/// Checks what a parser may not survive or pass on: nesting deeper than `kMaxJsonDepth`, bad UTF-8.
+/// @returns CODE_MALFORMED.
+Result<void> CheckJsonText(std::string_view json);
+
 /// Parses JSON text into `message`.
 /// @returns CODE_MALFORMED for bad JSON, bad UTF-8 or deep nesting; CODE_UNKNOWN_FIELD;
 /// CODE_INVALID_FIELD for a wrong type or range.
--- a/src/peer_client.cc
+++ b/src/peer_client.cc
@@ -127,6 +127,9 @@
   }
 
   void Answer(const std::string& body) {
+    if (const auto checked = CheckJsonText(body); !checked) {
+      return Fail(checked.error().code, "the peer's answer: " + checked.error().message);
+    }
     const auto message = nlohmann::json::parse(body, nullptr, false);
     if (!message.is_object()) return;
     const auto id = message.find("id");
--- a/src/peer_server.cc
+++ b/src/peer_server.cc
@@ -35,6 +35,15 @@
   }
 
   std::string Handle(const std::string& request) {
+    // The library's parser throws on deep nesting and takes any bytes as text.
+    if (const auto checked = CheckJsonText(request); !checked) {
+      Json::Value error(Json::objectValue);
+      error["jsonrpc"] = "2.0";
+      error["id"] = Json::Value();
+      error["error"]["code"] = static_cast<int>(checked.error().code);
+      error["error"]["message"] = checked.error().message;
+      return Json::FastWriter().write(error);
+    }
     std::string response;
     m_connector.OnRequest(request, &response);
     return response;
--- a/tests/api_test.cc
+++ b/tests/api_test.cc
@@ -64,7 +64,7 @@
       return access->Authorize(authorization, needed);
     };
     hooks.operate = [](const HttpRequest& request, const std::string&, const HttpReply& reply) {
-      if (request.target != "/v1/report") return false;
+      if (request.target != "/v1/report" || request.method != "GET") return false;
       reply(HttpResponse{});
       return true;
     };
@@ -158,6 +158,9 @@
   const schema::Answer refused = AnswerOf(api.Call("POST", "/v1/requests", "{"));
   CHECK(refused.code() == schema::CODE_MALFORMED);
   CHECK(refused.not_run());
+  // Bytes that are not UTF-8 are not echoed: the answer would not be valid JSON.
+  CHECK(AnswerOf(api.Call("POST", "/v1/requests", "{\"team\":\"\xff\"}")).code() ==
+        schema::CODE_MALFORMED);
   for (const char* method : {"GET", "DELETE"}) {
     const schema::Answer unknown = AnswerOf(api.Call(method, "/v1/requests/x", ""));
     CHECK(unknown.code() == schema::CODE_PEER_UNREACHABLE);
