--- a/include/citronsill/instance.h
+++ b/include/citronsill/instance.h
@@ -16,6 +16,9 @@
                                                   const schema::Settings& settings);
   ~Instance();
 
+  /// Sets what is called when an operator asks for draining. Before the runtime starts only.
+  void OnDrainRequest(std::function<void()> handler);
+
   /// Takes nothing new, finishes what is in progress, hands partitions over.
   /// @param done is called when nothing is left. A second call changes nothing.
   void Drain(std::function<void()> done);
--- a/src/fields.cc
+++ b/src/fields.cc
@@ -52,7 +52,9 @@
   void CheckMessage(const Json& json, const Descriptor& descriptor, const std::string& path) {
     if (!json.is_object()) return Add(path, json, "an object { ... }");
     for (const auto& [key, value] : json.items()) {
-      const std::string child = path.empty() ? key : path + "." + key;
+      std::string child = path;
+      if (!path.empty()) child += ".";
+      child += key;
       const FieldDescriptor* field = descriptor.FindFieldByName(key);
       if (field == nullptr) {
         if (!m_rules.allow_unknown) AddUnknown(child, value, descriptor);
--- a/src/instance.cc
+++ b/src/instance.cc
@@ -67,6 +67,7 @@
   schema::Directory last_directory;
   std::size_t next_peer = 0;
   std::atomic<bool> draining{false};
+  std::function<void()> on_drain_request;
 
   static SteadyTime Now() { return std::chrono::steady_clock::now(); }
 
@@ -274,7 +275,10 @@
       AskOwner(id, "cancel", std::move(done));
     };
     hooks.is_ready = [this] { return IsReady(); };
-    hooks.drain = [this] { StartDraining(); };
+    hooks.drain = [this] {
+      StartDraining();
+      if (on_drain_request) on_drain_request();
+    };
     hooks.authorize = [this](const std::string& authorization, schema::Role needed) {
       return access->Authorize(authorization, needed);
     };
@@ -369,7 +373,8 @@
   void MergeGossip(const schema::Gossip& gossip) {
     membership->Merge({gossip.members().begin(), gossip.members().end()}, Now());
     ownership->MergeOwners({gossip.owners().begin(), gossip.owners().end()});
-    for (const schema::MemberState& member : gossip.members()) {
+    // A member that has failed may have the highest revision, but cannot be asked for it.
+    for (const schema::MemberState& member : membership->Live(Now())) {
       if (member.id() == settings.instance_id()) continue;
       operators->GetRecords().OnHeard(member.peer_address(), member.record_revision(), Now());
     }
@@ -540,6 +545,10 @@
   for (const TimerId id : m_impl->subscriptions) m_impl->timers->Cancel(id);
 }
 
+void Instance::OnDrainRequest(std::function<void()> handler) {
+  m_impl->on_drain_request = std::move(handler);
+}
+
 void Instance::Drain(std::function<void()> done) {
   m_impl->StartDraining();
   m_impl->CheckDrained(done);
--- a/src/report.cc
+++ b/src/report.cc
@@ -146,6 +146,7 @@
     for (const schema::CodeCount& count : part.refusals()) sums[count.code()] += count.count();
   }
   std::vector<std::pair<std::uint64_t, schema::Code>> ordered;
+  ordered.reserve(sums.size());
   for (const auto& [code, count] : sums) ordered.emplace_back(count, code);
   std::sort(ordered.rbegin(), ordered.rend());
   for (const auto& [count, code] : ordered) {
@@ -161,6 +162,7 @@
   report->set_workers(report->workers() + part.workers());
   report->set_quarantined(report->quarantined() + part.quarantined());
   if (part.table_up()) report->set_table_up(report->table_up() + 1);
+  if (part.draining()) report->add_draining(part.instance());
   schema::InstanceRevision* revision = report->add_revisions();
   revision->set_instance(part.instance());
   revision->set_revision(part.record_revision());
--- a/src/report_text.cc
+++ b/src/report_text.cc
@@ -96,7 +96,8 @@
       "waiting " + Figure(report, report.waiting()) + " running " +
           Figure(report, report.running()) + " " + from,
       Workers(report) + " " + from,
-      fmt::format("table up on {}/{}", report.table_up(), report.expected()),
+      fmt::format("table up on {}/{} draining {}", report.table_up(), report.expected(),
+                  report.draining_size()),
       RecordLine(report),
   };
   lines.refusals = Some(report.refusals(), kMaxRefusalLines, [&](const schema::CodeCount& count) {
--- a/tests/report_test.cc
+++ b/tests/report_test.cc
@@ -85,10 +85,12 @@
   input.listed_workers = 7;
   input.parts[0].set_quarantined(1);
   input.parts[0].set_table_up(false);
+  input.parts[0].set_draining(true);
   const std::string text = ReportText("horseshoe", BuildReport(input));
   CHECK(text.find("! 2 worker(s) lost") != std::string::npos);
   CHECK(text.find("! 1 worker(s) quarantined") != std::string::npos);
   CHECK(text.find("! table down on 1") != std::string::npos);
+  CHECK(text.find("table up on 0/1 draining 1") != std::string::npos);
 }
 
 // Guards against reports that do not fit on a phone, whatever there is to say.
--- a/tools/citronsilld.cc
+++ b/tools/citronsilld.cc
@@ -1,4 +1,5 @@
 // The entry instance.
+#include <atomic>
 #include <boost/program_options.hpp>
 #include <condition_variable>
 #include <iostream>
@@ -36,15 +37,19 @@
   std::mutex mutex;
   std::condition_variable changed;
   bool drained = false;
-  runtime.value()->OnTerminate([&, draining = false](int number) mutable {
-    spdlog::info("event=signal number={} draining={}", number, draining);
-    if (draining) return;  // A second signal does not interrupt work in progress.
-    draining = true;
+  std::atomic<bool> draining{false};
+  const auto drain = [&] {
+    if (draining.exchange(true)) return;  // A second request does not interrupt work in progress.
     instance.value()->Drain([&] {
       std::lock_guard lock(mutex);
       drained = true;
       changed.notify_all();
     });
+  };
+  instance.value()->OnDrainRequest(drain);
+  runtime.value()->OnTerminate([&](int number) {
+    spdlog::info("event=signal number={} draining={}", number, draining.load());
+    drain();
   });
   runtime.value()->Start();
   spdlog::info("event=started api={} peer={}", settings.api_address(), settings.peer_address());
