--- a/include/citronsill/http.h
+++ b/include/citronsill/http.h
@@ -39,8 +39,8 @@
   std::size_t max_body_bytes = kMaxHttpBodyBytes;
   std::chrono::milliseconds read_timeout = kHttpReadTimeout;  ///< For a request that has begun.
   std::chrono::milliseconds idle_timeout = kHttpIdleTimeout;  ///< Between two requests.
-  std::string tls_certificate_file;  ///< PEM; TLS is used when set.
-  std::string tls_key_file;          ///< PEM.
+  std::string tls_certificate_file;                           ///< PEM; TLS is used when set.
+  std::string tls_key_file;                                   ///< PEM.
 };
 
 class HttpServer {
--- a/include/citronsill/records.h
+++ b/include/citronsill/records.h
@@ -70,7 +70,7 @@
   /// @param done gets CODE_OK with the revision; CODE_CONFLICT with both contents when a record
   /// changed after the base revision; CODE_TABLE_UNAVAILABLE when nothing was written;
   /// CODE_COMMIT_UNKNOWN when that could not be found out.
-  void Apply(const schema::ApplyRequest& request, SteadyTime now, ApplyDone done);
+  void Apply(const schema::ApplyRequest& request, ApplyDone done);
 
   /// Reads the table when that is due.
   void Tick(SteadyTime now);
@@ -82,7 +82,8 @@
   /// @param source "table" or "peer".
   void Merge(const schema::RecordSet& set, const std::string& source, SteadyTime now);
 
-  /// @returns all records above a revision.
+  /// @returns the records above a revision; a part of them, the lowest revisions first, when they
+  /// are too large for one message.
   [[nodiscard]] schema::RecordSet Above(std::uint64_t revision) const;
 
   /// @returns the revision in force here, since when, and from where.
--- a/src/operators.cc
+++ b/src/operators.cc
@@ -203,7 +203,7 @@
     if (!apply) return reply(ToResponse(apply.error(), false));
     spdlog::info("event=apply_received apply_id={} author={} key={}",
                  LogText(apply.value().apply_id()), LogText(apply.value().author()), LogText(who));
-    records->Apply(apply.value(), Now(), [reply](const schema::ApplyResult& result) {
+    records->Apply(apply.value(), [reply](const schema::ApplyResult& result) {
       HttpResponse response = Body(ToJson(result), "application/json");
       response.status = HttpStatus(result.code());
       reply(response);
--- a/src/record_check.cc
+++ b/src/record_check.cc
@@ -11,6 +11,7 @@
 using Json = nlohmann::ordered_json;
 
 constexpr std::size_t kMaxRecordsPerApply = 256;
+constexpr std::size_t kMaxApplyBytes = 384U << 10U;
 constexpr double kMaxQuotaProcessors = 1e9;
 
 Error Invalid(const std::string& path, const std::string& value, const std::string& allowed) {
@@ -115,7 +116,14 @@
     return Invalid("author", "\"" + request.author() + "\"", "1 to 128 characters");
   }
   std::set<std::pair<std::string, std::string>> seen;
+  std::size_t size = 0;
   for (const schema::StoredRecord& record : request.records()) {
+    size += record.content().size();
+    if (size > kMaxApplyBytes) {
+      return Error{schema::CODE_TOO_LARGE, "the records of one apply have more than " +
+                                               std::to_string(kMaxApplyBytes) +
+                                               " bytes; apply them in parts"};
+    }
     if (seen.emplace(record.kind(), record.name()).second) continue;
     return Invalid("records", "two of " + record.kind() + " " + record.name(), "one of each name");
   }
--- a/src/records.cc
+++ b/src/records.cc
@@ -12,6 +12,10 @@
 const char* const kAllPrefix = "record";
 const char* const kRecordPrefix = "record/";
 
+// A set travels in base64 in one peer frame of at most 1 MiB; one apply has at most
+// `kMaxApplyBytes` of records, which fit as well.
+constexpr std::size_t kMaxRecordSetBytes = 600U << 10U;
+
 // Tries of one apply: each lost race or lost answer takes one.
 constexpr int kMaxApplyTries = 8;
 
@@ -71,7 +75,6 @@
   // One apply on its way through reads and commits.
   struct Operation {
     schema::ApplyRequest request;
-    SteadyTime now;
     ApplyDone done;
     int tries = 0;
     bool may_be_written = false;  // The answer of a commit was lost.
@@ -136,12 +139,12 @@
 
   // @returns whether the set could be merged: its lower end must not be above our revision.
   bool MergeRecords(const std::vector<schema::StoredRecord>& added, std::uint64_t above,
-                    std::uint64_t up_to, const std::string& source) {
+                    std::uint64_t up_to, const std::string& source, bool partial = false) {
     bool changed = false;
     {
       std::lock_guard lock(mutex);
       if (above > revision.revision()) return false;
-      known = true;
+      known = known || !partial;
       for (const schema::StoredRecord& record : added) changed = PutRecord(record) || changed;
       if (up_to > revision.revision()) {
         revision.set_revision(up_to);
@@ -161,16 +164,32 @@
       if (!record.ParseFromString(bytes)) return false;
       added.push_back(std::move(record));
     }
-    return MergeRecords(added, set.above(), set.revision(), source);
+    return MergeRecords(added, set.above(), set.revision(), source, set.partial());
   }
 
+  // The records above a revision, as many as fit into one message. Records of one revision stay
+  // together, so that the revision of the set tells what is in it.
   schema::RecordSet Above(std::uint64_t lowest) const {
     std::lock_guard lock(mutex);
     schema::RecordSet set;
     set.set_above(lowest);
     set.set_revision(revision.revision());
+    std::map<std::uint64_t, std::vector<std::string>> by_revision;
     for (const auto& [key, record] : records) {
-      if (record.revision() > lowest) set.add_records(record.SerializeAsString());
+      if (record.revision() <= lowest) continue;
+      by_revision[record.revision()].push_back(record.SerializeAsString());
+    }
+    std::size_t size = 0;
+    std::uint64_t last = lowest;
+    for (auto& [number, group] : by_revision) {
+      for (const std::string& bytes : group) size += bytes.size();
+      if (size > kMaxRecordSetBytes && set.records_size() > 0) {
+        set.set_revision(last);
+        set.set_partial(true);
+        break;
+      }
+      for (std::string& bytes : group) set.add_records(std::move(bytes));
+      last = number;
     }
     return set;
   }
@@ -401,10 +420,9 @@
 
 Records::~Records() = default;
 
-void Records::Apply(const schema::ApplyRequest& request, SteadyTime now, ApplyDone done) {
+void Records::Apply(const schema::ApplyRequest& request, ApplyDone done) {
   auto operation = std::make_shared<Impl::Operation>();
   operation->request = request;
-  operation->now = now;
   operation->done = std::move(done);
   if (m_impl->hooks.is_table_up && !m_impl->hooks.is_table_up()) {
     return m_impl->FinishUnreadable(
--- a/src/targets.cc
+++ b/src/targets.cc
@@ -19,6 +19,7 @@
   }
   addresses.erase(self);
   std::vector<ExpectedInstance> peers;
+  peers.reserve(addresses.size());
   for (const auto& [id, address] : addresses) peers.push_back({id, address});
   return peers;
 }
@@ -39,6 +40,7 @@
     worker.leaving = worker.leaving || target.mark() == schema::TARGET_MARK_DRAIN;
   }
   std::vector<OwnedWorker> marked;
+  marked.reserve(workers.size());
   for (auto& [id, worker] : workers) marked.push_back(std::move(worker));
   return marked;
 }
--- a/tests/records_test.cc
+++ b/tests/records_test.cc
@@ -63,7 +63,7 @@
 
   schema::ApplyResult Apply(unsigned member, const schema::ApplyRequest& request) {
     schema::ApplyResult result;
-    members[member]->records->Apply(request, now,
+    members[member]->records->Apply(request,
                                     [&](const schema::ApplyResult& done) { result = done; });
     return result;
   }
@@ -204,10 +204,10 @@
       schema::ApplyResult result;
       const auto request = Change("a", 0, "anna", Limit("north", 10));
       const auto keep = [&](const schema::ApplyResult& done) { result = done; };
-      records->Apply(request, SteadyTime(), keep);
+      records->Apply(request, keep);
       CHECK(result.code() == (down_after ? schema::CODE_COMMIT_UNKNOWN : schema::CODE_OK));
       table.SetFault(TableFault::kNone);
-      records->Apply(request, SteadyTime(), keep);
+      records->Apply(request, keep);
       CHECK(result.code() == schema::CODE_OK);
       CHECK(result.revision() == 1);
     }
@@ -266,6 +266,30 @@
   CHECK_FALSE(other.members[0]->records->FindLimit("south").has_value());
 }
 
+// Guards against a set of records that is too large for a message between instances.
+TEST_CASE("records: a large set is fetched in parts") {
+  Cell cell(1);
+  for (unsigned i = 0; i < 10; ++i) {
+    const std::string reason(200'000, 'x');
+    const std::string target =
+        R"({"schema_version":2,"kind":"target","name":"w)" + std::to_string(i) +
+        R"(","target":{"address":"127.0.0.1:1","reason":")" + reason + "\"}}";
+    REQUIRE(cell.Apply(0, Change("a" + std::to_string(i), i, "anna", target)).code() ==
+            schema::CODE_OK);
+  }
+  const schema::RecordSet part = cell.members[0]->records->Above(0);
+  CHECK(part.partial());
+  CHECK(part.ByteSizeLong() * 4 / 3 < 1U << 20U);
+  cell.table.SetFault(TableFault::kDown);
+  cell.Add("new");
+  Records& fresh = *cell.members[1]->records;
+  fresh.Merge(part, "peer", cell.now);
+  CHECK_FALSE(fresh.IsKnown());
+  CHECK(cell.Spread(10) <= milliseconds(5000));
+  CHECK(fresh.IsKnown());
+  CHECK(fresh.All().size() == 10);
+}
+
 // Guards against an old instance that drops what a newer one wrote.
 TEST_CASE("records: fields of a newer version survive an older instance") {
   const std::string newer =
