Records: a new instance learns of an empty set; a table set back refuses applies

Cause: an apply against a table that shows a lower revision than the instances have was reported as applied, although no instance would take the revision; and an instance that started during an outage of the table, in a cell without records, never counted as informed.

The test of newer versions merged a revision that its table did not hold, which is now refused. It writes that revision to the table instead, and also compares the row in the table byte by byte after the older instance's change, which is stricter than before.

--- a/src/instance.cc
+++ b/src/instance.cc
@@ -513,7 +513,9 @@
         [done](const Result<std::string>& result) { done(ParseMessage<schema::Answer>(result)); });
   }
 
-  bool IsReady() const { return !draining && !ownership->Owners().empty(); }
+  bool IsReady() const {
+    return !draining && operators->GetRecords().IsKnown() && !ownership->Owners().empty();
+  }
 
   void StartDraining() {
     if (draining.exchange(true)) return;
--- a/src/records.cc
+++ b/src/records.cc
@@ -174,6 +174,7 @@
     schema::RecordSet set;
     set.set_above(lowest);
     set.set_revision(revision.revision());
+    set.set_partial(!known);
     std::map<std::uint64_t, std::vector<std::string>> by_revision;
     for (const auto& [key, record] : records) {
       if (record.revision() <= lowest) continue;
@@ -233,7 +234,8 @@
     std::uint64_t own = 0;
     {
       std::lock_guard lock(mutex);
-      if (heard <= revision.revision()) return;
+      // A new instance asks even for revision 0, to learn that there are no records.
+      if (heard <= revision.revision() && known) return;
       if (last_fetch && now - *last_fetch < options.fetch_timeout) return;
       last_fetch = now;
       own = revision.revision();
@@ -287,6 +289,12 @@
 
   void Decide(const OperationPtr& operation, const TableState& state) {
     MergeTable(state);
+    if (state.head.revision() < Revision().revision()) {
+      // No instance would take a revision that is not above its own.
+      return FinishUnreadable(*operation, Error{schema::CODE_TABLE_UNAVAILABLE,
+                                                "the table shows an older revision, " +
+                                                    std::to_string(state.head.revision())});
+    }
     std::vector<const schema::StoredRecord*> changed;
     std::vector<schema::RecordDifference> differences;
     std::vector<schema::RecordDifference> conflicts;
--- a/tests/records_test.cc
+++ b/tests/records_test.cc
@@ -266,6 +266,33 @@
   CHECK_FALSE(other.members[0]->records->FindLimit("south").has_value());
 }
 
+// Guards against new instances that take themselves to know the records when they do not, or that
+// never get ready during an outage of the table; and against changes that are reported as applied
+// although a table that was set back keeps every instance from taking them.
+TEST_CASE("records: what a new instance knows during an outage") {
+  Cell cell(2);
+  cell.table.SetFault(TableFault::kDown);
+  CHECK(cell.Spread(1) > milliseconds(5000));
+  CHECK_FALSE(cell.members[0]->records->IsKnown());
+  CHECK_FALSE(cell.members[1]->records->IsKnown());
+  cell.table.SetFault(TableFault::kNone);
+  cell.Step();
+  cell.Spread(1);
+  CHECK(cell.members[0]->records->IsKnown());
+  cell.table.SetFault(TableFault::kDown);
+  cell.Add("new");
+  cell.Spread(1);
+  CHECK(cell.members[2]->records->IsKnown());
+
+  Cell ahead(1);
+  for (const auto& member : {&cell, &ahead}) member->table.SetFault(TableFault::kNone);
+  REQUIRE(ahead.Apply(0, Change("a", 0, "anna", Limit("north", 1))).code() == schema::CODE_OK);
+  cell.members[0]->records->Merge(ahead.members[0]->records->Above(0), "peer", cell.now);
+  CHECK(cell.Apply(0, Change("b", 1, "anna", Limit("south", 1))).code() ==
+        schema::CODE_TABLE_UNAVAILABLE);
+  CHECK(cell.table.Writes() == 0);
+}
+
 // Guards against a set of records that is too large for a message between instances.
 TEST_CASE("records: a large set is fetched in parts") {
   Cell cell(1);
@@ -301,11 +328,15 @@
   schema::StoredRecord stored = cell.members[0]->records->All()[0];
   stored.GetReflection()->MutableUnknownFields(&stored)->AddVarint(1000, 77);
   stored.set_revision(2);
-  schema::RecordSet set;
-  set.set_above(1);
-  set.set_revision(2);
-  set.add_records(stored.SerializeAsString());
-  cell.members[0]->records->Merge(set, "peer", cell.now);
+  schema::RecordHead head;
+  head.set_revision(2);
+  schema::TableTransaction newer_write;
+  newer_write.add_writes()->set_key("record-head");
+  newer_write.mutable_writes(0)->set_value(head.SerializeAsString());
+  newer_write.add_writes()->set_key("record/limit/north");
+  newer_write.mutable_writes(1)->set_value(stored.SerializeAsString());
+  cell.table.Commit(newer_write, [](const auto&) {});
+  cell.Spread(2);
 
   cell.max_version = 1;
   cell.Add("old");
@@ -317,6 +348,9 @@
   // Another record written by the old instance leaves the newer one alone; version 1 stays valid.
   REQUIRE(cell.Apply(1, Change("b", 1, "ben", Limit("south", 1))).code() == schema::CODE_OK);
   CHECK(old.All()[0].content() == newer);
+  cell.table.Read("record/limit/north", [&](const Result<schema::TableRow>& row) {
+    CHECK(row.value().value() == stored.SerializeAsString());
+  });
   // Replacing the newer record by an older version would drop its field.
   CHECK(cell.Apply(1, Change("c", 9, "ben", Limit("north", 1))).code() ==
         schema::CODE_UNKNOWN_VERSION);
