Records: several fetches at a time; applies rely on the records' own view of the table

Cause: in a trial with real processes, an instance that had just started refused an apply as "table does not answer", because the ownership module reports the table as down until its first call. Records now remember the result of their own last read. Adding steps to the model test for that changed its random path, and the longest spread was 9000 ms: one fetch to a peer that does not answer held up all others for 1 s. The bound of 5 s had held by the choice of the seed only.

Changes to tests: the spread is measured with three seeds instead of one, and the model's gossip has the fanout of config.h instead of one peer. After an outage the model waits for the next read before it applies, as an instance that knows of the outage refuses at once; a check of that was added.

Ruled out: reading the table more often, because the slow case is an outage.

--- a/include/citronsill/records.h
+++ b/include/citronsill/records.h
@@ -53,8 +53,6 @@
   std::function<void()> on_change;
   /// @returns milliseconds since the Unix epoch, for people.
   std::function<std::int64_t()> unix_ms;
-  /// @returns false when the table is known not to answer; an apply is then refused at once.
-  std::function<bool()> is_table_up;
 };
 
 /// Thread-safe. Has no clock and no timers of its own.
--- a/src/operators.cc
+++ b/src/operators.cc
@@ -89,7 +89,6 @@
       if (hooks.on_records) hooks.on_records();
     };
     record_hooks.unix_ms = NowUnixMs;
-    record_hooks.is_table_up = hooks.is_table_up;
     BOOST_OUTCOME_TRY(records, Records::Create(table, record_options, std::move(record_hooks)));
     return Success();
   }
--- a/src/records.cc
+++ b/src/records.cc
@@ -16,6 +16,9 @@
 // `kMaxApplyBytes` of records, which fit as well.
 constexpr std::size_t kMaxRecordSetBytes = 600U << 10U;
 
+// Fetches at a time, each from another peer, so that a silent peer does not hold up the others.
+constexpr std::size_t kMaxFetches = 3;
+
 // Tries of one apply: each lost race or lost answer takes one.
 constexpr int kMaxApplyTries = 8;
 
@@ -97,8 +100,9 @@
   std::map<std::string, schema::Target> targets;
   schema::InstanceRevision revision;
   bool known = false;
+  bool table_down = false;  // The last read failed.
   std::optional<SteadyTime> last_read;
-  std::optional<SteadyTime> last_fetch;
+  std::map<std::string, SteadyTime> fetches;  // Start of each fetch in progress, by address.
 
   // --- Records in force.
 
@@ -211,6 +215,7 @@
     }
     // The head alone is read while nothing has changed.
     table.Read(kHeadKey, [self = shared_from_this()](const Result<schema::TableRow>& row) {
+      self->SetTableDown(!row);
       schema::RecordHead head;
       if (!row || !head.ParseFromString(row.value().value())) return;
       {
@@ -223,8 +228,20 @@
     });
   }
 
+  void SetTableDown(bool down) {
+    std::lock_guard lock(mutex);
+    table_down = down;
+  }
+
+  bool IsTableDown() const {
+    std::lock_guard lock(mutex);
+    return table_down;
+  }
+
   void ReadTable(std::function<void(Result<TableState>)> done) {
-    table.Scan(kAllPrefix, [done](const Result<std::vector<schema::TableRow>>& rows) {
+    table.Scan(kAllPrefix, [self = shared_from_this(),
+                            done](const Result<std::vector<schema::TableRow>>& rows) {
+      self->SetTableDown(!rows);
       if (!rows) return done(rows.error());
       done(ParseRows(rows.value()));
     });
@@ -236,17 +253,19 @@
       std::lock_guard lock(mutex);
       // A new instance asks even for revision 0, to learn that there are no records.
       if (heard <= revision.revision() && known) return;
-      if (last_fetch && now - *last_fetch < options.fetch_timeout) return;
-      last_fetch = now;
+      std::erase_if(fetches,
+                    [&](const auto& one) { return now - one.second >= options.fetch_timeout; });
+      if (fetches.size() >= kMaxFetches || !fetches.emplace(address, now).second) return;
       own = revision.revision();
     }
-    hooks.fetch(address, own, [self = shared_from_this()](const Result<schema::RecordSet>& set) {
-      {
-        std::lock_guard lock(self->mutex);
-        self->last_fetch.reset();
-      }
-      if (set) self->MergeSet(set.value(), "peer");
-    });
+    hooks.fetch(address, own,
+                [self = shared_from_this(), address](const Result<schema::RecordSet>& set) {
+                  {
+                    std::lock_guard lock(self->mutex);
+                    self->fetches.erase(address);
+                  }
+                  if (set) self->MergeSet(set.value(), "peer");
+                });
   }
 
   // --- Applying.
@@ -269,7 +288,7 @@
     const bool unknown = operation.may_be_written;
     Finish(operation, unknown ? schema::CODE_COMMIT_UNKNOWN : schema::CODE_TABLE_UNAVAILABLE,
            unknown ? "the change may have been written; apply again with the same apply id"
-                   : "nothing was written: " + error.message,
+                   : "this call wrote nothing: " + error.message,
            Revision().revision());
   }
 
@@ -432,7 +451,9 @@
   auto operation = std::make_shared<Impl::Operation>();
   operation->request = request;
   operation->done = std::move(done);
-  if (m_impl->hooks.is_table_up && !m_impl->hooks.is_table_up()) {
+  // While the table is silent, each try would hold the operator up for the whole deadline of a
+  // call.
+  if (m_impl->IsTableDown()) {
     return m_impl->FinishUnreadable(
         *operation, Error{schema::CODE_TABLE_UNAVAILABLE, "the table does not answer"});
   }
--- a/tests/records_test.cc
+++ b/tests/records_test.cc
@@ -4,6 +4,8 @@
 
 #include <random>
 
+#include "citronsill/config.h"
+
 #include "schema/citronsill.pb.h"
 #include "standin_table.h"
 
@@ -68,7 +70,7 @@
     return result;
   }
 
-  // Runs 100 ms of model time; gossip reaches one random peer of each instance every 500 ms.
+  // Runs 100 ms of model time; each instance hears from `kGossipFanout` random peers every 500 ms.
   void Step() {
     now += milliseconds(100);
     ++steps;
@@ -77,7 +79,7 @@
     for (const auto& message : due) message();
     for (const auto& member : members) {
       member->records->Tick(now);
-      if (steps % 5 == 0 && !members.empty()) {
+      for (std::size_t i = 0; steps % 5 == 0 && i < kGossipFanout; ++i) {
         const auto& peer = members[random() % members.size()];
         member->records->OnHeard(peer->id, peer->records->Revision().revision(), now);
       }
@@ -131,6 +133,41 @@
          R"(","limit":{"quota":{"processors":)" + std::to_string(processors) + "}}}";
 }
 
+// @returns the longest spread of 260 changes.
+milliseconds LongestSpread(unsigned seed) {
+  Cell cell(8);
+  cell.random.seed(seed);
+  cell.lost_percent = 30;
+  milliseconds longest{0};
+  std::uint64_t revision = 0;
+  for (unsigned change = 0; change < 260; ++change) {
+    const unsigned at = cell.random() % cell.members.size();
+    const std::string team = "team-" + std::to_string(change % 24);
+    // After an outage, applies are refused until the table was read again.
+    cell.table.SetFault(TableFault::kNone);
+    for (int i = 0; i < 30; ++i) cell.Step();
+    cell.table.SetFault(change % 10 == 3 ? TableFault::kLoseAnswers : TableFault::kNone);
+    const auto result = cell.Apply(
+        at, Change("c" + std::to_string(change), revision, "anna", Limit(team, change + 1)));
+    REQUIRE(result.code() == schema::CODE_OK);
+    revision = result.revision();
+    // The instance that took the change may fail at once; then only the table has it. An outage
+    // of the table leaves only the peers.
+    if (change % 7 == 0) {
+      cell.members.erase(cell.members.begin() + at);
+      cell.Add("n-" + std::to_string(change));
+    } else if (change % 5 == 0) {
+      cell.table.SetFault(TableFault::kDown);
+    }
+    longest = std::max(longest, cell.Spread(revision));
+    for (const auto& member : cell.members) {
+      CHECK(member->records->FindLimit(team)->quota().processors() == change + 1);
+    }
+  }
+  CHECK(revision == 260);
+  return longest;
+}
+
 }  // namespace
 
 // Guards against the loss of one of two operators' changes, and against a conflict that does not
@@ -165,7 +202,13 @@
   cell.table.SetFault(TableFault::kDown);
   const auto refused = cell.Apply(0, Change("b", 1, "anna", Limit("north", 11)));
   CHECK(refused.code() == schema::CODE_TABLE_UNAVAILABLE);
+  // Once an outage is known, an apply is refused without a call, until a read succeeds again.
+  const std::uint64_t reads = cell.table.Reads();
   cell.table.SetFault(TableFault::kNone);
+  CHECK(cell.Apply(0, Change("b", 1, "anna", Limit("north", 11))).code() ==
+        schema::CODE_TABLE_UNAVAILABLE);
+  CHECK(cell.table.Reads() == reads);
+  for (int i = 0; i < 30; ++i) cell.Step();
   // The same id again: the first one took effect already, the refused one takes effect now.
   CHECK(cell.Apply(1, Change("a", 0, "anna", Limit("north", 10))).revision() == 1);
   CHECK(cell.table.Writes() == 1);
@@ -207,6 +250,7 @@
       records->Apply(request, keep);
       CHECK(result.code() == (down_after ? schema::CODE_COMMIT_UNKNOWN : schema::CODE_OK));
       table.SetFault(TableFault::kNone);
+      records->Tick(SteadyTime(std::chrono::hours(1)));
       records->Apply(request, keep);
       CHECK(result.code() == schema::CODE_OK);
       CHECK(result.revision() == 1);
@@ -217,33 +261,9 @@
 // Guards against changes that take longer than 5 s to spread, or that are undone by instances that
 // are replaced, lost pushes, outages of the table, or stale peers.
 TEST_CASE("records: 260 changes with replaced instances are in force within 5 s") {
-  Cell cell(8);
-  cell.lost_percent = 30;
   milliseconds longest{0};
-  std::uint64_t revision = 0;
-  for (unsigned change = 0; change < 260; ++change) {
-    const unsigned at = cell.random() % cell.members.size();
-    const std::string team = "team-" + std::to_string(change % 24);
-    cell.table.SetFault(change % 10 == 3 ? TableFault::kLoseAnswers : TableFault::kNone);
-    const auto result = cell.Apply(
-        at, Change("c" + std::to_string(change), revision, "anna", Limit(team, change + 1)));
-    REQUIRE(result.code() == schema::CODE_OK);
-    revision = result.revision();
-    // The instance that took the change may fail at once; then only the table has it. An outage
-    // of the table leaves only the peers.
-    if (change % 7 == 0) {
-      cell.members.erase(cell.members.begin() + at);
-      cell.Add("n-" + std::to_string(change));
-    } else if (change % 5 == 0) {
-      cell.table.SetFault(TableFault::kDown);
-    }
-    longest = std::max(longest, cell.Spread(revision));
-    for (const auto& member : cell.members) {
-      CHECK(member->records->FindLimit(team)->quota().processors() == change + 1);
-    }
-  }
+  for (const unsigned seed : {1U, 2U, 3U}) longest = std::max(longest, LongestSpread(seed));
   MESSAGE("longest spread: ", longest.count(), " ms of model time");
-  CHECK(revision == 260);
   CHECK(longest <= milliseconds(5000));
 }
 
@@ -288,8 +308,10 @@
   for (const auto& member : {&cell, &ahead}) member->table.SetFault(TableFault::kNone);
   REQUIRE(ahead.Apply(0, Change("a", 0, "anna", Limit("north", 1))).code() == schema::CODE_OK);
   cell.members[0]->records->Merge(ahead.members[0]->records->Above(0), "peer", cell.now);
-  CHECK(cell.Apply(0, Change("b", 1, "anna", Limit("south", 1))).code() ==
-        schema::CODE_TABLE_UNAVAILABLE);
+  for (int i = 0; i < 30; ++i) cell.Step();
+  const auto refused = cell.Apply(0, Change("b", 1, "anna", Limit("south", 1)));
+  CHECK(refused.code() == schema::CODE_TABLE_UNAVAILABLE);
+  CHECK(refused.message().find("older revision") != std::string::npos);
   CHECK(cell.table.Writes() == 0);
 }
 
