--- a/include/citronsill/roster.h
+++ b/include/citronsill/roster.h
@@ -2,13 +2,10 @@
 #pragma once
 
 #include <cstdint>
-#include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
-#include "citronsill/dispatcher.h"
 #include "citronsill/result.h"
 #include "citronsill/types.h"
 
@@ -27,9 +24,8 @@
   /// @returns whether a list has been received.
   [[nodiscard]] bool HasList() const;
 
-  /// @param epoch_of returns the epoch under which the worker is owned, or none.
-  [[nodiscard]] std::vector<OwnedWorker> OwnedWorkers(
-      const std::function<std::optional<std::uint64_t>(const std::string& worker)>& epoch_of) const;
+  /// @returns the last list; empty before the first.
+  [[nodiscard]] schema::Directory List() const;
 
   /// @returns the peer addresses of all listed instances.
   [[nodiscard]] std::vector<std::string> InstanceAddresses() const;
--- a/src/instance.cc
+++ b/src/instance.cc
@@ -1,5 +1,6 @@
 #include "citronsill/instance.h"
 
+#include "citronsill/access.h"
 #include "citronsill/api.h"
 #include "citronsill/convert.h"
 #include "citronsill/directory.h"
@@ -11,7 +12,9 @@
 #include "citronsill/journal.h"
 #include "citronsill/ledger.h"
 #include "citronsill/membership.h"
+#include "citronsill/metrics.h"
 #include "citronsill/objects.h"
+#include "citronsill/operators.h"
 #include "citronsill/ownership.h"
 #include "citronsill/peer.h"
 #include "citronsill/query.h"
@@ -28,6 +31,7 @@
 // An entry instance that cannot be reached for this many tries has failed; its caller asks again.
 constexpr int kMaxDeliverTries = 20;
 constexpr std::chrono::milliseconds kDrainCheckPeriod{200};
+constexpr std::chrono::milliseconds kAccessPeriod{2000};
 constexpr std::chrono::milliseconds kCheckPlacedPeriod{1000};
 constexpr std::chrono::milliseconds kDoubtRetryPeriod{100};
 constexpr std::chrono::milliseconds kTableGuardPeriod{100};
@@ -65,12 +69,14 @@
   schema::Settings settings;
   std::uint64_t incarnation = 0;
   std::unique_ptr<TimerService> timers;
+  std::unique_ptr<Metrics> metrics;
+  std::unique_ptr<AccessControl> access;
   std::unique_ptr<Table> table_client;
   std::shared_ptr<TableGuard> table;
   std::unique_ptr<ObjectStore> objects;
   std::unique_ptr<InstanceDirectory> directory;
   std::unique_ptr<PeerServer> peer_server;
-  std::unique_ptr<PeerClient> peer_client;
+  std::unique_ptr<MeteredPeerClient> peer_client;
   std::unique_ptr<Membership> membership;
   std::unique_ptr<Ownership> ownership;
   std::unique_ptr<GossipExchange> gossip;
@@ -80,6 +86,7 @@
   std::unique_ptr<TaskRouter> router;
   std::unique_ptr<TaskQuerier> query;
   Roster roster;
+  std::unique_ptr<Operators> operators;
   std::unique_ptr<Home> home;
   std::unique_ptr<Entry> entry;
   std::unique_ptr<Api> api;
@@ -88,6 +95,7 @@
 
   std::mutex mutex;
   std::atomic<bool> draining{false};
+  std::function<void()> on_drain_request;
 
   static SteadyTime Now() { return std::chrono::steady_clock::now(); }
 
@@ -103,14 +111,17 @@
   Result<void> Build() {
     incarnation = RandomId();
     BOOST_OUTCOME_TRY(timers, TimerService::Create(runtime));
-    BOOST_OUTCOME_TRY(table_client, CreateHttpTable(runtime, settings.table_address()));
+    BOOST_OUTCOME_TRY(BuildObservation());
+    BOOST_OUTCOME_TRY(auto http_table, CreateHttpTable(runtime, settings.table_address()));
+    table_client = CreateMeteredTable(std::move(http_table), *metrics);
     BOOST_OUTCOME_TRY(table, TableGuard::Create(*table_client, TableGuardOptions{}, {}));
     if (!settings.objects_address().empty()) {
       BOOST_OUTCOME_TRY(objects, CreateHttpObjects(runtime, settings.objects_address()));
     }
     BOOST_OUTCOME_TRY(directory, CreateHttpDirectory(runtime, settings.directory_address()));
     BOOST_OUTCOME_TRY(peer_server, PeerServer::Create(runtime, settings.peer_address()));
-    BOOST_OUTCOME_TRY(peer_client, PeerClient::Create(runtime));
+    BOOST_OUTCOME_TRY(auto client, PeerClient::Create(runtime));
+    peer_client = std::make_unique<MeteredPeerClient>(std::move(client), *metrics);
     BOOST_OUTCOME_TRY(ledger, Ledger::Create(kMaxFinishedRequests));
     BOOST_OUTCOME_TRY(BuildMembership());
     BOOST_OUTCOME_TRY(BuildOwnership());
@@ -119,6 +130,7 @@
     BOOST_OUTCOME_TRY(BuildRouter());
     BOOST_OUTCOME_TRY(BuildQuery());
     BOOST_OUTCOME_TRY(BuildDispatcher());
+    BOOST_OUTCOME_TRY(BuildOperators());
     BOOST_OUTCOME_TRY(BuildHome());
     BOOST_OUTCOME_TRY(BuildEntry());
     BOOST_OUTCOME_TRY(BuildApi());
@@ -192,6 +204,7 @@
       load.set_leaving(draining);
       load.set_free_slots(stats.free_slots);
       load.set_waiting(static_cast<std::uint32_t>(stats.waiting_jobs));
+      load.set_record_revision(operators->GetRecords().Revision().revision());
       return load;
     };
     hooks.owners = [this] { return ownership->Owners(); };
@@ -328,7 +341,50 @@
     return peers;
   }
 
-  std::optional<schema::WorkClass> FindClass(const std::string& name) const {
+  // Access keys and metrics.
+  Result<void> BuildObservation() {
+    BOOST_OUTCOME_TRY(access, AccessControl::Create(settings.access_keys_file()));
+    MetricsHooks hooks;
+    hooks.is_known_class = [this](const std::string& name) { return FindClass(name).has_value(); };
+    BOOST_OUTCOME_TRY(metrics, Metrics::Create(std::move(hooks)));
+    return Success();
+  }
+
+  Result<void> BuildOperators() {
+    OperatorsOptions options;
+    options.instance = settings.instance_id();
+    options.cell = settings.cell();
+    options.peer_address = AdvertisedAddress();
+    OperatorsHooks hooks;
+    hooks.call = [this](const std::string& address, const std::string& method, std::string params,
+                        std::function<void(Result<std::string>)> done) {
+      peer_client->Call(address, method, std::move(params), kPeerTimeout, std::move(done));
+    };
+    hooks.peers = [this] {
+      return ExpectedPeers(roster.List(), membership->Digest(Now()), membership->Live(Now()),
+                           settings.instance_id());
+    };
+    hooks.stats = [this] { return dispatcher->Stats(); };
+    hooks.is_table_up = [this] { return ownership->IsTableUp(); };
+    hooks.is_draining = [this] { return draining.load(); };
+    hooks.listed_workers = [this]() -> std::optional<std::uint32_t> {
+      const schema::Directory list = roster.List();
+      if (list.workers().empty()) return std::nullopt;
+      return static_cast<std::uint32_t>(MarkWorkers(list, operators->GetRecords()).size());
+    };
+    hooks.on_records = [this] {
+      runtime.Post([weak = weak_from_this()] {
+        if (auto self = weak.lock()) self->RefreshWorkers();
+      });
+    };
+    BOOST_OUTCOME_TRY(operators,
+                      Operators::Create(*timers, *table, *metrics, options, std::move(hooks)));
+    return Success();
+  }
+
+  // A record replaces the class of the same name in the settings.
+  std::optional<schema::WorkClass> FindClass(const std::string& name) {
+    if (auto recorded = operators->GetRecords().FindClass(name)) return recorded;
     for (const schema::WorkClass& work_class : settings.classes()) {
       if (work_class.name() == name) return work_class;
     }
@@ -399,11 +455,26 @@
       AskOwner(id, "cancel", std::move(done));
     };
     hooks.is_ready = [this] { return IsReady(); };
-    hooks.drain = [this] { StartDraining(); };
-    hooks.metrics = [this] { return Metrics(); };
+    hooks.drain = [this] {
+      StartDraining();
+      if (on_drain_request) on_drain_request();
+    };
+    hooks.authorize = [this](const std::string& authorization, schema::Role needed) {
+      return access->Authorize(authorization, needed);
+    };
+    hooks.operate = [this](const HttpRequest& request, const std::string& who,
+                           const HttpReply& reply) {
+      return operators->Handle(request, who, reply);
+    };
+    hooks.on_answer = [this](const std::string& work_class, schema::Code code,
+                             std::chrono::steady_clock::duration elapsed) {
+      operators->OnAnswer(work_class, code, elapsed);
+    };
     BOOST_OUTCOME_TRY(api, Api::Create(std::move(hooks)));
     HttpServerOptions options;
     options.address = settings.api_address();
+    options.tls_certificate_file = settings.tls_certificate_file();
+    options.tls_key_file = settings.tls_key_file();
     BOOST_OUTCOME_TRY(
         api_server, HttpServer::Create(runtime, options,
                                        [this](const HttpRequest& request, const HttpReply& reply) {
@@ -424,6 +495,7 @@
   }
 
   void RegisterMethods() {
+    operators->Register(*peer_server);
     peer_server->Handle("gossip",
                         [this](const std::string& params) { return gossip->Handle(params); });
     Register<schema::Forward, schema::Ack>(
@@ -461,21 +533,35 @@
       }));
     };
     every(kGossipPeriod, &Impl::TickGossip);
+    every(kAccessPeriod, &Impl::RefreshAccess);
     every(kOwnershipPeriod, &Impl::TickOwnership);
     every(kTableGuardPeriod, &Impl::TickTable);
     every(kDirectoryPeriod, &Impl::RefreshDirectory);
     every(kDispatchPeriod, &Impl::OffloadTasks);
     every(kCheckPlacedPeriod, &Impl::CheckPlacedTasks);
     runtime.Post([self = shared_from_this()] { self->RefreshDirectory(); });
+    operators->Start();
   }
 
   void TickTable() { table->Tick(); }
+  void RefreshAccess() { access->Refresh(); }
+
+  // Without records, requests would run under the classes of the settings, which records may have
+  // replaced long ago.
+  void TickOwnership() {
+    if (operators->GetRecords().IsKnown()) ownership->Tick(Now());
+  }
 
-  void TickOwnership() { ownership->Tick(Now()); }
   void OffloadTasks() { router->Offload(); }
   void CheckPlacedTasks() { router->CheckPlaced(); }
 
-  void TickGossip() { gossip->Tick(); }
+  void TickGossip() {
+    gossip->Tick();
+    // A member that has failed may have the highest revision, but cannot be asked for it.
+    for (const schema::MemberState& peer : Peers()) {
+      operators->GetRecords().OnHeard(peer.peer_address(), peer.record_revision(), Now());
+    }
+  }
 
   void RefreshDirectory() {
     directory->List([weak = weak_from_this()](const Result<schema::Directory>& list) {
@@ -493,8 +579,14 @@
   void RefreshWorkers() {
     // After a pause the rows are read again first; `on_confirmed` calls this then.
     if (!ownership->IsCertain()) return;
-    dispatcher->SetWorkers(roster.OwnedWorkers(
-        [this](const std::string& worker) { return ownership->OwnedEpoch(Partition(worker)); }));
+    std::vector<OwnedWorker> workers;
+    for (OwnedWorker& worker : MarkWorkers(roster.List(), operators->GetRecords())) {
+      const auto epoch = ownership->OwnedEpoch(Partition(worker.id));
+      if (!epoch) continue;
+      worker.epoch = *epoch;
+      workers.push_back(std::move(worker));
+    }
+    dispatcher->SetWorkers(workers);
   }
 
   // Finds the address of the owner of a request's partition; empty for this instance.
@@ -566,13 +658,8 @@
         [done](const Result<std::string>& result) { done(ParseMessage<schema::Answer>(result)); });
   }
 
-  bool IsReady() const { return !draining && !ownership->Owners().empty(); }
-
-  std::string Metrics() const {
-    const EngineStats stats = dispatcher->Stats();
-    return fmt::format(
-        "citronsill_waiting_jobs {}\ncitronsill_running_tasks {}\ncitronsill_owned_workers {}\n",
-        stats.waiting_jobs, stats.running_tasks, stats.workers);
+  bool IsReady() const {
+    return !draining && operators->GetRecords().IsKnown() && !ownership->Owners().empty();
   }
 
   void StartDraining() {
@@ -606,6 +693,10 @@
   for (const TimerId id : m_impl->subscriptions) m_impl->timers->Cancel(id);
 }
 
+void Instance::OnDrainRequest(std::function<void()> handler) {
+  m_impl->on_drain_request = std::move(handler);
+}
+
 void Instance::Drain(std::function<void()> done) {
   m_impl->StartDraining();
   m_impl->CheckDrained(done);
--- a/src/roster.cc
+++ b/src/roster.cc
@@ -48,16 +48,9 @@
   return m_impl->lists > 0;
 }
 
-std::vector<OwnedWorker> Roster::OwnedWorkers(
-    const std::function<std::optional<std::uint64_t>(const std::string& worker)>& epoch_of) const {
+schema::Directory Roster::List() const {
   std::lock_guard lock(m_impl->mutex);
-  std::vector<OwnedWorker> workers;
-  for (const schema::DirectoryEntry& worker : m_impl->directory.workers()) {
-    if (const auto epoch = epoch_of(worker.id())) {
-      workers.push_back({worker.id(), worker.address(), *epoch, worker.leaving()});
-    }
-  }
-  return workers;
+  return m_impl->directory;
 }
 
 std::vector<std::string> Roster::InstanceAddresses() const {
--- a/tools/citronsilld.cc
+++ b/tools/citronsilld.cc
@@ -1,4 +1,5 @@
 // The entry instance.
+#include <atomic>
 #include <boost/program_options.hpp>
 #include <condition_variable>
 #include <iostream>
@@ -6,6 +7,7 @@
 
 #include <spdlog/spdlog.h>
 #include "citronsill/instance.h"
+#include "citronsill/log.h"
 #include "citronsill/runtime.h"
 #include "citronsill/settings.h"
 #include "schema/citronsill.pb.h"
@@ -18,10 +20,10 @@
 constexpr int kExitSettings = 3;
 
 int Run(const citronsill::schema::Settings& settings) {
-  spdlog::set_level(spdlog::level::from_str(settings.log_level()));
-  spdlog::set_pattern(
-      "time=%Y-%m-%dT%H:%M:%S.%eZ level=%l instance=" + settings.instance_id() + " %v",
-      spdlog::pattern_time_type::utc);
+  if (auto log = citronsill::ConfigureLog(settings.instance_id(), settings.log_level()); !log) {
+    std::cerr << citronsill::Describe(log.error()) << '\n';
+    return kExitSettings;
+  }
   auto runtime = citronsill::Runtime::Create(settings.threads());
   if (!runtime) {
     std::cerr << citronsill::Describe(runtime.error()) << '\n';
@@ -35,15 +37,19 @@
   std::mutex mutex;
   std::condition_variable changed;
   bool drained = false;
-  runtime.value()->OnTerminate([&, draining = false](int number) mutable {
-    spdlog::info("event=signal number={} draining={}", number, draining);
-    if (draining) return;  // A second signal does not interrupt work in progress.
-    draining = true;
+  std::atomic<bool> draining{false};
+  const auto drain = [&] {
+    if (draining.exchange(true)) return;  // A second request does not interrupt work in progress.
     instance.value()->Drain([&] {
       std::lock_guard lock(mutex);
       drained = true;
       changed.notify_all();
     });
+  };
+  instance.value()->OnDrainRequest(drain);
+  runtime.value()->OnTerminate([&](int number) {
+    spdlog::info("event=signal number={} draining={}", number, draining.load());
+    drain();
   });
   runtime.value()->Start();
   spdlog::info("event=started api={} peer={}", settings.api_address(), settings.peer_address());
