--- a/src/ledger.cc
+++ b/src/ledger.cc
@@ -202,9 +202,15 @@
     const PendingGiveUp& give_up = *entry.give_up;
     const bool ran = entry.MayHaveRun();
     auto answer = BaseAnswer(id, entry);
-    answer->set_code(give_up.error.code);
+    // A task whose worker was removed may have run; nothing else can be said of the request.
+    const bool unknown =
+        std::any_of(entry.tasks.begin(), entry.tasks.end(), [](const TaskEntry& task) {
+          return task.phase == TaskPhase::kEnded && task.outcome == TaskOutcome::kLost;
+        });
+    const schema::Code code = unknown ? schema::CODE_OUTCOME_UNKNOWN : give_up.error.code;
+    answer->set_code(code);
     answer->set_message(give_up.error.message);
-    const bool cancelled = give_up.error.code == schema::CODE_CANCELLED;
+    const bool cancelled = code == schema::CODE_CANCELLED;
     const bool refused =
         entry.facts.durable ? entry.acceptance == Acceptance::kNone : !ran && !cancelled;
     answer->set_state(refused     ? schema::STATE_REFUSED
--- a/tests/ledger_test.cc
+++ b/tests/ledger_test.cc
@@ -104,6 +104,8 @@
   const auto ended = bench.ledger->EndRemoved({"id", 0, 0}, "a");
   REQUIRE(ended.finished);
   CHECK(!ended.finished->answer->not_run());
+  CHECK(ended.finished->answer->code() == schema::CODE_OUTCOME_UNKNOWN);
+  CHECK(ended.finished->answer->state() == schema::STATE_FAILED);
 }
 
 // Guards against other content that gets the answer of an earlier request after a takeover.
