--- a/tests/journal_test.cc
+++ b/tests/journal_test.cc
@@ -18,7 +18,7 @@
 
 /// A journal over the stand-in table, with a partition whose ownership the test sets.
 struct JournalBench {
-  explicit JournalBench(std::size_t max_pending = 8192) {
+  explicit JournalBench(std::size_t max_pending = 8192, std::uint64_t seed = 1) : time(seed) {
     SetRow(1, {"a.1"});
     JournalOptions options;
     options.stream = "a.1";
@@ -61,7 +61,7 @@
     return count;
   }
 
-  ModelTime time{1};
+  ModelTime time;
   StandinTable table;
   std::shared_ptr<ModelProcess> process = std::make_shared<ModelProcess>(time);
   ModelTable client{time, table, process};
@@ -86,6 +86,23 @@
   CHECK(bench.Loaded() == 50);
 }
 
+// Guards against a second try, refused by a table that is down, that is taken to disprove the
+// first.
+TEST_CASE("journal: an entry that is reported as not written never appears") {
+  for (std::uint64_t seed = 0; seed < 300; ++seed) {
+    JournalBench bench(8192, seed);
+    bench.table.SetFault(TableFault::kLoseAnswers);
+    const auto code = bench.Append("r");
+    bench.time.Run(milliseconds(12 + seed % 40));
+    bench.table.SetFault(TableFault::kDown);
+    bench.time.Run(milliseconds(seed % 60));
+    bench.table.SetFault(TableFault::kNone);
+    bench.time.Run(std::chrono::seconds(2));
+    REQUIRE(code->has_value());
+    CHECK(bench.Loaded() == (**code == schema::CODE_OK ? 1 : 0));
+  }
+}
+
 // Guards against pending entries without bound and against waiting callers while a batch is open.
 TEST_CASE("journal: an unresolved batch refuses what comes after it") {
   JournalBench bench(4);
