--- a/bench/policy_model.h
+++ b/bench/policy_model.h
@@ -77,7 +77,7 @@
   std::vector<Action> Poll(SteadyTime) override {
     std::vector<Action> actions;
     while (!m_queue.empty()) {
-      const auto& [job, index] = m_queue.front();
+      const JobSpec& job = m_queue.front().first;
       const auto worker = std::ranges::find_if(m_workers, [&](const auto& one) {
         Resources needed = one.used;
         needed += job.size;
@@ -87,7 +87,7 @@
       worker->used += job.size;
       ++worker->slots;
       Action action;
-      action.task = {job.id, index, 0};
+      action.task = {job.id, m_queue.front().second, 0};
       action.worker = worker->spec.id;
       action.size = job.size;
       m_running[action.task] = {worker - m_workers.begin(), job.size};
--- a/tests/engine_test.cc
+++ b/tests/engine_test.cc
@@ -330,6 +330,8 @@
           model::OverloadCase(cell, engine, kSeed, {.returns = true, .one_team = one_team});
       CHECK(figures.returns > 1000.0);
       CHECK(figures.returns_accepted >= 0.9);
+      // The other teams ask for less than the capacity.
+      if (one_team > 0.0) CHECK(figures.others_refused == 0.0);
     }
   }
 }
