Give every submission a number, and teams their shares of quotas

An entry instance ignores answers to an earlier submission, and states not_run only when one home alone had the request: an earlier home may have started it.

--- a/include/citronsill/dispatcher.h
+++ b/include/citronsill/dispatcher.h
@@ -93,6 +93,9 @@
   /// The platform removed a worker: its tasks are lost.
   void RemoveWorker(const std::string& worker);
 
+  /// Sets the most that running tasks of a team may hold on this instance's workers.
+  void SetQuota(const std::string& team, const Resources& quota);
+
   Admission Submit(const JobSpec& job);
   bool Cancel(const std::string& job);
 
--- a/include/citronsill/entry.h
+++ b/include/citronsill/entry.h
@@ -18,6 +18,8 @@
   /// @param done gets the owner's answer; CODE_NO_OWNER when nothing was sent.
   std::function<void(const schema::Forward&, std::function<void(Result<schema::Ack>)> done)>
       forward;
+  /// @returns the instance that a forward of the request would be sent to; empty for none.
+  std::function<std::string(const std::string& request_id)> owner;
 };
 
 struct EntryOptions {
@@ -40,8 +42,9 @@
   /// Takes a checked request. `done` is called once, at the deadline at the latest.
   void Submit(schema::Request request, Done done);
 
-  /// Hands an answer that a home delivered to the callers that wait for it.
-  void OnDeliver(const schema::Answer& answer);
+  /// Hands an answer that a home delivered to the callers that wait for it. An answer to another
+  /// submission is ignored.
+  void OnDeliver(const schema::Deliver& deliver);
 
   /// From now on requests are refused with CODE_DRAINING.
   void Drain();
--- a/include/citronsill/records.h
+++ b/include/citronsill/records.h
@@ -97,6 +97,9 @@
   [[nodiscard]] std::optional<schema::TeamLimit> FindLimit(const std::string& team) const;
   [[nodiscard]] std::optional<schema::Target> FindTarget(const std::string& worker) const;
 
+  /// @returns teams and their limits.
+  [[nodiscard]] std::vector<std::pair<std::string, schema::TeamLimit>> Limits() const;
+
   /// @returns names and contents of all targets.
   [[nodiscard]] std::vector<std::pair<std::string, schema::Target>> Targets() const;
 
--- a/src/entry.cc
+++ b/src/entry.cc
@@ -48,7 +48,7 @@
     schema::Forward forward;
     SteadyTime deadline;
     std::vector<Done> done;
-    bool may_be_known = false;  // A forward was sent whose effect is not known, or was received.
+    std::set<std::string> homes;  // Instances that received a forward, or may have.
   };
 
   struct Shard {
@@ -97,6 +97,7 @@
       if (waiting.done.empty()) {
         ++count;
         waiting.forward.set_id(id);
+        waiting.forward.set_submission(RandomId() | 1U);  // 0 stands for none.
         waiting.forward.set_entry_id(options.instance);
         waiting.forward.set_entry_address(options.peer_address);
         waiting.deadline = std::chrono::steady_clock::now() + deadline;
@@ -123,13 +124,14 @@
       forward = found->second.forward;
       SetDuration(left, forward.mutable_deadline_left());
     }
-    hooks.forward(forward, [weak = weak_from_this(), id](Result<schema::Ack> ack) {
-      if (auto self = weak.lock()) self->OnAck(id, ack);
+    const std::string owner = hooks.owner(id);
+    hooks.forward(forward, [weak = weak_from_this(), id, owner](Result<schema::Ack> ack) {
+      if (auto self = weak.lock()) self->OnAck(id, owner, ack);
     });
   }
 
   // A received request is sent again from time to time: its home may have died since.
-  void OnAck(const std::string& id, const Result<schema::Ack>& ack) {
+  void OnAck(const std::string& id, const std::string& owner, const Result<schema::Ack>& ack) {
     const bool received = ack && ack.value().code() == schema::CODE_OK;
     const bool not_taken = ack ? ack.value().code() == schema::CODE_NOT_OWNER
                                : ack.error().code == schema::CODE_NO_OWNER ||
@@ -139,7 +141,7 @@
       std::lock_guard lock(shard.mutex);
       const auto found = shard.waiting.find(id);
       if (found == shard.waiting.end()) return;
-      if (!not_taken) found->second.may_be_known = true;
+      if (!not_taken) found->second.homes.insert(owner);
     }
     timers.After(received ? 5 * options.retry_period : options.retry_period,
                  [weak = weak_from_this(), id](SteadyTime) {
@@ -158,31 +160,47 @@
       shard.waiting.erase(found);
     }
     --count;
+    const schema::Answer answer = waiting.homes.empty() ? NotRun(id) : Unknown(id);
+    for (const Done& done : waiting.done) done(answer);
+  }
+
+  schema::Answer NotRun(const std::string& id) const {
+    schema::Answer answer =
+        Refusal(schema::CODE_NOT_RUN, "no owner was reached before the deadline");
+    answer.set_id(id);
+    return answer;
+  }
+
+  schema::Answer Unknown(const std::string& id) const {
     schema::Answer answer;
     answer.set_id(id);
-    answer.set_state(waiting.may_be_known ? schema::STATE_UNKNOWN : schema::STATE_REFUSED);
-    answer.set_code(waiting.may_be_known ? schema::CODE_OUTCOME_UNKNOWN : schema::CODE_NOT_RUN);
-    answer.set_message(waiting.may_be_known ? "no answer before the deadline; ask again by id"
-                                            : "no owner was reached before the deadline");
-    answer.set_not_run(!waiting.may_be_known);
+    answer.set_state(schema::STATE_UNKNOWN);
+    answer.set_code(schema::CODE_OUTCOME_UNKNOWN);
+    answer.set_message("no answer before the deadline; ask again by id");
     answer.set_location("/v1/requests/" + id);
     answer.set_entry(options.instance);
-    for (const Done& done : waiting.done) done(answer);
+    return answer;
   }
 
-  void OnDeliver(schema::Answer answer) {
-    Shard& shard = ShardOf(answer.id());
-    std::vector<Done> done;
+  void OnDeliver(const schema::Deliver& deliver) {
+    const std::string& id = deliver.answer().id();
+    Shard& shard = ShardOf(id);
+    Waiting waiting;
     {
       std::lock_guard lock(shard.mutex);
-      const auto found = shard.waiting.find(answer.id());
+      const auto found = shard.waiting.find(id);
       if (found == shard.waiting.end()) return;
-      done = std::move(found->second.done);
+      const std::uint64_t submission = found->second.forward.submission();
+      if (deliver.submission() != 0 && deliver.submission() != submission) return;
+      waiting = std::move(found->second);
       shard.waiting.erase(found);
     }
     --count;
+    schema::Answer answer = deliver.answer();
+    // One home does not know what an earlier one did with the request.
+    if (answer.not_run() && waiting.homes.size() > 1) answer = Unknown(id);
     answer.set_entry(options.instance);
-    for (const Done& one : done) one(answer);
+    for (const Done& done : waiting.done) done(answer);
   }
 };
 
@@ -200,7 +218,7 @@
   m_impl->Submit(std::move(request), std::move(done));
 }
 
-void Entry::OnDeliver(const schema::Answer& answer) { m_impl->OnDeliver(answer); }
+void Entry::OnDeliver(const schema::Deliver& deliver) { m_impl->OnDeliver(deliver); }
 
 void Entry::Drain() { m_impl->draining = true; }
 
--- a/src/instance.cc
+++ b/src/instance.cc
@@ -175,6 +175,7 @@
     };
     hooks.on_confirmed = [this] { RefreshWorkers(); };
     hooks.on_superseded = [] {
+      // Nothing is owned any more; the process is left for its operator to look at.
       spdlog::critical("event=instance_superseded reason=\"the id was started again elsewhere\"");
     };
     hooks.live_members = [this] { return membership->LiveMembers(Now()); };
@@ -375,6 +376,7 @@
     hooks.on_records = [this] {
       runtime.Post([weak = weak_from_this()] {
         if (auto self = weak.lock()) self->RefreshWorkers();
+        if (auto self = weak.lock()) self->RefreshQuotas();
       });
     };
     BOOST_OUTCOME_TRY(operators,
@@ -439,6 +441,10 @@
                            std::function<void(Result<schema::Ack>)> done) {
       Forward(forward, std::move(done));
     };
+    hooks.owner = [this](const std::string& id) {
+      const auto owner = ownership->OwnerOf(Partition(id));
+      return owner ? owner->owner() : std::string();
+    };
     BOOST_OUTCOME_TRY(entry, Entry::Create(*timers, options, std::move(hooks)));
     return Success();
   }
@@ -504,7 +510,7 @@
         });
     Register<schema::Deliver, schema::Ack>(
         "deliver", [this](const schema::Deliver& deliver) -> Result<schema::Ack> {
-          entry->OnDeliver(deliver.answer());
+          entry->OnDeliver(deliver);
           return schema::Ack();
         });
     Register<schema::Place, schema::PlaceResult>(
@@ -573,9 +579,22 @@
         }
       }
       self->RefreshWorkers();
+      self->RefreshQuotas();
     });
   }
 
+  // Every live instance gets an even share of a team's quota, rounded up, so that no message is
+  // needed before a start.
+  void RefreshQuotas() {
+    const auto live = static_cast<std::int64_t>(Peers().size() + 1);
+    const auto share = [live](std::int64_t whole) { return (whole + live - 1) / live; };
+    for (const auto& [team, limit] : operators->GetRecords().Limits()) {
+      const Resources quota = ToResources(limit.quota());
+      dispatcher->SetQuota(
+          team, {share(quota.processors_milli), share(quota.memory_mb), share(quota.accelerators)});
+    }
+  }
+
   void RefreshWorkers() {
     // After a pause the rows are read again first; `on_confirmed` calls this then.
     if (!ownership->IsCertain()) return;
@@ -620,8 +639,7 @@
     message->mutable_answer()->set_home(settings.instance_id());
     message->set_submission(waiter.submission);
     if (waiter.instance == settings.instance_id()) {
-      runtime.Post(
-          [self = shared_from_this(), message] { self->entry->OnDeliver(message->answer()); });
+      runtime.Post([self = shared_from_this(), message] { self->entry->OnDeliver(*message); });
       return;
     }
     peer_client->Call(
--- a/src/records.cc
+++ b/src/records.cc
@@ -503,6 +503,11 @@
   return m_impl->Find(m_impl->targets, worker);
 }
 
+std::vector<std::pair<std::string, schema::TeamLimit>> Records::Limits() const {
+  std::lock_guard lock(m_impl->mutex);
+  return {m_impl->limits.begin(), m_impl->limits.end()};
+}
+
 std::vector<std::pair<std::string, schema::Target>> Records::Targets() const {
   std::lock_guard lock(m_impl->mutex);
   return {m_impl->targets.begin(), m_impl->targets.end()};
