--- a/tests/engine_test.cc
+++ b/tests/engine_test.cc
@@ -51,6 +51,7 @@
 
 std::vector<std::string> JobsOf(const std::vector<Action>& actions) {
   std::vector<std::string> ids;
+  ids.reserve(actions.size());
   for (const Action& action : actions) ids.push_back(action.task.request_id);
   return ids;
 }
