End an attempt at its home before the next one is submitted

Its attempt on a failed instance was replaced by a new submission that the engine refused for its deadline; the request could not be ended while the old attempt counted as open. Ruled out: a start lost between owners (the home is told of released tasks). Also: a task that fits only workers of other instances is admitted and handed over instead of being refused with NEVER_FITS.

--- a/include/citronsill/dispatcher.h
+++ b/include/citronsill/dispatcher.h
@@ -93,6 +93,9 @@
   /// The platform removed a worker: its tasks are lost.
   void RemoveWorker(const std::string& worker);
 
+  /// Sets the largest workers of the other instances.
+  void SetOtherShapes(std::vector<Resources> largest);
+
   /// Sets the most that running tasks of a team may hold on this instance's workers.
   void SetQuota(const std::string& team, const Resources& quota);
 
--- a/include/citronsill/engine.h
+++ b/include/citronsill/engine.h
@@ -89,6 +89,7 @@
   std::size_t running_tasks = 0;
   Resources capacity;
   Resources used;
+  Resources largest;  ///< Largest capacity of a worker, in each dimension.
   std::uint32_t free_slots = 0;
 };
 
@@ -114,6 +115,10 @@
   void AdoptTask(const JobSpec& job, const TaskKey& task, const std::string& worker,
                  SteadyTime now);
 
+  /// Sets the largest workers of other instances: a task that fits only there is admitted, and
+  /// waits until it is handed over.
+  void SetOtherShapes(std::vector<Resources> largest);
+
   /// Sets the most that running tasks of a team may hold. Jobs above it wait.
   /// @param quota 0 stands for no limit in a dimension.
   void SetQuota(const std::string& team, const Resources& quota);
--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -560,6 +560,11 @@
 
 void Dispatcher::RemoveWorker(const std::string& worker) { m_impl->RemoveWorker(worker); }
 
+void Dispatcher::SetOtherShapes(std::vector<Resources> largest) {
+  std::lock_guard lock(m_impl->mutex);
+  m_impl->engine->SetOtherShapes(std::move(largest));
+}
+
 void Dispatcher::SetQuota(const std::string& team, const Resources& quota) {
   std::lock_guard lock(m_impl->mutex);
   m_impl->engine->SetQuota(team, quota);
--- a/src/engine.cc
+++ b/src/engine.cc
@@ -116,7 +116,9 @@
     return {schema::CODE_DEADLINE_UNREACHABLE, "the deadline has passed", {}};
   }
   if (slots > 0) {
-    if (std::string why = index.WhyNever(spec.size); !why.empty()) {
+    std::string why = index.WhyNever(spec.size);
+    // A gang job is not handed to another instance.
+    if (!why.empty() && (spec.all_at_once || !FitsElsewhere(spec.size))) {
       return {schema::CODE_NEVER_FITS, std::move(why), {}};
     }
   }
@@ -333,6 +335,10 @@
   return wake;
 }
 
+void Engine::SetOtherShapes(std::vector<Resources> largest) {
+  m_impl->other_shapes = std::move(largest);
+}
+
 EngineStats Engine::Stats() const {
   EngineStats stats;
   stats.workers = m_impl->workers.size();
@@ -341,6 +347,11 @@
   stats.capacity = m_impl->capacity;
   stats.quarantined = m_impl->health.QuarantinedCount();
   for (const auto& [id, worker] : m_impl->workers) {
+    const Resources& whole = m_impl->index.Spec(worker).capacity;
+    stats.largest.processors_milli =
+        std::max(stats.largest.processors_milli, whole.processors_milli);
+    stats.largest.memory_mb = std::max(stats.largest.memory_mb, whole.memory_mb);
+    stats.largest.accelerators = std::max(stats.largest.accelerators, whole.accelerators);
     const Resources free = m_impl->index.Free(worker);
     stats.used += m_impl->index.Spec(worker).capacity;
     stats.used -= free;
--- a/src/engine_place.cc
+++ b/src/engine_place.cc
@@ -228,7 +228,8 @@
 
 WaitingGroup* Engine::Impl::BestFitting(WaitingGroup* oldest, SteadyTime now) {
   if (oldest->shape.gang_tasks > 0 || now - oldest->last_placed >= kReservationAge) return oldest;
-  const std::vector<WaitingGroup*> groups = queue.Alternatives(*oldest, long_generation, kShapesTried);
+  const std::vector<WaitingGroup*> groups =
+      queue.Alternatives(*oldest, long_generation, kShapesTried);
   if (groups.size() < 2) return oldest;
   std::vector<Resources> sizes;
   for (const WaitingGroup* group : groups) sizes.push_back(group->shape.size);
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -88,6 +88,13 @@
 
   explicit Impl(const EngineOptions& engine_options);
 
+  [[nodiscard]] bool FitsElsewhere(const Resources& size) const {
+    return std::any_of(other_shapes.begin(), other_shapes.end(),
+                       [&](const Resources& largest) { return largest.Covers(size); });
+  }
+
+  std::vector<Resources> other_shapes;
+
   // Workers and running tasks (engine_tasks.cc).
   void UpdateCapacity();
   void RoomChanged() {
--- a/src/gossip.cc
+++ b/src/gossip.cc
@@ -24,7 +24,7 @@
 void CopyLoad(const schema::MemberState& from, schema::MemberState& to) {
   to.set_heartbeat(from.heartbeat());
   to.set_leaving(from.leaving());
-  if (from.has_free()) *to.mutable_free() = from.free();
+  if (from.has_largest()) *to.mutable_largest() = from.largest();
   to.set_free_slots(from.free_slots());
   to.set_waiting(from.waiting());
   to.set_record_revision(from.record_revision());
--- a/src/instance.cc
+++ b/src/instance.cc
@@ -204,6 +204,7 @@
       schema::MemberState load;
       load.set_leaving(draining);
       load.set_free_slots(stats.free_slots);
+      SetResources(stats.largest, load.mutable_largest());
       load.set_waiting(static_cast<std::uint32_t>(stats.waiting_jobs));
       load.set_record_revision(operators->GetRecords().Revision().revision());
       return load;
@@ -563,6 +564,11 @@
 
   void TickGossip() {
     gossip->Tick();
+    std::vector<Resources> largest;
+    for (const schema::MemberState& peer : Peers()) {
+      largest.push_back(ToResources(peer.largest()));
+    }
+    dispatcher->SetOtherShapes(std::move(largest));
     // A member that has failed may have the highest revision, but cannot be asked for it.
     for (const schema::MemberState& peer : Peers()) {
       operators->GetRecords().OnHeard(peer.peer_address(), peer.record_revision(), Now());
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -113,7 +113,7 @@
   schema::MemberState& own = m_impl->members[m_impl->self].state;
   own.set_heartbeat(own.heartbeat() + 1);
   own.set_leaving(load.leaving());
-  *own.mutable_free() = load.free();
+  *own.mutable_largest() = load.largest();
   own.set_free_slots(load.free_slots());
   own.set_waiting(load.waiting());
   own.set_record_revision(load.record_revision());
--- a/src/router.cc
+++ b/src/router.cc
@@ -273,10 +273,14 @@
     if (room == 0) return;
     const std::size_t max = std::min(room, options.max_tasks_per_round);
     for (const JobSpec& job : hooks.take_waiting(max)) {
-      auto best = std::max_element(peers.begin(), peers.end(), [](const auto& a, const auto& b) {
-        return a.free_slots() < b.free_slots();
+      // A peer whose workers are all too small counts as full.
+      const auto room_for = [&](const schema::MemberState& peer) {
+        return ToResources(peer.largest()).Covers(job.size) ? peer.free_slots() : 0;
+      };
+      auto best = std::max_element(peers.begin(), peers.end(), [&](const auto& a, const auto& b) {
+        return room_for(a) < room_for(b);
       });
-      if (!hooks.is_home(job.id) || best->free_slots() == 0) {
+      if (!hooks.is_home(job.id) || room_for(*best) == 0) {
         Resubmit(job);
         continue;
       }
@@ -302,7 +306,7 @@
     action.task = FirstTask(job);
     action.size = job.size;
     hooks.before_start(action, 0, [self = shared_from_this(), job, peer](bool go) {
-      if (!go) return self->Resubmit(job);
+      if (!go) return self->RunNext(job, TaskOutcome::kNotStarted);
       {
         std::lock_guard lock(self->mutex);
         self->placed[{job.id, job.first_index}] = {job, peer.id(), peer.incarnation()};
@@ -335,12 +339,12 @@
     schema::PlaceResult result;
     if (json && FromJson(json.value(), UnknownFields::kIgnore, &result)) {
       if (result.code() == schema::CODE_OK) return;
-      if (TakeBack(job)) Resubmit(job);
+      if (TakeBack(job)) RunNext(job, TaskOutcome::kNotStarted);
       return;
     }
     const bool unsent = !json && json.error().code == schema::CODE_PEER_UNREACHABLE;
     if (unsent) {
-      if (TakeBack(job)) Resubmit(job);
+      if (TakeBack(job)) RunNext(job, TaskOutcome::kNotStarted);
       return;
     }
     RunAgain(job);
@@ -355,6 +359,18 @@
   void RunAgain(const JobSpec& job) {
     if (!TakeBack(job)) return;
     if (MustNotRunTwice(job)) return hooks.investigate(FirstTask(job));
+    RunNext(job, TaskOutcome::kLost);
+  }
+
+  // Ends the attempt at the home before the next one: a request with an open attempt cannot be
+  // ended when the next one is refused.
+  void RunNext(const JobSpec& job, TaskOutcome outcome) {
+    TaskEvent event;
+    event.task = FirstTask(job);
+    event.ended = true;
+    event.outcome = outcome;
+    event.again = true;
+    hooks.to_home(event, [] {});
     JobSpec next = job;
     ++next.first_attempt;
     Resubmit(next);
