--- a/src/engine_place.cc
+++ b/src/engine_place.cc
@@ -232,6 +232,7 @@
       queue.Alternatives(*oldest, long_generation, kShapesTried);
   if (groups.size() < 2) return oldest;
   std::vector<Resources> sizes;
+  sizes.reserve(groups.size());
   for (const WaitingGroup* group : groups) sizes.push_back(group->shape.size);
   WaitingGroup* best = oldest;
   double least = std::numeric_limits<double>::max();
--- a/tests/cell.h
+++ b/tests/cell.h
@@ -129,7 +129,7 @@
 
   explicit ModelCell(std::uint64_t seed, std::size_t workers = 4,
                      HomeOptions home_options = FrequentCompaction())
-      : time(seed), options(std::move(home_options)) {
+      : time(seed), options(home_options) {
     options.partition_count = kModelPartitions;
     for (std::size_t i = 0; i < workers; ++i) {
       schema::WorkerInfo info;
@@ -208,7 +208,7 @@
 
   /// Forwards a request until a final answer came. @returns its id.
   std::string Submit(const schema::Request& request) {
-    const std::string id = RequestIdOf(request.team(), request.key());
+    std::string id = RequestIdOf(request.team(), request.key());
     CallerHistory& caller = callers[id];
     caller.request = request;
     if (waiting.contains(id)) return id;
--- a/tests/home_test.cc
+++ b/tests/home_test.cc
@@ -57,7 +57,7 @@
 }
 
 void Apply(ModelCell& cell, const Step& step, int& requests) {
-  static const char* const kClasses[] = {"quote", "fitting", "order", "plan"};
+  static const char* const classes[] = {"quote", "fitting", "order", "plan"};
   const auto worker = static_cast<std::size_t>(step.choice) % cell.workers.size();
   const PartitionId partition{static_cast<std::uint32_t>(step.choice) % kModelPartitions};
   const auto owner = cell.OwnerOf(partition);
@@ -69,7 +69,7 @@
   switch (static_cast<Fault>(step.fault)) {
     case Fault::kSubmit: {
       schema::Request made =
-          MakeRequest(kClasses[step.choice % 4], "key-" + std::to_string(requests++),
+          MakeRequest(classes[step.choice % 4], "key-" + std::to_string(requests++),
                       1U + static_cast<unsigned>(step.choice / 4 % 2));
       made.set_no_wait(step.choice / 8 % 2 == 0 && made.work_class() != "quote");
       cell.Submit(made);
--- a/tests/ledger_test.cc
+++ b/tests/ledger_test.cc
@@ -39,6 +39,7 @@
     auto restored = std::move(Ledger::Create(100)).value();
     const auto entries = ledger->Export([](const std::string&) { return true; });
     std::vector<const schema::JournalEntry*> found;
+    found.reserve(2 * entries.size());
     for (const schema::JournalEntry& entry : entries) found.push_back(&entry);
     // Entries are repeated when streams are copied.
     for (const schema::JournalEntry& entry : entries) found.push_back(&entry);
