--- a/include/citronsill/config.h
+++ b/include/citronsill/config.h
@@ -40,6 +40,7 @@
 inline constexpr std::chrono::milliseconds kHeartbeatPeriod{2000};
 inline constexpr std::chrono::milliseconds kDirectoryPeriod{2000};
 inline constexpr std::chrono::milliseconds kWorkerSyncWait{1000};
+inline constexpr std::chrono::milliseconds kIdleWorkerSyncWait{2000};
 inline constexpr std::chrono::milliseconds kDispatchPeriod{50};
 inline constexpr std::chrono::milliseconds kDeliverRetryPeriod{300};
 
--- a/include/citronsill/dispatcher.h
+++ b/include/citronsill/dispatcher.h
@@ -71,8 +71,10 @@
 struct DispatcherOptions {
   std::string instance;  ///< Id of this instance.
   std::chrono::milliseconds task_lease{30000};
-  std::chrono::milliseconds sync_wait{1000};
-  /// A worker that has not answered for this long gets no new work.
+  std::chrono::milliseconds sync_wait{1000};  ///< Of a worker that runs tasks.
+  /// Of a worker without tasks: syncs of idle workers are most of an instance's traffic at rest.
+  std::chrono::milliseconds idle_wait{2000};
+  /// A worker whose answer is late by this gets no new work.
   std::chrono::milliseconds unreachable_after{3000};
 };
 
--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -32,7 +32,8 @@
     std::uint64_t incarnation = 0;
     bool attached = false;
     bool closed = false;
-    SteadyTime last_answer;
+    bool asked = false;     // An answer is due since a sync was sent.
+    SteadyTime answer_due;  // The worker counts as silent after this.
   };
 
   Impl(Runtime& process_runtime, TimerService& timer_service, WorkerLinkFactory link_factory,
@@ -103,7 +104,7 @@
     auto worker = std::make_shared<Worker>();
     worker->owned = owned;
     worker->link = std::move(link).value();
-    worker->last_answer = Now();
+    worker->answer_due = Now() + options.unreachable_after;
     workers[owned.id] = worker;
     return worker;
   }
@@ -144,8 +145,7 @@
   }
 
   bool IsAccepting(const Worker& worker, SteadyTime now) const {
-    return worker.attached && !worker.closed && !worker.owned.leaving &&
-           now - worker.last_answer < options.unreachable_after;
+    return worker.attached && !worker.closed && !worker.owned.leaving && now < worker.answer_due;
   }
 
   static TaskEvent EventOf(const Worker& worker, const TaskKey& task) {
@@ -160,9 +160,15 @@
 
   void Sync(const std::shared_ptr<Worker>& worker) {
     schema::WorkerSync sync;
+    std::chrono::milliseconds wait{0};
     {
       std::lock_guard lock(mutex);
       if (worker->closed) return;
+      if (worker->attached) wait = worker->tasks.empty() ? options.idle_wait : options.sync_wait;
+      if (!worker->asked) {
+        worker->asked = true;
+        worker->answer_due = Now() + wait + options.unreachable_after;
+      }
       sync.set_epoch(worker->owned.epoch);
       sync.set_owner(options.instance);
       sync.set_attach(!worker->attached);
@@ -173,8 +179,7 @@
       for (const TaskKey& task : worker->acknowledge) *sync.add_acknowledge() = ToRef(task);
     }
     SetDuration(options.task_lease, sync.mutable_lease());
-    SetDuration(sync.attach() ? std::chrono::milliseconds(0) : options.sync_wait,
-                sync.mutable_wait());
+    SetDuration(wait, sync.mutable_wait());
     worker->link->Sync(
         sync, [self = shared_from_this(), worker, sync](Result<schema::WorkerSyncResult> result) {
           self->OnSynced(worker, sync, result);
@@ -204,7 +209,8 @@
     {
       std::lock_guard lock(mutex);
       if (worker->closed) return;
-      worker->last_answer = Now();
+      worker->asked = false;
+      worker->answer_due = Now() + options.unreachable_after;
       worker->owned.leaving = worker->owned.leaving || result.value().leaving();
       if (sync.attach()) Attach(*worker, result.value(), events);
       for (const schema::TaskRef& ref : sync.acknowledge()) {
@@ -323,7 +329,7 @@
     {
       std::lock_guard lock(mutex);
       for (const auto& [id, worker] : workers) {
-        if (now - worker->last_answer < options.unreachable_after) continue;
+        if (now < worker->answer_due) continue;
         engine->SetAccepting(id, false, now);
         GiveUpTasks(*worker, now, events);
       }
--- a/src/instance.cc
+++ b/src/instance.cc
@@ -240,6 +240,7 @@
     options.instance = settings.instance_id();
     options.task_lease = ToMilliseconds(settings.task_lease());
     options.sync_wait = kWorkerSyncWait;
+    options.idle_wait = kIdleWorkerSyncWait;
     DispatcherHooks hooks;
     hooks.before_start = [this](const Action& action, std::uint64_t incarnation_of_worker,
                                 const std::function<void(bool)>& go) {
--- a/tests/cell.h
+++ b/tests/cell.h
@@ -281,7 +281,7 @@
     schema::WorkerSync sync;
     sync.set_epoch(1U << 30U);
     schema::WorkerSyncResult result = worker.worker->Sync(sync, time.Now());
-    worker.worker->Report(&result);
+    worker.worker->Report(false, &result);
     for (const schema::TaskReport& report : result.tasks()) {
       schema::WorkerControl stop;
       stop.set_epoch(sync.epoch());
@@ -531,7 +531,7 @@
   }
   schema::WorkerSyncResult result = worker.worker->Sync(sync, now);
   if (result.code() != schema::CODE_OK) return Lose(partition);
-  worker.worker->Report(&result);
+  worker.worker->Report(false, &result);
   schema::WorkerSync renewal;
   renewal.set_epoch(owned->epoch);
   SetDuration(kModelLease, renewal.mutable_lease());
@@ -581,7 +581,7 @@
   sync.set_epoch(owned->epoch);
   sync.set_attach(true);
   schema::WorkerSyncResult result = worker.worker->Sync(sync, m_cell.time.Now());
-  worker.worker->Report(&result);
+  worker.worker->Report(false, &result);
   for (const schema::TaskReport& report : result.tasks()) {
     const TaskKey known{report.task().request_id(), report.task().index(), report.task().attempt()};
     if (known != task) continue;
--- a/tests/journal_test.cc
+++ b/tests/journal_test.cc
@@ -110,8 +110,8 @@
   bench.table.SetFault(TableFault::kLoseAnswers);
   const auto open = bench.Append("open");
   bench.time.Run(milliseconds(12));
-  std::vector<std::shared_ptr<std::optional<schema::Code>>> codes;
-  for (int i = 0; i < 6; ++i) codes.push_back(bench.Append("later"));
+  std::vector<std::shared_ptr<std::optional<schema::Code>>> codes(6);
+  for (auto& code : codes) code = bench.Append("later");
   CHECK(*codes[5] == schema::CODE_OVERLOADED);
   bench.table.SetFault(TableFault::kDown);
   bench.time.Run(milliseconds(500));
--- a/tools/standin_worker.h
+++ b/tools/standin_worker.h
@@ -137,10 +137,11 @@
   }
 
   /// Fills in the reports of an accepted sync.
-  void Report(schema::WorkerSyncResult* result) {
+  /// @param attach whether the sync attached; only then does the answer describe the worker.
+  void Report(bool attach, schema::WorkerSyncResult* result) {
     result->set_epoch(m_epoch);
     result->set_incarnation(m_incarnation);
-    *result->mutable_info() = m_info;
+    if (attach) *result->mutable_info() = m_info;
     result->set_leaving(m_leaving);
     for (const auto& [task, running] : m_running) {
       schema::TaskReport* report = result->add_tasks();
--- a/tools/worker_standin.cc
+++ b/tools/worker_standin.cc
@@ -72,7 +72,7 @@
     m_worker.Advance(now);
     while (!m_waiting.empty() && (m_worker.HasNews() || m_waiting.front().until <= now)) {
       schema::WorkerSyncResult result;
-      m_worker.Report(&result);
+      m_worker.Report(false, &result);
       m_waiting.front().reply(Json(result));
       m_waiting.erase(m_waiting.begin());
     }
@@ -90,7 +90,7 @@
     schema::WorkerSyncResult result = m_worker.Sync(sync, now);
     if (result.code() != schema::CODE_OK) return reply(Json(result));
     if (sync.attach() || m_worker.HasNews()) {
-      m_worker.Report(&result);
+      m_worker.Report(sync.attach(), &result);
       return reply(Json(result));
     }
     m_waiting.push_back({now + ToMilliseconds(sync.wait()), reply});
