End a drain that nobody can take over from

Seen: eight instances that were told to stop together, with the platform gone, never ended, because their partitions could not be handed over. With nothing in progress an instance now waits 10 s for that. The model test takes its number of steps from the environment instead of a skipped case.

--- a/src/instance.cc
+++ b/src/instance.cc
@@ -31,6 +31,9 @@
 // An entry instance that cannot be reached for this many tries has failed; its caller asks again.
 constexpr int kMaxDeliverTries = 20;
 constexpr std::chrono::milliseconds kDrainCheckPeriod{200};
+// With nothing in progress, a draining instance waits this long for others to take its partitions.
+// They cannot while the table is down, or when it is the last instance.
+constexpr std::chrono::milliseconds kHandOverTimeout{10000};
 constexpr std::chrono::milliseconds kAccessPeriod{2000};
 constexpr std::chrono::milliseconds kCheckPlacedPeriod{1000};
 constexpr std::chrono::milliseconds kDoubtRetryPeriod{100};
@@ -95,6 +98,7 @@
 
   std::mutex mutex;
   std::atomic<bool> draining{false};
+  SteadyTime drained_since = SteadyTime::max();  // Since when nothing is in progress.
   std::function<void()> on_drain_request;
 
   static SteadyTime Now() { return std::chrono::steady_clock::now(); }
@@ -695,9 +699,12 @@
   }
 
   void CheckDrained(const std::function<void()>& done) {
-    const EngineStats stats = dispatcher->Stats();
-    if (entry->Waiting() == 0 && ledger->Pending() == 0 && stats.running_tasks == 0 &&
-        ownership->Owned().empty()) {
+    const bool idle =
+        entry->Waiting() == 0 && ledger->Pending() == 0 && dispatcher->Stats().running_tasks == 0;
+    drained_since = idle ? std::min(drained_since, Now()) : SteadyTime::max();
+    if (idle && ownership->Owned().empty()) return done();
+    if (idle && Now() - drained_since > kHandOverTimeout) {
+      spdlog::warn("event=hand_over_timeout partitions={}", ownership->Owned().size());
       return done();
     }
     timers->After(kDrainCheckPeriod,
--- a/tests/journal_test.cc
+++ b/tests/journal_test.cc
@@ -76,7 +76,7 @@
   JournalBench bench;
   bench.table.SetFault(TableFault::kLoseAnswers);
   std::vector<std::shared_ptr<std::optional<schema::Code>>> codes;
-  codes.reserve(6);
+  codes.reserve(50);
   for (int i = 0; i < 50; ++i) {
     codes.push_back(bench.Append("r" + std::to_string(i)));
     bench.time.Run(milliseconds(7));
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -278,21 +278,5 @@
   }
 }
 
-// The figure before the exchange of digests: everything as JSON, to five peers.
-TEST_CASE("gossip: bytes of the former full exchange" * doctest::skip()) {
-  for (const unsigned count : {30U, 100U}) {
-    GossipCell cell(count);
-    cell.Run(seconds(10));
-    const auto& node = cell.nodes.begin()->second;
-    schema::Gossip gossip;
-    for (const auto& state : node.membership->Digest(cell.now)) *gossip.add_members() = state;
-    for (const auto& owner : node.owners) *gossip.add_owners() = owner;
-    const double message = static_cast<double>(ToJson(gossip).size());
-    // Five calls each half second, as many taken, a request and an answer for each.
-    MESSAGE(count, " members: ", message, " bytes a message, ",
-            (message + kEnvelopeBytes) * 5 * 2 * 2 * 2, " bytes/s sent and received");
-  }
-}
-
 }  // namespace
 }  // namespace citronsill
--- a/tests/ownershipmodel_test.cc
+++ b/tests/ownershipmodel_test.cc
@@ -1,6 +1,8 @@
 // Explores every order of events of a small cell over the real OwnershipCore.
 #include <doctest/doctest.h>
 
+#include <cstdlib>
+
 #include <algorithm>
 #include <deque>
 #include <functional>
@@ -475,15 +477,13 @@
 // none believes in any right after a pause.
 TEST_CASE("ownership model: no order of events lets two owners act") {
   Explore("two instances", Limits{});
-  Explore("two instances, one outage", WithOutage(7));
+  // 8 steps have 990,706 states, too many for every run.
+  const char* steps = std::getenv("CITRONSILL_MODEL_STEPS");
+  Explore("two instances, one outage",
+          WithOutage(steps != nullptr ? static_cast<unsigned>(std::atoi(steps)) : 7));
   Explore("three instances", ThreeInstances());
 }
 
-// The same with more steps of time; takes too long for every run.
-TEST_CASE("ownership model: more steps" * doctest::skip()) {
-  Explore("two instances, one outage", WithOutage(8));
-}
-
 // Guards against a check that would not notice a fault.
 TEST_CASE("ownership model: the check fails when a part of the mechanism is removed") {
   for (const Removed removed :
