--- a/include/citronsill/runtime.h
+++ b/include/citronsill/runtime.h
@@ -34,6 +34,9 @@
   /// further one.
   void OnTerminate(std::function<void(int)> handler);
 
+  /// Starts, waits for SIGINT or SIGTERM, and stops.
+  void RunUntilTerminated();
+
   /// @returns the event loop, for modules that use Asio.
   boost::asio::io_context& Context();
 
--- a/src/home.cc
+++ b/src/home.cc
@@ -1,29 +1,16 @@
-#include "citronsill/home.h"
-
-#include "citronsill/convert.h"
-#include "citronsill/ownership.h"
-#include "citronsill/snapshot.h"
-#include "internal.h"
+#include "home_state.h"
 
 namespace citronsill {
 namespace {
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kMinBackoff{200};
-constexpr milliseconds kMaxBackoff{5000};
 constexpr milliseconds kRetryPeriod{500};
-constexpr milliseconds kRefusalRetryAfter{1000};
 
-// Attempt numbers of one ownership epoch, so that no owner uses a number of an earlier owner.
-constexpr std::uint32_t kAttemptsPerEpoch = 4096;
 // Refused requests whose key may come again while an old start or forward is still under way.
 constexpr std::size_t kMaxRefused = 16384;
-constexpr std::uint32_t kAttemptsPerArrival = 64;
 
-milliseconds Backoff(int tries) {
-  return std::min(kMaxBackoff, kMinBackoff * (1 << std::min(tries, 5)));
-}
+constexpr std::uint32_t kAttemptsPerArrival = 64;
 
 // Work whose second run would do harm, or whose caller does not wait, is written to the journal.
 bool IsDurable(const schema::Request& request, const schema::WorkClass& work_class) {
@@ -56,698 +43,396 @@
 
 }  // namespace
 
-struct Home::Impl : std::enable_shared_from_this<Impl> {
-  using Done = std::function<void()>;
-
-  // Ends of one request that are being written; the worker keeps results until they are.
-  struct Unwritten {
-    int open = 0;
-    std::vector<Done> done;  // Of events that were reported again.
-  };
-
-  // A refusal, for forwards of the same submission that come after it.
-  struct Refusal {
-    std::uint32_t next_attempt = 0;
-    std::set<std::uint64_t> submissions;
-    std::shared_ptr<const schema::Answer> answer;
-  };
-
-  Impl(Ledger& request_ledger, Journal& request_journal, const HomeOptions& home_options,
-       HomeHooks home_hooks)
-      : ledger(request_ledger),
-        journal(request_journal),
-        options(home_options),
-        hooks(std::move(home_hooks)) {}
-
-  Ledger& ledger;
-  Journal& journal;
-  HomeOptions options;
-  HomeHooks hooks;
-  std::mutex mutex;
-  std::map<PartitionId, std::uint64_t> serving;  // Epoch under which each was recovered.
-  std::map<PartitionId, std::uint64_t> recovering;
-  std::map<PartitionId, std::vector<std::pair<TaskEvent, Done>>> early;  // Events before recovery.
-  std::map<std::string, Unwritten> unwritten;
-  std::set<TaskKey> queried;
-  std::set<std::string> retired;  // Streams whose rows may be erased once no partition names them.
-  std::unordered_map<std::string, Refusal> refused;
-  std::deque<std::string> refused_order;
-
-  PartitionId Partition(const std::string& id) const {
-    return PartitionOf(id, options.partition_count);
-  }
-
-  std::optional<std::uint64_t> ServedEpoch(PartitionId partition) {
-    const auto owned = hooks.owned_epoch(partition);
-    std::lock_guard lock(mutex);
-    const auto found = serving.find(partition);
-    if (!owned || found == serving.end() || found->second != *owned) return std::nullopt;
-    return owned;
-  }
+PartitionId Home::Impl::Partition(const std::string& id) const {
+  return PartitionOf(id, options.partition_count);
+}
 
-  bool IsServed(const std::string& id, std::uint64_t epoch) {
-    return ServedEpoch(Partition(id)) == epoch;
-  }
+std::optional<std::uint64_t> Home::Impl::ServedEpoch(PartitionId partition) {
+  const auto owned = hooks.owned_epoch(partition);
+  std::lock_guard lock(mutex);
+  const auto found = serving.find(partition);
+  if (!owned || found == serving.end() || found->second != *owned) return std::nullopt;
+  return owned;
+}
 
-  // Arrival.
+bool Home::Impl::IsServed(const std::string& id, std::uint64_t epoch) {
+  return ServedEpoch(Partition(id)) == epoch;
+}
 
-  schema::Ack OnForward(const schema::Forward& forward) {
-    schema::Ack ack;
-    const auto epoch = ServedEpoch(Partition(forward.id()));
-    if (!epoch) {
-      ack.set_code(schema::CODE_NOT_OWNER);
-      ack.set_message("the partition is not served here");
-      return ack;
-    }
-    const Waiter waiter{forward.entry_id(), forward.entry_address(), forward.submission()};
-    if (const auto refusal = FindRefusal(forward)) {
-      hooks.deliver(waiter, refusal);
-      return ack;
-    }
-    auto work_class = hooks.find_class(forward.request().work_class());
-    // The class of a known request may have been removed since.
-    if (!work_class) work_class = ledger.FindClass(forward.id());
-    if (!work_class) {
-      Refuse(forward, waiter, schema::CODE_UNKNOWN_CLASS,
-             "no work class \"" + forward.request().work_class() + "\"");
-      return ack;
-    }
-    const RequestFacts facts = FactsOf(forward, *work_class, *epoch);
-    std::shared_ptr<const schema::Answer> answer;
-    switch (ledger.Arrive(forward.id(), forward.request(), *work_class, facts, waiter, &answer)) {
-      case Arrival::kFinished:
-        hooks.deliver(waiter, answer);
-        break;
-      case Arrival::kPending:
-        if (const auto known = ledger.Facts(forward.id()); known && known->accepted) {
-          TellAccepted(forward.id());
-        }
-        break;
-      case Arrival::kKeyReused:
-        Refuse(forward, waiter, schema::CODE_KEY_REUSED,
-               "the idempotency key came with other content before");
-        break;
-      case Arrival::kNew:
-        Admit(forward, *work_class, facts);
-        break;
-    }
+schema::Ack Home::Impl::OnForward(const schema::Forward& forward) {
+  schema::Ack ack;
+  const auto epoch = ServedEpoch(Partition(forward.id()));
+  if (!epoch) {
+    ack.set_code(schema::CODE_NOT_OWNER);
+    ack.set_message("the partition is not served here");
     return ack;
   }
-
-  RequestFacts FactsOf(const schema::Forward& forward, const schema::WorkClass& work_class,
-                       std::uint64_t epoch) {
-    RequestFacts facts;
-    facts.durable = IsDurable(forward.request(), work_class);
-    facts.idempotent = IsIdempotent(forward.request(), work_class);
-    facts.single_copy = work_class.exclusive() || !facts.idempotent;
-    facts.max_attempts = std::max(1U, work_class.max_attempts());
-    facts.epoch = epoch;
-    facts.accepted_unix_ms = hooks.unix_ms();
-    if (const auto left = TimeLeft(forward, work_class)) {
-      facts.deadline_unix_ms = facts.accepted_unix_ms + left->count();
-    }
-    std::lock_guard lock(mutex);
-    if (const auto found = refused.find(forward.id()); found != refused.end()) {
-      facts.first_attempt = found->second.next_attempt;
-    }
-    return facts;
-  }
-
-  std::optional<SteadyTime> DeadlineOf(const RequestFacts& facts) const {
-    if (facts.deadline_unix_ms == 0) return std::nullopt;
-    return hooks.now() + milliseconds(facts.deadline_unix_ms - hooks.unix_ms());
+  const Waiter waiter{forward.entry_id(), forward.entry_address(), forward.submission()};
+  if (const auto refusal = FindRefusal(forward)) {
+    hooks.deliver(waiter, refusal);
+    return ack;
   }
-
-  void Refuse(const schema::Forward& forward, const Waiter& waiter, schema::Code code,
-              const std::string& message) {
-    auto answer = std::make_shared<schema::Answer>();
-    answer->set_id(forward.id());
-    answer->set_state(schema::STATE_REFUSED);
-    answer->set_code(code);
-    answer->set_message(message);
-    answer->set_not_run(code != schema::CODE_KEY_REUSED);
-    hooks.deliver(waiter, std::move(answer));
+  auto work_class = hooks.find_class(forward.request().work_class());
+  // The class of a known request may have been removed since.
+  if (!work_class) work_class = ledger.FindClass(forward.id());
+  if (!work_class) {
+    Refuse(forward, waiter, schema::CODE_UNKNOWN_CLASS,
+           "no work class \"" + forward.request().work_class() + "\"");
+    return ack;
   }
+  const RequestFacts facts = FactsOf(forward, *work_class, *epoch);
+  std::shared_ptr<const schema::Answer> answer;
+  switch (ledger.Arrive(forward.id(), forward.request(), *work_class, facts, waiter, &answer)) {
+    case Arrival::kFinished:
+      hooks.deliver(waiter, answer);
+      break;
+    case Arrival::kPending:
+      if (const auto known = ledger.Facts(forward.id()); known && known->accepted) {
+        TellAccepted(forward.id());
+      }
+      break;
+    case Arrival::kKeyReused:
+      Refuse(forward, waiter, schema::CODE_KEY_REUSED,
+             "the idempotency key came with other content before");
+      break;
+    case Arrival::kNew:
+      Admit(forward, *work_class, facts);
+      break;
+  }
+  return ack;
+}
 
-  void RefuseNew(const std::string& id, const Error& error, milliseconds retry_after) {
-    if (auto finished = ledger.Refuse(id, error, retry_after)) {
-      Remember(*finished);
-      Deliver(*finished);
-    }
-  }
+RequestFacts Home::Impl::FactsOf(const schema::Forward& forward,
+                                 const schema::WorkClass& work_class, std::uint64_t epoch) {
+  RequestFacts facts;
+  facts.durable = IsDurable(forward.request(), work_class);
+  facts.idempotent = IsIdempotent(forward.request(), work_class);
+  facts.single_copy = work_class.exclusive() || !facts.idempotent;
+  facts.max_attempts = std::max(1U, work_class.max_attempts());
+  facts.epoch = epoch;
+  facts.accepted_unix_ms = hooks.unix_ms();
+  if (const auto left = TimeLeft(forward, work_class)) {
+    facts.deadline_unix_ms = facts.accepted_unix_ms + left->count();
+  }
+  std::lock_guard lock(mutex);
+  if (const auto found = refused.find(forward.id()); found != refused.end()) {
+    facts.first_attempt = found->second.next_attempt;
+  }
+  return facts;
+}
 
-  // The entry instance may have sent the submission again before it got the refusal.
-  void Remember(const Finished& finished) {
-    const std::string& id = finished.answer->id();
-    std::lock_guard lock(mutex);
-    const auto [found, added] = refused.try_emplace(id);
-    Refusal& refusal = found->second;
-    refusal.next_attempt = (refusal.next_attempt + kAttemptsPerArrival) % kAttemptsPerEpoch;
-    refusal.submissions.clear();
-    for (const Waiter& waiter : finished.waiters) refusal.submissions.insert(waiter.submission);
-    refusal.answer = finished.answer;
-    if (added) refused_order.push_back(id);
-    if (refused_order.size() > kMaxRefused) {
-      refused.erase(refused_order.front());
-      refused_order.pop_front();
-    }
-  }
+std::optional<SteadyTime> Home::Impl::DeadlineOf(const RequestFacts& facts) const {
+  if (facts.deadline_unix_ms == 0) return std::nullopt;
+  return hooks.now() + milliseconds(facts.deadline_unix_ms - hooks.unix_ms());
+}
 
-  std::shared_ptr<const schema::Answer> FindRefusal(const schema::Forward& forward) {
-    std::lock_guard lock(mutex);
-    const auto found = refused.find(forward.id());
-    if (forward.submission() == 0 || found == refused.end()) return nullptr;
-    const bool same = found->second.submissions.contains(forward.submission());
-    return same ? found->second.answer : nullptr;
-  }
+void Home::Impl::Refuse(const schema::Forward& forward, const Waiter& waiter, schema::Code code,
+                        const std::string& message) {
+  auto answer = std::make_shared<schema::Answer>();
+  answer->set_id(forward.id());
+  answer->set_state(schema::STATE_REFUSED);
+  answer->set_code(code);
+  answer->set_message(message);
+  answer->set_not_run(code != schema::CODE_KEY_REUSED);
+  hooks.deliver(waiter, std::move(answer));
+}
 
-  // The job is submitted before it is accepted, so that a start can share the batch of the accepted
-  // entry; it is not started before that batch is in the table.
-  void Admit(const schema::Forward& forward, const schema::WorkClass& work_class,
-             const RequestFacts& facts) {
-    const std::string& id = forward.id();
-    if (ledger.Pending() > options.max_pending) {
-      return RefuseNew(id, {schema::CODE_OVERLOADED, "too many requests wait here"},
-                       kRefusalRetryAfter);
-    }
-    JobSpec job = JobOf(id, forward.request(), work_class, facts);
-    job.deadline = DeadlineOf(facts);
-    const Admission admission = hooks.submit(job);
-    if (admission.code != schema::CODE_OK) {
-      return RefuseNew(id, {admission.code, admission.message}, admission.retry_after);
-    }
-    if (!facts.durable) return;
-    hooks.after(options.accept_delay, [weak = weak_from_this(), id, epoch = facts.epoch] {
-      auto self = weak.lock();
-      if (!self || !self->IsServed(id, epoch)) return;
-      auto accepted = self->ledger.TakeAccepted(id);
-      if (!accepted) return;
-      accepted->set_partition(self->Partition(id).value);
-      self->journal.Append({std::move(*accepted)}, [self, id, epoch](const Result<void>& written) {
-        self->OnAcceptWritten(id, epoch, written);
-      });
-    });
+void Home::Impl::RefuseNew(const std::string& id, const Error& error, milliseconds retry_after) {
+  if (auto finished = ledger.Refuse(id, error, retry_after)) {
+    Remember(*finished);
+    Deliver(*finished);
   }
+}
 
-  void OnAcceptWritten(const std::string& id, std::uint64_t epoch, const Result<void>& written) {
-    if (written) return TellAccepted(id);
-    hooks.cancel(id);
-    // The next owner gets the request from its entry instance again.
-    if (written.error().code == schema::CODE_NOT_OWNER || !IsServed(id, epoch)) return;
-    RefuseNew(id, written.error(), kRefusalRetryAfter);
+void Home::Impl::Remember(const Finished& finished) {
+  const std::string& id = finished.answer->id();
+  std::lock_guard lock(mutex);
+  const auto [found, added] = refused.try_emplace(id);
+  Refusal& refusal = found->second;
+  refusal.next_attempt = (refusal.next_attempt + kAttemptsPerArrival) % kAttemptsPerEpoch;
+  refusal.submissions.clear();
+  for (const Waiter& waiter : finished.waiters) refusal.submissions.insert(waiter.submission);
+  refusal.answer = finished.answer;
+  if (added) refused_order.push_back(id);
+  if (refused_order.size() > kMaxRefused) {
+    refused.erase(refused_order.front());
+    refused_order.pop_front();
   }
+}
 
-  void TellAccepted(const std::string& id) {
-    const auto waiters = ledger.SetAccepted(id);
-    const auto status = ledger.Status(id);
-    if (!status) return;
-    const auto answer = std::make_shared<schema::Answer>(*status);
-    for (const Waiter& waiter : waiters) hooks.deliver(waiter, answer);
-  }
+std::shared_ptr<const schema::Answer> Home::Impl::FindRefusal(const schema::Forward& forward) {
+  std::lock_guard lock(mutex);
+  const auto found = refused.find(forward.id());
+  if (forward.submission() == 0 || found == refused.end()) return nullptr;
+  const bool same = found->second.submissions.contains(forward.submission());
+  return same ? found->second.answer : nullptr;
+}
 
-  // Starts.
-
-  void BeforeStart(const Action& start, const std::function<void(bool)>& go) {
-    const std::string& id = start.task.request_id;
-    const auto facts = ledger.Facts(id);
-    const auto epoch = ServedEpoch(Partition(id));
-    if (!facts || !epoch) return go(false);
-    std::vector<schema::JournalEntry> entries;
-    auto accepted = ledger.TakeAccepted(id);
-    const bool accepts = accepted.has_value();
-    if (accepts) entries.push_back(std::move(*accepted));
-    if (facts->single_copy) entries.push_back(AssignedEntry(start));
-    for (schema::JournalEntry& entry : entries) entry.set_partition(Partition(id).value);
-    if (entries.empty() && (!facts->durable || facts->accepted)) {
-      return go(ledger.Assign(start.task, start.worker));
-    }
-    journal.Append(std::move(entries), [self = shared_from_this(), start, accepts, go,
-                                        epoch = *epoch](const Result<void>& written) {
-      const std::string& request_id = start.task.request_id;
-      if (accepts) self->OnAcceptWritten(request_id, epoch, written);
-      go(written && self->IsServed(request_id, epoch) &&
-         self->ledger.Assign(start.task, start.worker));
+void Home::Impl::Admit(const schema::Forward& forward, const schema::WorkClass& work_class,
+                       const RequestFacts& facts) {
+  const std::string& id = forward.id();
+  if (ledger.Pending() > options.max_pending) {
+    return RefuseNew(id, {schema::CODE_OVERLOADED, "too many requests wait here"},
+                     kRefusalRetryAfter);
+  }
+  JobSpec job = JobOf(id, forward.request(), work_class, facts);
+  job.deadline = DeadlineOf(facts);
+  const Admission admission = hooks.submit(job);
+  if (admission.code != schema::CODE_OK) {
+    return RefuseNew(id, {admission.code, admission.message}, admission.retry_after);
+  }
+  if (!facts.durable) return;
+  hooks.after(options.accept_delay, [weak = weak_from_this(), id, epoch = facts.epoch] {
+    auto self = weak.lock();
+    if (!self || !self->IsServed(id, epoch)) return;
+    auto accepted = self->ledger.TakeAccepted(id);
+    if (!accepted) return;
+    accepted->set_partition(self->Partition(id).value);
+    self->journal.Append({std::move(*accepted)}, [self, id, epoch](const Result<void>& written) {
+      self->OnAcceptWritten(id, epoch, written);
     });
-  }
-
-  static schema::JournalEntry AssignedEntry(const Action& start) {
-    schema::JournalEntry entry;
-    entry.set_kind(schema::ENTRY_ASSIGNED);
-    entry.set_request_id(start.task.request_id);
-    entry.set_worker(start.worker);
-    entry.set_task_index(start.task.index);
-    entry.set_attempt(start.task.attempt);
-    return entry;
-  }
-
-  // Ends.
+  });
+}
 
-  schema::Code OnTaskEvent(const TaskEvent& event, const Done& done) {
-    const PartitionId partition = Partition(event.task.request_id);
-    if (!ServedEpoch(partition)) {
-      std::lock_guard lock(mutex);
-      if (!recovering.contains(partition)) return schema::CODE_NOT_OWNER;
-      early[partition].emplace_back(event, done);
-      return schema::CODE_OK;
-    }
-    if (!event.ended) {
-      ledger.MarkRunning(event.task, event.worker);
-      done();
-      return schema::CODE_OK;
-    }
-    Apply(ledger.EndTask(event.task, event.worker, event.outcome, event.result, event.again), event,
-          done);
-    return schema::CODE_OK;
-  }
+void Home::Impl::OnAcceptWritten(const std::string& id, std::uint64_t epoch,
+                                 const Result<void>& written) {
+  if (written) return TellAccepted(id);
+  hooks.cancel(id);
+  // The next owner gets the request from its entry instance again.
+  if (written.error().code == schema::CODE_NOT_OWNER || !IsServed(id, epoch)) return;
+  RefuseNew(id, written.error(), kRefusalRetryAfter);
+}
 
-  void Apply(const Ended& ended, const TaskEvent& event, const Done& done) {
-    switch (ended.effect) {
-      case EndEffect::kIgnored:
-        return DoneOnceWritten(event.task.request_id, done);
-      case EndEffect::kUnknown:
-        done();
-        return Query(event.task, event.worker, 0);
-      case EndEffect::kFinished:
-        return Finish(*ended.finished, done);
-      case EndEffect::kKept:
-      case EndEffect::kRetry:
-        break;
-    }
-    if (ended.write) {
-      WriteEnded(event, ended.effect == EndEffect::kRetry || event.again, done);
-    } else {
-      done();
-    }
-    if (ended.effect == EndEffect::kRetry) RetryLater(ended.retry, kRetryPeriod);
-  }
+void Home::Impl::TellAccepted(const std::string& id) {
+  const auto waiters = ledger.SetAccepted(id);
+  const auto status = ledger.Status(id);
+  if (!status) return;
+  const auto answer = std::make_shared<schema::Answer>(*status);
+  for (const Waiter& waiter : waiters) hooks.deliver(waiter, answer);
+}
 
-  void DoneOnceWritten(const std::string& id, const Done& done) {
-    {
-      std::lock_guard lock(mutex);
-      if (const auto found = unwritten.find(id); found != unwritten.end()) {
-        found->second.done.push_back(done);
-        return;
-      }
-    }
-    done();
-  }
+void Home::Impl::BeforeStart(const Action& start, const std::function<void(bool)>& go) {
+  const std::string& id = start.task.request_id;
+  const auto facts = ledger.Facts(id);
+  const auto epoch = ServedEpoch(Partition(id));
+  if (!facts || !epoch) return go(false);
+  std::vector<schema::JournalEntry> entries;
+  auto accepted = ledger.TakeAccepted(id);
+  const bool accepts = accepted.has_value();
+  if (accepts) entries.push_back(std::move(*accepted));
+  if (facts->single_copy) entries.push_back(AssignedEntry(start));
+  for (schema::JournalEntry& entry : entries) entry.set_partition(Partition(id).value);
+  if (entries.empty() && (!facts->durable || facts->accepted)) {
+    return go(ledger.Assign(start.task, start.worker));
+  }
+  journal.Append(std::move(entries), [self = shared_from_this(), start, accepts, go,
+                                      epoch = *epoch](const Result<void>& written) {
+    const std::string& request_id = start.task.request_id;
+    if (accepts) self->OnAcceptWritten(request_id, epoch, written);
+    go(written && self->IsServed(request_id, epoch) &&
+       self->ledger.Assign(start.task, start.worker));
+  });
+}
 
-  void WriteEnded(const TaskEvent& event, bool again, const Done& done) {
-    schema::JournalEntry entry;
-    entry.set_kind(schema::ENTRY_ENDED);
-    entry.set_request_id(event.task.request_id);
-    entry.set_worker(event.worker);
-    entry.set_task_index(event.task.index);
-    entry.set_attempt(event.task.attempt);
-    entry.set_outcome(static_cast<std::uint32_t>(event.outcome));
-    entry.set_result(event.result);
-    entry.set_again(again);
-    WriteEnd(std::move(entry), done);
-  }
+schema::JournalEntry Home::Impl::AssignedEntry(const Action& start) {
+  schema::JournalEntry entry;
+  entry.set_kind(schema::ENTRY_ASSIGNED);
+  entry.set_request_id(start.task.request_id);
+  entry.set_worker(start.worker);
+  entry.set_task_index(start.task.index);
+  entry.set_attempt(start.task.attempt);
+  return entry;
+}
 
-  void GiveUp(const std::string& id, const Error& error, milliseconds retry_after) {
-    if (auto finished = ledger.GiveUp(id, error, retry_after)) Finish(*finished, [] {});
+schema::Code Home::Impl::OnTaskEvent(const TaskEvent& event, const Done& done) {
+  const PartitionId partition = Partition(event.task.request_id);
+  if (!ServedEpoch(partition)) {
+    std::lock_guard lock(mutex);
+    if (!recovering.contains(partition)) return schema::CODE_NOT_OWNER;
+    early[partition].emplace_back(event, done);
+    return schema::CODE_OK;
   }
-
-  void Deliver(const Finished& finished) {
-    for (const Waiter& waiter : finished.waiters) {
-      if (!waiter.instance.empty()) hooks.deliver(waiter, finished.answer);
-    }
+  if (!event.ended) {
+    ledger.MarkRunning(event.task, event.worker);
+    done();
+    return schema::CODE_OK;
   }
+  Apply(ledger.EndTask(event.task, event.worker, event.outcome, event.result, event.again), event,
+        done);
+  return schema::CODE_OK;
+}
 
-  void Finish(const Finished& finished, const Done& done) {
-    if (!finished.durable) {
-      if (finished.forgotten) Remember(finished);
-      Deliver(finished);
-      return done();
-    }
-    schema::JournalEntry entry;
-    entry.set_kind(schema::ENTRY_FINISHED);
-    entry.set_request_id(finished.answer->id());
-    entry.set_content_hash(finished.content_hash);
-    *entry.mutable_answer() = *finished.answer;
-    WriteEnd(std::move(entry), [self = shared_from_this(), answer = finished.answer, done] {
-      self->Deliver({answer, self->ledger.Settle(answer->id())});
+void Home::Impl::Apply(const Ended& ended, const TaskEvent& event, const Done& done) {
+  switch (ended.effect) {
+    case EndEffect::kIgnored:
+      return DoneOnceWritten(event.task.request_id, done);
+    case EndEffect::kUnknown:
       done();
-    });
-    Deliver(finished);
-  }
-
-  void WriteEnd(schema::JournalEntry entry, const Done& done) {
-    const PartitionId partition = Partition(entry.request_id());
-    const auto epoch = ServedEpoch(partition);
-    if (!epoch) return;
-    entry.set_partition(partition.value);
-    {
-      std::lock_guard lock(mutex);
-      Unwritten& one = unwritten[entry.request_id()];
-      ++one.open;
-      one.done.push_back(done);
-    }
-    TryWriteEnd(entry, *epoch, 0);
-  }
-
-  // While the table is down the end is kept here and its result by the worker.
-  void TryWriteEnd(const schema::JournalEntry& entry, std::uint64_t epoch, int tries) {
-    if (!IsServed(entry.request_id(), epoch)) return;
-    journal.Append(
-        {entry}, [self = shared_from_this(), entry, epoch, tries](const Result<void>& written) {
-          if (written) return self->OnEndWritten(entry.request_id());
-          if (written.error().code == schema::CODE_NOT_OWNER) return;
-          self->hooks.after(Backoff(tries), [weak = self->weak_from_this(), entry, epoch, tries] {
-            if (auto again = weak.lock()) again->TryWriteEnd(entry, epoch, tries + 1);
-          });
-        });
-  }
-
-  void OnEndWritten(const std::string& id) {
-    std::vector<Done> done;
-    {
-      std::lock_guard lock(mutex);
-      const auto found = unwritten.find(id);
-      if (found == unwritten.end() || --found->second.open > 0) return;
-      done = std::move(found->second.done);
-      unwritten.erase(found);
-    }
-    for (const Done& one : done) one();
-  }
-
-  // Further attempts that the engine does not start by itself.
-
-  void RetryLater(const TaskKey& task, milliseconds delay) {
-    hooks.after(delay, [weak = weak_from_this(), task] {
-      if (auto self = weak.lock()) self->Retry(task);
-    });
-  }
-
-  void Retry(const TaskKey& task) {
-    if (!ServedEpoch(Partition(task.request_id))) return;
-    for (const OpenTask& open : ledger.OpenTasks(task.request_id)) {
-      if (open.index != task.index || open.assigned || open.attempt > task.attempt) continue;
-      SubmitAgain(task, 1);
-    }
-  }
-
-  void SubmitAgain(const TaskKey& first, std::uint32_t count) {
-    const std::string& id = first.request_id;
-    const auto request = ledger.Find(id);
-    const auto work_class = ledger.FindClass(id);
-    auto facts = ledger.Facts(id);
-    if (!request || !work_class || !facts) return;
-    if (first.attempt >= facts->first_attempt + kAttemptsPerEpoch - facts->max_attempts) {
-      return GiveUp(id, {schema::CODE_RETRIES_EXHAUSTED, "no start succeeded"}, {});
-    }
-    facts->first_attempt = first.attempt;
-    JobSpec job = JobOf(id, *request, *work_class, *facts);
-    job.deadline = DeadlineOf(*facts);
-    job.first_index = first.index;
-    job.task_count = count;
-    job.all_at_once = job.all_at_once && count > 1;
-    const Admission admission = hooks.submit(job);
-    switch (admission.code) {
-      case schema::CODE_OK:
-        return;
-      case schema::CODE_OVERLOADED:
-      case schema::CODE_QUOTA_EXCEEDED:
-      case schema::CODE_DRAINING:
-        // Accepted work waits here until it is admitted.
-        hooks.after(kRefusalRetryAfter, [weak = weak_from_this(), first, count] {
-          auto self = weak.lock();
-          if (self && self->ServedEpoch(self->Partition(first.request_id))) {
-            self->SubmitAgain(first, count);
-          }
-        });
-        return;
-      case schema::CODE_DEADLINE_UNREACHABLE:
-        return GiveUp(id, {schema::CODE_DEADLINE_PASSED, admission.message}, {});
-      default:
-        return GiveUp(id, {admission.code, admission.message}, admission.retry_after);
-    }
-  }
-
-  // Asks until it is known what became of an assigned attempt.
-  void Query(const TaskKey& task, const std::string& worker, int tries) {
-    {
-      std::lock_guard lock(mutex);
-      if (tries == 0 && !queried.insert(task).second) return;
-    }
-    const auto epoch = ServedEpoch(Partition(task.request_id));
-    if (!epoch || !ledger.IsAssigned(task)) return EndQuery(task);
-    if (hooks.is_removed && hooks.is_removed(worker)) {
-      EndQuery(task);
-      return EndRemoved(task, worker);
-    }
-    const auto answered = [self = shared_from_this(), task, worker, tries,
-                           epoch = *epoch](const Result<TaskKnowledge>& known) {
-      if (!self->IsServed(task.request_id, epoch)) return self->EndQuery(task);
-      if (known && known.value() == TaskKnowledge::kNeverStarted) {
-        self->EndQuery(task);
-        TaskEvent event;
-        event.task = task;
-        event.worker = worker;
-        event.ended = true;
-        return self->Apply(self->ledger.EndTask(task, worker, TaskOutcome::kNotStarted, {}, false),
-                           event, [] {});
-      }
-      if (known && known.value() == TaskKnowledge::kLost) {
-        self->EndQuery(task);
-        return self->EndRemoved(task, worker);
-      }
-      // A task that runs or ended is reported by itself; its worker may still be removed.
-      const bool reported = known && known.value() != TaskKnowledge::kUnknown;
-      const milliseconds delay = reported ? kMaxBackoff : Backoff(tries);
-      self->hooks.after(delay, [weak = self->weak_from_this(), task, worker, tries] {
-        if (auto again = weak.lock()) again->Query(task, worker, tries + 1);
-      });
-    };
-    if (hooks.query_task) return hooks.query_task(task, worker, answered);
-    answered(TaskKnowledge::kUnknown);
+      return Query(event.task, event.worker, 0);
+    case EndEffect::kFinished:
+      return Finish(*ended.finished, done);
+    case EndEffect::kKept:
+    case EndEffect::kRetry:
+      break;
+  }
+  if (ended.write) {
+    WriteEnded(event, ended.effect == EndEffect::kRetry || event.again, done);
+  } else {
+    done();
   }
+  if (ended.effect == EndEffect::kRetry) RetryLater(ended.retry, kRetryPeriod);
+}
 
-  void EndQuery(const TaskKey& task) {
+void Home::Impl::DoneOnceWritten(const std::string& id, const Done& done) {
+  {
     std::lock_guard lock(mutex);
-    queried.erase(task);
+    if (const auto found = unwritten.find(id); found != unwritten.end()) {
+      found->second.done.push_back(done);
+      return;
+    }
   }
+  done();
+}
 
-  void EndRemoved(const TaskKey& task, const std::string& worker) {
-    TaskEvent event;
-    event.task = task;
-    event.worker = worker;
-    event.ended = true;
-    event.outcome = TaskOutcome::kLost;
-    Apply(ledger.EndRemoved(task, worker), event, [] {});
-  }
+void Home::Impl::WriteEnded(const TaskEvent& event, bool again, const Done& done) {
+  schema::JournalEntry entry;
+  entry.set_kind(schema::ENTRY_ENDED);
+  entry.set_request_id(event.task.request_id);
+  entry.set_worker(event.worker);
+  entry.set_task_index(event.task.index);
+  entry.set_attempt(event.task.attempt);
+  entry.set_outcome(static_cast<std::uint32_t>(event.outcome));
+  entry.set_result(event.result);
+  entry.set_again(again);
+  WriteEnd(std::move(entry), done);
+}
 
-  // Recovery.
+void Home::Impl::GiveUp(const std::string& id, const Error& error, milliseconds retry_after) {
+  if (auto finished = ledger.GiveUp(id, error, retry_after)) Finish(*finished, [] {});
+}
 
-  void OnGained(PartitionId partition, const std::vector<std::string>& streams) {
-    const auto epoch = hooks.owned_epoch(partition);
-    if (!epoch) return;
-    Forget(partition);
-    {
-      std::lock_guard lock(mutex);
-      recovering[partition] = *epoch;
-    }
-    Recover(partition, *epoch, streams);
+void Home::Impl::Deliver(const Finished& finished) {
+  for (const Waiter& waiter : finished.waiters) {
+    if (!waiter.instance.empty()) hooks.deliver(waiter, finished.answer);
   }
+}
 
-  void Forget(PartitionId partition) {
-    const auto inside = [&](const std::string& id) { return Partition(id) == partition; };
-    std::vector<std::pair<TaskEvent, Done>> dropped;
-    {
-      std::lock_guard lock(mutex);
-      serving.erase(partition);
-      recovering.erase(partition);
-      dropped.swap(early[partition]);
-      early.erase(partition);
-      std::erase_if(unwritten, [&](const auto& one) { return inside(one.first); });
-      std::erase_if(queried, [&](const TaskKey& task) { return inside(task.request_id); });
-    }
-    ledger.Drop(inside);
-  }
+void Home::Impl::Finish(const Finished& finished, const Done& done) {
+  if (!finished.durable) {
+    if (finished.forgotten) Remember(finished);
+    Deliver(finished);
+    return done();
+  }
+  schema::JournalEntry entry;
+  entry.set_kind(schema::ENTRY_FINISHED);
+  entry.set_request_id(finished.answer->id());
+  entry.set_content_hash(finished.content_hash);
+  *entry.mutable_answer() = *finished.answer;
+  WriteEnd(std::move(entry), [self = shared_from_this(), answer = finished.answer, done] {
+    self->Deliver({answer, self->ledger.Settle(answer->id())});
+    done();
+  });
+  Deliver(finished);
+}
 
-  bool IsRecovering(PartitionId partition, std::uint64_t epoch) {
-    const auto owned = hooks.owned_epoch(partition);
+void Home::Impl::WriteEnd(schema::JournalEntry entry, const Done& done) {
+  const PartitionId partition = Partition(entry.request_id());
+  const auto epoch = ServedEpoch(partition);
+  if (!epoch) return;
+  entry.set_partition(partition.value);
+  {
     std::lock_guard lock(mutex);
-    const auto found = recovering.find(partition);
-    return owned == epoch && found != recovering.end() && found->second == epoch;
-  }
-
-  void Recover(PartitionId partition, std::uint64_t epoch,
-               const std::vector<std::string>& streams) {
-    if (!IsRecovering(partition, epoch)) return;
-    journal.Load(partition, streams,
-                 [self = shared_from_this(), partition, epoch,
-                  streams](const Result<std::vector<schema::JournalEntry>>& entries) {
-                   if (!self->IsRecovering(partition, epoch)) return;
-                   if (entries) return self->Replay(partition, epoch, streams, entries.value());
-                   spdlog::warn("event=recovery_delayed partition={} error=\"{}\"", partition.value,
-                                Describe(entries.error()));
-                   self->hooks.after(kMinBackoff,
-                                     [weak = self->weak_from_this(), partition, epoch, streams] {
-                                       if (auto again = weak.lock())
-                                         again->Recover(partition, epoch, streams);
-                                     });
-                 });
+    Unwritten& one = unwritten[entry.request_id()];
+    ++one.open;
+    one.done.push_back(done);
   }
+  TryWriteEnd(entry, *epoch, 0);
+}
 
-  void Replay(PartitionId partition, std::uint64_t epoch, const std::vector<std::string>& streams,
-              const std::vector<schema::JournalEntry>& entries) {
-    std::map<std::string, std::vector<const schema::JournalEntry*>> requests;
-    for (const schema::JournalEntry& entry : entries) {
-      requests[entry.request_id()].push_back(&entry);
-    }
-    for (const auto& [id, found] : requests) {
-      ledger.Restore(id, found, [epoch](std::uint64_t accepted) {
-        return static_cast<std::uint32_t>(epoch - accepted) * kAttemptsPerEpoch;
+void Home::Impl::TryWriteEnd(const schema::JournalEntry& entry, std::uint64_t epoch, int tries) {
+  if (!IsServed(entry.request_id(), epoch)) return;
+  journal.Append(
+      {entry}, [self = shared_from_this(), entry, epoch, tries](const Result<void>& written) {
+        if (written) return self->OnEndWritten(entry.request_id());
+        if (written.error().code == schema::CODE_NOT_OWNER) return;
+        self->hooks.after(Backoff(tries), [weak = self->weak_from_this(), entry, epoch, tries] {
+          if (auto again = weak.lock()) again->TryWriteEnd(entry, epoch, tries + 1);
+        });
       });
-    }
-    std::vector<std::pair<TaskEvent, Done>> events;
-    {
-      std::lock_guard lock(mutex);
-      recovering.erase(partition);
-      serving[partition] = epoch;
-      events.swap(early[partition]);
-      early.erase(partition);
-    }
-    for (const auto& [event, done] : events) OnTaskEvent(event, done);
-    for (const auto& [id, found] : requests) Resume(id);
-    spdlog::info("event=partition_recovered partition={} requests={}", partition.value,
-                 requests.size());
-    CopyEntries(partition, epoch, streams);
-  }
-
-  void Resume(const std::string& id) {
-    const auto facts = ledger.Facts(id);
-    for (const OpenTask& open : ledger.OpenTasks(id)) {
-      if (open.assigned) Query({id, open.index, open.attempt}, open.worker, 0);
-    }
-    if (!facts) return;
-    if (facts->single_copy) return SubmitOpen(id);
-    hooks.after(options.recovery_grace, [weak = weak_from_this(), id, epoch = facts->epoch] {
-      auto self = weak.lock();
-      if (self && self->ServedEpoch(self->Partition(id))) self->SubmitOpen(id);
-    });
-  }
+}
 
-  // Submits all tasks that wait; as one job when all do, so that a gang stays together.
-  void SubmitOpen(const std::string& id) {
-    const auto request = ledger.Find(id);
-    std::vector<OpenTask> waiting = ledger.OpenTasks(id);
-    std::erase_if(waiting, [](const OpenTask& task) { return task.assigned; });
-    if (!request || waiting.empty()) return;
-    if (waiting.size() == std::max(1U, request->task_count())) {
-      std::uint32_t attempt = 0;
-      for (const OpenTask& task : waiting) attempt = std::max(attempt, task.attempt);
-      return SubmitAgain({id, 0, attempt}, static_cast<std::uint32_t>(waiting.size()));
-    }
-    for (const OpenTask& task : waiting) SubmitAgain({id, task.index, task.attempt}, 1);
+void Home::Impl::OnEndWritten(const std::string& id) {
+  std::vector<Done> done;
+  {
+    std::lock_guard lock(mutex);
+    const auto found = unwritten.find(id);
+    if (found == unwritten.end() || --found->second.open > 0) return;
+    done = std::move(found->second.done);
+    unwritten.erase(found);
   }
+  for (const Done& one : done) one();
+}
 
-  std::vector<schema::JournalEntry> Export(const std::set<PartitionId>& partitions) {
-    auto entries =
-        ledger.Export([&](const std::string& id) { return partitions.contains(Partition(id)); });
-    for (schema::JournalEntry& entry : entries) {
-      entry.set_partition(Partition(entry.request_id()).value);
-    }
-    return entries;
-  }
+void Home::Impl::RetryLater(const TaskKey& task, milliseconds delay) {
+  hooks.after(delay, [weak = weak_from_this(), task] {
+    if (auto self = weak.lock()) self->Retry(task);
+  });
+}
 
-  // Copies what was recovered into the own stream, so that the old streams can go.
-  void CopyEntries(PartitionId partition, std::uint64_t epoch, std::vector<std::string> streams) {
-    std::erase(streams, journal.Stream());
-    if (streams.empty() || ServedEpoch(partition) != epoch) return;
-    struct State {
-      std::atomic<std::size_t> open{0};
-      std::atomic<bool> failed{false};
-    };
-    auto state = std::make_shared<State>();
-    const auto rows = SplitIntoRows(Export({partition}));
-    state->open = rows.size();
-    for (const schema::JournalBatch& row : rows) {
-      journal.Append({row.entries().begin(), row.entries().end()},
-                     [self = shared_from_this(), state, partition, epoch,
-                      streams](const Result<void>& written) {
-                       if (!written) state->failed = true;
-                       if (--state->open > 0) return;
-                       self->OnCopied(partition, epoch, streams, !state->failed);
-                     });
-    }
+void Home::Impl::Retry(const TaskKey& task) {
+  if (!ServedEpoch(Partition(task.request_id))) return;
+  for (const OpenTask& open : ledger.OpenTasks(task.request_id)) {
+    if (open.index != task.index || open.assigned || open.attempt > task.attempt) continue;
+    SubmitAgain(task, 1);
   }
+}
 
-  void OnCopied(PartitionId partition, std::uint64_t epoch, const std::vector<std::string>& streams,
-                bool copied) {
-    if (ServedEpoch(partition) != epoch) return;
-    if (!copied) {
-      hooks.after(kRefusalRetryAfter, [weak = weak_from_this(), partition, epoch, streams] {
-        if (auto self = weak.lock()) self->CopyEntries(partition, epoch, streams);
+void Home::Impl::SubmitAgain(const TaskKey& first, std::uint32_t count) {
+  const std::string& id = first.request_id;
+  const auto request = ledger.Find(id);
+  const auto work_class = ledger.FindClass(id);
+  auto facts = ledger.Facts(id);
+  if (!request || !work_class || !facts) return;
+  if (first.attempt >= facts->first_attempt + kAttemptsPerEpoch - facts->max_attempts) {
+    return GiveUp(id, {schema::CODE_RETRIES_EXHAUSTED, "no start succeeded"}, {});
+  }
+  facts->first_attempt = first.attempt;
+  JobSpec job = JobOf(id, *request, *work_class, *facts);
+  job.deadline = DeadlineOf(*facts);
+  job.first_index = first.index;
+  job.task_count = count;
+  job.all_at_once = job.all_at_once && count > 1;
+  const Admission admission = hooks.submit(job);
+  switch (admission.code) {
+    case schema::CODE_OK:
+      return;
+    case schema::CODE_OVERLOADED:
+    case schema::CODE_QUOTA_EXCEEDED:
+    case schema::CODE_DRAINING:
+      // Accepted work waits here until it is admitted.
+      hooks.after(kRefusalRetryAfter, [weak = weak_from_this(), first, count] {
+        auto self = weak.lock();
+        if (self && self->ServedEpoch(self->Partition(first.request_id))) {
+          self->SubmitAgain(first, count);
+        }
       });
       return;
-    }
-    if (hooks.retire_streams) hooks.retire_streams(partition, streams);
-    std::lock_guard lock(mutex);
-    retired.insert(streams.begin(), streams.end());
-  }
-
-  // Compaction and removed workers.
-
-  void Maintain() {
-    if (hooks.is_removed) {
-      for (const auto& [task, worker] : ledger.Assigned()) {
-        if (hooks.is_removed(worker)) EndRemoved(task, worker);
-      }
-    }
-    if (journal.Rows() > options.max_rows) {
-      journal.Compact([self = shared_from_this()] { return self->TakeSnapshot(); },
-                      [](const Result<void>&) {});  // The next period tries again.
-    }
-    std::set<std::string> streams;
-    {
-      std::lock_guard lock(mutex);
-      streams = retired;
-    }
-    journal.EraseUnused(streams,
-                        [weak = weak_from_this(), streams](const std::set<std::string>& left) {
-                          auto self = weak.lock();
-                          if (!self) return;
-                          std::lock_guard lock(self->mutex);
-                          for (const std::string& stream : streams) {
-                            if (!left.contains(stream)) self->retired.erase(stream);
-                          }
-                        });
-    ScheduleMaintain();
-  }
-
-  void ScheduleMaintain() {
-    hooks.after(options.maintain_period, [weak = weak_from_this()] {
-      if (auto self = weak.lock()) self->Maintain();
-    });
-  }
-
-  JournalSnapshot TakeSnapshot() {
-    JournalSnapshot snapshot;
-    {
-      std::lock_guard lock(mutex);
-      snapshot.epochs = serving;
-    }
-    std::erase_if(snapshot.epochs,
-                  [&](const auto& one) { return hooks.owned_epoch(one.first) != one.second; });
-    std::set<PartitionId> partitions;
-    for (const auto& [partition, epoch] : snapshot.epochs) partitions.insert(partition);
-    snapshot.entries = Export(partitions);
-    return snapshot;
+    case schema::CODE_DEADLINE_UNREACHABLE:
+      return GiveUp(id, {schema::CODE_DEADLINE_PASSED, admission.message}, {});
+    default:
+      return GiveUp(id, {admission.code, admission.message}, admission.retry_after);
   }
+}
 
-  Result<void> Cancel(const std::string& id) {
-    if (!ServedEpoch(Partition(id))) {
-      return Error{schema::CODE_NOT_OWNER, "the partition is not served here"};
-    }
-    if (!ledger.Find(id)) return Error{schema::CODE_NOT_FOUND, "no request " + id};
-    GiveUp(id, {schema::CODE_CANCELLED, "cancelled"}, {});
-    hooks.cancel(id);
-    return Success();
+Result<void> Home::Impl::Cancel(const std::string& id) {
+  if (!ServedEpoch(Partition(id))) {
+    return Error{schema::CODE_NOT_OWNER, "the partition is not served here"};
   }
-};
+  if (!ledger.Find(id)) return Error{schema::CODE_NOT_FOUND, "no request " + id};
+  GiveUp(id, {schema::CODE_CANCELLED, "cancelled"}, {});
+  hooks.cancel(id);
+  return Success();
+}
 
 Result<std::unique_ptr<Home>> Home::Create(Ledger& ledger, Journal& journal,
                                            const HomeOptions& options, HomeHooks hooks) {
--- /dev/null
+++ b/src/home_state.h
@@ -0,0 +1,177 @@
+/// State of the home role. Private to src/home*.cc.
+#pragma once
+
+#include "citronsill/convert.h"
+#include "citronsill/home.h"
+#include "citronsill/ownership.h"
+#include "citronsill/snapshot.h"
+#include "internal.h"
+
+namespace citronsill {
+
+inline constexpr std::chrono::milliseconds kMinBackoff{200};
+
+inline constexpr std::chrono::milliseconds kMaxBackoff{5000};
+
+inline constexpr std::chrono::milliseconds kRefusalRetryAfter{1000};
+
+// Attempt numbers of one ownership epoch, so that no owner uses a number of an earlier owner.
+inline constexpr std::uint32_t kAttemptsPerEpoch = 4096;
+
+inline std::chrono::milliseconds Backoff(int tries) {
+  return std::min(kMaxBackoff, kMinBackoff * (1 << std::min(tries, 5)));
+}
+
+struct Home::Impl : std::enable_shared_from_this<Impl> {
+  using Done = std::function<void()>;
+
+  // Ends of one request that are being written; the worker keeps results until they are.
+  struct Unwritten {
+    int open = 0;
+    std::vector<Done> done;  // Of events that were reported again.
+  };
+
+  // A refusal, for forwards of the same submission that come after it.
+  struct Refusal {
+    std::uint32_t next_attempt = 0;
+    std::set<std::uint64_t> submissions;
+    std::shared_ptr<const schema::Answer> answer;
+  };
+
+  Impl(Ledger& request_ledger, Journal& request_journal, const HomeOptions& home_options,
+       HomeHooks home_hooks)
+      : ledger(request_ledger),
+        journal(request_journal),
+        options(home_options),
+        hooks(std::move(home_hooks)) {}
+
+  Ledger& ledger;
+  Journal& journal;
+  HomeOptions options;
+  HomeHooks hooks;
+  std::mutex mutex;
+  std::map<PartitionId, std::uint64_t> serving;  // Epoch under which each was recovered.
+  std::map<PartitionId, std::uint64_t> recovering;
+  std::map<PartitionId, std::vector<std::pair<TaskEvent, Done>>> early;  // Events before recovery.
+  std::map<std::string, Unwritten> unwritten;
+  std::set<TaskKey> queried;
+  std::set<std::string> retired;  // Streams whose rows may be erased once no partition names them.
+  std::unordered_map<std::string, Refusal> refused;
+  std::deque<std::string> refused_order;
+
+  PartitionId Partition(const std::string& id) const;
+
+  std::optional<std::uint64_t> ServedEpoch(PartitionId partition);
+
+  bool IsServed(const std::string& id, std::uint64_t epoch);
+
+  // Arrival.
+
+  schema::Ack OnForward(const schema::Forward& forward);
+
+  RequestFacts FactsOf(const schema::Forward& forward, const schema::WorkClass& work_class,
+                       std::uint64_t epoch);
+
+  std::optional<SteadyTime> DeadlineOf(const RequestFacts& facts) const;
+
+  void Refuse(const schema::Forward& forward, const Waiter& waiter, schema::Code code,
+              const std::string& message);
+
+  void RefuseNew(const std::string& id, const Error& error, std::chrono::milliseconds retry_after);
+
+  // The entry instance may have sent the submission again before it got the refusal.
+  void Remember(const Finished& finished);
+
+  std::shared_ptr<const schema::Answer> FindRefusal(const schema::Forward& forward);
+
+  // The job is submitted before it is accepted, so that a start can share the batch of the accepted
+  // entry; it is not started before that batch is in the table.
+  void Admit(const schema::Forward& forward, const schema::WorkClass& work_class,
+             const RequestFacts& facts);
+
+  void OnAcceptWritten(const std::string& id, std::uint64_t epoch, const Result<void>& written);
+
+  void TellAccepted(const std::string& id);
+
+  // Starts.
+
+  void BeforeStart(const Action& start, const std::function<void(bool)>& go);
+
+  static schema::JournalEntry AssignedEntry(const Action& start);
+
+  // Ends.
+
+  schema::Code OnTaskEvent(const TaskEvent& event, const Done& done);
+
+  void Apply(const Ended& ended, const TaskEvent& event, const Done& done);
+
+  void DoneOnceWritten(const std::string& id, const Done& done);
+
+  void WriteEnded(const TaskEvent& event, bool again, const Done& done);
+
+  void GiveUp(const std::string& id, const Error& error, std::chrono::milliseconds retry_after);
+
+  void Deliver(const Finished& finished);
+
+  void Finish(const Finished& finished, const Done& done);
+
+  void WriteEnd(schema::JournalEntry entry, const Done& done);
+
+  // While the table is down the end is kept here and its result by the worker.
+  void TryWriteEnd(const schema::JournalEntry& entry, std::uint64_t epoch, int tries);
+
+  void OnEndWritten(const std::string& id);
+
+  // Further attempts that the engine does not start by itself.
+
+  void RetryLater(const TaskKey& task, std::chrono::milliseconds delay);
+
+  void Retry(const TaskKey& task);
+
+  void SubmitAgain(const TaskKey& first, std::uint32_t count);
+
+  // Asks until it is known what became of an assigned attempt.
+  void Query(const TaskKey& task, const std::string& worker, int tries);
+
+  void EndQuery(const TaskKey& task);
+
+  void EndRemoved(const TaskKey& task, const std::string& worker);
+
+  // Recovery.
+
+  void OnGained(PartitionId partition, const std::vector<std::string>& streams);
+
+  void Forget(PartitionId partition);
+
+  bool IsRecovering(PartitionId partition, std::uint64_t epoch);
+
+  void Recover(PartitionId partition, std::uint64_t epoch, const std::vector<std::string>& streams);
+
+  void Replay(PartitionId partition, std::uint64_t epoch, const std::vector<std::string>& streams,
+              const std::vector<schema::JournalEntry>& entries);
+
+  void Resume(const std::string& id);
+
+  // Submits all tasks that wait; as one job when all do, so that a gang stays together.
+  void SubmitOpen(const std::string& id);
+
+  std::vector<schema::JournalEntry> Export(const std::set<PartitionId>& partitions);
+
+  // Copies what was recovered into the own stream, so that the old streams can go.
+  void CopyEntries(PartitionId partition, std::uint64_t epoch, std::vector<std::string> streams);
+
+  void OnCopied(PartitionId partition, std::uint64_t epoch, const std::vector<std::string>& streams,
+                bool copied);
+
+  // Compaction and removed workers.
+
+  void Maintain();
+
+  void ScheduleMaintain();
+
+  JournalSnapshot TakeSnapshot();
+
+  Result<void> Cancel(const std::string& id);
+};
+
+}  // namespace citronsill
--- a/src/report.cc
+++ b/src/report.cc
@@ -93,21 +93,21 @@
   std::lock_guard lock(m_impl->mutex);
   const std::int64_t number = BucketNumber(now);
   for (const auto& [name, window] : m_impl->classes) {
-    const Bucket brief = window.Sum(number, kShortBuckets);
+    const Bucket recent = window.Sum(number, kShortBuckets);
     const Bucket lasting = window.Sum(number, kLongBuckets);
     schema::ClassCounts* counts = part->add_classes();
     counts->set_work_class(name);
-    counts->set_short_total(brief.total);
-    counts->set_short_bad(brief.bad);
+    counts->set_short_total(recent.total);
+    counts->set_short_bad(recent.bad);
     counts->set_long_total(lasting.total);
     counts->set_long_bad(lasting.bad);
   }
   for (const auto& [code, window] : m_impl->refusals) {
-    const Bucket brief = window.Sum(number, kShortBuckets);
-    if (brief.total == 0) continue;
+    const Bucket recent = window.Sum(number, kShortBuckets);
+    if (recent.total == 0) continue;
     schema::CodeCount* count = part->add_refusals();
     count->set_code(code);
-    count->set_count(brief.total);
+    count->set_count(recent.total);
   }
 }
 
--- a/src/runtime.cc
+++ b/src/runtime.cc
@@ -1,5 +1,6 @@
 #include "citronsill/runtime.h"
 
+#include <future>
 #include <random>
 
 #include "internal.h"
@@ -58,6 +59,17 @@
   m_impl->WaitForSignal(std::make_shared<std::function<void(int)>>(std::move(handler)));
 }
 
+void Runtime::RunUntilTerminated() {
+  std::promise<void> terminated;
+  std::atomic<bool> seen{false};
+  OnTerminate([&](int) {
+    if (!seen.exchange(true)) terminated.set_value();
+  });
+  Start();
+  terminated.get_future().wait();
+  Stop();
+}
+
 asio::io_context& Runtime::Context() { return m_impl->context; }
 
 Result<Tcp::endpoint> ParseAddress(const std::string& address) {
--- a/tools/platform_standin.cc
+++ b/tools/platform_standin.cc
@@ -3,7 +3,6 @@
 #include <spdlog/spdlog.h>
 
 #include <boost/program_options.hpp>
-#include <condition_variable>
 #include <iostream>
 #include <map>
 #include <mutex>
@@ -202,19 +201,7 @@
     return 1;
   }
   platform.OnSilence([open = server.value().get()] { open->SilenceOpenConnections(); });
-  std::mutex mutex;
-  std::condition_variable changed;
-  bool stopped = false;
-  runtime.value()->OnTerminate([&](int) {
-    std::lock_guard lock(mutex);
-    stopped = true;
-    changed.notify_all();
-  });
-  runtime.value()->Start();
-  std::unique_lock lock(mutex);
-  changed.wait(lock, [&] { return stopped; });
-  lock.unlock();
-  runtime.value()->Stop();
+  runtime.value()->RunUntilTerminated();
   return 0;
 }
 
--- a/tools/relay_standin.cc
+++ b/tools/relay_standin.cc
@@ -1,7 +1,6 @@
 // Stand-in of the network between instances: relays TCP connections and can lose traffic one way,
 // both ways, or on the connections that are open now, while the connections themselves stay open.
 #include <boost/program_options.hpp>
-#include <condition_variable>
 #include <iostream>
 #include <mutex>
 
@@ -163,19 +162,7 @@
     std::cerr << Describe(server.error()) << '\n';
     return 1;
   }
-  std::mutex mutex;
-  std::condition_variable changed;
-  bool stopped = false;
-  runtime.value()->OnTerminate([&](int) {
-    std::lock_guard lock(mutex);
-    stopped = true;
-    changed.notify_all();
-  });
-  runtime.value()->Start();
-  std::unique_lock lock(mutex);
-  changed.wait(lock, [&] { return stopped; });
-  lock.unlock();
-  runtime.value()->Stop();
+  runtime.value()->RunUntilTerminated();
   return 0;
 }
 
--- a/tools/worker_standin.cc
+++ b/tools/worker_standin.cc
@@ -2,7 +2,6 @@
 #include <spdlog/spdlog.h>
 
 #include <boost/program_options.hpp>
-#include <condition_variable>
 #include <iostream>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -200,19 +199,7 @@
     return 1;
   }
   RegisterWorkers(*client.value(), plan);
-  std::mutex mutex;
-  std::condition_variable changed;
-  bool stopped = false;
-  runtime.value()->OnTerminate([&](int) {
-    std::lock_guard lock(mutex);
-    stopped = true;
-    changed.notify_all();
-  });
-  runtime.value()->Start();
-  std::unique_lock lock(mutex);
-  changed.wait(lock, [&] { return stopped; });
-  lock.unlock();
-  runtime.value()->Stop();
+  runtime.value()->RunUntilTerminated();
   return 0;
 }
 
