--- a/tools/citronsill.cc
+++ b/tools/citronsill.cc
@@ -324,6 +324,7 @@
     } else if (m_values.count("file") > 0) {
       std::cout << request.key() << ' ' << answer.id() << ' '
                 << CodeText(answer.code(), answer.message()) << '\n';
+      for (const std::string& result : answer.results()) std::cout << "  " << result << '\n';
     } else {
       ShowText(answer);
     }
