Ignore late reports of attempts that have ended; run lost quotes again

A report of a running attempt that arrived after its end was known reopened it; an end of the next attempt then counted as stale. Quotes on a worker that fell silent were reported as OUTCOME_UNKNOWN instead of being run again, because the engine keeps the room of a lost task. Both were found by reading after freeze and replace_all had each left a request RUNNING; whether they are the cause is not proved.

--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -352,7 +352,9 @@
       TaskEvent event = EventOf(worker, task);
       event.ended = true;
       event.outcome = lapsed ? TaskOutcome::kLapsed : TaskOutcome::kLost;
-      event.again = engine->OnEnded(task, event.outcome, now);
+      // For the engine the attempt is over: nothing is placed on the worker before it attaches
+      // again, and its tasks are adopted then.
+      event.again = engine->OnEnded(task, TaskOutcome::kLapsed, now);
       events.push_back(std::move(event));
     }
   }
--- a/src/ledger.cc
+++ b/src/ledger.cc
@@ -412,7 +412,8 @@
       state.worker.empty()) {
     state.worker = worker;  // Chosen by the instance that took the task.
   }
-  if (state.phase != TaskPhase::kWaiting) return;
+  // A report that is late must not reopen an attempt whose end is known already.
+  if (state.phase != TaskPhase::kWaiting || task.attempt < state.next) return;
   if (entry->facts.single_copy) {
     spdlog::error("event=unexpected_task request={} index={} attempt={} worker={}", task.request_id,
                   task.index, task.attempt, worker);
