--- a/src/home.cc
+++ b/src/home.cc
@@ -12,6 +12,9 @@
 
 constexpr std::uint32_t kAttemptsPerArrival = 64;
 
+// Epochs whose attempt numbers differ from one another.
+constexpr std::uint32_t kEpochNumbers = 65536;
+
 // Work whose second run would do harm, or whose caller does not wait, is written to the journal.
 bool IsDurable(const schema::Request& request, const schema::WorkClass& work_class) {
   return work_class.durable() || work_class.exclusive() || request.no_wait() ||
@@ -114,9 +117,14 @@
   if (const auto left = TimeLeft(forward, work_class)) {
     facts.deadline_unix_ms = facts.accepted_unix_ms + left->count();
   }
+  // The former home may have started tasks of work that is not in the journal. Numbers of an epoch
+  // of its own keep their reports apart from those of the new tasks.
+  if (!facts.durable) {
+    facts.first_attempt = static_cast<std::uint32_t>(epoch % kEpochNumbers) * kAttemptsPerEpoch;
+  }
   std::lock_guard lock(mutex);
   if (const auto found = refused.find(forward.id()); found != refused.end()) {
-    facts.first_attempt = found->second.next_attempt;
+    facts.first_attempt += found->second.next_attempt;
   }
   return facts;
 }
