--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -12,7 +12,7 @@
 "$build/citronsill_tests" --reporters=junit > "$work/unit.xml" 2> "$work/unit.err"
 status=$?
 awk -v status="$status" '
-  /<testcase / { match($0, /name="[^"]*"/); name = substr($0, RSTART + 6, RLENGTH - 7); order[++n] = name }
+  /<testcase / { match($0, / name="[^"]*"/); name = substr($0, RSTART + 7, RLENGTH - 8); order[++n] = name }
   /<(failure|error)/ { failed[name] = 1; print > "/dev/stderr" }
   END {
     for (i = 1; i <= n; i++) print (order[i] in failed ? "not ok " : "ok ") order[i]
