--- a/tests/report_test.cc
+++ b/tests/report_test.cc
@@ -131,8 +131,8 @@
 // Guards against alerts that go on and off while the rate stays about at the threshold.
 TEST_CASE("report: alerts need both windows and end with hysteresis") {
   AlertRules rules;
-  const auto update = [&](double brief, double lasting) {
-    schema::Report report = Burning(brief, lasting);
+  const auto update = [&](double short_burn, double long_burn) {
+    schema::Report report = Burning(short_burn, long_burn);
     rules.Update(&report);
     return report.alerts_size();
   };
