--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -1,57 +1,108 @@
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <atomic>
+#include <mutex>
+#include <optional>
+#include <unordered_set>
+
 #include "citronsill/http.h"
-#include "internal.h"
+#include "http_stream.h"
 
 namespace citronsill {
 
 namespace http = beast::http;
+using boost::system::error_code;
 
 namespace {
 
 using Clock = std::chrono::steady_clock;
+using RequestParser = http::request_parser<http::string_body>;
+
+constexpr std::size_t kReadChunkBytes = 4096;
+// Deadlines of connections are looked at this often.
+constexpr std::chrono::milliseconds kSweepPeriod{500};
+// Out of descriptors: waiting avoids a busy loop on accept.
+constexpr std::chrono::milliseconds kAcceptRetry{50};
 // After a refusal, this many bytes are read and dropped for at most this long, because closing a
 // connection with unread data discards the answer that was just sent.
 constexpr std::chrono::seconds kLingerTimeout{1};
 constexpr std::size_t kMaxLingerBytes = 4 * kMaxHttpBodyBytes;
 
-struct Session {
-  Session(Tcp::socket socket, asio::ssl::context* tls) : channel(std::move(socket), tls) {}
-  HttpChannel channel;
-  beast::flat_buffer buffer;
-  std::atomic<bool> silenced{false};
-};
-
-HttpResponse ErrorResponse(unsigned status, schema::Code code, const std::string& message) {
-  schema::Answer answer;
-  answer.set_state(schema::STATE_REFUSED);
-  answer.set_code(code);
-  answer.set_message(message);
-  answer.set_not_run(true);
+HttpResponse DefaultReject(unsigned status, const Error& error) {
   HttpResponse response;
   response.status = status;
-  response.body = ToJson(answer);
+  response.body =
+      R"({"code":")" + std::string(CodeName(error.code)) + R"(","message":")" + error.message +
+      R"("})";
   return response;
 }
 
+std::string Serialize(const HttpResponse& response, bool keep_alive) {
+  std::string text;
+  text.reserve(160 + response.body.size());
+  text.append("HTTP/1.1 ").append(std::to_string(response.status)).append(" ");
+  text.append(http::obsolete_reason(static_cast<http::status>(response.status)));
+  text.append("\r\nContent-Type: ").append(response.content_type);
+  if (response.retry_after) {
+    // Retry-After has whole seconds; rounding up keeps callers from coming back too early.
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(*response.retry_after);
+    text.append("\r\nRetry-After: ").append(std::to_string(seconds.count()));
+  }
+  if (!keep_alive) text.append("\r\nConnection: close");
+  text.append("\r\nContent-Length: ").append(std::to_string(response.body.size()));
+  text.append("\r\n\r\n").append(response.body);
+  return text;
+}
+
 }  // namespace
 
 struct HttpServer::Impl : std::enable_shared_from_this<Impl> {
+  enum class Phase { kHandshake, kIdle, kReading, kHandling, kWriting, kLingering };
+
+  // One connection. Its members are used on its strand only.
+  struct Session {
+    std::unique_ptr<HttpStream> stream;
+    beast::flat_buffer buffer;
+    std::optional<RequestParser> parser;
+    std::string out;
+    Phase phase = Phase::kHandshake;
+    SteadyTime deadline = SteadyTime::max();
+    bool keep_alive = true;
+    bool silenced = false;
+    std::size_t lingered_bytes = 0;
+  };
+  using SessionPtr = std::shared_ptr<Session>;
+
   Impl(Runtime& runtime, HttpServerOptions server_options, HttpHandler request_handler)
       : context(runtime.Context()),
         acceptor(context),
+        retry(context),
+        sweep(context),
         options(std::move(server_options)),
-        handler(std::move(request_handler)) {}
+        handler(std::move(request_handler)) {
+    if (!options.reject) options.reject = DefaultReject;
+  }
 
   asio::io_context& context;
   Tcp::acceptor acceptor;
+  asio::steady_timer retry;
+  asio::steady_timer sweep;
   HttpServerOptions options;
   HttpHandler handler;
+  HttpStreamFactory make_stream;
+  std::atomic<bool> draining{false};
+  std::atomic<std::size_t> count{0};
   std::mutex mutex;
-  std::unordered_set<std::shared_ptr<Session>> sessions;
-  std::shared_ptr<asio::ssl::context> tls;
+  std::unordered_set<SessionPtr> sessions;
 
   Result<void> Listen() {
     BOOST_OUTCOME_TRY(auto endpoint, ParseAddress(options.address));
-    boost::system::error_code error;
+    error_code error;
     acceptor.open(endpoint.protocol(), error);
     if (!error) acceptor.set_option(asio::socket_base::reuse_address(true), error);
     if (!error) acceptor.bind(endpoint, error);
@@ -63,144 +114,213 @@
     return Success();
   }
 
-  Task<void> Accept() {
-    while (acceptor.is_open()) {
-      boost::system::error_code error;
-      Tcp::socket socket(asio::make_strand(context));
-      co_await acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
-      if (error == asio::error::operation_aborted) co_return;
-      if (error) {
-        // Out of descriptors: waiting avoids a busy loop on accept.
-        co_await Sleep(std::chrono::milliseconds(50));
-        continue;
-      }
-      Add(std::move(socket));
-    }
+  void Accept() {
+    acceptor.async_accept(asio::make_strand(context),
+                          [self = shared_from_this()](error_code error, Tcp::socket socket) {
+                            if (error == asio::error::operation_aborted) return;
+                            if (error) return self->AcceptLater();
+                            self->Add(std::move(socket));
+                            self->Accept();
+                          });
+  }
+
+  void AcceptLater() {
+    retry.expires_after(kAcceptRetry);
+    retry.async_wait([self = shared_from_this()](error_code) {
+      if (self->acceptor.is_open()) self->Accept();
+    });
   }
 
   void Add(Tcp::socket socket) {
-    boost::system::error_code ignored;
+    error_code ignored;
     socket.set_option(Tcp::no_delay(true), ignored);
-    auto executor = socket.get_executor();
-    auto session = std::make_shared<Session>(std::move(socket), tls.get());
+    auto session = std::make_shared<Session>();
+    session->stream = make_stream(std::move(socket));
     {
       std::lock_guard lock(mutex);
       if (sessions.size() >= options.max_connections) return;
       sessions.insert(session);
+      count = sessions.size();
     }
-    asio::co_spawn(
-        executor,
-        [self = shared_from_this(), session]() -> Task<void> {
-          co_await self->Serve(session);
-          std::lock_guard lock(self->mutex);
-          self->sessions.erase(session);
-        },
-        asio::detached);
-  }
-
-  Task<void> Serve(std::shared_ptr<Session> session) {
-    HttpChannel& channel = session->channel;
-    channel.Lowest().expires_after(options.read_timeout);
-    boost::system::error_code error = co_await channel.HandshakeAsServer();
-    bool first = true;
-    while (!error) {
-      http::request_parser<http::string_body> parser;
-      parser.body_limit(options.max_body_bytes);
-      parser.header_limit(kMaxHttpHeaderBytes);
-      // An idle connection may wait longer than a request that has begun may take.
-      channel.Lowest().expires_after(first ? options.read_timeout : options.idle_timeout);
-      first = false;
-      error = co_await channel.ReadHeader(session->buffer, parser);
-      if (!error) {
-        channel.Lowest().expires_after(options.read_timeout);
-        error = co_await channel.Read(session->buffer, parser);
-      }
-      if (error) {
-        co_await Reject(session, error);
-        break;
-      }
-      const bool keep_alive = parser.get().keep_alive();
-      HttpResponse response = co_await Handle(parser.release());
-      if (session->silenced) {
-        co_await Sleep(std::chrono::hours(1));
-        break;
-      }
-      if (!co_await Write(session, response, keep_alive)) break;
-    }
-    boost::system::error_code ignored;
-    channel.Lowest().socket().shutdown(Tcp::socket::shutdown_both, ignored);
-    channel.Lowest().close();
+    asio::dispatch(session->stream->Socket().get_executor(), [self = shared_from_this(), session] {
+      session->deadline = Clock::now() + self->options.read_timeout;
+      session->stream->Handshake([self, session](error_code error) {
+        if (error) return self->End(session);
+        // The first request has to come soon; later ones may come after a pause.
+        self->StartRequest(session, self->options.read_timeout);
+      });
+    });
+  }
+
+  void StartRequest(const SessionPtr& session, std::chrono::milliseconds timeout) {
+    session->phase = Phase::kIdle;
+    session->deadline = Clock::now() + timeout;
+    session->parser.emplace();
+    session->parser->body_limit(options.max_body_bytes);
+    session->parser->header_limit(kMaxHttpHeaderBytes);
+    if (session->buffer.size() > 0) return Parse(session);
+    Read(session);
+  }
+
+  void Read(const SessionPtr& session) {
+    session->stream->ReadSome(
+        session->buffer.prepare(kReadChunkBytes),
+        [self = shared_from_this(), session](error_code error, std::size_t bytes) {
+          if (error) return self->End(session);
+          session->buffer.commit(bytes);
+          self->Parse(session);
+        });
   }
 
-  Task<void> Reject(const std::shared_ptr<Session>& session, boost::system::error_code error) {
-    if (error == http::error::end_of_stream || error == http::error::partial_message ||
-        error == asio::error::eof || error == beast::error::timeout ||
-        error == asio::error::connection_reset) {
-      co_return;
+  void Parse(const SessionPtr& session) {
+    if (session->phase == Phase::kIdle) {
+      session->phase = Phase::kReading;
+      session->deadline = Clock::now() + options.read_timeout;
     }
-    const bool too_large = error == http::error::body_limit || error == http::error::header_limit;
-    const auto response =
-        too_large ? ErrorResponse(413, schema::CODE_TOO_LARGE, "the message is too large")
-                  : ErrorResponse(400, schema::CODE_MALFORMED, "not HTTP: " + error.message());
-    co_await Write(session, response, false);
-    co_await Linger(session->channel.Lowest());
-  }
-
-  Task<void> Linger(beast::tcp_stream& stream) {
-    boost::system::error_code error;
-    stream.socket().shutdown(Tcp::socket::shutdown_send, error);
-    stream.expires_after(kLingerTimeout);
-    std::array<char, 4096> dropped{};
-    for (std::size_t total = 0; total < kMaxLingerBytes && !error;) {
-      total += co_await stream.async_read_some(asio::buffer(dropped),
-                                               asio::redirect_error(asio::use_awaitable, error));
+    error_code error;
+    while (!session->parser->is_done() && session->buffer.size() > 0) {
+      const std::size_t used = session->parser->put(session->buffer.data(), error);
+      session->buffer.consume(used);
+      if (error == http::error::need_more) return Read(session);
+      if (error) return Reject(session, error);
+      if (used == 0) break;
     }
+    if (!session->parser->is_done()) return Read(session);
+    Handle(session);
   }
 
-  Task<HttpResponse> Handle(http::request<http::string_body> message) {
+  void Handle(const SessionPtr& session) {
+    session->phase = Phase::kHandling;
+    session->deadline = SteadyTime::max();
+    auto& message = session->parser->get();
+    session->keep_alive = message.keep_alive();
     HttpRequest request;
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
     request.authorization = std::string(message[http::field::authorization]);
     request.accept = std::string(message[http::field::accept]);
+    request.host = std::string(message[http::field::host]);
+    for (const std::string& name : options.keep_headers) {
+      if (const auto found = message.find(name); found != message.end()) {
+        request.headers.emplace_back(name, std::string(found->value()));
+      }
+    }
     request.body = std::move(message.body());
-    auto start = [this,
-                  request = std::move(request)](std::function<void(Result<HttpResponse>)> done) {
-      handler(request, [done](HttpResponse response) { done(std::move(response)); });
-    };
-    auto result = co_await AwaitResult<HttpResponse>(std::move(start));
-    co_return std::move(result).value();
-  }
-
-  Task<bool> Write(const std::shared_ptr<Session>& session, const HttpResponse& response,
-                   bool keep_alive) {
-    http::response<http::string_body> message(static_cast<http::status>(response.status), 11);
-    message.set(http::field::server, "citronsill");
-    message.set(http::field::content_type, response.content_type);
-    if (response.retry_after) {
-      // Retry-After has whole seconds; rounding up keeps callers from coming back too early.
-      const auto seconds = std::chrono::ceil<std::chrono::seconds>(*response.retry_after);
-      message.set(http::field::retry_after, std::to_string(seconds.count()));
+    session->parser.reset();
+    handler(std::move(request), [self = shared_from_this(), session](HttpResponse response) {
+      // A handler that replies at once is still inside of this connection's turn.
+      asio::dispatch(session->stream->Socket().get_executor(),
+                     [self, session, response = std::move(response)] {
+                       self->Reply(session, response);
+                     });
+    });
+  }
+
+  void Reply(const SessionPtr& session, const HttpResponse& response) {
+    if (session->silenced) return;
+    if (draining) session->keep_alive = false;
+    Write(session, response, [self = shared_from_this(), session] {
+      if (!session->keep_alive) return self->End(session);
+      self->StartRequest(session, self->options.idle_timeout);
+    });
+  }
+
+  void Reject(const SessionPtr& session, error_code error) {
+    if (error == http::error::end_of_stream || error == http::error::partial_message) {
+      return End(session);
+    }
+    const bool too_large = error == http::error::body_limit || error == http::error::header_limit;
+    const Error reason = too_large ? Error{schema::CODE_TOO_LARGE, "the message is too large"}
+                                   : Error{schema::CODE_MALFORMED, "not HTTP: " + error.message()};
+    session->keep_alive = false;
+    Write(session, options.reject(too_large ? 413 : 400, reason),
+          [self = shared_from_this(), session] {
+            error_code ignored;
+            session->stream->Socket().shutdown(Tcp::socket::shutdown_send, ignored);
+            session->phase = Phase::kLingering;
+            session->deadline = Clock::now() + kLingerTimeout;
+            self->Linger(session);
+          });
+  }
+
+  template <class Then>
+  void Write(const SessionPtr& session, const HttpResponse& response, Then then) {
+    session->phase = Phase::kWriting;
+    session->deadline = Clock::now() + kHttpWriteTimeout;
+    session->out = Serialize(response, session->keep_alive);
+    session->stream->Write(
+        asio::buffer(session->out),
+        [self = shared_from_this(), session, then = std::move(then)](error_code error) {
+          if (error) return self->End(session);
+          then();
+        });
+  }
+
+  void Linger(const SessionPtr& session) {
+    session->buffer.clear();
+    session->stream->ReadSome(
+        session->buffer.prepare(kReadChunkBytes),
+        [self = shared_from_this(), session](error_code error, std::size_t bytes) {
+          session->lingered_bytes += bytes;
+          if (error || session->lingered_bytes > kMaxLingerBytes) return self->End(session);
+          self->Linger(session);
+        });
+  }
+
+  void End(const SessionPtr& session) {
+    session->stream->Close();
+    std::lock_guard lock(mutex);
+    sessions.erase(session);
+    count = sessions.size();
+  }
+
+  // Closes connections that missed their deadline; their pending operation ends with an error.
+  void Sweep() {
+    sweep.expires_after(kSweepPeriod);
+    sweep.async_wait([weak = weak_from_this()](error_code error) {
+      auto self = weak.lock();
+      if (!self || error) return;
+      self->CloseExpired();
+      self->Sweep();
+    });
+  }
+
+  void CloseExpired() {
+    const SteadyTime now = Clock::now();
+    ForEach([now](const SessionPtr& session) {
+      if (session->deadline <= now) session->stream->Close();
+    });
+  }
+
+  // Calls `action` for each connection on its strand.
+  template <class Action>
+  void ForEach(Action action) {
+    std::vector<SessionPtr> open;
+    {
+      std::lock_guard lock(mutex);
+      open.assign(sessions.begin(), sessions.end());
+    }
+    for (const SessionPtr& session : open) {
+      asio::dispatch(session->stream->Socket().get_executor(),
+                     [session, action] { action(session); });
     }
-    message.keep_alive(keep_alive);
-    message.body() = response.body;
-    message.prepare_payload();
-    session->channel.Lowest().expires_after(kHttpWriteTimeout);
-    const boost::system::error_code error = co_await session->channel.Write(message);
-    co_return !error && keep_alive;
   }
 };
 
 Result<std::unique_ptr<HttpServer>> HttpServer::Create(Runtime& runtime, HttpServerOptions options,
                                                        HttpHandler handler) {
   auto impl = std::make_shared<Impl>(runtime, std::move(options), std::move(handler));
-  if (!impl->options.tls_certificate_file.empty()) {
-    BOOST_OUTCOME_TRY(
-        impl->tls, MakeServerTls(impl->options.tls_certificate_file, impl->options.tls_key_file));
+  if (impl->options.tls_certificate_file.empty()) {
+    impl->make_stream = PlainHttpStreams();
+  } else if (const auto& backend = InstalledHttpTls().server; backend) {
+    BOOST_OUTCOME_TRY(impl->make_stream,
+                      backend(impl->options.tls_certificate_file, impl->options.tls_key_file));
+  } else {
+    return Error{schema::CODE_SETTINGS_INVALID, "this program does not support TLS"};
   }
   BOOST_OUTCOME_TRY(impl->Listen());
-  asio::co_spawn(
-      impl->context, [impl]() -> Task<void> { co_await impl->Accept(); }, asio::detached);
+  impl->Accept();
+  impl->Sweep();
   return std::unique_ptr<HttpServer>(new HttpServer(std::move(impl)));
 }
 
@@ -210,16 +330,38 @@
 
 std::uint16_t HttpServer::Port() const { return m_impl->acceptor.local_endpoint().port(); }
 
+std::size_t HttpServer::Connections() const { return m_impl->count; }
+
 void HttpServer::Close() {
   asio::post(m_impl->context, [impl = m_impl] {
-    boost::system::error_code ignored;
+    error_code ignored;
     impl->acceptor.close(ignored);
   });
 }
 
+void HttpServer::Drain() { m_impl->draining = true; }
+
 void HttpServer::SilenceOpenConnections() {
-  std::lock_guard lock(m_impl->mutex);
-  for (const auto& session : m_impl->sessions) session->silenced = true;
+  m_impl->ForEach([](const Impl::SessionPtr& session) { session->silenced = true; });
+}
+
+const std::string& HttpRequest::Header(const std::string& name) const {
+  static const std::string none;
+  for (const auto& [key, value] : headers) {
+    if (key == name) return value;
+  }
+  return none;
+}
+
+HttpStreamFactory PlainHttpStreams() {
+  return [](Tcp::socket socket) -> std::unique_ptr<HttpStream> {
+    return std::make_unique<PlainHttpStream>(std::move(socket));
+  };
+}
+
+HttpTlsBackend& InstalledHttpTls() {
+  static HttpTlsBackend backend;
+  return backend;
 }
 
 }  // namespace citronsill
--- /dev/null
+++ b/src/http_stream.h
@@ -0,0 +1,77 @@
+/// Byte stream under HTTP: a TCP connection, with TLS or without. Private to src/.
+#pragma once
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "net.h"
+
+namespace citronsill {
+
+/// All calls and callbacks run on the executor of the socket.
+class HttpStream {
+ public:
+  using Done = std::function<void(boost::system::error_code)>;
+  using ReadDone = std::function<void(boost::system::error_code, std::size_t bytes)>;
+
+  virtual ~HttpStream() = default;
+  virtual Tcp::socket& Socket() = 0;
+  /// To be called once after the connection is established, before anything else.
+  virtual void Handshake(Done done) = 0;
+  virtual void ReadSome(asio::mutable_buffer buffer, ReadDone done) = 0;
+  /// Writes all of `buffer`, which stays valid until `done`.
+  virtual void Write(asio::const_buffer buffer, Done done) = 0;
+
+  /// Ends the connection. Callbacks that wait get an error.
+  void Close() {
+    boost::system::error_code ignored;
+    Socket().shutdown(Tcp::socket::shutdown_both, ignored);
+    Socket().close(ignored);
+  }
+};
+
+/// A connection without TLS.
+class PlainHttpStream : public HttpStream {
+ public:
+  explicit PlainHttpStream(Tcp::socket socket) : m_socket(std::move(socket)) {}
+  Tcp::socket& Socket() override { return m_socket; }
+  void Handshake(Done done) override { done({}); }
+  void ReadSome(asio::mutable_buffer buffer, ReadDone done) override {
+    m_socket.async_read_some(buffer, std::move(done));
+  }
+  void Write(asio::const_buffer buffer, Done done) override {
+    asio::async_write(m_socket, buffer,
+                      [done = std::move(done)](boost::system::error_code error, std::size_t) {
+                        done(error);
+                      });
+  }
+
+ private:
+  Tcp::socket m_socket;
+};
+
+/// Makes the stream of one connection.
+using HttpStreamFactory = std::function<std::unique_ptr<HttpStream>(Tcp::socket socket)>;
+
+/// How streams with TLS are made; empty until `EnableHttpTls` was called.
+struct HttpTlsBackend {
+  std::function<Result<HttpStreamFactory>(const std::string& certificate_file,
+                                          const std::string& key_file)>
+      server;
+  /// The factory checks that the server's certificate names `ip`.
+  std::function<Result<HttpStreamFactory>(const std::string& ca_file, const std::string& ip)>
+      client;
+};
+
+/// @returns the one backend of the process.
+HttpTlsBackend& InstalledHttpTls();
+
+/// @returns streams without TLS.
+HttpStreamFactory PlainHttpStreams();
+
+}  // namespace citronsill
--- a/src/internal.h
+++ b/src/internal.h
@@ -47,25 +47,14 @@
 #include "citronsill/result.h"
 #include "citronsill/runtime.h"
 #include "citronsill/types.h"
+#include "net.h"
 #include "schema/citronsill.pb.h"
 
-namespace boost::asio::ssl {
-class context;
-}
-
 namespace citronsill {
 
-namespace asio = boost::asio;
-namespace beast = boost::beast;
-using Tcp = asio::ip::tcp;
-
 template <class T>
 using Task = asio::awaitable<T>;
 
-/// Splits "IP:port".
-/// @returns CODE_INVALID_FIELD when `address` is not of that form.
-Result<Tcp::endpoint> ParseAddress(const std::string& address);
-
 /// Awaits a function that takes a callback for its result.
 /// @param start is called with the callback; the callback may run on any thread, at most once.
 template <class T, class Start>
@@ -92,48 +81,4 @@
   co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
-/// TLS for servers. @param certificate_file, key_file in PEM.
-/// @returns CODE_SETTINGS_UNREADABLE when a file cannot be used.
-Result<std::shared_ptr<asio::ssl::context>> MakeServerTls(const std::string& certificate_file,
-                                                          const std::string& key_file);
-
-/// TLS for clients, which trust the certificates in `ca_file`, in PEM.
-Result<std::shared_ptr<asio::ssl::context>> MakeClientTls(const std::string& ca_file);
-
-/// One HTTP connection, with TLS or without. Deadlines are set on the lowest layer.
-class HttpChannel {
- public:
-  using Request = beast::http::request<beast::http::string_body>;
-  using Response = beast::http::response<beast::http::string_body>;
-  using RequestParser = beast::http::request_parser<beast::http::string_body>;
-  using ResponseParser = beast::http::response_parser<beast::http::string_body>;
-
-  /// @param tls may be null; outlives the channel otherwise.
-  HttpChannel(Tcp::socket socket, asio::ssl::context* tls);
-  ~HttpChannel();
-
-  beast::tcp_stream& Lowest();
-
-  /// Does nothing without TLS.
-  Task<boost::system::error_code> HandshakeAsServer();
-  /// @param ip address that the server's certificate has to name.
-  Task<boost::system::error_code> HandshakeAsClient(const std::string& ip);
-
-  Task<boost::system::error_code> ReadHeader(beast::flat_buffer& buffer, RequestParser& parser);
-  Task<boost::system::error_code> Read(beast::flat_buffer& buffer, RequestParser& parser);
-  Task<boost::system::error_code> Read(beast::flat_buffer& buffer, ResponseParser& parser);
-  Task<boost::system::error_code> Write(Request& message);
-  Task<boost::system::error_code> Write(Response& message);
-
- private:
-  struct Impl;
-  std::unique_ptr<Impl> m_impl;
-};
-
-/// @returns a random number from the operating system's generator.
-std::uint64_t RandomId();
-
-/// @returns "<16 hex digits>" of `value`.
-std::string Hex64(std::uint64_t value);
-
 }  // namespace citronsill
--- a/src/log.cc
+++ b/src/log.cc
@@ -3,12 +3,6 @@
 #include "internal.h"
 
 namespace citronsill {
-namespace {
-
-constexpr std::size_t kMaxLogTextBytes = 128;
-
-}  // namespace
-
 Result<void> ConfigureLog(const std::string& instance, const std::string& level) {
   BOOST_OUTCOME_TRY(SetLogLevel(level));
   spdlog::set_pattern("time=%Y-%m-%dT%H:%M:%S.%eZ level=%l instance=" + instance + " %v",
@@ -26,20 +20,4 @@
   return Success();
 }
 
-std::string LogText(const std::string& value) {
-  std::string text = "\"";
-  for (const char c : value.substr(0, kMaxLogTextBytes)) {
-    const auto byte = static_cast<unsigned char>(c);
-    if (byte == '"' || byte == '\\') {
-      text += '\\';
-      text += c;
-    } else if (byte < 0x20U || byte >= 0x7FU) {
-      text += fmt::format("\\x{:02x}", byte);
-    } else {
-      text += c;
-    }
-  }
-  return text + (value.size() > kMaxLogTextBytes ? "...\"" : "\"");
-}
-
 }  // namespace citronsill
--- a/src/result.cc
+++ b/src/result.cc
@@ -1,6 +1,6 @@
 #include "citronsill/result.h"
 
-#include "internal.h"
+#include "schema/codes.pb.h"
 
 namespace citronsill {
 
--- a/src/runtime.cc
+++ b/src/runtime.cc
@@ -1,20 +1,31 @@
 #include "citronsill/runtime.h"
 
+#include <atomic>
 #include <future>
 #include <random>
 
-#include "internal.h"
+#include <fmt/format.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <thread>
+#include <vector>
+
+#include "net.h"
 
 namespace citronsill {
 
 struct Runtime::Impl {
   explicit Impl(unsigned count)
-      : thread_count(count), context(static_cast<int>(count)), signals(context) {}
+      : thread_count(count), context(static_cast<int>(count)), signals(context), reload_signals(context) {}
 
   unsigned thread_count;
   asio::io_context context;
   asio::executor_work_guard<asio::io_context::executor_type> work{context.get_executor()};
   asio::signal_set signals;
+  asio::signal_set reload_signals;
   std::vector<std::thread> threads;
 
   void WaitForSignal(const std::shared_ptr<std::function<void(int)>>& handler) {
@@ -24,6 +35,14 @@
       WaitForSignal(handler);
     });
   }
+
+  void WaitForReload(const std::shared_ptr<std::function<void()>>& handler) {
+    reload_signals.async_wait([this, handler](boost::system::error_code error, int) {
+      if (error) return;
+      (*handler)();
+      WaitForReload(handler);
+    });
+  }
 };
 
 Result<std::unique_ptr<Runtime>> Runtime::Create(unsigned threads) {
@@ -44,6 +63,8 @@
   }
 }
 
+void Runtime::Run() { m_impl->context.run(); }
+
 void Runtime::Stop() {
   m_impl->work.reset();
   m_impl->context.stop();
@@ -59,6 +80,11 @@
   m_impl->WaitForSignal(std::make_shared<std::function<void(int)>>(std::move(handler)));
 }
 
+void Runtime::OnReload(std::function<void()> handler) {
+  m_impl->reload_signals.add(SIGHUP);
+  m_impl->WaitForReload(std::make_shared<std::function<void()>>(std::move(handler)));
+}
+
 void Runtime::RunUntilTerminated() {
   std::promise<void> terminated;
   std::atomic<bool> seen{false};
--- a/src/timer.cc
+++ b/src/timer.cc
@@ -1,73 +1,112 @@
 #include "citronsill/timer.h"
 
-#include "internal.h"
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <mutex>
+#include <unordered_map>
+#include <vector>
+
+#include "net.h"
 
 namespace citronsill {
+namespace {
+
+// Subscribers that are due within this time of each other share one wake-up of the process.
+constexpr std::chrono::milliseconds kSlack{1};
+
+}  // namespace
 
+// All subscriptions share one timer of the event loop, set for the earliest of them.
 struct TimerService::Impl : std::enable_shared_from_this<Impl> {
   struct Subscription {
-    explicit Subscription(asio::io_context& context) : timer(context) {}
-    asio::steady_timer timer;
+    std::uint64_t id = 0;
+    SteadyTime due;
     std::chrono::milliseconds period{0};
     std::function<void(SteadyTime)> handler;
-    bool cancelled = false;
   };
 
-  explicit Impl(asio::io_context& io) : context(io) {}
+  explicit Impl(asio::io_context& io) : timer(io) {}
 
-  asio::io_context& context;
   std::mutex mutex;
+  asio::steady_timer timer;
+  SteadyTime armed = SteadyTime::max();
   std::uint64_t next_id = 1;
+  std::multimap<SteadyTime, std::shared_ptr<Subscription>> queue;
   std::unordered_map<std::uint64_t, std::shared_ptr<Subscription>> subscriptions;
 
   TimerId Add(std::chrono::milliseconds delay, std::chrono::milliseconds period,
               std::function<void(SteadyTime)> handler) {
-    auto subscription = std::make_shared<Subscription>(context);
+    auto subscription = std::make_shared<Subscription>();
+    subscription->due = std::chrono::steady_clock::now() + delay;
     subscription->period = period;
     subscription->handler = std::move(handler);
-    std::uint64_t id = 0;
-    {
-      std::lock_guard lock(mutex);
-      id = next_id++;
-      subscriptions.emplace(id, subscription);
-      subscription->timer.expires_after(delay);
-      Wait(id, subscription);
-    }
-    return TimerId{id};
+    std::lock_guard lock(mutex);
+    subscription->id = next_id++;
+    subscriptions.emplace(subscription->id, subscription);
+    queue.emplace(subscription->due, subscription);
+    Arm();
+    return TimerId{subscription->id};
   }
 
   // Requires the mutex.
-  void Wait(std::uint64_t id, const std::shared_ptr<Subscription>& subscription) {
-    subscription->timer.async_wait(
-        [weak = weak_from_this(), id, subscription](boost::system::error_code error) {
-          if (auto self = weak.lock(); self && !error) self->Fire(id, subscription);
-        });
+  void Arm() {
+    if (queue.empty()) return;
+    const SteadyTime earliest = queue.begin()->first;
+    if (armed <= earliest) return;
+    armed = earliest;
+    timer.expires_at(earliest);
+    timer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+      if (auto self = weak.lock(); self && !error) self->Fire();
+    });
   }
 
-  void Fire(std::uint64_t id, const std::shared_ptr<Subscription>& subscription) {
-    {
+  void Fire() {
+    const SteadyTime now = std::chrono::steady_clock::now();
+    for (const auto& subscription : TakeDue(now)) {
+      {
+        std::lock_guard lock(mutex);
+        if (!subscriptions.contains(subscription->id)) continue;
+        if (subscription->period.count() == 0) subscriptions.erase(subscription->id);
+      }
+      subscription->handler(now);
+      if (subscription->period.count() == 0) continue;
       std::lock_guard lock(mutex);
-      if (subscription->cancelled) return;
+      if (!subscriptions.contains(subscription->id)) continue;
+      subscription->due = std::chrono::steady_clock::now() + subscription->period;
+      queue.emplace(subscription->due, subscription);
     }
-    subscription->handler(std::chrono::steady_clock::now());
     std::lock_guard lock(mutex);
-    if (subscription->cancelled) return;
-    if (subscription->period.count() == 0) {
-      subscriptions.erase(id);
-      return;
-    }
-    subscription->timer.expires_after(subscription->period);
-    Wait(id, subscription);
+    Arm();
+  }
+
+  std::vector<std::shared_ptr<Subscription>> TakeDue(SteadyTime now) {
+    std::lock_guard lock(mutex);
+    armed = SteadyTime::max();
+    std::vector<std::shared_ptr<Subscription>> due;
+    const auto end = queue.upper_bound(now + kSlack);
+    for (auto it = queue.begin(); it != end; ++it) due.push_back(std::move(it->second));
+    queue.erase(queue.begin(), end);
+    return due;
   }
 
   void Cancel(std::uint64_t id) {
     std::lock_guard lock(mutex);
     const auto found = subscriptions.find(id);
     if (found == subscriptions.end()) return;
-    found->second->cancelled = true;
-    found->second->timer.cancel();
+    const auto [first, last] = queue.equal_range(found->second->due);
+    for (auto it = first; it != last; ++it) {
+      if (it->second != found->second) continue;
+      queue.erase(it);
+      break;
+    }
     subscriptions.erase(found);
   }
+
+  void CancelAll() {
+    std::lock_guard lock(mutex);
+    queue.clear();
+    subscriptions.clear();
+  }
 };
 
 Result<std::unique_ptr<TimerService>> TimerService::Create(Runtime& runtime) {
@@ -76,10 +115,7 @@
 
 TimerService::TimerService(Runtime& runtime) : m_impl(std::make_shared<Impl>(runtime.Context())) {}
 
-TimerService::~TimerService() {
-  std::lock_guard lock(m_impl->mutex);
-  for (auto& [id, subscription] : m_impl->subscriptions) subscription->cancelled = true;
-}
+TimerService::~TimerService() { m_impl->CancelAll(); }
 
 TimerId TimerService::Every(std::chrono::milliseconds period,
                             std::function<void(SteadyTime)> handler) {
--- /dev/null
+++ b/tools/citronsill_node.cc
@@ -0,0 +1,144 @@
+// A node of a cell on the users' platform.
+#include <boost/program_options.hpp>
+#include <cstdlib>
+#include <iostream>
+
+#include "cell/limits.h"
+#include "cell/log.h"
+#include "cell/node.h"
+#include "cell/node_settings.h"
+#include "platform/platform.h"
+
+namespace options = boost::program_options;
+
+namespace citronsill {
+namespace {
+
+constexpr int kExitUsage = 2;
+constexpr int kExitSettings = 3;
+constexpr const char* kSettingsVariable = "CITRONSILL_CONFIG";
+
+int Fail(const Error& error) {
+  std::cerr << "citronsill_node: " << Describe(error) << '\n';
+  return kExitSettings;
+}
+
+// The program from its start to its end, on one thread.
+class Program {
+ public:
+  Program(Runtime& runtime, TimerService& timers, std::string path, NodeFile file)
+      : m_runtime(runtime), m_timers(timers), m_path(std::move(path)), m_file(std::move(file)) {}
+
+  Result<void> Start() {
+    BOOST_OUTCOME_TRY(PlatformServices services,
+                      platform::Connect(m_runtime, {m_file.store_address, m_file.advice_address}));
+    BOOST_OUTCOME_TRY(m_node, Node::Create(m_runtime, m_timers, m_file.node, std::move(services)));
+    BOOST_OUTCOME_TRY(m_ingress, platform::Ingress::Create(m_runtime, *m_node, m_file.node));
+    m_timers.Every(kLogFlushPeriod, [](SteadyTime) { FlushNodeLog(); });
+    m_runtime.OnTerminate([this](int number) { Terminate(number); });
+    m_runtime.OnReload([this] { Reload(); });
+    Log(LogLevel::kInfo, "started")
+        .Field("ingress", m_file.node.ingress_address)
+        .Field("link", m_file.node.link_address)
+        .Field("store", m_file.store_address)
+        .Field("advice", m_file.advice_address)
+        .Field("strength_milli", m_file.node.strength_milli);
+    return Success();
+  }
+
+ private:
+  // A further signal does not interrupt what is still being done.
+  void Terminate(int number) {
+    Log(LogLevel::kInfo, "terminate").Field("signal", number).Field("draining", m_draining);
+    if (m_draining) return;
+    m_draining = true;
+    m_ingress->Drain();
+    m_node->Drain([this] { m_node_drained = true; });
+    const SteadyTime began = BootNow();
+    m_timers.Every(kNodeTick, [this, began](SteadyTime) { CheckDrained(began); });
+  }
+
+  // The load balancer needs some time to send callers elsewhere; then open connections are left to
+  // their callers until the process has to end.
+  void CheckDrained(SteadyTime began) {
+    const milliseconds since = std::chrono::duration_cast<milliseconds>(BootNow() - began);
+    const bool is_quiet = m_node_drained && m_ingress->Connections() == 0;
+    const bool is_over = since >= m_file.node.drain_time - kDrainReserve;
+    if (!is_over && !(is_quiet && since >= kDrainAtLeast)) return;
+    Log(LogLevel::kInfo, "stopped")
+        .Field("after_ms", since)
+        .Field("open_connections", m_ingress->Connections())
+        .Field("node_drained", m_node_drained);
+    FlushNodeLog();
+    m_runtime.Stop();
+  }
+
+  void Reload() {
+    auto file = LoadNodeSettings(m_path);
+    if (!file) {
+      Log(LogLevel::kError, "reload-failed").Field("reason", file.error());
+      return;
+    }
+    m_file.node.drain_time = file.value().node.drain_time;
+    m_node->Reload(file.value().node);
+    Log(LogLevel::kInfo, "reloaded").Field("seeds", file.value().node.seeds.size());
+  }
+
+  Runtime& m_runtime;
+  TimerService& m_timers;
+  std::string m_path;
+  NodeFile m_file;
+  std::unique_ptr<Node> m_node;
+  std::unique_ptr<platform::Ingress> m_ingress;
+  bool m_draining = false;
+  bool m_node_drained = false;
+};
+
+int Run(const std::string& path, bool only_check) {
+  auto file = LoadNodeSettings(path);
+  if (!file) return Fail(file.error());
+  if (only_check) {
+    std::cout << "the settings are valid\n";
+    return 0;
+  }
+  if (auto log = StartNodeLog(file.value().node.instance, file.value().node.log_level); !log) {
+    return Fail(log.error());
+  }
+  auto runtime = Runtime::Create(1);
+  if (!runtime) return Fail(runtime.error());
+  auto timers = TimerService::Create(*runtime.value());
+  if (!timers) return Fail(timers.error());
+  Program program(*runtime.value(), *timers.value(), path, std::move(file).value());
+  if (auto started = program.Start(); !started) {
+    FlushNodeLog();
+    return Fail(started.error());
+  }
+  runtime.value()->Run();
+  return 0;
+}
+
+}  // namespace
+}  // namespace citronsill
+
+int main(int argc, char** argv) {
+  options::options_description description("citronsill_node: a node of a cell");
+  description.add_options()("help", "show this text")(
+      "settings", options::value<std::string>(),
+      "settings file, JSON with comments; default: the variable CITRONSILL_CONFIG")(
+      "check", "check the settings and exit");
+  options::variables_map values;
+  try {
+    options::store(options::parse_command_line(argc, argv, description), values);
+  } catch (const options::error& error) {
+    std::cerr << "citronsill_node: " << error.what() << '\n';
+    return citronsill::kExitUsage;
+  }
+  const char* const variable = std::getenv(citronsill::kSettingsVariable);
+  std::string path = variable != nullptr ? variable : "";
+  if (values.contains("settings")) path = values["settings"].as<std::string>();
+  if (values.contains("help") || path.empty()) {
+    std::cout << description;
+    return values.contains("help") ? 0 : citronsill::kExitUsage;
+  }
+  return citronsill::Run(path, values.contains("check"));
+}
