--- a/cell/claim.cc
+++ b/cell/claim.cc
@@ -19,6 +19,7 @@
   m_owner_version = version;
   m_vacant_since.reset();
   m_head_since.reset();
+  m_claim_after_read = false;
   if (version == 0) return;
   if (is_new) {
     Log(LogLevel::kInfo, "owner-changed")
--- a/cell/commit.cc
+++ b/cell/commit.cc
@@ -23,7 +23,13 @@
 void CommitLog::Wake() {
   if (m_lost) return;
   m_wanted = true;
-  if (!m_in_flight) Next();
+  if (m_in_flight || m_posted) return;
+  m_posted = true;
+  m_hooks.post([this, alive = m_alive] {
+    if (!*alive || m_lost) return;
+    m_posted = false;
+    if (m_wanted && !m_in_flight) Next();
+  });
 }
 
 void CommitLog::Tick() {
--- a/cell/commit.h
+++ b/cell/commit.h
@@ -20,6 +20,8 @@
 struct CommitHooks {
   Clock now;
   std::function<void(milliseconds delay, std::function<void()>)> after;
+  /// Runs an action after the current event.
+  std::function<void(std::function<void()>)> post;
   /// @returns the next changes; without any, an empty transaction renews the claim.
   std::function<struct WriteBatch()> take;
   /// The changes up to this position are in the store.
@@ -36,7 +38,8 @@
             CommitHooks hooks);
   ~CommitLog();
 
-  /// There are changes to store.
+  /// There are changes to store. They are taken after the current event, which may go on to make
+  /// more of them.
   void Wake();
 
   /// Writes the head row when nothing was written for a while. To be called periodically.
@@ -69,6 +72,7 @@
   std::uint32_t m_failures = 0;   // Of this transaction, in a row.
   bool m_in_flight = false;
   bool m_wanted = false;
+  bool m_posted = false;
   bool m_lost = false;
   bool m_releasing = false;
   schema::OwnerRow m_released_owner;
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -23,9 +23,10 @@
 }  // namespace
 
 struct Leader::Impl : std::enable_shared_from_this<Impl> {
-  Impl(TimerService& service, RowStore* row_store, const PlatformServices& services,
+  Impl(Runtime& node_runtime, TimerService& service, RowStore* row_store, const PlatformServices& services,
        const NodeSettings& node, LeaderOptions leader_options, LeaderHooks leader_hooks)
-      : timers(service),
+      : runtime(node_runtime),
+        timers(service),
         store(row_store),
         platform(services),
         settings(node),
@@ -33,6 +34,7 @@
         hooks(std::move(leader_hooks)),
         lanes(services.ask_advice) {}
 
+  Runtime& runtime;
   TimerService& timers;
   RowStore* store;
   const PlatformServices& platform;
@@ -79,7 +81,7 @@
     if (lost) return;
     lost = true;
     // Not from inside of a call of the scheduler, which ends with this object.
-    After(milliseconds(0), [this] { hooks.on_lost(); });
+    Post([this] { hooks.on_lost(); });
   }
 
   void After(milliseconds delay, std::function<void()> action) {
@@ -88,6 +90,12 @@
     });
   }
 
+  void Post(std::function<void()> action) {
+    runtime.Post([weak = weak_from_this(), action = std::move(action)] {
+      if (const auto self = weak.lock()) action();
+    });
+  }
+
   [[nodiscard]] bool MayLead() const {
     return !lost && !releasing && BootNow() < commits->Confirmed() + kLeadWithoutStore;
   }
@@ -132,6 +140,7 @@
     to.after = [this](milliseconds delay, std::function<void()> action) {
       After(delay, std::move(action));
     };
+    to.post = [this](std::function<void()> action) { Post(std::move(action)); };
     to.take = [this] {
       if (!loaded) return WriteBatch{};
       // Two more entries are the head row, as condition and as write, and one the owner row.
@@ -303,7 +312,7 @@
 
   template <class Answer>
   void Unreachable(void (Fleet::*event)(std::uint64_t, const Result<Answer>&), std::uint64_t id) {
-    After(milliseconds(0), [this, event, id] {
+    Post([this, event, id] {
       if (lost || releasing) return;
       (scheduler->Workers().*event)(id, Error{schema::CODE_WORKER_UNREACHABLE, "no link"});
     });
@@ -394,7 +403,7 @@
 
   void Submit(const schema::SubmitCall& call, Reply reply) {
     // While the store does not answer, a job would wait for nothing but its caller's deadline.
-    const bool is_known = scheduler->State(call.spec().id()).has_value();
+    const bool is_known = scheduler->Knows(call.spec().id());
     if (!is_known && BootNow() > commits->Confirmed() + kRefuseWithoutStore) {
       return reply(
           Failure({schema::CODE_TABLE_UNAVAILABLE, "the store does not answer"}, kStoreRetryAfter));
@@ -403,11 +412,11 @@
   }
 };
 
-std::unique_ptr<Leader> Leader::Create(TimerService& timers, RowStore* store,
+std::unique_ptr<Leader> Leader::Create(Runtime& runtime, TimerService& timers, RowStore* store,
                                        const PlatformServices& platform,
                                        const NodeSettings& settings, LeaderOptions options,
                                        LeaderHooks hooks) {
-  auto impl = std::make_shared<Impl>(timers, store, platform, settings, std::move(options),
+  auto impl = std::make_shared<Impl>(runtime, timers, store, platform, settings, std::move(options),
                                      std::move(hooks));
   impl->Begin();
   return std::unique_ptr<Leader>(new Leader(std::move(impl)));
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -10,6 +10,7 @@
 #include "cell/lanes.h"
 #include "cell/scheduler.h"
 #include "cell/settings.h"
+#include "citronsill/runtime.h"
 #include "citronsill/timer.h"
 
 namespace citronsill {
@@ -32,7 +33,7 @@
   using Reply = std::function<void(schema::CallReply)>;
 
   /// @param platform and the rest outlive the leader.
-  static std::unique_ptr<Leader> Create(TimerService& timers, RowStore* store,
+  static std::unique_ptr<Leader> Create(Runtime& runtime, TimerService& timers, RowStore* store,
                                         const PlatformServices& platform,
                                         const NodeSettings& settings, LeaderOptions options,
                                         LeaderHooks hooks);
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -82,6 +82,7 @@
 
   void AddShard(const std::string& name) {
     ShardDeps deps;
+    deps.runtime = &runtime;
     deps.timers = &timers;
     deps.store = store.get();
     deps.platform = &platform;
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -80,6 +80,11 @@
   /// @returns the state that is in the store, none for an unknown job.
   [[nodiscard]] std::optional<schema::JobState> State(const std::string& id) const;
 
+  /// @returns whether the job is known, in the store or on its way to it.
+  [[nodiscard]] bool Knows(const std::string& id) const {
+    return m_jobs.contains(id) || m_finished.contains(id);
+  }
+
   /// @returns accepted jobs of a queue of which no task was started.
   [[nodiscard]] std::uint64_t Waiting(const std::string& queue) const;
 
--- a/cell/scheduler_plan.cc
+++ b/cell/scheduler_plan.cc
@@ -21,6 +21,23 @@
 // Time from the end of one step to the start of the next without advice: two commits and a start.
 constexpr milliseconds kStepOverhead{50};
 
+// A task is not tried again where it failed, as long as there are others to try.
+bool Avoids(const Task& task, const Worker& worker) {
+  if (task.avoid.size() > kMaxAvoided) return false;
+  return std::find(task.avoid.begin(), task.avoid.end(), &worker) != task.avoid.end();
+}
+
+bool Waits(const Task& task, SteadyTime now) {
+  return !task.done && task.orders.empty() && task.retry_at <= now;
+}
+
+// @returns whether no waiting task of the step may run on the worker.
+bool AllAvoid(const Step& step, const Worker& worker, SteadyTime now) {
+  return std::all_of(step.tasks.begin(), step.tasks.end(), [&](const Task& task) {
+    return !Waits(task, now) || Avoids(task, worker);
+  });
+}
+
 milliseconds QuestionTime(const schema::AdviceSpec& advice, std::int64_t named) {
   return milliseconds((advice.decide_us() + advice.each_us() * named) / 1000);
 }
@@ -96,10 +113,9 @@
   }
   for (const auto& step : job->steps) {
     if (!step->ready || step->IsDone()) continue;
-    std::uint32_t waiting = 0;
-    for (const Task& task : step->tasks) {
-      if (!task.done && task.orders.empty() && task.retry_at <= now) ++waiting;
-    }
+    const auto waiting = static_cast<std::uint32_t>(
+        std::count_if(step->tasks.begin(), step->tasks.end(),
+                      [now](const Task& task) { return Waits(task, now); }));
     if (waiting == 0) continue;
     m_waiting_tasks += waiting;
     // Members that are missing from a gang are placed one by one; a gang that ends is waited for.
@@ -140,6 +156,7 @@
   for (std::uint32_t index = 0; index < m_plan_workers.size(); ++index) {
     const Worker& worker = *m_plan_workers[index];
     if (worker.description.service != queue.service()) continue;
+    if (AllAvoid(*step, worker, now)) continue;
     if (const std::string& label = step->spec->required_label(); !label.empty()) {
       const auto& labels = worker.description.labels;
       if (std::find(labels.begin(), labels.end(), label) == labels.end()) continue;
@@ -200,11 +217,7 @@
       step->gang_started = m_hooks.now();
     }
     for (Task& task : step->tasks) {
-      if (task.done || !task.orders.empty() || task.retry_at > m_hooks.now()) continue;
-      // The last worker that is left may be tried again: avoiding it must not stop the task.
-      const bool avoids = std::find(task.avoid.begin(), task.avoid.end(), worker) !=
-                          task.avoid.end();
-      if (avoids && task.avoid.size() <= kMaxAvoided) continue;
+      if (!Waits(task, m_hooks.now()) || Avoids(task, *worker)) continue;
       const std::uint64_t run = step->spec->gang() ? step->gang_run : task.last_run + 1;
       orders.push_back(Assign(&task, worker, run)->id);
       break;
--- a/cell/shard.cc
+++ b/cell/shard.cc
@@ -148,7 +148,7 @@
     options.earlier_is_gone = signs.has_denied || earlier_released || owner.term() == 1;
     LeaderHooks hooks;
     hooks.on_lost = [this] { Lose(); };
-    leader = Leader::Create(*deps.timers, deps.store, *deps.platform, *deps.settings,
+    leader = Leader::Create(*deps.runtime, *deps.timers, deps.store, *deps.platform, *deps.settings,
                             std::move(options), std::move(hooks));
     deps.for_each_link([this](const LinkPtr& link) {
       if (link->Peer().lane()) leader->AddLane(link);
@@ -326,7 +326,7 @@
       const auto self = weak.lock();
       if (!self) return;
       Log(LogLevel::kInfo, "shard-released").Field("shard", self->name);
-      self->deps.timers->After(milliseconds(0), [weak](SteadyTime) {
+      self->deps.runtime->Post([weak] {
         if (const auto later = weak.lock()) later->Lose();
       });
     });
--- a/cell/shard.h
+++ b/cell/shard.h
@@ -14,9 +14,9 @@
 /// How a call of a caller ended.
 struct CallOutcome {
   schema::Code code{};  ///< CODE_OK, or:
-                        ///< CODE_NO_OWNER: nothing was done, because no scheduler was reached;
+                        ///< CODE_NO_OWNER: this call did nothing, because no scheduler was reached;
                         ///< CODE_OUTCOME_UNKNOWN: it may have been done or may still be;
-                        ///< any other: the scheduler refused it.
+                        ///< any other: the scheduler refused it, and knows of no earlier call.
   std::string message;
   schema::JobState state{};
   std::uint64_t waiting = 0;
@@ -25,6 +25,7 @@
 using CallDone = std::function<void(CallOutcome)>;
 
 struct ShardDeps {
+  Runtime* runtime = nullptr;
   TimerService* timers = nullptr;
   RowStore* store = nullptr;           ///< With relaying.
   const PlatformServices* platform = nullptr;
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -165,7 +165,7 @@
   }
 
   void OnRead(const ConnectionPtr& connection, error_code error, std::size_t bytes) {
-    if (error == asio::error::eof) {
+    if (error == asio::error::eof && connection->parser->got_some()) {
       connection->parser->put_eof(error);
       if (!error && connection->parser->is_done()) return Finish(connection, false);
       error = asio::error::eof;
