--- a/cell/fleet.cc
+++ b/cell/fleet.cc
@@ -481,7 +481,8 @@
   HoldOrder order;
   order.fence = m_fence;
   order.acknowledged = worker->acknowledged;
-  if (worker->clock) {
+  // A worker that does not answer gets no longer leases: what it runs has to end at a known time.
+  if (worker->clock && !worker->silent) {
     order.lease_until = Estimate(*worker) + m_lease;
     worker->lease_sent = std::max(worker->lease_sent, order.lease_until);
   }
