--- a/cell/commit.cc
+++ b/cell/commit.cc
@@ -49,9 +49,11 @@
   m_transaction.writes = std::move(batch.writes);
   m_transaction.removals = std::move(batch.removals);
   m_transaction.writes.push_back(Row{head_key, m_head.SerializeAsString()});
-  if (m_releasing && m_position == 0) {
+  if (m_release_wanted) {
+    m_releasing = true;
     m_transaction.writes.push_back(
         Row{{kOwnerTable, m_shard, kShardRowKey}, m_released_owner.SerializeAsString()});
+    m_on_release_begin();
   }
   m_failures = 0;
   m_sent = m_hooks.now();
@@ -59,11 +61,16 @@
   Send();
 }
 
+// A slow store is given time; a lost answer is noticed soon.
+milliseconds CommitLog::Timeout() const {
+  const milliseconds first = std::max(kCommitTimeoutMin, m_latency * kCommitLatencyFactor);
+  return std::min(first * (1 << std::min(m_failures, kMaxTimeoutDoublings)), kCommitTimeoutMax);
+}
+
 void CommitLog::Send() {
-  const milliseconds timeout =
-      std::min(kCommitTimeoutMin * (1 << std::min(m_failures, 8U)), kCommitTimeoutMax);
   m_last_write = m_hooks.now();
-  m_store->Commit(m_transaction, timeout,
+  m_attempt_sent = m_last_write;
+  m_store->Commit(m_transaction, Timeout(),
                   [this, alive = m_alive, attempt = ++m_attempt](const Result<CommitOutcome>& r) {
                     if (*alive) OnResult(attempt, r);
                   });
@@ -116,17 +123,18 @@
   }
   m_head_version = version;
   m_confirmed = m_sent;
-  if (m_releasing && m_position == 0) {
-    m_lost = true;
-    m_in_flight = false;
-    return m_on_released();
-  }
+  const auto took = std::chrono::duration_cast<milliseconds>(m_hooks.now() - m_attempt_sent);
+  m_latency += (took - m_latency) / kLatencyWindow;
   // Changes that follow from what was stored go into one transaction: hence in flight until then.
   const std::shared_ptr<bool> alive = m_alive;
   if (m_position > 0) m_hooks.on_stored(m_position);
   if (!*alive || m_lost) return;
   m_in_flight = false;
-  if (m_wanted || m_releasing) Next();
+  if (m_releasing) {
+    m_lost = true;
+    return m_on_released();
+  }
+  if (m_wanted || m_release_wanted) Next();
 }
 
 void CommitLog::Lose() {
@@ -135,11 +143,14 @@
   m_hooks.on_lost();
 }
 
-void CommitLog::Release(schema::OwnerRow owner, std::function<void()> done) {
-  m_releasing = true;
+void CommitLog::Release(schema::OwnerRow owner, std::function<void()> on_begin,
+                        std::function<void()> done) {
+  if (m_lost) return;
+  m_release_wanted = true;
   m_released_owner = std::move(owner);
+  m_on_release_begin = std::move(on_begin);
   m_on_released = std::move(done);
-  if (!m_in_flight && !m_lost) Next();
+  if (!m_in_flight) Next();
 }
 
 }  // namespace citronsill
--- a/cell/commit.h
+++ b/cell/commit.h
@@ -47,14 +47,15 @@
 
   /// @returns when the last transaction that is known to be in the store was sent.
   [[nodiscard]] SteadyTime Confirmed() const { return m_confirmed; }
-  /// @returns whether nothing waits and nothing is on its way.
-  [[nodiscard]] bool IsIdle() const { return !m_in_flight && !m_wanted; }
 
-  /// Gives the shard away once everything is stored; then `done` is called.
-  void Release(schema::OwnerRow owner, std::function<void()> done);
+  /// Gives the shard away with the next transaction; then `done` is called. What changes after that
+  /// transaction was put together is not stored.
+  /// @param on_begin is called when it is put together.
+  void Release(schema::OwnerRow owner, std::function<void()> on_begin, std::function<void()> done);
 
  private:
   void Next();
+  [[nodiscard]] milliseconds Timeout() const;
   void Send();
   void OnResult(std::uint64_t attempt, const Result<CommitOutcome>& result);
   void OnConflict(const CommitOutcome& outcome);
@@ -74,10 +75,14 @@
   bool m_wanted = false;
   bool m_posted = false;
   bool m_lost = false;
-  bool m_releasing = false;
+  bool m_release_wanted = false;
+  bool m_releasing = false;  // The transaction in flight gives the shard away.
   schema::OwnerRow m_released_owner;
+  std::function<void()> m_on_release_begin;
   std::function<void()> m_on_released;
   SteadyTime m_sent{};       // First sending of the transaction.
+  SteadyTime m_attempt_sent{};
+  milliseconds m_latency{0};  // Moving average of answers.
   SteadyTime m_confirmed{};
   SteadyTime m_last_write{};
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -50,7 +50,7 @@
   SteadyTime began = BootNow();
   bool loaded = false;
   bool lost = false;
-  bool releasing = false;  // Only what was already decided is stored.
+  bool releasing = false;  // The last transaction is on its way.
   bool plan_pending = false;
   SteadyTime planned{};
   std::vector<std::function<void()>> until_loaded;
@@ -440,8 +440,8 @@
 void Leader::Release(std::function<void()> done) {
   schema::OwnerRow owner = m_impl->options.owner;
   owner.set_released(true);
-  m_impl->releasing = true;
-  m_impl->commits->Release(std::move(owner), std::move(done));
+  m_impl->commits->Release(
+      std::move(owner), [impl = m_impl.get()] { impl->releasing = true; }, std::move(done));
 }
 
 bool Leader::IsLoaded() const { return m_impl->loaded; }
--- a/cell/limits.h
+++ b/cell/limits.h
@@ -97,7 +97,12 @@
 // Time for the store to answer before the same transaction is sent again: first and longest. A
 // healthy store answers within 10 ms.
 inline constexpr std::chrono::milliseconds kCommitTimeoutMin{120};
-inline constexpr std::chrono::milliseconds kCommitTimeoutMax{1000};
+inline constexpr std::chrono::milliseconds kCommitTimeoutMax{1500};
+// The store is given this many times its usual time to answer...
+inline constexpr int kCommitLatencyFactor = 3;
+// ...which is an average over about this many transactions.
+inline constexpr int kLatencyWindow = 4;
+inline constexpr std::uint32_t kMaxTimeoutDoublings = 4;
 // Pause after the store refused a transaction.
 inline constexpr std::chrono::milliseconds kCommitRetry{40};
 // An idle scheduler writes its head row this often, so that others see that it is alive.
@@ -142,6 +147,8 @@
 inline constexpr std::chrono::milliseconds kDrainAtLeast{2300};
 // It ends this long before it would be killed.
 inline constexpr std::chrono::milliseconds kDrainReserve{700};
+// Calls that wait when it ends get their final answer this long before.
+inline constexpr std::chrono::milliseconds kDrainAnswerReserve{300};
 // An instance that reaches neither the store nor a scheduler for this long asks its seeds.
 inline constexpr std::chrono::milliseconds kSeedsAfter{400};
 // An instance stays in rotation this long without a scheduler: a takeover takes less, and callers
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -290,7 +290,9 @@
 void Node::Drain(std::function<void()> done) {
   m_impl->draining = true;
   m_impl->on_drained = std::move(done);
-  for (const auto& shard : m_impl->shards) shard->Release();
+  const SteadyTime until =
+      BootNow() + m_impl->settings.drain_time - kDrainReserve - kDrainAnswerReserve;
+  for (const auto& shard : m_impl->shards) shard->Release(until);
 }
 
 void Node::Reload(const NodeSettings& settings) {
--- a/cell/shard.cc
+++ b/cell/shard.cc
@@ -34,6 +34,7 @@
   OwnerSigns signs;
   SteadyTime served{};
   bool releasing = false;
+  SteadyTime answers_until = SteadyTime::max();
   TimerId tick_timer;
   std::list<PendingPtr> pending;
 
@@ -135,7 +136,8 @@
   }
 
   void Gain(const schema::OwnerRow& owner, const schema::HeadRow& head, std::uint64_t version) {
-    if (leader || releasing) return;
+    if (leader) return;
+    if (releasing) return GiveBack(owner, head, version);
     Log(LogLevel::kInfo, "shard-gained")
         .Field("shard", name)
         .Field("term", owner.term())
@@ -156,6 +158,14 @@
     SendPending();
   }
 
+  // The answer to a claim came after this instance had begun to shut down.
+  void GiveBack(schema::OwnerRow owner, schema::HeadRow head, std::uint64_t version) {
+    Log(LogLevel::kInfo, "shard-given-back").Field("shard", name).Field("term", owner.term());
+    owner.set_released(true);
+    head.set_sequence(head.sequence() + 1);
+    WriteRows(owner, head, version, version);
+  }
+
   bool earlier_released = false;
 
   void Lose() {
@@ -237,7 +247,7 @@
     auto call = std::make_shared<PendingCall>();
     call->message = std::move(message);
     call->arrived = BootNow();
-    call->deadline = call->arrived + timeout;
+    call->deadline = std::min(call->arrived + timeout, answers_until);
     call->done = std::move(done);
     pending.push_back(call);
     SendOne(call);
@@ -318,8 +328,10 @@
     return true;
   }
 
-  void Release() {
+  void Release(SteadyTime until) {
     releasing = true;
+    answers_until = until;
+    for (const PendingPtr& call : pending) call->deadline = std::min(call->deadline, until);
     if (!leader) return;
     Log(LogLevel::kInfo, "shard-releasing").Field("shard", name);
     leader->Release([weak = weak_from_this()] {
@@ -358,6 +370,6 @@
   return m_impl->served != SteadyTime{} && BootNow() <= m_impl->served + grace;
 }
 std::size_t Shard::PendingCalls() const { return m_impl->pending.size(); }
-void Shard::Release() { m_impl->Release(); }
+void Shard::Release(SteadyTime answers_until) { m_impl->Release(answers_until); }
 
 }  // namespace citronsill
--- a/cell/shard.h
+++ b/cell/shard.h
@@ -62,7 +62,8 @@
   [[nodiscard]] std::size_t PendingCalls() const;
 
   /// Gives the shard away when this instance is its scheduler, and claims none any more.
-  void Release();
+  /// @param answers_until when every call has to have its final answer.
+  void Release(SteadyTime answers_until);
 
  private:
   struct Impl;
