--- a/cell/claim.cc
+++ b/cell/claim.cc
@@ -55,7 +55,7 @@
   }
   m_vacant_since.reset();
   const bool is_silent =
-      !signs.is_linked && (signs.is_refused || now > signs.heard + kOwnerProbePeriod);
+      now > signs.heard + kOwnerLinkSilence || (!signs.is_linked && signs.is_refused);
   if (!is_silent) {
     m_head_since.reset();
     return;
--- a/cell/commit.cc
+++ b/cell/commit.cc
@@ -23,13 +23,29 @@
 void CommitLog::Wake() {
   if (m_lost) return;
   m_wanted = true;
+  Schedule();
+}
+
+// Puts the next transaction together after the current event, and not too soon after the last one.
+void CommitLog::Schedule() {
   if (m_in_flight || m_posted) return;
   m_posted = true;
-  m_hooks.post([this, alive = m_alive] {
+  auto go = [this, alive = m_alive] {
     if (!*alive || m_lost) return;
     m_posted = false;
     if (m_wanted && !m_in_flight) Next();
-  });
+  };
+  const auto since = std::chrono::duration_cast<milliseconds>(m_hooks.now() - m_sent);
+  if (since >= kCommitPeriod) {
+    m_hooks.post(std::move(go));
+  } else {
+    m_hooks.after(kCommitPeriod - since, std::move(go));
+  }
+}
+
+milliseconds CommitLog::FailingFor() const {
+  if (!m_in_flight || m_failures == 0) return milliseconds(0);
+  return std::chrono::duration_cast<milliseconds>(m_hooks.now() - m_sent);
 }
 
 void CommitLog::Tick() {
@@ -134,7 +150,8 @@
     m_lost = true;
     return m_on_released();
   }
-  if (m_wanted || m_release_wanted) Next();
+  if (m_release_wanted) return Next();
+  if (m_wanted) Schedule();
 }
 
 void CommitLog::Lose() {
--- a/cell/commit.h
+++ b/cell/commit.h
@@ -45,6 +45,9 @@
   /// Writes the head row when nothing was written for a while. To be called periodically.
   void Tick();
 
+  /// @returns how long the store has failed to take the transaction in flight; 0 when it has not.
+  [[nodiscard]] milliseconds FailingFor() const;
+
   /// @returns when the last transaction that is known to be in the store was sent.
   [[nodiscard]] SteadyTime Confirmed() const { return m_confirmed; }
 
@@ -54,6 +57,7 @@
   void Release(schema::OwnerRow owner, std::function<void()> on_begin, std::function<void()> done);
 
  private:
+  void Schedule();
   void Next();
   [[nodiscard]] milliseconds Timeout() const;
   void Send();
--- a/cell/fleet.cc
+++ b/cell/fleet.cc
@@ -169,6 +169,8 @@
       worker->description.draining || !m_hooks.may_lead()) {
     return VoidOrder(order, VoidReason::kNeverSent);
   }
+  // The worker would refuse it: storing the assignment took longer than the ticket is valid.
+  if (m_hooks.now() > order->ticket_until) return VoidOrder(order, VoidReason::kNeverSent);
   order->state = OrderState::kSending;
   order->start_until = Estimate(*worker) + kStartWindow;
   worker->lease_sent = std::max(worker->lease_sent, order->start_until);
@@ -183,6 +185,8 @@
   m_hooks.start(*worker, std::move(start), order->id);
 }
 
+void Fleet::Drop(Order* order) { Detach(order); }
+
 void Fleet::Stop(Order* order) {
   if (order->stop_wanted) return;
   order->stop_wanted = true;
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -118,6 +118,9 @@
   /// Sends the start of an order, whose assignment is in the store.
   void Send(Order* order, const std::string& payload, const std::string& save);
 
+  /// Forgets an order that was not sent. No event follows.
+  void Drop(Order* order);
+
   /// Ends a run, or makes sure that it never begins.
   void Stop(Order* order);
 
--- a/cell/job.h
+++ b/cell/job.h
@@ -37,6 +37,7 @@
   bool earlier_term = false;  ///< Given by an earlier scheduler.
   bool at_work = false;       ///< Its worker reported progress since it started.
   std::string ticket;
+  SteadyTime ticket_until = SteadyTime::max();
   WorkerTime start_until;                ///< The worker rejects the start after this time.
   SteadyTime created;
   SteadyTime running_since;              ///< When it was first known to run.
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -363,6 +363,7 @@
   void Tick() {
     commits->Tick();
     if (!loaded || releasing) return;
+    if (commits->FailingFor() > kRefuseWithoutStore) scheduler->RefuseUnsent(StoreFailure());
     scheduler->Tick();
     PlanSoon();
   }
@@ -403,12 +404,23 @@
 
   void Submit(const schema::SubmitCall& call, Reply reply) {
     // While the store does not answer, a job would wait for nothing but its caller's deadline.
-    const bool is_known = scheduler->Knows(call.spec().id());
-    if (!is_known && BootNow() > commits->Confirmed() + kRefuseWithoutStore) {
-      return reply(
-          Failure({schema::CODE_TABLE_UNAVAILABLE, "the store does not answer"}, kStoreRetryAfter));
+    const milliseconds retry_after =
+        call.spec().queue().priority() == 0 ? kInteractiveRetryAfter : kBatchRetryAfter;
+    if (!scheduler->Knows(call.spec().id()) && commits->FailingFor() > kRefuseWithoutStore) {
+      return reply(Failure(StoreFailure(), retry_after));
     }
-    scheduler->Submit(call.spec(), milliseconds(call.waited_ms()), WithState(std::move(reply)));
+    scheduler->Submit(
+        call.spec(), milliseconds(call.waited_ms()),
+        [reply = std::move(reply), retry_after](const Result<schema::JobState>& result) {
+          if (!result) return reply(Failure(result.error(), retry_after));
+          schema::CallReply out;
+          out.set_state(result.value());
+          reply(std::move(out));
+        });
+  }
+
+  static Error StoreFailure() {
+    return {schema::CODE_TABLE_UNAVAILABLE, "the store does not answer"};
   }
 };
 
--- a/cell/limits.h
+++ b/cell/limits.h
@@ -83,11 +83,13 @@
 inline constexpr std::chrono::milliseconds kPlanPeriod{4};
 // Longest question to the policy service: 100 workers of the slowest kind, with as many waiting.
 inline constexpr std::chrono::milliseconds kAdviceTimeout{3000};
-// New work is refused when the store has not answered for this long: it would otherwise use up its
-// callers' time for a call, which is 3 s.
-inline constexpr std::chrono::milliseconds kRefuseWithoutStore{1500};
-// When such callers are told to come back; outages last some seconds.
-inline constexpr std::chrono::milliseconds kStoreRetryAfter{1000};
+// New work is refused when the store has failed to answer for this long. Interactive work has a
+// second or two in all, and waiting uses up its callers' time for a call.
+inline constexpr std::chrono::milliseconds kRefuseWithoutStore{700};
+// When such callers are told to come back: interactive work at once, the rest over the length of an
+// outage, which is 4 to 9 s, by four tries.
+inline constexpr std::chrono::milliseconds kInteractiveRetryAfter{1000};
+inline constexpr std::chrono::milliseconds kBatchRetryAfter{2000};
 
 // ---- Ownership
 
@@ -103,19 +105,24 @@
 // ...which is an average over about this many transactions.
 inline constexpr int kLatencyWindow = 4;
 inline constexpr std::uint32_t kMaxTimeoutDoublings = 4;
+// Transactions are at least this far apart, so that one carries the changes of many tasks: they are
+// priced, and short work has ten times as long to spare.
+inline constexpr std::chrono::milliseconds kCommitPeriod{20};
 // Pause after the store refused a transaction.
 inline constexpr std::chrono::milliseconds kCommitRetry{40};
 // An idle scheduler writes its head row this often, so that others see that it is alive.
 inline constexpr std::chrono::milliseconds kRenewPeriod{300};
 // A scheduler that does not speak on its links and whose head row has not changed for this long is
-// replaced: several renewals of a healthy one.
-inline constexpr std::chrono::milliseconds kOwnerSilence{1500};
+// replaced: two renewals of a healthy one.
+inline constexpr std::chrono::milliseconds kOwnerSilence{700};
 // The same when connections to it fail at once, as they do when its process has ended; a live one
 // writes its head row more often.
 inline constexpr std::chrono::milliseconds kOwnerRefused{450};
 inline constexpr std::chrono::milliseconds kOwnerRefusedProbe{100};
-// Between reads of the head row of a scheduler that is silent.
-inline constexpr std::chrono::milliseconds kOwnerProbePeriod{300};
+// A link to the scheduler that is silent for this long, five pings, is taken as a sign...
+inline constexpr std::chrono::milliseconds kOwnerLinkSilence{500};
+// ...upon which its head row is read this often.
+inline constexpr std::chrono::milliseconds kOwnerProbePeriod{150};
 // The next heir waits this much longer than the one before it.
 inline constexpr std::chrono::milliseconds kHeirStagger{80};
 inline constexpr std::chrono::milliseconds kStoreReadTimeout{1000};
@@ -157,9 +164,9 @@
 
 // ---- Links between instances
 
-inline constexpr std::chrono::milliseconds kPingPeriod{250};
+inline constexpr std::chrono::milliseconds kPingPeriod{100};
 inline constexpr std::chrono::milliseconds kLinkTendPeriod{50};
-// A link without a message for this long is closed: six pings.
+// A link without a message for this long is closed: fifteen pings.
 inline constexpr std::chrono::milliseconds kLinkSilence{1500};
 inline constexpr std::chrono::milliseconds kAcceptRetry{50};
 // Pause before a link that failed is made again.
--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -145,6 +145,25 @@
   m_hooks.plan_soon();
 }
 
+void Scheduler::RefuseUnsent(const Error& error) {
+  std::vector<Job*> unsent;
+  for (const auto& [id, job] : m_jobs) {
+    if (!job->stored && !job->IsFinal()) unsent.push_back(job.get());
+  }
+  for (Job* job : unsent) {
+    for (const auto& step : job->steps) {
+      for (const Task& task : step->tasks) {
+        for (Order* order : std::vector<Order*>(task.orders)) m_fleet.Drop(order);
+      }
+    }
+    std::erase(m_dirty, job);
+    auto submitters = m_submitters.extract(job->spec.id());
+    m_jobs.erase(job->spec.id());
+    if (submitters.empty()) continue;
+    for (const Done& submitter : submitters.mapped()) submitter(error);
+  }
+}
+
 void Scheduler::Cancel(const std::string& id, Done done) {
   if (const auto finished = m_finished.find(id); finished != m_finished.end()) {
     return done(finished->second.state());
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -74,6 +74,10 @@
   /// @param done is called once the job is in the store, or with a reason why it was not accepted.
   void Submit(const schema::JobSpec& spec, milliseconds waited, Done done);
 
+  /// Refuses the jobs that wait for their first transaction: nothing of them was sent to the store.
+  /// @param error that their submitters get.
+  void RefuseUnsent(const Error& error);
+
   /// @param done is called once the cancelling is in the store; CODE_NOT_FOUND for an unknown job.
   void Cancel(const std::string& id, Done done);
 
--- a/cell/scheduler_plan.cc
+++ b/cell/scheduler_plan.cc
@@ -254,8 +254,9 @@
   Step* step = task->step;
   task->last_run = std::max(task->last_run, run);
   Order* order = m_fleet.Reserve(task, worker, run);
-  if (worker->slot < step->advice.size()) {
+  if (step->job->spec.queue().has_advice() && worker->slot < step->advice.size()) {
     order->ticket = step->advice[worker->slot].ticket;
+    order->ticket_until = step->advice[worker->slot].ticket_until;
   }
   MarkDirty(step->job);
   Log(LogLevel::kInfo, "assigned")
