--- a/cell/claim.cc
+++ b/cell/claim.cc
@@ -122,7 +122,9 @@
   m_vacant_since.reset();
   m_head_since.reset();
   if (!result) {
-    Log(LogLevel::kWarn, "claim-unanswered").Field("shard", m_shard).Field("reason", result.error());
+    Log(LogLevel::kWarn, "claim-unanswered")
+        .Field("shard", m_shard)
+        .Field("reason", result.error());
     return;
   }
   if (result.value().committed) {
--- a/cell/claim.h
+++ b/cell/claim.h
@@ -29,10 +29,10 @@
 
 /// What links tell about the scheduler of the shard.
 struct OwnerSigns {
-  bool is_linked = false;     ///< A link to it is open and not silent.
-  bool has_denied = false;    ///< The process at its address is another one.
-  bool is_refused = false;    ///< Connections to its address fail at once.
-  SteadyTime heard{};         ///< When it was last heard.
+  bool is_linked = false;   ///< A link to it is open and not silent.
+  bool has_denied = false;  ///< The process at its address is another one.
+  bool is_refused = false;  ///< Connections to its address fail at once.
+  SteadyTime heard{};       ///< When it was last heard.
 };
 
 class Claimer {
@@ -67,12 +67,12 @@
   schema::OwnerRow m_self;
   ClaimHooks m_hooks;
   std::vector<std::string> m_heirs;
-  bool m_known = false;                  // The owner row was read, or is known to be missing.
+  bool m_known = false;  // The owner row was read, or is known to be missing.
   schema::OwnerRow m_owner;
   std::uint64_t m_owner_version = 0;
   schema::HeadRow m_head;
   std::uint64_t m_head_version = 0;
-  std::optional<SteadyTime> m_head_since;  // The head row was first seen with this version.
+  std::optional<SteadyTime> m_head_since;    // The head row was first seen with this version.
   std::optional<SteadyTime> m_vacant_since;  // Since when the owner is known to be gone.
   schema::OwnerRow m_claimed_owner;
   schema::HeadRow m_claimed_head;
--- a/cell/commit.h
+++ b/cell/commit.h
@@ -71,10 +71,10 @@
   std::uint64_t m_head_version;
   RowStore* m_store;
   CommitHooks m_hooks;
-  RowTransaction m_transaction;   // In flight, or to be sent again.
-  std::uint64_t m_position = 0;   // That it stores.
+  RowTransaction m_transaction;  // In flight, or to be sent again.
+  std::uint64_t m_position = 0;  // That it stores.
   std::uint64_t m_attempt = 0;
-  std::uint32_t m_failures = 0;   // Of this transaction, in a row.
+  std::uint32_t m_failures = 0;  // Of this transaction, in a row.
   bool m_in_flight = false;
   bool m_wanted = false;
   bool m_posted = false;
@@ -84,7 +84,7 @@
   schema::OwnerRow m_released_owner;
   std::function<void()> m_on_release_begin;
   std::function<void()> m_on_released;
-  SteadyTime m_sent{};       // First sending of the transaction.
+  SteadyTime m_sent{};  // First sending of the transaction.
   SteadyTime m_attempt_sent{};
   milliseconds m_latency{0};  // Moving average of answers.
   SteadyTime m_confirmed{};
--- a/cell/fleet.cc
+++ b/cell/fleet.cc
@@ -85,8 +85,8 @@
   // The list lags: what it says of an earlier life is known to be over.
   const std::int64_t known_born = worker->description.born_unix_ms;
   const bool reborn = known_born != 0 && description.born_unix_ms > known_born;
-  const bool moved = !worker->description.address.empty() &&
-                     worker->description.address != description.address;
+  const bool moved =
+      !worker->description.address.empty() && worker->description.address != description.address;
   if (reborn || moved) EndLife(worker);
   worker->description = description;
   worker->description.born_unix_ms = std::max(known_born, description.born_unix_ms);
@@ -419,8 +419,8 @@
       .Field("worker", order->worker->description.id)
       .Field("reason", VoidReasonName(reason))
       .Field("verdict", reason == VoidReason::kRefused ? StartVerdictName(verdict) : "-")
-      .Field("heard_ms_ago", std::chrono::duration_cast<milliseconds>(m_hooks.now() -
-                                                                      order->worker->heard));
+      .Field("heard_ms_ago",
+             std::chrono::duration_cast<milliseconds>(m_hooks.now() - order->worker->heard));
   const std::unique_ptr<Order> over = Detach(order);
   m_hooks.on_void(*over, reason, verdict);
 }
@@ -498,8 +498,7 @@
 }
 
 WorkerTime Fleet::Estimate(const Worker& worker) const {
-  return *worker.clock +
-         std::chrono::duration_cast<milliseconds>(m_hooks.now() - worker.clock_at);
+  return *worker.clock + std::chrono::duration_cast<milliseconds>(m_hooks.now() - worker.clock_at);
 }
 
 SteadyTime Fleet::LapseAt(const Worker& worker) const {
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -32,20 +32,20 @@
 
 struct Worker {
   WorkerDescription description;
-  bool listed = false;    ///< In the list of workers.
-  bool attached = false;  ///< It has accepted the fence of this term in this life.
-  bool silent = false;    ///< The last call failed.
-  bool gone = false;      ///< Another life of a worker answers at its address.
-  std::uint32_t slot = 0;                ///< Number of the record; never used again.
-  std::uint32_t life = 0;                ///< Counts the lives that this record has stood for.
-  std::optional<WorkerTime> clock;       ///< Its clock was at least this...
-  SteadyTime clock_at{};                 ///< ...at this time.
-  WorkerTime lease_sent;                 ///< Latest lease that was sent to it in this life.
-  SteadyTime lapse_without_clock{};      ///< End of all leases on it while its clock is not known.
-  std::uint64_t seen_end = 0;            ///< Highest end that was taken in.
-  std::uint64_t acknowledged = 0;        ///< Highest end that it may forget.
+  bool listed = false;               ///< In the list of workers.
+  bool attached = false;             ///< It has accepted the fence of this term in this life.
+  bool silent = false;               ///< The last call failed.
+  bool gone = false;                 ///< Another life of a worker answers at its address.
+  std::uint32_t slot = 0;            ///< Number of the record; never used again.
+  std::uint32_t life = 0;            ///< Counts the lives that this record has stood for.
+  std::optional<WorkerTime> clock;   ///< Its clock was at least this...
+  SteadyTime clock_at{};             ///< ...at this time.
+  WorkerTime lease_sent;             ///< Latest lease that was sent to it in this life.
+  SteadyTime lapse_without_clock{};  ///< End of all leases on it while its clock is not known.
+  std::uint64_t seen_end = 0;        ///< Highest end that was taken in.
+  std::uint64_t acknowledged = 0;    ///< Highest end that it may forget.
   SteadyTime next_hold{};
-  SteadyTime heard{};                    ///< When it last answered.
+  SteadyTime heard{};  ///< When it last answered.
   milliseconds hold_retry{0};
   bool hold_in_flight = false;
   bool look_in_flight = false;
--- a/cell/follower.cc
+++ b/cell/follower.cc
@@ -123,8 +123,8 @@
 std::unique_ptr<TableFollower> TableFollower::Create(TimerService& timers, RowStore* store,
                                                      std::string table, std::string part,
                                                      FollowerHooks hooks) {
-  auto impl = std::make_shared<Impl>(timers, store, std::move(table), std::move(part),
-                                     std::move(hooks));
+  auto impl =
+      std::make_shared<Impl>(timers, store, std::move(table), std::move(part), std::move(hooks));
   impl->Load();
   return std::unique_ptr<TableFollower>(new TableFollower(std::move(impl)));
 }
--- a/cell/job.cc
+++ b/cell/job.cc
@@ -15,8 +15,8 @@
 }
 
 void SetBit(std::uint32_t index, std::string* bits) {
-  (*bits)[index / 8] = static_cast<char>(static_cast<unsigned char>((*bits)[index / 8]) |
-                                         (1U << (index % 8)));
+  (*bits)[index / 8] =
+      static_cast<char>(static_cast<unsigned char>((*bits)[index / 8]) | (1U << (index % 8)));
 }
 
 Error Invalid(const std::string& field, const std::string& rule) {
--- a/cell/job.h
+++ b/cell/job.h
@@ -18,10 +18,10 @@
 struct Worker;
 
 enum class OrderState {
-  kStoring,   ///< The assignment is not in the store yet; nothing was sent.
-  kSending,   ///< The start was sent; its answer is awaited.
-  kRunning,   ///< The worker said that it runs.
-  kUnknown,   ///< It may run, start later, or never start: the worker has to be asked.
+  kStoring,  ///< The assignment is not in the store yet; nothing was sent.
+  kSending,  ///< The start was sent; its answer is awaited.
+  kRunning,  ///< The worker said that it runs.
+  kUnknown,  ///< It may run, start later, or never start: the worker has to be asked.
 };
 
 /// One run of one task on one worker.
@@ -38,9 +38,9 @@
   bool at_work = false;       ///< Its worker reported progress since it started.
   std::string ticket;
   SteadyTime ticket_until = SteadyTime::max();
-  WorkerTime start_until;                ///< The worker rejects the start after this time.
+  WorkerTime start_until;  ///< The worker rejects the start after this time.
   SteadyTime created;
-  SteadyTime running_since;              ///< When it was first known to run.
+  SteadyTime running_since;  ///< When it was first known to run.
   SteadyTime unknown_since;
   std::optional<SteadyTime> stopped_at;  ///< When the worker acknowledged a stop.
   SteadyTime stop_retry_at;
@@ -65,9 +65,9 @@
   std::uint32_t failures = 0;
   std::string save;
   std::uint64_t last_run = 0;
-  std::vector<Order*> orders;           ///< Live ones: none, one, or copies.
-  SteadyTime retry_at{};                ///< Not started before this time.
-  std::vector<const Worker*> avoid;     ///< Workers on which it failed or stood still.
+  std::vector<Order*> orders;        ///< Live ones: none, one, or copies.
+  SteadyTime retry_at{};             ///< Not started before this time.
+  std::vector<const Worker*> avoid;  ///< Workers on which it failed or stood still.
 };
 
 /// One step of one occurrence of a job.
@@ -80,12 +80,12 @@
   std::vector<Task> tasks;
   std::uint32_t done = 0;
   std::uint32_t gang_failures = 0;
-  std::uint64_t gang_run = 0;       ///< Run of the members that are there; 0 for none.
-  std::uint64_t gang_failed_run = 0;  ///< Last run that was counted as failed.
-  bool gang_sent = false;           ///< The start of a member was sent.
-  SteadyTime gang_started{};        ///< When the first start was sent.
-  bool gang_ending = false;         ///< A member ended: the others are on their way out.
-  bool ready = false;               ///< All earlier steps are done.
+  std::uint64_t gang_run = 0;          ///< Run of the members that are there; 0 for none.
+  std::uint64_t gang_failed_run = 0;   ///< Last run that was counted as failed.
+  bool gang_sent = false;              ///< The start of a member was sent.
+  SteadyTime gang_started{};           ///< When the first start was sent.
+  bool gang_ending = false;            ///< A member ended: the others are on their way out.
+  bool ready = false;                  ///< All earlier steps are done.
   std::vector<AdviceOnWorker> advice;  ///< By the slot of the worker; may be shorter.
   bool advice_in_flight = false;
   SteadyTime advice_retry_at{};
@@ -98,14 +98,14 @@
   schema::JobSpec spec;
   schema::JobState state = schema::JOB_STATE_QUEUED;
   std::int64_t accepted_unix_ms = 0;
-  SteadyTime arrived{};          ///< When the caller's request arrived, as far as known.
-  SteadyTime objective{};        ///< When it has to be done.
+  SteadyTime arrived{};    ///< When the caller's request arrived, as far as known.
+  SteadyTime objective{};  ///< When it has to be done.
   schema::JobState shown = schema::JOB_STATE_NONE;  ///< State that is in the store.
-  std::vector<std::unique_ptr<Step>> steps;  ///< Of the occurrences that have begun.
+  std::vector<std::unique_ptr<Step>> steps;         ///< Of the occurrences that have begun.
   std::uint32_t occurrences_begun = 0;
   std::uint32_t occurrences_done = 0;
   std::uint32_t live_orders = 0;
-  bool stored = false;           ///< Its job row is in the store.
+  bool stored = false;  ///< Its job row is in the store.
   bool ever_started = false;
   std::uint64_t dirty_position = 0;  ///< Place in the queue for the store; 0 when not in it.
 
--- a/cell/lanes.cc
+++ b/cell/lanes.cc
@@ -5,7 +5,9 @@
 namespace citronsill {
 namespace {
 
-// Of the lanes, this part is kept for questions that take short.
+// Of the lanes, this part is kept for interactive work, and of the others this part for questions
+// that do not take long.
+constexpr std::uint32_t kInteractiveLaneDivisor = 4;
 constexpr std::uint32_t kShortLaneDivisor = 4;
 
 AdviceAnswer FromSchema(const schema::AdviceReply& reply) {
@@ -20,60 +22,72 @@
 }  // namespace
 
 AdviceLanes::AdviceLanes(AskAdvice own) : m_own(std::move(own)) {
-  if (m_own) m_lanes[++m_last_id] = Lane{};
+  if (m_own) m_lanes[""] = Lane{};
 }
 
-void AdviceLanes::Add(const LinkPtr& link) { m_lanes[++m_last_id] = Lane{link}; }
+AdviceLanes::~AdviceLanes() { *m_alive = false; }
+
+void AdviceLanes::Add(const LinkPtr& link) {
+  m_lanes[link->Peer().instance()].links.push_back(link);
+}
 
 void AdviceLanes::Remove(const LinkPtr& link) {
-  std::erase_if(m_lanes, [&](const auto& entry) { return entry.second.link == link; });
+  const auto found = m_lanes.find(link->Peer().instance());
+  if (found == m_lanes.end()) return;
+  std::erase(found->second.links, link);
+  if (found->second.links.empty() && !found->first.empty()) m_lanes.erase(found);
 }
 
-std::pair<std::uint32_t, std::uint32_t> AdviceLanes::Free() const {
-  std::uint32_t free = 0;
-  std::uint32_t busy_long = 0;
+LaneCounts AdviceLanes::Counts() const {
+  LaneCounts counts;
+  std::uint32_t batch = 0;
+  std::uint32_t long_ones = 0;
   for (const auto& [id, lane] : m_lanes) {
-    if (!lane.busy) ++free;
-    if (lane.has_long) ++busy_long;
+    if (!lane.busy) ++counts.free;
+    if (lane.busy && lane.kind != QuestionKind::kInteractive) ++batch;
+    if (lane.busy && lane.kind == QuestionKind::kLong) ++long_ones;
   }
   const auto lanes = static_cast<std::uint32_t>(m_lanes.size());
-  const std::uint32_t kept = lanes > 1 ? std::max(1U, lanes / kShortLaneDivisor) : 0;
-  const std::uint32_t most_long = lanes - kept;
-  const std::uint32_t free_long = most_long - std::min(most_long, busy_long);
-  return {free, std::min(free, free_long)};
+  const std::uint32_t most_batch = lanes - lanes / kInteractiveLaneDivisor;
+  const std::uint32_t most_long = most_batch - most_batch / kShortLaneDivisor;
+  const auto left = [&](std::uint32_t most, std::uint32_t used) {
+    return std::min(counts.free, most - std::min(most, used));
+  };
+  counts.free_batch = left(most_batch, batch);
+  counts.free_long = std::min(counts.free_batch, left(most_long, long_ones));
+  return counts;
 }
 
-AdviceLanes::Lane* AdviceLanes::PickLane() {
+AdviceLanes::Lane* AdviceLanes::PickLane(std::string* instance) {
   Lane* best = nullptr;
-  for (auto& [id, lane] : m_lanes) {
-    if (lane.busy) continue;
-    if (best == nullptr || lane.questions < best->questions) best = &lane;
+  for (auto& [name, lane] : m_lanes) {
+    if (lane.busy || (best != nullptr && lane.questions >= best->questions)) continue;
+    best = &lane;
+    *instance = name;
   }
   return best;
 }
 
-void AdviceLanes::Release(std::uint64_t id) {
-  const auto found = m_lanes.find(id);
-  if (found == m_lanes.end()) return;
-  found->second.busy = false;
-  found->second.has_long = false;
+void AdviceLanes::Release(const std::string& instance) {
+  const auto found = m_lanes.find(instance);
+  if (found != m_lanes.end()) found->second.busy = false;
 }
 
-void AdviceLanes::Ask(const TaskRef& step, std::vector<std::string> workers, bool is_long,
+void AdviceLanes::Ask(const TaskRef& step, std::vector<std::string> workers, QuestionKind kind,
                       milliseconds timeout, Done done) {
-  Lane* lane = PickLane();
+  std::string instance;
+  Lane* lane = PickLane(&instance);
   if (lane == nullptr) return done(Error{schema::CODE_OVERLOADED, "no lane is free"});
   lane->busy = true;
-  lane->has_long = is_long;
+  lane->kind = kind;
   ++lane->questions;
-  const auto id = std::find_if(m_lanes.begin(), m_lanes.end(),
-                               [lane](const auto& entry) { return &entry.second == lane; })
-                      ->first;
-  if (!lane->link) {
-    m_own(step, std::move(workers), timeout, [this, id, done](Result<AdviceAnswer> result) {
-      Release(id);
-      done(std::move(result));
-    });
+  if (instance.empty()) {
+    m_own(step, std::move(workers), timeout,
+          [this, alive = m_alive, done](Result<AdviceAnswer> result) {
+            if (!*alive) return;
+            Release("");
+            done(std::move(result));
+          });
     return;
   }
   schema::LinkMessage message;
@@ -83,16 +97,18 @@
   call->set_step(step.step);
   call->set_timeout_ms(timeout.count());
   for (std::string& worker : workers) call->add_workers(std::move(worker));
-  lane->link->Call(std::move(message), timeout,
-                   [this, id, done](const Result<schema::LinkMessage>& result) {
-                     Release(id);
-                     if (!result) return done(result.error());
-                     const schema::AdviceReply& reply = result.value().advice_reply();
-                     if (reply.code() != schema::CODE_OK) {
-                       return done(Error{reply.code(), "the policy service did not answer"});
-                     }
-                     done(FromSchema(reply));
-                   });
+  lane->links.back()->Call(
+      std::move(message), timeout,
+      [this, alive = m_alive, instance, done](const Result<schema::LinkMessage>& result) {
+        if (!*alive) return;
+        Release(instance);
+        if (!result) return done(result.error());
+        const schema::AdviceReply& reply = result.value().advice_reply();
+        if (reply.code() != schema::CODE_OK) {
+          return done(Error{reply.code(), "the policy service did not answer"});
+        }
+        done(FromSchema(reply));
+      });
 }
 
 void ServeAdvice(const AskAdvice& ask, const LinkPtr& link, const schema::LinkMessage& message) {
--- a/cell/lanes.h
+++ b/cell/lanes.h
@@ -5,11 +5,13 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "cell/link.h"
+#include "cell/scheduler.h"
 #include "cell/worker.h"
 
 namespace citronsill {
@@ -20,33 +22,34 @@
 
   /// @param own asks from this instance; may be empty.
   explicit AdviceLanes(AskAdvice own);
+  ~AdviceLanes();
 
   void Add(const LinkPtr& link);
   void Remove(const LinkPtr& link);
 
-  /// @returns lanes without a question, and how many of them may take one that lasts long. Some are
-  /// kept for short questions.
-  [[nodiscard]] std::pair<std::uint32_t, std::uint32_t> Free() const;
+  /// @returns how many there are and are free. Some are kept for questions that take short.
+  [[nodiscard]] LaneCounts Counts() const;
 
   /// Asks on a free lane.
   /// @param done gets CODE_OVERLOADED when there is none.
-  void Ask(const TaskRef& step, std::vector<std::string> workers, bool is_long,
+  void Ask(const TaskRef& step, std::vector<std::string> workers, QuestionKind kind,
            milliseconds timeout, Done done);
 
  private:
+  // One for each instance, whatever the number of links to it.
   struct Lane {
-    LinkPtr link;  // Null for the own one.
+    std::vector<LinkPtr> links;  // Empty for the own one.
     bool busy = false;
-    bool has_long = false;
+    QuestionKind kind{};
     std::uint64_t questions = 0;
   };
 
-  Lane* PickLane();
-  void Release(std::uint64_t id);
+  Lane* PickLane(std::string* instance);
+  void Release(const std::string& instance);
 
   AskAdvice m_own;
-  std::map<std::uint64_t, Lane> m_lanes;
-  std::uint64_t m_last_id = 0;
+  std::map<std::string, Lane> m_lanes;  // By instance; the own one is "".
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 /// Carries out a question of another instance.
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -23,8 +23,9 @@
 }  // namespace
 
 struct Leader::Impl : std::enable_shared_from_this<Impl> {
-  Impl(Runtime& node_runtime, TimerService& service, RowStore* row_store, const PlatformServices& services,
-       const NodeSettings& node, LeaderOptions leader_options, LeaderHooks leader_hooks)
+  Impl(Runtime& node_runtime, TimerService& service, RowStore* row_store,
+       const PlatformServices& services, const NodeSettings& node, LeaderOptions leader_options,
+       LeaderHooks leader_hooks)
       : runtime(node_runtime),
         timers(service),
         store(row_store),
@@ -119,10 +120,10 @@
     to.hold = [this](const Worker& worker, HoldOrder order, std::uint64_t id) {
       SendHold(worker, order, id);
     };
-    to.ask = [this](const TaskRef& step, std::vector<std::string> workers, bool is_long) {
-      Ask(step, std::move(workers), is_long);
+    to.ask = [this](const TaskRef& step, std::vector<std::string> workers, QuestionKind kind) {
+      Ask(step, std::move(workers), kind);
     };
-    to.free_lanes = [this] { return lanes.Free(); };
+    to.lanes = [this] { return lanes.Counts(); };
     to.has_writes = [this] {
       if (loaded && commits) commits->Wake();
     };
@@ -182,9 +183,9 @@
   void FinishLoading() {
     const SteadyTime now = BootNow();
     // Leases that the earlier scheduler gave, or goes on giving until it stops by itself.
-    milliseconds lapse = std::chrono::duration_cast<milliseconds>(
-                             settings.max_lease * (1.0 + kWorkerClockDrift)) +
-                         kLeaseMargin;
+    milliseconds lapse =
+        std::chrono::duration_cast<milliseconds>(settings.max_lease * (1.0 + kWorkerClockDrift)) +
+        kLeaseMargin;
     if (!options.earlier_is_gone) lapse += kLeadWithoutStore;
     std::map<std::string, const Row*> progress_of;
     for (const Row& row : progress.rows) progress_of[row.key.key] = &row;
@@ -338,9 +339,9 @@
 
   // ---- Planning
 
-  void Ask(const TaskRef& step, std::vector<std::string> workers, bool is_long) {
+  void Ask(const TaskRef& step, std::vector<std::string> workers, QuestionKind kind) {
     std::vector<std::string> asked = workers;
-    lanes.Ask(step, std::move(workers), is_long, kAdviceTimeout,
+    lanes.Ask(step, std::move(workers), kind, kAdviceTimeout,
               [weak = weak_from_this(), step, asked](const Result<AdviceAnswer>& result) {
                 const auto self = weak.lock();
                 if (self && !self->lost) self->scheduler->OnAdvice(step, asked, result);
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -17,9 +17,9 @@
 
 struct LeaderOptions {
   std::string shard;
-  schema::OwnerRow owner;       ///< As it was claimed.
+  schema::OwnerRow owner;  ///< As it was claimed.
   schema::HeadRow head;
-  std::uint64_t version = 0;    ///< Of both rows.
+  std::uint64_t version = 0;     ///< Of both rows.
   bool earlier_is_gone = false;  ///< The process that owned the shard before has ended.
 };
 
--- a/cell/limits.h
+++ b/cell/limits.h
@@ -32,8 +32,8 @@
 inline constexpr double kWorkerClockDrift = 0.02;
 // Added to the end of a lease for the reading of clocks and the passing of messages.
 inline constexpr std::chrono::milliseconds kLeaseMargin{150};
-// Leases outlast a change of the scheduler: about 2 s to notice a silent one, 1 s to attach, and the
-// age of the last renewal.
+// Leases outlast a change of the scheduler: about 2 s to notice a silent one, 1 s to attach, and
+// the age of the last renewal.
 inline constexpr std::chrono::milliseconds kLease{5000};
 // A start is refused by its worker after this time; twice the time of a slow call.
 inline constexpr std::chrono::milliseconds kStartWindow{1500};
@@ -136,7 +136,7 @@
 // Calls that fail in a row until another instance's path to the store is taken.
 inline constexpr std::uint32_t kOwnPathFailures = 2;
 // The own path is tried again this often.
-inline constexpr std::chrono::milliseconds kOwnPathRetry{1000};
+inline constexpr std::chrono::milliseconds kOwnPathRetry{500};
 
 // ---- Calls of callers
 
--- a/cell/link.cc
+++ b/cell/link.cc
@@ -57,8 +57,7 @@
   void PingAll();
 };
 
-class LinkService::Impl::Connection : public Link,
-                                      public std::enable_shared_from_this<Connection> {
+class LinkService::Impl::Connection : public Link, public std::enable_shared_from_this<Connection> {
  public:
   Connection(const std::shared_ptr<Impl>& service, Tcp::socket socket)
       : m_service(service), m_socket(std::move(socket)), m_heard(BootNow()) {}
@@ -114,6 +113,7 @@
   [[nodiscard]] SteadyTime Heard() const override { return m_heard; }
   [[nodiscard]] bool IsOpen() const override { return !m_closed && !m_peer.instance().empty(); }
   [[nodiscard]] const schema::Hello& Peer() const override { return m_peer; }
+  [[nodiscard]] const schema::Ping& LastPing() const override { return m_ping; }
 
   // To be called once the socket is connected.
   void Begin() {
@@ -217,8 +217,7 @@
       }
       if (m_in.size() - at - kFrameHeaderBytes < length) break;
       schema::LinkMessage message;
-      if (!message.ParseFromArray(m_in.data() + at + kFrameHeaderBytes,
-                                  static_cast<int>(length))) {
+      if (!message.ParseFromArray(m_in.data() + at + kFrameHeaderBytes, static_cast<int>(length))) {
         Close("a frame is unreadable");
         return false;
       }
@@ -237,7 +236,10 @@
       m_peer = message.hello();
       return service->hooks.on_open(shared_from_this());
     }
-    if (message.has_ping()) return service->hooks.on_ping(shared_from_this(), message.ping());
+    if (message.has_ping()) {
+      m_ping = message.ping();
+      return service->hooks.on_ping(shared_from_this(), m_ping);
+    }
     if (message.reply_to() != 0) {
       auto node = m_calls.extract(message.reply_to());
       if (!node.empty()) node.mapped().done(message);
@@ -249,6 +251,7 @@
   std::weak_ptr<Impl> m_service;
   Tcp::socket m_socket;
   schema::Hello m_peer;
+  schema::Ping m_ping;
   SteadyTime m_heard;
   SteadyTime m_pinged{};
   std::string m_in;
@@ -325,9 +328,8 @@
   if (auto endpoint = ParseAddress(address); endpoint) {
     connection->Connect(endpoint.value());
   } else {
-    asio::post(m_impl->context, [connection, reason = endpoint.error().message] {
-      connection->Close(reason);
-    });
+    asio::post(m_impl->context,
+               [connection, reason = endpoint.error().message] { connection->Close(reason); });
   }
   return connection;
 }
--- a/cell/link.h
+++ b/cell/link.h
@@ -36,6 +36,8 @@
   [[nodiscard]] virtual bool IsOpen() const = 0;
   /// @returns what the peer said of itself; empty until it did.
   [[nodiscard]] virtual const schema::Hello& Peer() const = 0;
+  /// @returns its last ping; empty until there was one.
+  [[nodiscard]] virtual const schema::Ping& LastPing() const = 0;
 };
 using LinkPtr = std::shared_ptr<Link>;
 
@@ -57,8 +59,8 @@
   /// @param address IP:port to listen on.
   /// @param self what is said to peers.
   static Result<std::unique_ptr<LinkService>> Create(Runtime& runtime, TimerService& timers,
-                                                     const std::string& address,
-                                                     schema::Hello self, LinkHooks hooks);
+                                                     const std::string& address, schema::Hello self,
+                                                     LinkHooks hooks);
   ~LinkService();
 
   /// Connects to another instance. `on_open` or `on_closed` follows.
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -48,11 +48,9 @@
   std::function<void()> on_drained;
 
   Result<void> Begin() {
-    store = std::make_unique<RelayedStore>(platform.store.get(), BootNow, [this] {
-      std::vector<LinkPtr> open;
-      links->ForEach([&](const LinkPtr& link) { open.push_back(link); });
-      return open;
-    });
+    const RowRange probe{platform.config_row.table, platform.config_row.part, "", "", 1};
+    store = std::make_unique<RelayedStore>(platform.store.get(), BootNow, probe,
+                                           [this] { return LinksToStore(); });
     BOOST_OUTCOME_TRY(
         links, LinkService::Create(runtime, timers, settings.link_address, Self(), MakeHooks()));
     FollowConfig();
@@ -63,6 +61,17 @@
     return Success();
   }
 
+  // Links to instances that reach the store; all, when none says so.
+  std::vector<LinkPtr> LinksToStore() {
+    std::vector<LinkPtr> open;
+    std::vector<LinkPtr> reaching;
+    links->ForEach([&](const LinkPtr& link) {
+      open.push_back(link);
+      if (link->LastPing().reaches_store()) reaching.push_back(link);
+    });
+    return reaching.empty() ? open : reaching;
+  }
+
   void End() {
     timers.Cancel(tick_timer);
     config_follower.reset();
@@ -129,7 +138,9 @@
     if (config && config->text == text) return;
     auto read = platform.read_config(text);
     if (!read) {
-      Log(LogLevel::kError, "config-rejected").Field("source", source).Field("reason", read.error());
+      Log(LogLevel::kError, "config-rejected")
+          .Field("source", source)
+          .Field("reason", read.error());
       return;
     }
     if (config && read.value()->version <= config->version) return;
@@ -162,6 +173,7 @@
   schema::Ping MakePing() {
     schema::Ping ping;
     if (config) ping.set_config_version(config->version);
+    ping.set_reaches_store(store->OwnPathWorks());
     std::vector<std::pair<std::uint32_t, std::string>> heirs;
     for (const auto& shard : shards) {
       if (shard->IsLeader()) ping.add_shards(shard->Name());
@@ -206,6 +218,7 @@
   }
 
   void Tick() {
+    store->Tick();
     const bool is_cut_off = std::none_of(shards.begin(), shards.end(), [](const auto& shard) {
       return shard->IsServed(kSeedsAfter);
     });
--- a/cell/node.h
+++ b/cell/node.h
@@ -1,5 +1,5 @@
-/// One instance of a cell: takes callers' calls, passes them to the scheduler, and is ready to be the
-/// scheduler itself.
+/// One instance of a cell: takes callers' calls, passes them to the scheduler, and is ready to be
+/// the scheduler itself.
 #pragma once
 
 #include <functional>
--- a/cell/node_settings.cc
+++ b/cell/node_settings.cc
@@ -58,8 +58,7 @@
     const json::value* value = Take(key, false);
     if (value == nullptr) return;
     const auto number = ToNumber(*value);
-    const std::string allowed =
-        "a number for " + std::to_string(least.count()) + " ms to one day";
+    const std::string allowed = "a number for " + std::to_string(least.count()) + " ms to one day";
     if (!number || *number < 0 || *number * unit.count() > kMaxDuration.count()) {
       return Bad(key, allowed);
     }
@@ -111,8 +110,7 @@
   }
 
   void Bad(std::string_view key, const std::string& allowed) {
-    Fault(std::string(key),
-          "is " + json::serialize(m_object.at(key)) + "; allowed: " + allowed);
+    Fault(std::string(key), "is " + json::serialize(m_object.at(key)) + "; allowed: " + allowed);
   }
 
   void Fault(const std::string& key, const std::string& what) {
--- a/cell/planner.cc
+++ b/cell/planner.cc
@@ -121,8 +121,8 @@
   }
 
   // Chooses workers for all members; those that hold the most of them first.
-  [[nodiscard]] std::vector<std::pair<std::uint32_t, std::uint32_t>> GangRoom(
-      const PlanUnit& unit, Fit least) const {
+  [[nodiscard]] std::vector<std::pair<std::uint32_t, std::uint32_t>> GangRoom(const PlanUnit& unit,
+                                                                              Fit least) const {
     std::vector<std::pair<std::uint32_t, std::uint32_t>> chosen;
     std::vector<std::uint32_t> found = Candidates(unit, least);
     std::stable_sort(found.begin(), found.end(), [&](std::uint32_t a, std::uint32_t b) {
@@ -215,14 +215,23 @@
 
   [[nodiscard]] bool CanAsk(const PlanUnit& unit) const {
     if (!unit.may_ask) return false;
-    const auto asked = static_cast<std::uint32_t>(m_plan.questions.size());
-    if (asked >= m_limits.free_lanes) return false;
-    return !unit.is_long_question || m_long_questions < m_limits.free_long_lanes;
+    switch (unit.question) {
+      case QuestionKind::kInteractive:
+        return m_limits.lanes.free > m_asked;
+      case QuestionKind::kBatch:
+        return m_limits.lanes.free > m_asked && m_limits.lanes.free_batch > m_asked_batch;
+      case QuestionKind::kLong:
+        return m_limits.lanes.free > m_asked && m_limits.lanes.free_batch > m_asked_batch &&
+               m_limits.lanes.free_long > m_asked_long;
+    }
+    return false;
   }
 
   void Ask(const PlanUnit& unit, std::vector<std::uint32_t> workers) {
     if (!CanAsk(unit)) return;
-    if (unit.is_long_question) ++m_long_questions;
+    ++m_asked;
+    if (unit.question != QuestionKind::kInteractive) ++m_asked_batch;
+    if (unit.question == QuestionKind::kLong) ++m_asked_long;
     m_plan.questions.push_back({unit.id, std::move(workers)});
   }
 
@@ -292,7 +301,9 @@
   std::vector<Resources> m_reserved;
   std::vector<SteadyTime> m_reserved_until;
   Resources m_free;
-  std::uint32_t m_long_questions = 0;
+  std::uint32_t m_asked = 0;
+  std::uint32_t m_asked_batch = 0;
+  std::uint32_t m_asked_long = 0;
   std::uint32_t m_gangs_set_aside = 0;
   Plan m_plan;
 };
@@ -304,8 +315,8 @@
     const Tier tier = TierOf(unit, now);
     const bool is_interactive = unit.priority == 0;
     // Latest start that meets the objective; of what is late, the shortest goes first.
-    const SteadyTime latest = tier == Tier::kInTime ? unit.objective - unit.chain
-                                                    : SteadyTime(unit.chain);
+    const SteadyTime latest =
+        tier == Tier::kInTime ? unit.objective - unit.chain : SteadyTime(unit.chain);
     return std::tuple(tier, !is_interactive, latest, unit.arrived, unit.id);
   };
   return key(a) < key(b);
--- a/cell/planner.h
+++ b/cell/planner.h
@@ -17,6 +17,20 @@
   kReady,    ///< May be started now.
 };
 
+/// Questions to the policy service, by the lanes that they may use.
+enum class QuestionKind : std::uint8_t {
+  kInteractive,  ///< All lanes.
+  kBatch,        ///< Those that are not kept for interactive work.
+  kLong,         ///< Those that are not kept for the other two.
+};
+
+/// Lanes to the policy service.
+struct LaneCounts {
+  std::uint32_t free = 0;        ///< Without a question.
+  std::uint32_t free_batch = 0;  ///< Of them, those that may take a batch question.
+  std::uint32_t free_long = 0;   ///< Of them, those that may take a long one.
+};
+
 /// Room that is expected to become free.
 struct ExpectedEnd {
   SteadyTime at;
@@ -33,31 +47,30 @@
 
 /// Tasks of one step that wait: alike, and placed in one decision.
 struct PlanUnit {
-  std::uint32_t id = 0;       ///< Of the caller.
+  std::uint32_t id = 0;        ///< Of the caller.
   std::uint32_t priority = 0;  ///< 0 is interactive work, which goes first.
   SteadyTime arrived;
-  SteadyTime objective;       ///< When its job has to be done.
-  SteadyTime late_limit;      ///< When doing it is worth hardly anything any more.
-  milliseconds chain{0};      ///< Expected time from the start of this step to the end of the job.
-  milliseconds duration{0};   ///< Expected duration of a task.
+  SteadyTime objective;      ///< When its job has to be done.
+  SteadyTime late_limit;     ///< When doing it is worth hardly anything any more.
+  milliseconds chain{0};     ///< Expected time from the start of this step to the end of the job.
+  milliseconds duration{0};  ///< Expected duration of a task.
   Resources size;
-  std::uint32_t count = 0;    ///< Tasks that wait.
-  bool gang = false;          ///< All or none.
+  std::uint32_t count = 0;  ///< Tasks that wait.
+  bool gang = false;        ///< All or none.
   bool rack_local = false;
-  std::uint32_t max_per_worker = 0;  ///< 0 for no limit.
-  std::uint32_t preferred_rack = 0;  ///< Where its data is; 0 for anywhere.
-  std::vector<Fit> fits;             ///< By worker.
+  std::uint32_t max_per_worker = 0;    ///< 0 for no limit.
+  std::uint32_t preferred_rack = 0;    ///< Where its data is; 0 for anywhere.
+  std::vector<Fit> fits;               ///< By worker.
   std::vector<std::uint32_t> present;  ///< By worker: tasks of the step there; empty for none.
-  bool may_ask = false;              ///< Its queue has a policy service, and no question is open.
-  bool is_long_question = false;     ///< A question takes long; see `PlanLimits`.
-  double allowed_share = 1.0;        ///< Share of workers that are usually allowed.
+  bool may_ask = false;                ///< Its queue has a policy service, and no question is open.
+  QuestionKind question{};             ///< Which lanes its questions may use.
+  double allowed_share = 1.0;          ///< Share of workers that are usually allowed.
 };
 
 struct PlanLimits {
   SteadyTime now;
-  std::uint32_t free_lanes = 0;       ///< Questions that can be asked now.
-  std::uint32_t free_long_lanes = 0;  ///< Of them, those that may take long.
-  Resources interactive_headroom;     ///< Room that only interactive work may use.
+  LaneCounts lanes;
+  Resources interactive_headroom;  ///< Room that only interactive work may use.
 };
 
 struct Placement {
@@ -79,9 +92,9 @@
 ///
 /// Load pattern: more is asked for than there is room, for seconds at a time, by interactive tasks
 /// that last less than a second and by batch tasks and gangs that may wait. Interactive work goes
-/// first: it has no time to wait and leaves soon. The rest goes by the latest moment at which it has
-/// to start to meet its objective. What cannot meet it any more goes behind what can, as long as
-/// that is waiting.
+/// first: it has no time to wait and leaves soon. The rest goes by the latest moment at which it
+/// has to start to meet its objective. What cannot meet it any more goes behind what can, as long
+/// as that is waiting.
 /// @returns whether `a` goes before `b`.
 bool GoesBefore(const PlanUnit& a, const PlanUnit& b, SteadyTime now);
 
--- a/cell/relay.cc
+++ b/cell/relay.cc
@@ -37,38 +37,65 @@
 
 }  // namespace
 
-RelayedStore::RelayedStore(RowStore* own, Clock now, std::function<std::vector<LinkPtr>()> links)
-    : m_own(own), m_now(std::move(now)), m_links(std::move(links)) {}
+RelayedStore::RelayedStore(RowStore* own, Clock now, RowRange probe,
+                           std::function<std::vector<LinkPtr>()> links)
+    : m_own(own), m_now(std::move(now)), m_probe(std::move(probe)), m_links(std::move(links)) {}
+
+RelayedStore::~RelayedStore() { *m_alive = false; }
 
 void RelayedStore::OwnPathResult(bool served) {
   if (served) {
-    if (m_own_failures >= kOwnPathFailures) Log(LogLevel::kInfo, "store-path-regained");
+    if (!OwnPathWorks()) Log(LogLevel::kInfo, "store-path-regained");
     m_own_failures = 0;
     return;
   }
-  if (++m_own_failures == kOwnPathFailures) Log(LogLevel::kWarn, "store-path-lost");
-  m_own_retry = m_now() + kOwnPathRetry;
+  if (++m_own_failures == kOwnPathFailures) {
+    Log(LogLevel::kWarn, "store-path-lost");
+    m_next_probe = m_now() + kOwnPathRetry;
+  }
+}
+
+void RelayedStore::Tick() {
+  if (OwnPathWorks() || m_probing || m_now() < m_next_probe) return;
+  m_probing = true;
+  m_own->Read(m_probe, kOwnPathRetry, [this, alive = m_alive](const Result<RowPage>& result) {
+    if (!*alive) return;
+    m_probing = false;
+    m_next_probe = m_now() + kOwnPathRetry;
+    if (result) OwnPathResult(true);
+  });
 }
 
-// Goes through another instance while the own path fails. Now and then the own one is tried again.
 LinkPtr RelayedStore::PickLink() {
-  if (m_own_failures < kOwnPathFailures || m_now() >= m_own_retry) return nullptr;
   const std::vector<LinkPtr> links = m_links();
   if (links.empty()) return nullptr;
   return links[m_next_link % links.size()];
 }
 
-void RelayedStore::Commit(RowTransaction transaction, milliseconds timeout,
-                          std::function<void(Result<CommitOutcome>)> done) {
-  const LinkPtr link = PickLink();
-  if (!link) {
-    m_own->Commit(std::move(transaction), timeout,
-                  [this, done = std::move(done)](const Result<CommitOutcome>& result) {
-                    OwnPathResult(result.has_value());
-                    done(result);
-                  });
-    return;
-  }
+void RelayedStore::Commit(RowTransaction transaction, milliseconds timeout, CommitDone done) {
+  auto finish = [this, alive = m_alive, done = std::move(done)](const Result<CommitOutcome>& r) {
+    if (!*alive) return;
+    m_commit_failed = !r.has_value();
+    done(r);
+  };
+  const bool own_works = OwnPathWorks();
+  const LinkPtr link = own_works && !m_commit_failed ? nullptr : PickLink();
+  if (!link) return CommitOwn(std::move(transaction), timeout, std::move(finish));
+  if (own_works) return CommitBoth(link, std::move(transaction), timeout, std::move(finish));
+  CommitRelayed(link, transaction, timeout, std::move(finish));
+}
+
+void RelayedStore::CommitOwn(RowTransaction transaction, milliseconds timeout, CommitDone done) {
+  m_own->Commit(std::move(transaction), timeout,
+                [this, alive = m_alive, done = std::move(done)](const Result<CommitOutcome>& r) {
+                  if (!*alive) return;
+                  OwnPathResult(r.has_value());
+                  done(r);
+                });
+}
+
+void RelayedStore::CommitRelayed(const LinkPtr& link, const RowTransaction& transaction,
+                                 milliseconds timeout, CommitDone done) {
   schema::LinkMessage message;
   schema::StoreCall* call = message.mutable_store();
   for (const RowCondition& condition : transaction.conditions) {
@@ -79,26 +106,48 @@
   for (const Row& row : transaction.writes) ToSchema(row, call->add_writes());
   for (const RowKey& key : transaction.removals) ToSchema(key, call->add_removals());
   call->set_timeout_ms(timeout.count());
-  link->Call(std::move(message), timeout,
-             [this, done = std::move(done)](const Result<schema::LinkMessage>& result) {
-               const bool served =
-                   result && result.value().store_reply().code() == schema::CODE_OK;
-               if (!served) ++m_next_link;
-               if (!result) return done(Error{schema::CODE_COMMIT_UNKNOWN, result.error().message});
-               const schema::StoreReply& reply = result.value().store_reply();
-               if (!served) return done(ErrorOf(reply));
-               CommitOutcome outcome{reply.committed(), reply.version(), {}};
-               for (const auto& row : reply.rows()) outcome.current.push_back(FromSchema(row));
-               done(std::move(outcome));
-             });
+  link->Call(
+      std::move(message), timeout,
+      [this, alive = m_alive, done = std::move(done)](const Result<schema::LinkMessage>& result) {
+        if (!*alive) return;
+        const bool served = result && result.value().store_reply().code() == schema::CODE_OK;
+        if (!served) ++m_next_link;
+        if (!result) return done(Error{schema::CODE_COMMIT_UNKNOWN, result.error().message});
+        const schema::StoreReply& reply = result.value().store_reply();
+        if (!served) return done(ErrorOf(reply));
+        CommitOutcome outcome{reply.committed(), reply.version(), {}};
+        for (const auto& row : reply.rows()) outcome.current.push_back(FromSchema(row));
+        done(std::move(outcome));
+      });
+}
+
+// One of the two may find that the other has already taken effect; its caller can tell by the rows.
+void RelayedStore::CommitBoth(const LinkPtr& link, RowTransaction transaction, milliseconds timeout,
+                              CommitDone done) {
+  struct Race {
+    CommitDone done;
+    int missing = 2;
+  };
+  auto race = std::make_shared<Race>();
+  race->done = std::move(done);
+  auto finish = [race](const Result<CommitOutcome>& result) {
+    --race->missing;
+    if (!race->done || (!result && race->missing > 0)) return;
+    const CommitDone first = std::move(race->done);
+    race->done = nullptr;
+    first(result);
+  };
+  CommitRelayed(link, transaction, timeout, finish);
+  CommitOwn(std::move(transaction), timeout, finish);
 }
 
 void RelayedStore::Read(RowRange range, milliseconds timeout,
                         std::function<void(Result<RowPage>)> done) {
-  const LinkPtr link = PickLink();
+  const LinkPtr link = OwnPathWorks() ? nullptr : PickLink();
   if (!link) {
     m_own->Read(std::move(range), timeout,
-                [this, done = std::move(done)](const Result<RowPage>& result) {
+                [this, alive = m_alive, done = std::move(done)](const Result<RowPage>& result) {
+                  if (!*alive) return;
                   OwnPathResult(result.has_value());
                   done(result);
                 });
@@ -115,7 +164,8 @@
   call->set_timeout_ms(timeout.count());
   link->Call(
       std::move(message), timeout,
-      [this, done = std::move(done)](const Result<schema::LinkMessage>& result) {
+      [this, alive = m_alive, done = std::move(done)](const Result<schema::LinkMessage>& result) {
+        if (!*alive) return;
         const bool served = result && result.value().store_reply().code() == schema::CODE_OK;
         if (!served) ++m_next_link;
         if (!result) return done(Error{schema::CODE_TABLE_UNAVAILABLE, result.error().message});
@@ -131,7 +181,13 @@
 
 void RelayedStore::Follow(std::string table, std::uint64_t after, milliseconds wait,
                           std::function<void(Result<RowPage>)> done) {
-  m_own->Follow(std::move(table), after, wait, std::move(done));
+  m_own->Follow(std::move(table), after, wait,
+                [this, alive = m_alive, done = std::move(done)](const Result<RowPage>& result) {
+                  if (!*alive) return;
+                  const bool served = result || result.error().code == schema::CODE_NOT_FOUND;
+                  OwnPathResult(served);
+                  done(result);
+                });
 }
 
 void RelayedStore::Serve(RowStore* own, const LinkPtr& link, const schema::LinkMessage& message) {
--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -570,9 +570,8 @@
   for (const auto& first : job->steps) {
     const bool is_over = std::all_of(job->steps.begin(), job->steps.end(), [&](const auto& step) {
       if (step->occurrence != first->occurrence) return true;
-      return step->IsDone() &&
-             std::all_of(step->tasks.begin(), step->tasks.end(),
-                         [](const Task& task) { return task.orders.empty(); });
+      return step->IsDone() && std::all_of(step->tasks.begin(), step->tasks.end(),
+                                           [](const Task& task) { return task.orders.empty(); });
     });
     if (is_over && (over.empty() || over.back() != first->occurrence)) {
       over.push_back(first->occurrence);
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -26,10 +26,10 @@
 inline constexpr const char* kFinishedTable = "finished";
 
 struct SchedulerOptions {
-  std::string shard;          ///< Part of the store.
-  std::uint64_t term = 0;     ///< Fence of all orders.
-  milliseconds lease{0};      ///< Of runs; at most what workers allow.
-  milliseconds gang_time{0};  ///< In which all members of a gang have to be there.
+  std::string shard;              ///< Part of the store.
+  std::uint64_t term = 0;         ///< Fence of all orders.
+  milliseconds lease{0};          ///< Of runs; at most what workers allow.
+  milliseconds gang_time{0};      ///< In which all members of a gang have to be there.
   milliseconds keep_finished{0};  ///< For which the state of an ended job can be asked for.
 };
 
@@ -41,9 +41,8 @@
   std::function<void(const Worker&, const TaskRef&, std::uint64_t run, std::uint64_t order)> stop;
   std::function<void(const Worker&, HoldOrder, std::uint64_t hold)> hold;
   /// Asks the policy service on a free lane; the answer comes by `OnAdvice`.
-  std::function<void(const TaskRef& step, std::vector<std::string> workers, bool is_long)> ask;
-  /// Free lanes, and how many of them may take questions that last long.
-  std::function<std::pair<std::uint32_t, std::uint32_t>()> free_lanes;
+  std::function<void(const TaskRef& step, std::vector<std::string> workers, QuestionKind kind)> ask;
+  std::function<LaneCounts()> lanes;
   /// Something waits to be stored.
   std::function<void()> has_writes;
   /// `Plan` should be called soon.
@@ -117,8 +116,8 @@
   };
   // What was learned of the tasks of a queue.
   struct QueueRecord {
-    double mean_run_ms = 0.0;      // Moving average of runs that ended done.
-    double allowed_share = 0.5;    // Of workers, by the answers of the policy service.
+    double mean_run_ms = 0.0;    // Moving average of runs that ended done.
+    double allowed_share = 0.5;  // Of workers, by the answers of the policy service.
   };
 
   FleetHooks MakeFleetHooks();
@@ -145,6 +144,7 @@
   void CheckGang(Step* step, SteadyTime now);
 
   // Planning.
+  static QuestionKind KindOf(const schema::QueueSpec& queue);
   [[nodiscard]] milliseconds ExpectedRun(const Step& step) const;
   [[nodiscard]] milliseconds ExpectedChain(const Step& step) const;
   [[nodiscard]] SteadyTime ExpectedEndOf(const Order& order) const;
--- a/cell/scheduler_plan.cc
+++ b/cell/scheduler_plan.cc
@@ -33,9 +33,8 @@
 
 // @returns whether no waiting task of the step may run on the worker.
 bool AllAvoid(const Step& step, const Worker& worker, SteadyTime now) {
-  return std::all_of(step.tasks.begin(), step.tasks.end(), [&](const Task& task) {
-    return !Waits(task, now) || Avoids(task, worker);
-  });
+  return std::all_of(step.tasks.begin(), step.tasks.end(),
+                     [&](const Task& task) { return !Waits(task, now) || Avoids(task, worker); });
 }
 
 milliseconds QuestionTime(const schema::AdviceSpec& advice, std::int64_t named) {
@@ -44,6 +43,12 @@
 
 }  // namespace
 
+QuestionKind Scheduler::KindOf(const schema::QueueSpec& queue) {
+  if (queue.priority() == 0) return QuestionKind::kInteractive;
+  const bool is_long = QuestionTime(queue.advice(), kUsualNamed) > kLongQuestion;
+  return is_long ? QuestionKind::kLong : QuestionKind::kBatch;
+}
+
 milliseconds Scheduler::ExpectedRun(const Step& step) const {
   const auto estimate = static_cast<double>(step.spec->estimate_ms());
   const auto queue = m_queues.find(step.job->spec.queue().name());
@@ -148,7 +153,7 @@
   const bool advised = queue.has_advice();
   unit->may_ask = advised && !step->advice_in_flight && step->advice_retry_at <= now;
   if (advised) {
-    unit->is_long_question = QuestionTime(queue.advice(), kUsualNamed) > kLongQuestion;
+    unit->question = KindOf(queue);
     unit->allowed_share = std::max(0.05, m_queues[queue.name()].allowed_share);
   }
   unit->fits.resize(m_plan_workers.size(), Fit::kNever);
@@ -200,7 +205,7 @@
   }
   PlanLimits limits;
   limits.now = m_hooks.now();
-  std::tie(limits.free_lanes, limits.free_long_lanes) = m_hooks.free_lanes();
+  limits.lanes = m_hooks.lanes();
   ApplyPlan(MakePlan(limits, std::move(units), &workers));
 }
 
@@ -244,9 +249,7 @@
       workers.push_back(m_plan_workers[index]->description.id);
     }
     step->advice_in_flight = true;
-    const schema::AdviceSpec& advice = step->job->spec.queue().advice();
-    const bool is_long = QuestionTime(advice, kUsualNamed) > kLongQuestion;
-    m_hooks.ask(step->Ref(0), std::move(workers), is_long);
+    m_hooks.ask(step->Ref(0), std::move(workers), KindOf(step->job->spec.queue()));
   }
 }
 
@@ -268,8 +271,8 @@
       .Field("free_mb", worker->Free().memory_mb)
       .Field("heard_ms_ago",
              std::chrono::duration_cast<milliseconds>(m_hooks.now() - worker->heard))
-      .Field("waited_ms", std::chrono::duration_cast<milliseconds>(m_hooks.now() -
-                                                                   step->job->arrived));
+      .Field("waited_ms",
+             std::chrono::duration_cast<milliseconds>(m_hooks.now() - step->job->arrived));
   return order;
 }
 
--- a/cell/settings.h
+++ b/cell/settings.h
@@ -19,17 +19,17 @@
   std::string instance;
   std::string failure_domain;
   std::string region;
-  std::string ingress_address;    ///< IP:port for callers.
-  std::string readiness_address;  ///< IP:port for the load balancer; empty for none.
-  std::string link_address;       ///< IP:port for other instances.
-  std::string metrics_address;    ///< IP:port; empty for none.
+  std::string ingress_address;     ///< IP:port for callers.
+  std::string readiness_address;   ///< IP:port for the load balancer; empty for none.
+  std::string link_address;        ///< IP:port for other instances.
+  std::string metrics_address;     ///< IP:port; empty for none.
   std::vector<std::string> seeds;  ///< Link addresses of some other instances; may be out of date.
   std::uint32_t strength_milli = 1000;  ///< Processor share of this instance, in thousandths.
   std::string log_level = "info";
-  milliseconds max_lease{5000};       ///< Longest lease that workers grant.
-  milliseconds gang_time{3000};       ///< Members of a gang wait this long for the others.
+  milliseconds max_lease{5000};        ///< Longest lease that workers grant.
+  milliseconds gang_time{3000};        ///< Members of a gang wait this long for the others.
   milliseconds keep_finished{120000};  ///< The state of an ended job can be asked for this long.
-  milliseconds drain_time{4000};      ///< From SIGTERM until the process has to be gone.
+  milliseconds drain_time{4000};       ///< From SIGTERM until the process has to be gone.
 };
 
 /// Limits of callers' requests; part of the configuration.
--- a/cell/shard.cc
+++ b/cell/shard.cc
@@ -16,13 +16,15 @@
     SteadyTime arrived;
     SteadyTime deadline;
     CallDone done;
-    bool was_sent = false;   // A scheduler may have carried it out.
+    bool was_sent = false;  // A scheduler may have carried it out.
     bool in_flight = false;
   };
   using PendingPtr = std::shared_ptr<PendingCall>;
 
   Impl(std::string shard, ShardDeps shard_deps)
-      : name(std::move(shard)), deps(std::move(shard_deps)), claimer(name, deps.self, MakeHooks()) {}
+      : name(std::move(shard)),
+        deps(std::move(shard_deps)),
+        claimer(name, deps.self, MakeHooks()) {}
 
   std::string name;
   ShardDeps deps;
@@ -83,8 +85,8 @@
   void OwnerMayHaveChanged(std::uint64_t earlier_term) {
     if (claimer.Owner().term() == earlier_term) return;
     if (leader && !claimer.IsOwn()) Lose();
-    if (owner_link && (claimer.IsOwn() ||
-                       owner_link->Peer().incarnation() != claimer.Owner().incarnation())) {
+    if (owner_link &&
+        (claimer.IsOwn() || owner_link->Peer().incarnation() != claimer.Owner().incarnation())) {
       const LinkPtr link = std::move(owner_link);
       owner_link.reset();
       link->Close("the shard has another scheduler");
@@ -215,7 +217,9 @@
       return;
     }
     signs.heard = BootNow();
-    Log(LogLevel::kInfo, "owner-linked").Field("shard", name).Field("owner", link->Peer().instance());
+    Log(LogLevel::kInfo, "owner-linked")
+        .Field("shard", name)
+        .Field("owner", link->Peer().instance());
     SendPending();
   }
 
@@ -308,8 +312,8 @@
     for (const PendingPtr& call : calls) {
       if (now >= call->deadline) {
         const auto code = call->was_sent ? schema::CODE_OUTCOME_UNKNOWN : schema::CODE_NO_OWNER;
-        Finish(call, CallOutcome{code, "no answer of the scheduler in time", {}, 0,
-                                 kNoOwnerRetryAfter});
+        Finish(call,
+               CallOutcome{code, "no answer of the scheduler in time", {}, 0, kNoOwnerRetryAfter});
       } else if (!call->in_flight) {
         SendOne(call);
       }
--- a/cell/shard.h
+++ b/cell/shard.h
@@ -1,5 +1,5 @@
-/// One shard as every instance sees it: who its scheduler is, the way to it, and the calls of callers
-/// that wait for it. Takes the shard over when its scheduler is gone.
+/// One shard as every instance sees it: who its scheduler is, the way to it, and the calls of
+/// callers that wait for it. Takes the shard over when its scheduler is gone.
 #pragma once
 
 #include <functional>
@@ -27,7 +27,7 @@
 struct ShardDeps {
   Runtime* runtime = nullptr;
   TimerService* timers = nullptr;
-  RowStore* store = nullptr;           ///< With relaying.
+  RowStore* store = nullptr;  ///< With relaying.
   const PlatformServices* platform = nullptr;
   const NodeSettings* settings = nullptr;
   schema::OwnerRow self;
--- a/cell/store.h
+++ b/cell/store.h
@@ -66,9 +66,9 @@
  public:
   virtual ~RowStore() = default;
 
-  /// @param done gets the outcome; CODE_TABLE_UNAVAILABLE when nothing was done and nothing will be;
-  /// CODE_COMMIT_UNKNOWN when the transaction may have taken effect or may do so later, as far as
-  /// its conditions hold.
+  /// @param done gets the outcome; CODE_TABLE_UNAVAILABLE when nothing was done and nothing will
+  /// be; CODE_COMMIT_UNKNOWN when the transaction may have taken effect or may do so later, as far
+  /// as its conditions hold.
   virtual void Commit(RowTransaction transaction, milliseconds timeout,
                       std::function<void(Result<CommitOutcome>)> done) = 0;
 
--- a/cell/worker.h
+++ b/cell/worker.h
@@ -137,8 +137,8 @@
 /// Asks the policy service which workers may run a step.
 /// @param done gets CODE_OVERLOADED when too many calls wait; any other error when it is not known.
 /// @param step the index of the task is ignored.
-using AskAdvice = std::function<void(const TaskRef& step, std::vector<std::string> workers,
-                                     milliseconds timeout,
-                                     std::function<void(Result<AdviceAnswer>)> done)>;
+using AskAdvice =
+    std::function<void(const TaskRef& step, std::vector<std::string> workers, milliseconds timeout,
+                       std::function<void(Result<AdviceAnswer>)> done)>;
 
 }  // namespace citronsill
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -75,7 +75,7 @@
     std::optional<http::response_parser<http::string_body>> parser;
     std::string out;
     std::optional<Call> call;
-    bool fresh = true;      // No response arrived on it yet.
+    bool fresh = true;  // No response arrived on it yet.
     bool timed_out = false;
   };
   using ConnectionPtr = std::shared_ptr<Connection>;
@@ -207,11 +207,10 @@
 
   void Fail(const ConnectionPtr& connection, error_code error, const char* what) {
     connection->stream->Close();
-    const auto code =
-        connection->timed_out ? schema::CODE_TIMEOUT : schema::CODE_CONNECTION_CLOSED;
-    Release(connection, Error{code, what + options.address + ": " +
-                                        (connection->timed_out ? std::string("timed out")
-                                                               : error.message())});
+    const auto code = connection->timed_out ? schema::CODE_TIMEOUT : schema::CODE_CONNECTION_CLOSED;
+    Release(connection,
+            Error{code, what + options.address + ": " +
+                            (connection->timed_out ? std::string("timed out") : error.message())});
   }
 
   // Ends the call of a connection, and gives the connection to the next one.
@@ -267,8 +266,8 @@
     });
     if (next) WakeBy(*next);
     for (Call& call : expired) {
-      call.done(Error{schema::CODE_TIMEOUT,
-                      "the call to " + options.address + " was not sent in time"});
+      call.done(
+          Error{schema::CODE_TIMEOUT, "the call to " + options.address + " was not sent in time"});
     }
   }
 
@@ -288,8 +287,8 @@
   if (impl->options.tls_ca_file.empty()) {
     impl->make_stream = PlainHttpStreams();
   } else if (const auto& backend = InstalledHttpTls().client; backend) {
-    BOOST_OUTCOME_TRY(impl->make_stream, backend(impl->options.tls_ca_file,
-                                                 impl->endpoint.address().to_string()));
+    BOOST_OUTCOME_TRY(impl->make_stream,
+                      backend(impl->options.tls_ca_file, impl->endpoint.address().to_string()));
   } else {
     return Error{schema::CODE_SETTINGS_INVALID, "this program does not support TLS"};
   }
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -1,3 +1,4 @@
+#include <atomic>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -5,7 +6,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
-#include <atomic>
 #include <mutex>
 #include <optional>
 #include <unordered_set>
@@ -36,9 +36,8 @@
 HttpResponse DefaultReject(unsigned status, const Error& error) {
   HttpResponse response;
   response.status = status;
-  response.body =
-      R"({"code":")" + std::string(CodeName(error.code)) + R"(","message":")" + error.message +
-      R"("})";
+  response.body = R"({"code":")" + std::string(CodeName(error.code)) + R"(","message":")" +
+                  error.message + R"("})";
   return response;
 }
 
@@ -209,10 +208,9 @@
     session->parser.reset();
     handler(std::move(request), [self = shared_from_this(), session](HttpResponse response) {
       // A handler that replies at once is still inside of this connection's turn.
-      asio::dispatch(session->stream->Socket().get_executor(),
-                     [self, session, response = std::move(response)] {
-                       self->Reply(session, response);
-                     });
+      asio::dispatch(
+          session->stream->Socket().get_executor(),
+          [self, session, response = std::move(response)] { self->Reply(session, response); });
     });
   }
 
@@ -248,12 +246,11 @@
     session->phase = Phase::kWriting;
     session->deadline = Clock::now() + kHttpWriteTimeout;
     session->out = Serialize(response, session->keep_alive);
-    session->stream->Write(
-        asio::buffer(session->out),
-        [self = shared_from_this(), session, then = std::move(then)](error_code error) {
-          if (error) return self->End(session);
-          then();
-        });
+    session->stream->Write(asio::buffer(session->out), [self = shared_from_this(), session,
+                                                        then = std::move(then)](error_code error) {
+      if (error) return self->End(session);
+      then();
+    });
   }
 
   void Linger(const SessionPtr& session) {
--- a/src/http_stream.h
+++ b/src/http_stream.h
@@ -45,10 +45,9 @@
     m_socket.async_read_some(buffer, std::move(done));
   }
   void Write(asio::const_buffer buffer, Done done) override {
-    asio::async_write(m_socket, buffer,
-                      [done = std::move(done)](boost::system::error_code error, std::size_t) {
-                        done(error);
-                      });
+    asio::async_write(
+        m_socket, buffer,
+        [done = std::move(done)](boost::system::error_code error, std::size_t) { done(error); });
   }
 
  private:
--- a/src/http_tls.cc
+++ b/src/http_tls.cc
@@ -36,9 +36,8 @@
   }
 
   void Write(asio::const_buffer buffer, Done done) override {
-    asio::async_write(m_stream, buffer, [done = std::move(done)](error_code error, std::size_t) {
-      done(error);
-    });
+    asio::async_write(m_stream, buffer,
+                      [done = std::move(done)](error_code error, std::size_t) { done(error); });
   }
 
  private:
--- a/src/runtime.cc
+++ b/src/runtime.cc
@@ -19,7 +19,10 @@
 
 struct Runtime::Impl {
   explicit Impl(unsigned count)
-      : thread_count(count), context(static_cast<int>(count)), signals(context), reload_signals(context) {}
+      : thread_count(count),
+        context(static_cast<int>(count)),
+        signals(context),
+        reload_signals(context) {}
 
   unsigned thread_count;
   asio::io_context context;
