--- a/cell/claim.cc
+++ b/cell/claim.cc
@@ -8,8 +8,11 @@
 
 namespace citronsill {
 
-Claimer::Claimer(std::string shard, schema::OwnerRow self, ClaimHooks hooks)
-    : m_shard(std::move(shard)), m_self(std::move(self)), m_hooks(std::move(hooks)) {}
+Claimer::Claimer(std::string shard, schema::OwnerRow self, milliseconds handicap, ClaimHooks hooks)
+    : m_shard(std::move(shard)),
+      m_self(std::move(self)),
+      m_handicap(handicap),
+      m_hooks(std::move(hooks)) {}
 
 void Claimer::OnOwner(const schema::OwnerRow& owner, std::uint64_t version) {
   if (m_known && version <= m_owner_version) return;
@@ -34,9 +37,11 @@
   }
 }
 
-// Heirs take their turn one after the other, so that one claim is enough in most cases.
+// Heirs take their turn one after the other, so that one claim is enough in most cases. An instance
+// that no scheduler has listed as an heir knows no more than its own strength.
 milliseconds Claimer::Turn() const {
   const auto found = std::find(m_heirs.begin(), m_heirs.end(), m_self.instance());
+  if (found == m_heirs.end()) return m_handicap;
   return kHeirStagger * static_cast<int>(found - m_heirs.begin());
 }
 
--- a/cell/claim.h
+++ b/cell/claim.h
@@ -38,7 +38,8 @@
 class Claimer {
  public:
   /// @param self what this process writes into the owner row; its term is filled in.
-  Claimer(std::string shard, schema::OwnerRow self, ClaimHooks hooks);
+  /// @param handicap time by which it lets stronger instances go first.
+  Claimer(std::string shard, schema::OwnerRow self, milliseconds handicap, ClaimHooks hooks);
 
   /// The owner row was read or has changed; no row yet when `version` is 0.
   void OnOwner(const schema::OwnerRow& owner, std::uint64_t version);
@@ -65,6 +66,7 @@
 
   std::string m_shard;
   schema::OwnerRow m_self;
+  milliseconds m_handicap;
   ClaimHooks m_hooks;
   std::vector<std::string> m_heirs;
   bool m_known = false;  // The owner row was read, or is known to be missing.
--- a/cell/shard.cc
+++ b/cell/shard.cc
@@ -10,6 +10,16 @@
 
 namespace citronsill {
 
+namespace {
+
+// Instances with half a core or more claim at once, weaker ones later.
+milliseconds HandicapOf(std::uint32_t strength_milli) {
+  const std::uint32_t missing = kFullStrengthMilli - std::min(kFullStrengthMilli, strength_milli);
+  return kWeakestHandicap * missing / kFullStrengthMilli;
+}
+
+}  // namespace
+
 struct Shard::Impl : std::enable_shared_from_this<Impl> {
   struct PendingCall {
     schema::LinkMessage message;
@@ -24,7 +34,7 @@
   Impl(std::string shard, ShardDeps shard_deps)
       : name(std::move(shard)),
         deps(std::move(shard_deps)),
-        claimer(name, deps.self, MakeHooks()) {}
+        claimer(name, deps.self, HandicapOf(deps.settings->strength_milli), MakeHooks()) {}
 
   std::string name;
   ShardDeps deps;
