--- a/cell/lanes.cc
+++ b/cell/lanes.cc
@@ -105,7 +105,7 @@
         if (!result) return done(result.error());
         const schema::AdviceReply& reply = result.value().advice_reply();
         if (reply.code() != schema::CODE_OK) {
-          return done(Error{reply.code(), "the policy service did not answer"});
+          return done(Error{reply.code(), reply.message()});
         }
         done(FromSchema(reply));
       });
@@ -134,6 +134,7 @@
           }
         } else {
           reply->set_code(result.error().code);
+          reply->set_message(result.error().message);
         }
         link->Answer(envelope, std::move(message));
       });
--- a/cell/planner.cc
+++ b/cell/planner.cc
@@ -156,6 +156,7 @@
         workers.push_back(index);
       }
       AddSpare(unit, Fit::kAllowed, workers.size() / 2 + 1, &workers);
+      if (workers.size() > kMostNamed) workers.resize(kMostNamed);
       return Ask(unit, std::move(workers));
     }
     AskFor(unit, unit.count);
@@ -173,6 +174,7 @@
       std::reverse(found.begin(), found.end());
       for (const std::uint32_t index : found) {
         if (unit.fits[index] != fit || expected >= kAskAhead * need) continue;
+        if (workers.size() >= kMostNamed) return;
         expected += share * RoomOn(unit, index);
         workers.push_back(index);
       }
@@ -293,6 +295,8 @@
   static constexpr double kAskAhead = 1.5;
   // Workers named in a question at least: with 0.3 of them allowed, two are found in 9 of 10 cases.
   static constexpr std::size_t kLeastNamed = 12;
+  // Most workers of a question: a limit of the policy service.
+  static constexpr std::size_t kMostNamed = 100;
   // Gangs that room is set aside for at a time.
   static constexpr std::uint32_t kGangsSetAside = 2;
 
