--- a/src/client.cc
+++ b/src/client.cc
@@ -67,6 +67,7 @@
 };
 
 Result<std::unique_ptr<Client>> Client::Create(Runtime& runtime, const ClientOptions& options) {
+  EnableHttpTls();
   auto impl = std::make_shared<Impl>();
   for (const std::string& server : options.servers) {
     HttpClientOptions http;
--- a/src/instance.cc
+++ b/src/instance.cc
@@ -336,8 +336,20 @@
     operators->OnAnswer(work_class, code, elapsed);
   };
   BOOST_OUTCOME_TRY(api, Api::Create(std::move(hooks)));
+  EnableHttpTls();
   HttpServerOptions options;
   options.address = settings.api_address();
+  options.reject = [](unsigned status, const Error& error) {
+    schema::Answer answer;
+    answer.set_state(schema::STATE_REFUSED);
+    answer.set_code(error.code);
+    answer.set_message(error.message);
+    answer.set_not_run(true);
+    HttpResponse response;
+    response.status = status;
+    response.body = ToJson(answer);
+    return response;
+  };
   options.tls_certificate_file = settings.tls_certificate_file();
   options.tls_key_file = settings.tls_key_file();
   BOOST_OUTCOME_TRY(api_server,
--- a/tests/tls_test.cc
+++ b/tests/tls_test.cc
@@ -67,6 +67,7 @@
 // Guards against callers who talk to a server that is not the one they trust, and against a server
 // that answers without TLS although its settings ask for it.
 TEST_CASE("tls: only a server with a trusted certificate for its address is talked to") {
+  EnableHttpTls();
   const Certificate trusted("trusted", "127.0.0.1");
   const Certificate other("other", "127.0.0.1");
   const Certificate elsewhere("elsewhere", "127.0.0.9");
