--- a/cell/job.h
+++ b/cell/job.h
@@ -70,6 +70,13 @@
   std::vector<const Worker*> avoid;  ///< Workers on which it failed or stood still.
 };
 
+/// Room for some tasks of a step on one life of a worker.
+struct HeldRoom {
+  std::string worker;
+  std::uint32_t life = 0;
+  std::uint32_t count = 0;
+};
+
 /// One step of one occurrence of a job.
 struct Step {
   Job* job = nullptr;
@@ -89,6 +96,7 @@
   std::vector<AdviceOnWorker> advice;  ///< By the slot of the worker; may be shorter.
   bool advice_in_flight = false;
   SteadyTime advice_retry_at{};
+  std::vector<HeldRoom> held;  ///< Room that is kept for the gang while it waits for tickets.
 
   [[nodiscard]] bool IsDone() const { return done == tasks.size(); }
   [[nodiscard]] TaskRef Ref(std::uint32_t index) const;
--- a/cell/lanes.cc
+++ b/cell/lanes.cc
@@ -7,8 +7,8 @@
 
 // Of the lanes, this part is kept for interactive work, and of the others this part for questions
 // that do not take long.
-constexpr std::uint32_t kInteractiveLaneDivisor = 4;
-constexpr std::uint32_t kShortLaneDivisor = 4;
+constexpr std::uint32_t kInteractiveLaneDivisor = 8;
+constexpr std::uint32_t kShortLaneDivisor = 8;
 
 AdviceAnswer FromSchema(const schema::AdviceReply& reply) {
   AdviceAnswer answer;
@@ -48,8 +48,11 @@
     if (lane.busy && lane.kind == QuestionKind::kLong) ++long_ones;
   }
   const auto lanes = static_cast<std::uint32_t>(m_lanes.size());
-  const std::uint32_t most_batch = lanes - lanes / kInteractiveLaneDivisor;
-  const std::uint32_t most_long = most_batch - most_batch / kShortLaneDivisor;
+  const auto kept_of = [](std::uint32_t all, std::uint32_t divisor) {
+    return all > 1 ? std::max(1U, all / divisor) : 0;
+  };
+  const std::uint32_t most_batch = lanes - kept_of(lanes, kInteractiveLaneDivisor);
+  const std::uint32_t most_long = most_batch - kept_of(most_batch, kShortLaneDivisor);
   const auto left = [&](std::uint32_t most, std::uint32_t used) {
     return std::min(counts.free, most - std::min(most, used));
   };
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -48,6 +48,7 @@
   std::unique_ptr<TableFollower> worker_list;
   std::map<std::string, std::pair<std::string, std::shared_ptr<WorkerLink>>> links;
   TimerId tick_timer;
+  TimerId report_timer;
   SteadyTime began = BootNow();
   bool loaded = false;
   bool lost = false;
@@ -69,11 +70,15 @@
     tick_timer = timers.Every(kLeaderTick, [weak = weak_from_this()](SteadyTime) {
       if (const auto self = weak.lock(); self && !self->lost) self->Tick();
     });
+    report_timer = timers.Every(kLoadReportPeriod, [weak = weak_from_this()](SteadyTime) {
+      if (const auto self = weak.lock(); self && !self->lost) self->ReportLoad();
+    });
   }
 
   void End() {
     lost = true;
     timers.Cancel(tick_timer);
+    timers.Cancel(report_timer);
     worker_list.reset();
     links.clear();
   }
@@ -361,6 +366,28 @@
     });
   }
 
+  void ReportLoad() {
+    if (!loaded) return;
+    const Scheduler::Load& load = scheduler->LastLoad();
+    const LaneCounts counts = lanes.Counts();
+    Log(LogLevel::kInfo, "load")
+        .Field("shard", options.shard)
+        .Field("jobs", scheduler->ActiveJobs())
+        .Field("orders", scheduler->Workers().OrderCount())
+        .Field("workers", load.workers)
+        .Field("free_milli", load.free.processors_milli)
+        .Field("free_mb", load.free.memory_mb)
+        .Field("of_milli", load.capacity.processors_milli)
+        .Field("of_mb", load.capacity.memory_mb)
+        .Field("waiting_units", load.waiting_units)
+        .Field("waiting_gangs", load.waiting_gangs)
+        .Field("waiting_tasks", load.waiting_tasks)
+        .Field("free_lanes", counts.free)
+        .Field("free_long_lanes", counts.free_long)
+        .Field("confirmed_ms_ago",
+               std::chrono::duration_cast<milliseconds>(BootNow() - commits->Confirmed()));
+  }
+
   void Tick() {
     commits->Tick();
     if (!loaded || releasing) return;
--- a/cell/limits.h
+++ b/cell/limits.h
@@ -79,6 +79,8 @@
 
 // The scheduler looks at time-outs this often.
 inline constexpr std::chrono::milliseconds kLeaderTick{50};
+// A line on the load of the cell is logged this often.
+inline constexpr std::chrono::milliseconds kLoadReportPeriod{1000};
 // Changes within this time are answered by one planning pass.
 inline constexpr std::chrono::milliseconds kPlanPeriod{4};
 // Longest question to the policy service: 100 workers of the slowest kind, with as many waiting.
@@ -86,10 +88,9 @@
 // New work is refused when the store has failed to answer for this long. Interactive work has a
 // second or two in all, and waiting uses up its callers' time for a call.
 inline constexpr std::chrono::milliseconds kRefuseWithoutStore{700};
-// When such callers are told to come back: interactive work at once, the rest over the length of an
-// outage, which is 4 to 9 s, by four tries.
-inline constexpr std::chrono::milliseconds kInteractiveRetryAfter{1000};
-inline constexpr std::chrono::milliseconds kBatchRetryAfter{2000};
+// When such callers are told to come back: four tries reach over an outage, which lasts 4 to 9 s.
+inline constexpr std::chrono::milliseconds kInteractiveRetryAfter{2000};
+inline constexpr std::chrono::milliseconds kBatchRetryAfter{3000};
 
 // ---- Ownership
 
--- a/cell/planner.cc
+++ b/cell/planner.cc
@@ -121,9 +121,9 @@
   }
 
   // Chooses workers for all members; those that hold the most of them first.
-  [[nodiscard]] std::vector<std::pair<std::uint32_t, std::uint32_t>> GangRoom(const PlanUnit& unit,
-                                                                              Fit least) const {
-    std::vector<std::pair<std::uint32_t, std::uint32_t>> chosen;
+  // @returns nothing when not all of them fit.
+  [[nodiscard]] std::vector<Share> GangRoom(const PlanUnit& unit, Fit least) const {
+    std::vector<Share> chosen;
     std::vector<std::uint32_t> found = Candidates(unit, least);
     std::stable_sort(found.begin(), found.end(), [&](std::uint32_t a, std::uint32_t b) {
       return RoomOn(unit, a) > RoomOn(unit, b);
@@ -132,37 +132,52 @@
     for (const std::uint32_t index : found) {
       if (left == 0) break;
       const std::uint32_t count = std::min(left, RoomOn(unit, index));
-      chosen.emplace_back(index, count);
+      chosen.push_back({index, count});
       left -= count;
     }
     if (left > 0) chosen.clear();
     return chosen;
   }
 
+  // Load pattern: a question about a gang takes half a second, in which smaller tasks fill the room
+  // that was found for it, so that gangs ask again and again while a third of the cell is idle. The
+  // room is reserved from the question on.
   void PlaceGang(const PlanUnit& unit) {
+    if (!unit.reserved.empty()) {
+      if (!unit.may_ask) {
+        m_plan.reservations.push_back({unit.id, unit.reserved});
+        return;
+      }
+      for (const Share& share : unit.reserved) GiveBack(unit, share);
+    }
     if (Budget(unit) < unit.count) {
       Explore(unit);
       return SetAside(unit);
     }
     if (const auto chosen = GangRoom(unit, Fit::kReady); !chosen.empty()) {
-      for (const auto& [index, count] : chosen) Place(unit, index, count);
+      for (const Share& share : chosen) Place(unit, share.worker, share.count);
       return;
     }
-    // With tickets that have run out there may be enough room: it is kept while they are renewed.
-    if (const auto chosen = GangRoom(unit, Fit::kAllowed); !chosen.empty()) {
+    if (const auto chosen = GangRoom(unit, Fit::kAllowed); !chosen.empty() && CanAsk(unit)) {
       std::vector<std::uint32_t> workers;
-      for (const auto& [index, count] : chosen) {
-        Take(unit, index, count);
-        workers.push_back(index);
+      for (const Share& share : chosen) {
+        Take(unit, share.worker, share.count);
+        if (unit.fits[share.worker] != Fit::kReady) workers.push_back(share.worker);
       }
-      AddSpare(unit, Fit::kAllowed, workers.size() / 2 + 1, &workers);
-      if (workers.size() > kMostNamed) workers.resize(kMostNamed);
+      m_plan.reservations.push_back({unit.id, chosen});
       return Ask(unit, std::move(workers));
     }
     AskFor(unit, unit.count);
     SetAside(unit);
   }
 
+  void GiveBack(const PlanUnit& unit, const Share& share) {
+    for (std::uint32_t i = 0; i < share.count; ++i) {
+      m_workers[share.worker].free += unit.size;
+      m_free += unit.size;
+    }
+  }
+
   // Asks for tickets for `need` tasks that have no worker yet.
   void AskFor(const PlanUnit& unit, std::uint32_t need) {
     if (!CanAsk(unit)) return;
@@ -174,7 +189,7 @@
       std::reverse(found.begin(), found.end());
       for (const std::uint32_t index : found) {
         if (unit.fits[index] != fit || expected >= kAskAhead * need) continue;
-        if (workers.size() >= kMostNamed) return;
+        if (workers.size() >= MostNamed(unit)) return;
         expected += share * RoomOn(unit, index);
         workers.push_back(index);
       }
@@ -189,6 +204,10 @@
     if (!workers.empty()) Ask(unit, std::move(workers));
   }
 
+  static std::size_t MostNamed(const PlanUnit& unit) {
+    return unit.question == QuestionKind::kLong ? kMostNamedLong : kMostNamed;
+  }
+
   // Without room for the unit, a free lane may still find out where it may run.
   void Explore(const PlanUnit& unit) {
     if (!CanAsk(unit)) return;
@@ -295,8 +314,9 @@
   static constexpr double kAskAhead = 1.5;
   // Workers named in a question at least: with 0.3 of them allowed, two are found in 9 of 10 cases.
   static constexpr std::size_t kLeastNamed = 12;
-  // Most workers of a question: a limit of the policy service.
+  // Most workers of a question: a limit of the policy service, and less of one that takes long.
   static constexpr std::size_t kMostNamed = 100;
+  static constexpr std::size_t kMostNamedLong = 48;
   // Gangs that room is set aside for at a time.
   static constexpr std::uint32_t kGangsSetAside = 2;
 
--- a/cell/planner.h
+++ b/cell/planner.h
@@ -45,6 +45,12 @@
   std::vector<ExpectedEnd> ends;  ///< In any order.
 };
 
+/// A number of tasks on one worker.
+struct Share {
+  std::uint32_t worker = 0;
+  std::uint32_t count = 0;
+};
+
 /// Tasks of one step that wait: alike, and placed in one decision.
 struct PlanUnit {
   std::uint32_t id = 0;        ///< Of the caller.
@@ -61,6 +67,8 @@
   std::uint32_t max_per_worker = 0;    ///< 0 for no limit.
   std::uint32_t preferred_rack = 0;    ///< Where its data is; 0 for anywhere.
   std::vector<Fit> fits;               ///< By worker.
+  /// Room that is kept for a gang while its tickets are renewed; not part of what is free.
+  std::vector<Share> reserved;
   std::vector<std::uint32_t> present;  ///< By worker: tasks of the step there; empty for none.
   bool may_ask = false;                ///< Its queue has a policy service, and no question is open.
   QuestionKind question{};             ///< Which lanes its questions may use.
@@ -83,8 +91,14 @@
   std::vector<std::uint32_t> workers;
 };
 
+struct Reservation {
+  std::uint32_t unit = 0;  ///< Id of the unit.
+  std::vector<Share> shares;
+};
+
 struct Plan {
   std::vector<Placement> placements;  ///< Those of a gang follow one another.
+  std::vector<Reservation> reservations;  ///< All that are in force from now on.
   std::vector<Question> questions;    ///< Most urgent first.
 };
 
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -106,8 +106,18 @@
 
   Fleet& Workers() { return m_fleet; }
 
+  /// What a planning pass found, for logs and metrics.
+  struct Load {
+    std::size_t workers = 0;        ///< That take work.
+    Resources free;                 ///< On them.
+    Resources capacity;
+    std::size_t waiting_units = 0;  ///< Steps with waiting tasks.
+    std::size_t waiting_gangs = 0;
+    std::size_t waiting_tasks = 0;
+  };
+  [[nodiscard]] const Load& LastLoad() const { return m_load; }
+
   [[nodiscard]] std::size_t ActiveJobs() const { return m_jobs.size(); }
-  [[nodiscard]] std::size_t WaitingTasks() const { return m_waiting_tasks; }
 
  private:
   struct Effect {
@@ -149,8 +159,9 @@
   [[nodiscard]] milliseconds ExpectedChain(const Step& step) const;
   [[nodiscard]] SteadyTime ExpectedEndOf(const Order& order) const;
   std::vector<PlanWorker> MakePlanWorkers();
-  void AddUnits(Job* job, std::vector<PlanUnit>* units);
-  bool FillUnit(Step* step, PlanUnit* unit);
+  void AddUnits(Job* job, std::vector<PlanUnit>* units, std::vector<PlanWorker>* workers);
+  void FillUnit(Step* step, PlanUnit* unit);
+  void ApplyHeldRoom(const Step& step, PlanUnit* unit, std::vector<PlanWorker>* workers);
   void ApplyPlan(const citronsill::Plan& plan);
   Order* Assign(Task* task, Worker* worker, std::uint64_t run);
 
@@ -166,7 +177,7 @@
   std::deque<Effect> m_effects;
   std::deque<std::pair<std::uint64_t, std::string>> m_settling;  // Removed once stored.
   std::map<std::string, QueueRecord> m_queues;
-  std::size_t m_waiting_tasks = 0;
+  Load m_load;
 
   // Of the current planning pass.
   std::vector<Worker*> m_plan_workers;
--- a/cell/scheduler_plan.cc
+++ b/cell/scheduler_plan.cc
@@ -99,13 +99,19 @@
     out.free = worker->Free();
     out.capacity = worker->description.capacity;
     out.rack = racks.try_emplace(worker->description.rack, racks.size() + 1).first->second;
+    if (out.takes_work) {
+      ++m_load.workers;
+      m_load.free += out.free;
+      m_load.capacity += out.capacity;
+    }
     workers.push_back(std::move(out));
     m_plan_workers.push_back(worker.get());
   }
   return workers;
 }
 
-void Scheduler::AddUnits(Job* job, std::vector<PlanUnit>* units) {
+void Scheduler::AddUnits(Job* job, std::vector<PlanUnit>* units,
+                         std::vector<PlanWorker>* workers) {
   if (job->IsFinal()) return;
   const SteadyTime now = m_hooks.now();
   if (job->objective == SteadyTime{}) {
@@ -122,22 +128,25 @@
         std::count_if(step->tasks.begin(), step->tasks.end(),
                       [now](const Task& task) { return Waits(task, now); }));
     if (waiting == 0) continue;
-    m_waiting_tasks += waiting;
+    m_load.waiting_tasks += waiting;
+    ++m_load.waiting_units;
+    if (step->spec->gang()) ++m_load.waiting_gangs;
     // Members that are missing from a gang are placed one by one; a gang that ends is waited for.
     const bool is_refill = step->spec->gang() && step->gang_run != 0;
     if (step->gang_ending) continue;
     PlanUnit unit;
     unit.count = waiting;
     unit.gang = step->spec->gang() && !is_refill;
-    if (!FillUnit(step.get(), &unit)) continue;
+    FillUnit(step.get(), &unit);
     if (is_refill) unit.objective = SteadyTime::min() + std::chrono::hours(24 * 365);
+    if (unit.gang) ApplyHeldRoom(*step, &unit, workers);
     unit.id = static_cast<std::uint32_t>(m_plan_steps.size());
     m_plan_steps.push_back(step.get());
     units->push_back(std::move(unit));
   }
 }
 
-bool Scheduler::FillUnit(Step* step, PlanUnit* unit) {
+void Scheduler::FillUnit(Step* step, PlanUnit* unit) {
   const SteadyTime now = m_hooks.now();
   const Job& job = *step->job;
   const schema::QueueSpec& queue = job.spec.queue();
@@ -183,16 +192,30 @@
       unit->fits[index] = advice->ticket_until > now ? Fit::kReady : Fit::kAllowed;
     }
   }
-  return true;
+}
+
+// Takes the room that is held for a gang off what is free. Room on a worker that is gone or takes no
+// work any more is not held.
+void Scheduler::ApplyHeldRoom(const Step& step, PlanUnit* unit, std::vector<PlanWorker>* workers) {
+  for (const HeldRoom& held : step.held) {
+    const auto found =
+        std::find_if(m_plan_workers.begin(), m_plan_workers.end(), [&held](const Worker* worker) {
+          return worker->description.id == held.worker && worker->life == held.life;
+        });
+    if (found == m_plan_workers.end()) continue;
+    const auto index = static_cast<std::uint32_t>(found - m_plan_workers.begin());
+    unit->reserved.push_back({index, held.count});
+    for (std::uint32_t i = 0; i < held.count; ++i) (*workers)[index].free -= step.size;
+  }
 }
 
 void Scheduler::Plan() {
   if (!m_hooks.may_lead()) return;
-  m_waiting_tasks = 0;
+  m_load = {};
   m_plan_steps.clear();
   std::vector<PlanWorker> workers = MakePlanWorkers();
   std::vector<PlanUnit> units;
-  for (const auto& [id, job] : m_jobs) AddUnits(job.get(), &units);
+  for (const auto& [id, job] : m_jobs) AddUnits(job.get(), &units, &workers);
   if (units.empty()) return;
   const bool has_gangs =
       std::any_of(units.begin(), units.end(), [](const PlanUnit& unit) { return unit.gang; });
@@ -210,6 +233,14 @@
 }
 
 void Scheduler::ApplyPlan(const citronsill::Plan& plan) {
+  for (Step* step : m_plan_steps) step->held.clear();
+  for (const Reservation& reservation : plan.reservations) {
+    for (const Share& share : reservation.shares) {
+      const Worker& worker = *m_plan_workers[share.worker];
+      m_plan_steps[reservation.unit]->held.push_back(
+          {worker.description.id, worker.life, share.count});
+    }
+  }
   std::vector<std::uint64_t> orders;
   for (const Placement& placement : plan.placements) {
     Step* step = m_plan_steps[placement.unit];
