--- a/cell/planner.cc
+++ b/cell/planner.cc
@@ -183,25 +183,45 @@
     if (!CanAsk(unit)) return;
     std::vector<std::uint32_t> workers;
     double expected = 0.0;
+    const double enough = (unit.gang ? kGangAskAhead : kAskAhead) * need;
     const auto add = [&](Fit fit, double share) {
       std::vector<std::uint32_t> found = Candidates(unit, fit);
       // The most room first: the fewer are named, the sooner the answer comes.
       std::reverse(found.begin(), found.end());
       for (const std::uint32_t index : found) {
-        if (unit.fits[index] != fit || expected >= kAskAhead * need) continue;
-        if (workers.size() >= MostNamed(unit)) return;
+        if (unit.fits[index] != fit || expected >= enough) continue;
         expected += share * RoomOn(unit, index);
         workers.push_back(index);
       }
     };
-    add(Fit::kAllowed, 1.0);
-    const std::uint32_t known = static_cast<std::uint32_t>(workers.size());
-    if (expected < need) {
+    // Tickets for a part of a gang are of no use: only its knowledge of workers grows.
+    if (!unit.gang) add(Fit::kAllowed, 1.0);
+    const std::size_t known = workers.size();
+    if (expected < enough) {
       add(Fit::kUnknown, unit.allowed_share);
-      const std::size_t least = known + kLeastNamed;
+      const std::size_t least = known + LeastNamed(unit);
       if (workers.size() < least) AddSpare(unit, Fit::kUnknown, least - workers.size(), &workers);
     }
-    if (!workers.empty()) Ask(unit, std::move(workers));
+    AskSplit(unit, workers);
+  }
+
+  // A large gang needs answers about many workers at once: they are asked about on several lanes.
+  void AskSplit(const PlanUnit& unit, const std::vector<std::uint32_t>& workers) {
+    const std::size_t parts =
+        std::min(kMostLanesAtOnce, (workers.size() + MostNamed(unit) - 1) / MostNamed(unit));
+    if (parts == 0) return;
+    const std::size_t each =
+        std::min(MostNamed(unit), (workers.size() + parts - 1) / parts);
+    for (std::size_t first = 0; first < workers.size() && CanAsk(unit); first += each) {
+      const std::size_t last = std::min(workers.size(), first + each);
+      Ask(unit, {workers.begin() + static_cast<std::ptrdiff_t>(first),
+                 workers.begin() + static_cast<std::ptrdiff_t>(last)});
+      if (first / each + 1 >= parts) return;
+    }
+  }
+
+  static std::size_t LeastNamed(const PlanUnit& unit) {
+    return unit.question == QuestionKind::kLong ? kLeastNamedLong : kLeastNamed;
   }
 
   static std::size_t MostNamed(const PlanUnit& unit) {
@@ -212,7 +232,7 @@
   void Explore(const PlanUnit& unit) {
     if (!CanAsk(unit)) return;
     std::vector<std::uint32_t> workers;
-    AddSpare(unit, Fit::kUnknown, kLeastNamed, &workers);
+    AddSpare(unit, Fit::kUnknown, LeastNamed(unit), &workers);
     if (!workers.empty()) Ask(unit, std::move(workers));
   }
 
@@ -312,11 +332,17 @@
 
   // Tickets are asked for this many times the tasks that need one.
   static constexpr double kAskAhead = 1.5;
+  // The same for gangs, which need all of their room at one moment.
+  static constexpr double kGangAskAhead = 2.0;
+  // Lanes that one unit uses at a time.
+  static constexpr std::size_t kMostLanesAtOnce = 4;
   // Workers named in a question at least: with 0.3 of them allowed, two are found in 9 of 10 cases.
   static constexpr std::size_t kLeastNamed = 12;
+  // A question that takes long by itself is worth more names.
+  static constexpr std::size_t kLeastNamedLong = 32;
   // Most workers of a question: a limit of the policy service, and less of one that takes long.
   static constexpr std::size_t kMostNamed = 100;
-  static constexpr std::size_t kMostNamedLong = 48;
+  static constexpr std::size_t kMostNamedLong = 80;
   // Gangs that room is set aside for at a time.
   static constexpr std::uint32_t kGangsSetAside = 2;
 
--- /dev/null
+++ b/cell/runtimes.cc
@@ -0,0 +1,47 @@
+#include "cell/runtimes.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace citronsill {
+namespace {
+
+// Weight of the newest run once there are many: about the last 50 count.
+constexpr double kLeastWeight = 0.02;
+// Runs after which the spread of a queue says something.
+constexpr std::uint64_t kEnoughRuns = 5;
+// Added to variances, so that a few equal values do not count as certainty.
+constexpr double kVarianceFloor = 0.01;
+
+}  // namespace
+
+void RunTimes::Moments::Add(double value) {
+  ++count;
+  const double weight = std::max(kLeastWeight, 1.0 / static_cast<double>(count));
+  const double difference = value - mean;
+  mean += weight * difference;
+  variance = (1.0 - weight) * (variance + weight * difference * difference);
+}
+
+void RunTimes::Add(milliseconds actual, milliseconds declared) {
+  const double log_actual = std::log(std::max(1.0, static_cast<double>(actual.count())));
+  m_actual.Add(log_actual);
+  if (declared.count() > 0) m_error.Add(log_actual - std::log(declared.count()));
+}
+
+milliseconds RunTimes::Expect(milliseconds declared) const {
+  if (m_actual.count < kEnoughRuns) {
+    if (declared.count() > 0 || m_actual.count == 0) return declared;
+  }
+  double estimate = m_actual.mean;
+  if (declared.count() > 0 && m_error.count >= kEnoughRuns) {
+    const double by_declared = std::log(declared.count()) + m_error.mean;
+    const double queue_weight = m_error.variance + kVarianceFloor;
+    const double declared_weight = m_actual.variance + kVarianceFloor;
+    estimate = (m_actual.mean * queue_weight + by_declared * declared_weight) /
+               (queue_weight + declared_weight);
+  }
+  return milliseconds(std::llround(std::exp(estimate)));
+}
+
+}  // namespace citronsill
--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -336,11 +336,9 @@
   order.worker->failures_in_row = 0;
   order.worker->times_avoided = 0;
   if (step->spec->long_running()) return;
-  QueueRecord& queue = m_queues[step->job->spec.queue().name()];
-  const auto run = std::chrono::duration<double, std::milli>(m_hooks.now() - order.running_since);
-  queue.mean_run_ms = queue.mean_run_ms == 0.0
-                          ? run.count()
-                          : queue.mean_run_ms + kAverageWeight * (run.count() - queue.mean_run_ms);
+  m_queues[step->job->spec.queue().name()].run_times.Add(
+      std::chrono::duration_cast<milliseconds>(m_hooks.now() - order.running_since),
+      milliseconds(step->spec->estimate_ms()));
   if (step->spec->gang()) {
     // The members end together: one end stands for all of them.
     for (Task& member : step->tasks) member.done = true;
@@ -507,7 +505,7 @@
   m_hooks.plan_soon();
   Step* step = FindStep(ref);
   if (step == nullptr) return;
-  step->advice_in_flight = false;
+  if (step->questions > 0) --step->questions;
   if (!result) {
     step->advice_retry_at = m_hooks.now() + kAdviceRetry;
     Log(LogLevel::kInfo, "advice-failed").Field("step", ref).Field("reason", result.error());
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -16,6 +16,7 @@
 #include "cell/fleet.h"
 #include "cell/job.h"
 #include "cell/planner.h"
+#include "cell/runtimes.h"
 #include "cell/store.h"
 
 namespace citronsill {
@@ -126,7 +127,7 @@
   };
   // What was learned of the tasks of a queue.
   struct QueueRecord {
-    double mean_run_ms = 0.0;    // Moving average of runs that ended done.
+    RunTimes run_times;
     double allowed_share = 0.5;  // Of workers, by the answers of the policy service.
   };
 
--- a/cell/scheduler_plan.cc
+++ b/cell/scheduler_plan.cc
@@ -50,13 +50,9 @@
 }
 
 milliseconds Scheduler::ExpectedRun(const Step& step) const {
-  const auto estimate = static_cast<double>(step.spec->estimate_ms());
+  const milliseconds declared(step.spec->estimate_ms());
   const auto queue = m_queues.find(step.job->spec.queue().name());
-  const double mean = queue == m_queues.end() ? 0.0 : queue->second.mean_run_ms;
-  if (mean <= 0.0) return milliseconds(static_cast<std::int64_t>(estimate));
-  if (estimate <= 0.0) return milliseconds(static_cast<std::int64_t>(mean));
-  // Estimates are off by large factors either way; the mean of the queue tempers them.
-  return milliseconds(static_cast<std::int64_t>(std::sqrt(estimate * mean)));
+  return queue == m_queues.end() ? declared : queue->second.run_times.Expect(declared);
 }
 
 milliseconds Scheduler::ExpectedChain(const Step& step) const {
@@ -118,9 +114,8 @@
     milliseconds chain{0};
     for (const auto& step : job->steps) chain = std::max(chain, ExpectedChain(*step));
     const schema::QueueSpec& queue = job->spec.queue();
-    const auto total = std::chrono::duration_cast<milliseconds>(chain * queue.stretch()) +
-                       milliseconds(queue.target_ms());
-    job->objective = job->arrived + total;
+    job->objective = job->arrived + milliseconds(queue.target_ms()) +
+                     std::chrono::duration_cast<milliseconds>(chain * queue.stretch());
   }
   for (const auto& step : job->steps) {
     if (!step->ready || step->IsDone()) continue;
@@ -160,7 +155,7 @@
   unit->rack_local = step->spec->rack_local();
   unit->max_per_worker = step->spec->max_per_worker();
   const bool advised = queue.has_advice();
-  unit->may_ask = advised && !step->advice_in_flight && step->advice_retry_at <= now;
+  unit->may_ask = advised && step->questions == 0 && step->advice_retry_at <= now;
   if (advised) {
     unit->question = KindOf(queue);
     unit->allowed_share = std::max(0.05, m_queues[queue.name()].allowed_share);
@@ -279,7 +274,7 @@
     for (const std::uint32_t index : question.workers) {
       workers.push_back(m_plan_workers[index]->description.id);
     }
-    step->advice_in_flight = true;
+    ++step->questions;
     m_hooks.ask(step->Ref(0), std::move(workers), KindOf(step->job->spec.queue()));
   }
 }
