--- a/cell/fleet.cc
+++ b/cell/fleet.cc
@@ -4,6 +4,7 @@
 
 #include "cell/limits.h"
 #include "cell/log.h"
+#include "cell/metrics.h"
 
 namespace citronsill {
 namespace {
@@ -220,6 +221,7 @@
     return;
   }
   const StartAnswer& answer = result.value();
+  NodeMetrics::Get().CountStart(answer.verdict);
   Heard(worker, answer.clock);
   switch (answer.verdict) {
     case StartVerdict::kStarted:
@@ -319,6 +321,7 @@
   for (const EndedTask& ended : answer.ended) {
     if (ended.number <= worker->seen_end) continue;
     worker->seen_end = ended.number;
+    NodeMetrics::Get().CountEnd(ended.end);
     has_new = true;
     Order* order = FindOrder(*worker, ended.task, ended.run);
     Log(LogLevel::kInfo, "run-ended")
@@ -421,6 +424,7 @@
       .Field("verdict", reason == VoidReason::kRefused ? StartVerdictName(verdict) : "-")
       .Field("heard_ms_ago",
              std::chrono::duration_cast<milliseconds>(m_hooks.now() - order->worker->heard));
+  NodeMetrics::Get().CountVoid(reason);
   const std::unique_ptr<Order> over = Detach(order);
   m_hooks.on_void(*over, reason, verdict);
 }
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -8,6 +8,7 @@
 #include "cell/follower.h"
 #include "cell/limits.h"
 #include "cell/log.h"
+#include "cell/metrics.h"
 
 namespace citronsill {
 namespace {
@@ -347,7 +348,11 @@
   void Ask(const TaskRef& step, std::vector<std::string> workers, QuestionKind kind) {
     std::vector<std::string> asked = workers;
     lanes.Ask(step, std::move(workers), kind, kAdviceTimeout,
-              [weak = weak_from_this(), step, asked](const Result<AdviceAnswer>& result) {
+              [weak = weak_from_this(), step, asked,
+               sent = BootNow()](const Result<AdviceAnswer>& result) {
+                NodeMetrics::Get().CountAdvice(
+                    result.has_value(),
+                    std::chrono::duration_cast<milliseconds>(BootNow() - sent));
                 const auto self = weak.lock();
                 if (self && !self->lost) self->scheduler->OnAdvice(step, asked, result);
               });
@@ -370,6 +375,13 @@
     if (!loaded) return;
     const Scheduler::Load& load = scheduler->LastLoad();
     const LaneCounts counts = lanes.Counts();
+    NodeMetrics& metrics = NodeMetrics::Get();
+    metrics.SetGauge("jobs", static_cast<double>(scheduler->ActiveJobs()));
+    metrics.SetGauge("orders", static_cast<double>(scheduler->Workers().OrderCount()));
+    metrics.SetGauge("workers", static_cast<double>(load.workers));
+    metrics.SetGauge("waiting_tasks", static_cast<double>(load.waiting_tasks));
+    metrics.SetGauge("free_processors", static_cast<double>(load.free.processors_milli) / 1000.0);
+    metrics.SetGauge("free_lanes", counts.free);
     Log(LogLevel::kInfo, "load")
         .Field("shard", options.shard)
         .Field("jobs", scheduler->ActiveJobs())
--- /dev/null
+++ b/cell/metrics.cc
@@ -0,0 +1,169 @@
+#include "cell/metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <map>
+#include <memory>
+
+namespace citronsill {
+namespace {
+
+using prometheus::Counter;
+using prometheus::Family;
+using prometheus::Gauge;
+using prometheus::Histogram;
+
+// Seconds. From a commit of a healthy store to the time that a caller waits.
+const Histogram::BucketBoundaries kLatencyBuckets{0.005, 0.01, 0.025, 0.05, 0.1, 0.25,
+                                                  0.5,   1.0,  2.0,   4.0,  8.0, 16.0};
+
+const char* CallName(CallKind kind) {
+  switch (kind) {
+    case CallKind::kSubmit:
+      return "submit";
+    case CallKind::kCancel:
+      return "cancel";
+    case CallKind::kState:
+      return "state";
+    case CallKind::kWaiting:
+      return "waiting";
+  }
+  return "unknown";
+}
+
+const char* StageName(Stage stage) {
+  switch (stage) {
+    case Stage::kAccept:
+      return "accept";
+    case Stage::kStart:
+      return "start";
+    case Stage::kShow:
+      return "show";
+  }
+  return "unknown";
+}
+
+double Seconds(milliseconds time) { return static_cast<double>(time.count()) / 1000.0; }
+
+}  // namespace
+
+struct NodeMetrics::Impl {
+  prometheus::Registry registry;
+  Family<Counter>& calls = prometheus::BuildCounter()
+                               .Name("citronsill_calls_total")
+                               .Help("Calls of callers by kind and result code.")
+                               .Register(registry);
+  Family<Histogram>& call_seconds = prometheus::BuildHistogram()
+                                        .Name("citronsill_call_seconds")
+                                        .Help("Time until a caller's final answer.")
+                                        .Register(registry);
+  Family<Histogram>& stage_seconds = prometheus::BuildHistogram()
+                                         .Name("citronsill_stage_seconds")
+                                         .Help("Time of one stage of a job.")
+                                         .Register(registry);
+  Family<Counter>& starts = prometheus::BuildCounter()
+                                .Name("citronsill_starts_total")
+                                .Help("Starts by the worker's verdict.")
+                                .Register(registry);
+  Family<Counter>& ends = prometheus::BuildCounter()
+                              .Name("citronsill_ends_total")
+                              .Help("Ends of runs as workers reported them.")
+                              .Register(registry);
+  Family<Counter>& voids = prometheus::BuildCounter()
+                               .Name("citronsill_voids_total")
+                               .Help("Orders that came to nothing, by reason.")
+                               .Register(registry);
+  Family<Counter>& commits = prometheus::BuildCounter()
+                                 .Name("citronsill_commits_total")
+                                 .Help("Transactions in the store.")
+                                 .Register(registry);
+  Family<Counter>& resends = prometheus::BuildCounter()
+                                 .Name("citronsill_commit_resends_total")
+                                 .Help("Times that a transaction was sent again.")
+                                 .Register(registry);
+  Family<Histogram>& commit_seconds = prometheus::BuildHistogram()
+                                          .Name("citronsill_commit_seconds")
+                                          .Help("Time until a transaction was in the store.")
+                                          .Register(registry);
+  Family<Counter>& advice = prometheus::BuildCounter()
+                                .Name("citronsill_advice_total")
+                                .Help("Questions to the policy service.")
+                                .Register(registry);
+  Family<Histogram>& advice_seconds = prometheus::BuildHistogram()
+                                          .Name("citronsill_advice_seconds")
+                                          .Help("Time until the policy service answered.")
+                                          .Register(registry);
+  Family<Counter>& takeovers = prometheus::BuildCounter()
+                                   .Name("citronsill_takeovers_total")
+                                   .Help("Shards that this process has taken over.")
+                                   .Register(registry);
+  std::map<std::string, Family<Gauge>*> gauges;
+
+  void Observe(Family<Histogram>& family, const prometheus::Labels& labels, milliseconds elapsed) {
+    family.Add(labels, kLatencyBuckets).Observe(Seconds(elapsed));
+  }
+};
+
+NodeMetrics::NodeMetrics() : m_impl(std::make_unique<Impl>()) {}
+
+NodeMetrics::~NodeMetrics() = default;
+
+NodeMetrics& NodeMetrics::Get() {
+  static NodeMetrics metrics;
+  return metrics;
+}
+
+void NodeMetrics::CountCall(CallKind kind, schema::Code code, milliseconds elapsed) {
+  m_impl->calls.Add({{"kind", CallName(kind)}, {"code", std::string(CodeName(code))}}).Increment();
+  m_impl->Observe(m_impl->call_seconds, {{"kind", CallName(kind)}}, elapsed);
+}
+
+void NodeMetrics::ObserveStage(Stage stage, milliseconds elapsed) {
+  m_impl->Observe(m_impl->stage_seconds, {{"stage", StageName(stage)}}, elapsed);
+}
+
+void NodeMetrics::CountStart(StartVerdict verdict) {
+  m_impl->starts.Add({{"verdict", StartVerdictName(verdict)}}).Increment();
+}
+
+void NodeMetrics::CountEnd(RunEnd end) {
+  m_impl->ends.Add({{"how", RunEndName(end)}}).Increment();
+}
+
+void NodeMetrics::CountVoid(VoidReason reason) {
+  m_impl->voids.Add({{"reason", VoidReasonName(reason)}}).Increment();
+}
+
+void NodeMetrics::CountCommit(milliseconds elapsed, std::uint32_t attempts) {
+  m_impl->commits.Add({}).Increment();
+  m_impl->resends.Add({}).Increment(attempts > 0 ? attempts - 1 : 0);
+  m_impl->Observe(m_impl->commit_seconds, {}, elapsed);
+}
+
+void NodeMetrics::CountAdvice(bool answered, milliseconds elapsed) {
+  m_impl->advice.Add({{"answered", answered ? "true" : "false"}}).Increment();
+  m_impl->Observe(m_impl->advice_seconds, {}, elapsed);
+}
+
+void NodeMetrics::CountTakeover() { m_impl->takeovers.Add({}).Increment(); }
+
+void NodeMetrics::SetGauge(const std::string& name, double value) {
+  Family<Gauge>*& family = m_impl->gauges[name];
+  if (family == nullptr) {
+    family = &prometheus::BuildGauge()
+                  .Name("citronsill_" + name)
+                  .Help("State of the node.")
+                  .Register(m_impl->registry);
+  }
+  family->Add({}).Set(value);
+}
+
+std::string NodeMetrics::Text() const {
+  return prometheus::TextSerializer().Serialize(m_impl->registry.Collect());
+}
+
+}  // namespace citronsill
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -6,6 +6,7 @@
 #include "cell/follower.h"
 #include "cell/limits.h"
 #include "cell/log.h"
+#include "cell/metrics.h"
 #include "cell/relay.h"
 #include "net.h"
 
@@ -42,6 +43,7 @@
   std::unique_ptr<TableFollower> config_follower;
   CellConfigPtr config;
   TimerId tick_timer;
+  TimerId gauge_timer;
   bool draining = false;
   SteadyTime began = BootNow();
   SteadyTime seeds_tried{};
@@ -55,6 +57,9 @@
         links, LinkService::Create(runtime, timers, settings.link_address, Self(), MakeHooks()));
     FollowConfig();
     AddShard("s0");
+    gauge_timer = timers.Every(kLoadReportPeriod, [weak = weak_from_this()](SteadyTime) {
+      if (const auto self = weak.lock()) self->SetGauges();
+    });
     tick_timer = timers.Every(kNodeTick, [weak = weak_from_this()](SteadyTime) {
       if (const auto self = weak.lock()) self->Tick();
     });
@@ -74,6 +79,7 @@
 
   void End() {
     timers.Cancel(tick_timer);
+    timers.Cancel(gauge_timer);
     config_follower.reset();
     shards.clear();
   }
@@ -217,6 +223,19 @@
     link->Answer(message, std::move(reply));
   }
 
+  void SetGauges() {
+    NodeMetrics& metrics = NodeMetrics::Get();
+    std::size_t open = 0;
+    links->ForEach([&open](const LinkPtr&) { ++open; });
+    metrics.SetGauge("links", static_cast<double>(open));
+    metrics.SetGauge("config_version", config ? static_cast<double>(config->version) : 0.0);
+    metrics.SetGauge("store_reachable", store->OwnPathWorks() ? 1.0 : 0.0);
+    metrics.SetGauge("log_lines_dropped", static_cast<double>(DroppedLogLines()));
+    std::size_t led = 0;
+    for (const auto& shard : shards) led += shard->IsLeader() ? 1 : 0;
+    metrics.SetGauge("shards_led", static_cast<double>(led));
+  }
+
   void Tick() {
     store->Tick();
     const bool is_cut_off = std::none_of(shards.begin(), shards.end(), [](const auto& shard) {
--- a/cell/planner.cc
+++ b/cell/planner.cc
@@ -46,7 +46,7 @@
     for (const PlanUnit& unit : units) {
       if (unit.count == 0) continue;
       if (unit.gang) {
-        PlaceGang(unit);
+        if (!PlaceGang(unit)) AddNeed(unit);
       } else {
         PlaceTasks(unit);
       }
@@ -72,14 +72,29 @@
     return FitCount(room, unit.size, most);
   }
 
-  // How many tasks of the unit the cell has room for beside the headroom of interactive work.
+  // How many tasks of the unit may start beside the gangs that wait.
+  //
+  // Load pattern: at the crest of a wave there is more work than room. Batch tasks have time until
+  // the next trough, but they fill every hole as it appears, so that gangs, which have little time,
+  // never find enough of them. While gangs wait, batch work leaves them the room that they need.
   [[nodiscard]] std::uint32_t Budget(const PlanUnit& unit) const {
-    if (IsInteractive(unit)) return unit.count;
+    if (IsInteractive(unit) || unit.gang || IsUrgent(unit)) return unit.count;
     Resources room = m_free;
-    room -= m_limits.interactive_headroom;
+    room.processors_milli -= m_gang_need.processors_milli * kGangRoomPercent / 100;
+    room.memory_mb -= m_gang_need.memory_mb * kGangRoomPercent / 100;
     return FitCount(room, unit.size, unit.count);
   }
 
+  [[nodiscard]] bool IsUrgent(const PlanUnit& unit) const {
+    return m_limits.now + kYieldAtLeast >= unit.objective - unit.chain;
+  }
+
+  // Gangs that cannot be in time any more are not worth waiting for.
+  void AddNeed(const PlanUnit& unit) {
+    if (TierOf(unit, m_limits.now) != Tier::kInTime) return;
+    for (std::uint32_t i = 0; i < unit.count; ++i) m_gang_need += unit.size;
+  }
+
   void Take(const PlanUnit& unit, std::uint32_t index, std::uint32_t count) {
     for (std::uint32_t i = 0; i < count; ++i) {
       m_workers[index].free -= unit.size;
@@ -110,7 +125,7 @@
 
   void PlaceTasks(const PlanUnit& unit) {
     std::uint32_t left = Budget(unit);
-    if (left == 0) return Explore(unit);
+    if (left == 0) return;
     for (const std::uint32_t index : Candidates(unit, Fit::kReady)) {
       if (left == 0) return;
       const std::uint32_t count = std::min(left, RoomOn(unit, index));
@@ -142,21 +157,18 @@
   // Load pattern: a question about a gang takes half a second, in which smaller tasks fill the room
   // that was found for it, so that gangs ask again and again while a third of the cell is idle. The
   // room is reserved from the question on.
-  void PlaceGang(const PlanUnit& unit) {
+  // @returns whether the gang needs no further room.
+  bool PlaceGang(const PlanUnit& unit) {
     if (!unit.reserved.empty()) {
       if (!unit.may_ask) {
         m_plan.reservations.push_back({unit.id, unit.reserved});
-        return;
+        return true;
       }
       for (const Share& share : unit.reserved) GiveBack(unit, share);
     }
-    if (Budget(unit) < unit.count) {
-      Explore(unit);
-      return SetAside(unit);
-    }
     if (const auto chosen = GangRoom(unit, Fit::kReady); !chosen.empty()) {
       for (const Share& share : chosen) Place(unit, share.worker, share.count);
-      return;
+      return true;
     }
     if (const auto chosen = GangRoom(unit, Fit::kAllowed); !chosen.empty() && CanAsk(unit)) {
       std::vector<std::uint32_t> workers;
@@ -165,10 +177,12 @@
         if (unit.fits[share.worker] != Fit::kReady) workers.push_back(share.worker);
       }
       m_plan.reservations.push_back({unit.id, chosen});
-      return Ask(unit, std::move(workers));
+      Ask(unit, std::move(workers));
+      return true;
     }
     AskFor(unit, unit.count);
     SetAside(unit);
+    return false;
   }
 
   void GiveBack(const PlanUnit& unit, const Share& share) {
@@ -186,8 +200,8 @@
     const double enough = (unit.gang ? kGangAskAhead : kAskAhead) * need;
     const auto add = [&](Fit fit, double share) {
       std::vector<std::uint32_t> found = Candidates(unit, fit);
-      // The most room first: the fewer are named, the sooner the answer comes.
-      std::reverse(found.begin(), found.end());
+      // A gang asks about workers with the most room. Single tasks leave those to gangs.
+      if (unit.gang) std::reverse(found.begin(), found.end());
       for (const std::uint32_t index : found) {
         if (unit.fits[index] != fit || expected >= enough) continue;
         expected += share * RoomOn(unit, index);
@@ -228,14 +242,6 @@
     return unit.question == QuestionKind::kLong ? kMostNamedLong : kMostNamed;
   }
 
-  // Without room for the unit, a free lane may still find out where it may run.
-  void Explore(const PlanUnit& unit) {
-    if (!CanAsk(unit)) return;
-    std::vector<std::uint32_t> workers;
-    AddSpare(unit, Fit::kUnknown, LeastNamed(unit), &workers);
-    if (!workers.empty()) Ask(unit, std::move(workers));
-  }
-
   // Adds workers of a fit that have the most room.
   void AddSpare(const PlanUnit& unit, Fit fit, std::size_t count,
                 std::vector<std::uint32_t>* workers) const {
@@ -333,7 +339,7 @@
   // Tickets are asked for this many times the tasks that need one.
   static constexpr double kAskAhead = 1.5;
   // The same for gangs, which need all of their room at one moment.
-  static constexpr double kGangAskAhead = 2.0;
+  static constexpr double kGangAskAhead = 3.0;
   // Lanes that one unit uses at a time.
   static constexpr std::size_t kMostLanesAtOnce = 4;
   // Workers named in a question at least: with 0.3 of them allowed, two are found in 9 of 10 cases.
@@ -342,7 +348,13 @@
   static constexpr std::size_t kLeastNamedLong = 32;
   // Most workers of a question: a limit of the policy service, and less of one that takes long.
   static constexpr std::size_t kMostNamed = 100;
-  static constexpr std::size_t kMostNamedLong = 80;
+  static constexpr std::size_t kMostNamedLong = 100;
+  // Of the room that waiting gangs need, this much is left free for them: some of it is on workers
+  // that are not allowed to run them.
+  static constexpr std::int64_t kGangRoomPercent = 150;
+  // Batch work that has to start within this time does not yield any more: a commit, a question and
+  // a margin for its run time.
+  static constexpr milliseconds kYieldAtLeast{3000};
   // Gangs that room is set aside for at a time.
   static constexpr std::uint32_t kGangsSetAside = 2;
 
@@ -351,6 +363,7 @@
   std::vector<Resources> m_reserved;
   std::vector<SteadyTime> m_reserved_until;
   Resources m_free;
+  Resources m_gang_need;  // Of gangs that had their turn and wait.
   std::uint32_t m_asked = 0;
   std::uint32_t m_asked_batch = 0;
   std::uint32_t m_asked_long = 0;
--- a/cell/planner.h
+++ b/cell/planner.h
@@ -78,7 +78,6 @@
 struct PlanLimits {
   SteadyTime now;
   LaneCounts lanes;
-  Resources interactive_headroom;  ///< Room that only interactive work may use.
 };
 
 struct Placement {
--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -4,6 +4,7 @@
 
 #include "cell/limits.h"
 #include "cell/log.h"
+#include "cell/metrics.h"
 
 namespace citronsill {
 namespace {
@@ -60,6 +61,10 @@
   return hooks;
 }
 
+milliseconds Scheduler::Since(SteadyTime time) const {
+  return std::chrono::duration_cast<milliseconds>(m_hooks.now() - time);
+}
+
 // ---- Recovery
 
 void Scheduler::LoadJob(const schema::JobRow& row, const schema::ProgressRow* progress,
@@ -126,7 +131,8 @@
   }
   RefreshReady(raw);
   MarkDirty(raw);
-  AfterStored([this, id = spec.id()] {
+  AfterStored([this, id = spec.id(), taken = m_hooks.now()] {
+    NodeMetrics::Get().ObserveStage(Stage::kAccept, Since(taken));
     if (const auto found = m_jobs.find(id);
         found != m_jobs.end() && found->second->shown == schema::JOB_STATE_NONE) {
       found->second->shown = schema::JOB_STATE_QUEUED;
@@ -294,6 +300,7 @@
 
 void Scheduler::OnRunning(Order& order) {
   Job* job = order.task->step->job;
+  if (!job->ever_started) NodeMetrics::Get().ObserveStage(Stage::kStart, Since(job->arrived));
   job->ever_started = true;
   if (job->state == schema::JOB_STATE_QUEUED) job->state = schema::JOB_STATE_RUNNING;
 }
@@ -473,7 +480,8 @@
     }
   }
   MarkDirty(job);
-  AfterStored([this, id = job->spec.id()] {
+  AfterStored([this, id = job->spec.id(), ended = m_hooks.now()] {
+    NodeMetrics::Get().ObserveStage(Stage::kShow, Since(ended));
     if (const auto found = m_jobs.find(id); found != m_jobs.end()) {
       found->second->shown = found->second->state;
     }
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -132,6 +132,7 @@
   };
 
   FleetHooks MakeFleetHooks();
+  [[nodiscard]] milliseconds Since(SteadyTime time) const;
   void MarkDirty(Job* job);
   void AfterStored(std::function<void()> effect);
   void RunEffects();
--- a/cell/shard.cc
+++ b/cell/shard.cc
@@ -7,6 +7,7 @@
 #include "cell/follower.h"
 #include "cell/limits.h"
 #include "cell/log.h"
+#include "cell/metrics.h"
 
 namespace citronsill {
 
@@ -18,6 +19,12 @@
   return kWeakestHandicap * missing / kFullStrengthMilli;
 }
 
+CallKind KindOf(const schema::LinkMessage& message) {
+  if (message.has_submit()) return CallKind::kSubmit;
+  if (message.has_cancel()) return CallKind::kCancel;
+  return message.has_state() ? CallKind::kState : CallKind::kWaiting;
+}
+
 }  // namespace
 
 struct Shard::Impl : std::enable_shared_from_this<Impl> {
@@ -154,6 +161,7 @@
         .Field("shard", name)
         .Field("term", owner.term())
         .Field("earlier_denied", signs.has_denied);
+    NodeMetrics::Get().CountTakeover();
     LeaderOptions options;
     options.shard = name;
     options.owner = owner;
@@ -313,6 +321,9 @@
     const CallDone done = std::move(call->done);
     call->done = nullptr;
     pending.remove(call);
+    NodeMetrics::Get().CountCall(
+        KindOf(call->message), outcome.code,
+        std::chrono::duration_cast<milliseconds>(BootNow() - call->arrived));
     done(std::move(outcome));
   }
 
--- a/tools/citronsill_node.cc
+++ b/tools/citronsill_node.cc
@@ -5,6 +5,7 @@
 
 #include "cell/limits.h"
 #include "cell/log.h"
+#include "cell/metrics.h"
 #include "cell/node.h"
 #include "cell/node_settings.h"
 #include "platform/platform.h"
@@ -34,6 +35,7 @@
                       platform::Connect(m_runtime, {m_file.store_address, m_file.advice_address}));
     BOOST_OUTCOME_TRY(m_node, Node::Create(m_runtime, m_timers, m_file.node, std::move(services)));
     BOOST_OUTCOME_TRY(m_ingress, platform::Ingress::Create(m_runtime, *m_node, m_file.node));
+    BOOST_OUTCOME_TRY(ServeMetrics());
     m_timers.Every(kLogFlushPeriod, [](SteadyTime) { FlushNodeLog(); });
     m_runtime.OnTerminate([this](int number) { Terminate(number); });
     m_runtime.OnReload([this] { Reload(); });
@@ -47,6 +49,25 @@
   }
 
  private:
+  Result<void> ServeMetrics() {
+    if (m_file.node.metrics_address.empty()) return Success();
+    HttpServerOptions server;
+    server.address = m_file.node.metrics_address;
+    BOOST_OUTCOME_TRY(
+        m_metrics,
+        HttpServer::Create(m_runtime, server, [](const HttpRequest& request, const HttpReply& reply) {
+          HttpResponse response;
+          response.content_type = "text/plain; version=0.0.4";
+          if (request.target == "/metrics") {
+            response.body = NodeMetrics::Get().Text();
+          } else {
+            response.status = 404;
+          }
+          reply(std::move(response));
+        }));
+    return Success();
+  }
+
   // A further signal does not interrupt what is still being done.
   void Terminate(int number) {
     Log(LogLevel::kInfo, "terminate").Field("signal", number).Field("draining", m_draining);
@@ -90,6 +111,7 @@
   NodeFile m_file;
   std::unique_ptr<Node> m_node;
   std::unique_ptr<platform::Ingress> m_ingress;
+  std::unique_ptr<HttpServer> m_metrics;
   bool m_draining = false;
   bool m_node_drained = false;
 };
