--- a/cell/planner.cc
+++ b/cell/planner.cc
@@ -174,10 +174,11 @@
       std::vector<std::uint32_t> workers;
       for (const Share& share : chosen) {
         Take(unit, share.worker, share.count);
-        if (unit.fits[share.worker] != Fit::kReady) workers.push_back(share.worker);
+        // All tickets are renewed: those that are still valid may lapse before the answer comes.
+        workers.push_back(share.worker);
       }
       m_plan.reservations.push_back({unit.id, chosen});
-      Ask(unit, std::move(workers));
+      AskSplit(unit, workers);
       return true;
     }
     AskFor(unit, unit.count);
@@ -224,8 +225,7 @@
     const std::size_t parts =
         std::min(kMostLanesAtOnce, (workers.size() + MostNamed(unit) - 1) / MostNamed(unit));
     if (parts == 0) return;
-    const std::size_t each =
-        std::min(MostNamed(unit), (workers.size() + parts - 1) / parts);
+    const std::size_t each = std::min(MostNamed(unit), (workers.size() + parts - 1) / parts);
     for (std::size_t first = 0; first < workers.size() && CanAsk(unit); first += each) {
       const std::size_t last = std::min(workers.size(), first + each);
       Ask(unit, {workers.begin() + static_cast<std::ptrdiff_t>(first),
