--- a/cell/commit.cc
+++ b/cell/commit.cc
@@ -138,8 +138,8 @@
         .Field("failures", m_failures)
         .Field("took_ms", std::chrono::duration_cast<milliseconds>(m_hooks.now() - m_sent));
   }
-  NodeMetrics::Get().CountCommit(
-      std::chrono::duration_cast<milliseconds>(m_hooks.now() - m_sent), m_failures + 1);
+  NodeMetrics::Get().CountCommit(std::chrono::duration_cast<milliseconds>(m_hooks.now() - m_sent),
+                                 m_failures + 1);
   m_head_version = version;
   m_confirmed = m_sent;
   const auto took = std::chrono::duration_cast<milliseconds>(m_hooks.now() - m_attempt_sent);
--- a/cell/job.h
+++ b/cell/job.h
@@ -94,7 +94,7 @@
   bool gang_ending = false;            ///< A member ended: the others are on their way out.
   bool ready = false;                  ///< All earlier steps are done.
   std::vector<AdviceOnWorker> advice;  ///< By the slot of the worker; may be shorter.
-  std::uint32_t questions = 0;  ///< Of this step that have no answer yet.
+  std::uint32_t questions = 0;         ///< Of this step that have no answer yet.
   SteadyTime advice_retry_at{};
   std::vector<HeldRoom> held;  ///< Room that is kept for the gang while it waits for tickets.
 
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -351,8 +351,7 @@
               [weak = weak_from_this(), step, asked,
                sent = BootNow()](const Result<AdviceAnswer>& result) {
                 NodeMetrics::Get().CountAdvice(
-                    result.has_value(),
-                    std::chrono::duration_cast<milliseconds>(BootNow() - sent));
+                    result.has_value(), std::chrono::duration_cast<milliseconds>(BootNow() - sent));
                 const auto self = weak.lock();
                 if (self && !self->lost) self->scheduler->OnAdvice(step, asked, result);
               });
--- a/cell/limits.h
+++ b/cell/limits.h
@@ -126,8 +126,8 @@
 inline constexpr std::chrono::milliseconds kOwnerProbePeriod{150};
 // The next heir waits this much longer than the one before it.
 inline constexpr std::chrono::milliseconds kHeirStagger{80};
-// Processor share from which on an instance is as good a scheduler as any, and the time by which the
-// weakest let others claim first: a few claims.
+// Processor share from which on an instance is as good a scheduler as any, and the time by which
+// the weakest let others claim first: a few claims.
 inline constexpr std::uint32_t kFullStrengthMilli = 500;
 inline constexpr std::chrono::milliseconds kWeakestHandicap{600};
 inline constexpr std::chrono::milliseconds kStoreReadTimeout{1000};
--- a/cell/metrics.cc
+++ b/cell/metrics.cc
@@ -130,9 +130,7 @@
   m_impl->starts.Add({{"verdict", StartVerdictName(verdict)}}).Increment();
 }
 
-void NodeMetrics::CountEnd(RunEnd end) {
-  m_impl->ends.Add({{"how", RunEndName(end)}}).Increment();
-}
+void NodeMetrics::CountEnd(RunEnd end) { m_impl->ends.Add({{"how", RunEndName(end)}}).Increment(); }
 
 void NodeMetrics::CountVoid(VoidReason reason) {
   m_impl->voids.Add({{"reason", VoidReasonName(reason)}}).Increment();
--- a/cell/planner.h
+++ b/cell/planner.h
@@ -64,9 +64,9 @@
   std::uint32_t count = 0;  ///< Tasks that wait.
   bool gang = false;        ///< All or none.
   bool rack_local = false;
-  std::uint32_t max_per_worker = 0;    ///< 0 for no limit.
-  std::uint32_t preferred_rack = 0;    ///< Where its data is; 0 for anywhere.
-  std::vector<Fit> fits;               ///< By worker.
+  std::uint32_t max_per_worker = 0;  ///< 0 for no limit.
+  std::uint32_t preferred_rack = 0;  ///< Where its data is; 0 for anywhere.
+  std::vector<Fit> fits;             ///< By worker.
   /// Room that is kept for a gang while its tickets are renewed; not part of what is free.
   std::vector<Share> reserved;
   std::vector<std::uint32_t> present;  ///< By worker: tasks of the step there; empty for none.
@@ -96,9 +96,9 @@
 };
 
 struct Plan {
-  std::vector<Placement> placements;  ///< Those of a gang follow one another.
+  std::vector<Placement> placements;      ///< Those of a gang follow one another.
   std::vector<Reservation> reservations;  ///< All that are in force from now on.
-  std::vector<Question> questions;    ///< Most urgent first.
+  std::vector<Question> questions;        ///< Most urgent first.
 };
 
 /// The order in which units get their turn.
--- a/cell/runtimes.h
+++ b/cell/runtimes.h
@@ -13,8 +13,8 @@
   /// @param declared estimate of the task; 0 when there was none.
   void Add(milliseconds actual, milliseconds declared);
 
-  /// @returns the expected run time of a task: its estimate and the mean of the queue, each weighted
-  /// by how little it was off so far.
+  /// @returns the expected run time of a task: its estimate and the mean of the queue, each
+  /// weighted by how little it was off so far.
   [[nodiscard]] milliseconds Expect(milliseconds declared) const;
 
  private:
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -109,8 +109,8 @@
 
   /// What a planning pass found, for logs and metrics.
   struct Load {
-    std::size_t workers = 0;        ///< That take work.
-    Resources free;                 ///< On them.
+    std::size_t workers = 0;  ///< That take work.
+    Resources free;           ///< On them.
     Resources capacity;
     std::size_t waiting_units = 0;  ///< Steps with waiting tasks.
     std::size_t waiting_gangs = 0;
--- a/cell/scheduler_plan.cc
+++ b/cell/scheduler_plan.cc
@@ -106,8 +106,7 @@
   return workers;
 }
 
-void Scheduler::AddUnits(Job* job, std::vector<PlanUnit>* units,
-                         std::vector<PlanWorker>* workers) {
+void Scheduler::AddUnits(Job* job, std::vector<PlanUnit>* units, std::vector<PlanWorker>* workers) {
   if (job->IsFinal()) return;
   const SteadyTime now = m_hooks.now();
   if (job->objective == SteadyTime{}) {
@@ -189,8 +188,8 @@
   }
 }
 
-// Takes the room that is held for a gang off what is free. Room on a worker that is gone or takes no
-// work any more is not held.
+// Takes the room that is held for a gang off what is free. Room on a worker that is gone or takes
+// no work any more is not held.
 void Scheduler::ApplyHeldRoom(const Step& step, PlanUnit* unit, std::vector<PlanWorker>* workers) {
   for (const HeldRoom& held : step.held) {
     const auto found =
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -36,8 +36,8 @@
 HttpResponse DefaultReject(unsigned status, const Error& error) {
   HttpResponse response;
   response.status = status;
-  response.body = R"({"code":")" + schema::Code_Name(error.code) + R"(","message":")" +
-                  error.message + R"("})";
+  response.body =
+      R"({"code":")" + schema::Code_Name(error.code) + R"(","message":")" + error.message + R"("})";
   return response;
 }
 
--- a/tests/cell/cell.h
+++ b/tests/cell/cell.h
@@ -1,6 +1,6 @@
-// A cell in model time: instances that claim a shard, schedule, freeze and die; workers that are cut
-// off, reborn and carry orders out late; a store that loses answers. Callers hand jobs in until they
-// are accepted.
+// A cell in model time: instances that claim a shard, schedule, freeze and die; workers that are
+// cut off, reborn and carry orders out late; a store that loses answers. Callers hand jobs in until
+// they are accepted.
 #pragma once
 
 #include <algorithm>
@@ -82,7 +82,9 @@
  public:
   Cell(std::uint64_t seed, int instances, int workers, Resources capacity)
       : loop(seed), store(loop), m_capacity(capacity) {
-    history.truth = [this](const TaskRef& task) { return truths[task.job + std::to_string(task.step)]; };
+    history.truth = [this](const TaskRef& task) {
+      return truths[task.job + std::to_string(task.step)];
+    };
     for (int i = 0; i < workers; ++i) {
       WorkerNode node;
       node.id = "w" + std::to_string(i);
@@ -212,7 +214,8 @@
  private:
   void Tick() {
     for (const auto& instance : instances) {
-      if (instance->alive) instance->Deliver(instance->epoch, [raw = instance.get()] { raw->Tick(); });
+      if (instance->alive)
+        instance->Deliver(instance->epoch, [raw = instance.get()] { raw->Tick(); });
     }
     loop.After(milliseconds(50), [this] { Tick(); });
   }
@@ -376,7 +379,8 @@
   hooks.on_lost = [this] {
     m_cell.loop.After(milliseconds(0), [this, at = epoch] { Deliver(at, [this] { Lose(); }); });
   };
-  // The store is reached through a back end of its own, so that a cut is seen by this instance only.
+  // The store is reached through a back end of its own, so that a cut is seen by this instance
+  // only.
   struct Path : RowStore {
     Instance* self = nullptr;
     Cell* cell = nullptr;
@@ -418,9 +422,9 @@
         finished.ParseFromString(row.value);
         scheduler->LoadFinished(row.key.key, finished);
       }
-      const milliseconds lapse = std::chrono::duration_cast<milliseconds>(
-                                     kMaxLease * (1.0 + kWorkerClockDrift)) +
-                                 kLeaseMargin + kLeadWithoutStore;
+      const milliseconds lapse =
+          std::chrono::duration_cast<milliseconds>(kMaxLease * (1.0 + kWorkerClockDrift)) +
+          kLeaseMargin + kLeadWithoutStore;
       for (const Row& row : m_cell.store.Read(kJobTable, "s0").rows) {
         schema::JobRow job;
         job.ParseFromString(row.value);
@@ -503,12 +507,9 @@
   SchedulerHooks hooks;
   hooks.now = [this] { return m_cell.loop.Now(); };
   hooks.wall = [this] {
-    return WallTime(std::chrono::duration_cast<milliseconds>(
-        m_cell.loop.Now().time_since_epoch()));
-  };
-  hooks.may_lead = [this] {
-    return m_cell.loop.Now() < commits->Confirmed() + kLeadWithoutStore;
+    return WallTime(std::chrono::duration_cast<milliseconds>(m_cell.loop.Now().time_since_epoch()));
   };
+  hooks.may_lead = [this] { return m_cell.loop.Now() < commits->Confirmed() + kLeadWithoutStore; };
   hooks.start = [this](const Worker& worker, const StartOrder& order, std::uint64_t id) {
     CallWorker<StartAnswer>(
         worker.description.id, [order](WorkerLife& life) { return life.Start(order); },
--- a/tests/cell/model_test.cc
+++ b/tests/cell/model_test.cc
@@ -78,8 +78,9 @@
   CHECK(cell.history.starts == 3);
 }
 
-// Guards against an end that is acknowledged although the store does not keep it: rows that were put
-// together in the middle of an event lost it, and the task ran twice after a change of the scheduler.
+// Guards against an end that is acknowledged although the store does not keep it: rows that were
+// put together in the middle of an event lost it, and the task ran twice after a change of the
+// scheduler.
 TEST_CASE("cell: ends that were acknowledged survive the death of all instances") {
   for (std::uint64_t seed = 1; seed <= 30; ++seed) {
     INFO("seed ", seed);
@@ -161,9 +162,10 @@
     switch (loop.Between(0, 9)) {
       case 0: {
         Instance* victim = pick();
-        during([victim] { victim->Kill(); }, [victim] {
-          if (!victim->alive) victim->Restart();
-        });
+        during([victim] { victim->Kill(); },
+               [victim] {
+                 if (!victim->alive) victim->Restart();
+               });
         break;
       }
       case 1: {
@@ -174,7 +176,8 @@
         break;
       }
       case 2:
-        during([&cell] { cell.store.faults.down = true; }, [&cell] { cell.store.faults.down = false; });
+        during([&cell] { cell.store.faults.down = true; },
+               [&cell] { cell.store.faults.down = false; });
         break;
       case 3:
         during([&cell] { cell.store.faults.lost = 0.4; }, [&cell] { cell.store.faults.lost = 0; });
--- a/tests/cell/store.h
+++ b/tests/cell/store.h
@@ -13,10 +13,10 @@
 namespace citronsill::model {
 
 struct StoreFaults {
-  bool down = false;         // Refuses everything.
-  double lost = 0.0;         // Share of transactions that take effect without an answer.
-  double late = 0.0;         // Share that takes effect seconds later, if the conditions hold then.
-  milliseconds latency{8};   // Of an answer.
+  bool down = false;        // Refuses everything.
+  double lost = 0.0;        // Share of transactions that take effect without an answer.
+  double late = 0.0;        // Share that takes effect seconds later, if the conditions hold then.
+  milliseconds latency{8};  // Of an answer.
 };
 
 class Store {
--- a/tests/cell/worker.h
+++ b/tests/cell/worker.h
@@ -32,13 +32,13 @@
     std::uint64_t run = 0;
     std::string worker;
   };
-  std::multimap<TaskRef, Run> running;       // Now.
-  std::set<TaskRef> done_noted;              // Ended done, and the end was acknowledged.
+  std::multimap<TaskRef, Run> running;  // Now.
+  std::set<TaskRef> done_noted;         // Ended done, and the end was acknowledged.
   std::map<TaskRef, int> failures_noted;
   std::map<std::pair<TaskRef, std::uint64_t>, RunEnd> ends;
   std::vector<std::string> violations;
-  std::set<std::string> submitted;           // Jobs that were handed in.
-  std::set<std::string> refused;             // Jobs of which callers were told that they never run.
+  std::set<std::string> submitted;  // Jobs that were handed in.
+  std::set<std::string> refused;    // Jobs of which callers were told that they never run.
   std::uint64_t starts = 0;
   int max_attempts = 3;
 
@@ -197,8 +197,7 @@
     for (const auto& [task, run] : m_running) used += run.size;
     if (!m_capacity.Covers(used)) m_history.violations.push_back("over capacity: " + m_id);
     if (hangs) return;
-    m_loop.After(truth.duration, [this, task = order.task, run = order.run,
-                                  fails = truth.fails] {
+    m_loop.After(truth.duration, [this, task = order.task, run = order.run, fails = truth.fails] {
       End(task, run, fails ? RunEnd::kFailed : RunEnd::kDone);
     });
   }
--- a/tools/citronsill_node.cc
+++ b/tools/citronsill_node.cc
@@ -53,18 +53,18 @@
     if (m_file.node.metrics_address.empty()) return Success();
     HttpServerOptions server;
     server.address = m_file.node.metrics_address;
-    BOOST_OUTCOME_TRY(
-        m_metrics,
-        HttpServer::Create(m_runtime, server, [](const HttpRequest& request, const HttpReply& reply) {
-          HttpResponse response;
-          response.content_type = "text/plain; version=0.0.4";
-          if (request.target == "/metrics") {
-            response.body = NodeMetrics::Get().Text();
-          } else {
-            response.status = 404;
-          }
-          reply(std::move(response));
-        }));
+    BOOST_OUTCOME_TRY(m_metrics,
+                      HttpServer::Create(m_runtime, server,
+                                         [](const HttpRequest& request, const HttpReply& reply) {
+                                           HttpResponse response;
+                                           response.content_type = "text/plain; version=0.0.4";
+                                           if (request.target == "/metrics") {
+                                             response.body = NodeMetrics::Get().Text();
+                                           } else {
+                                             response.status = 404;
+                                           }
+                                           reply(std::move(response));
+                                         }));
     return Success();
   }
 
