scheduler: the answer to a refused submission no longer answers the next one

Ruled out: a lost transaction (the head row was unbroken), a wrong takeover (term 2 loaded all rows). Test: cell: a job that was refused is accepted only once its second submission is stored (failed first). The model's callers now come back soon after a refusal.

--- a/cell/job.h
+++ b/cell/job.h
@@ -113,7 +113,8 @@
   std::uint32_t occurrences_begun = 0;
   std::uint32_t occurrences_done = 0;
   std::uint32_t live_orders = 0;
-  bool stored = false;  ///< Its job row is in the store.
+  std::uint64_t submission = 0;  ///< Numbers the submissions that one scheduler took.
+  bool stored = false;           ///< Its job row is in the store or in the transaction in flight.
   bool ever_started = false;
   std::uint64_t dirty_position = 0;  ///< Place in the queue for the store; 0 when not in it.
 
--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -131,10 +131,13 @@
   }
   RefreshReady(raw);
   MarkDirty(raw);
-  AfterStored([this, id = spec.id(), taken = m_hooks.now()] {
+  raw->submission = ++m_submissions;
+  AfterStored([this, id = spec.id(), submission = raw->submission, taken = m_hooks.now()] {
+    const auto found = m_jobs.find(id);
+    // A job that was refused may have been submitted again, and is not in the store yet.
+    if (found != m_jobs.end() && found->second->submission != submission) return;
     NodeMetrics::Get().ObserveStage(Stage::kAccept, Since(taken));
-    if (const auto found = m_jobs.find(id);
-        found != m_jobs.end() && found->second->shown == schema::JOB_STATE_NONE) {
+    if (found != m_jobs.end() && found->second->shown == schema::JOB_STATE_NONE) {
       found->second->shown = schema::JOB_STATE_QUEUED;
     }
     auto node = m_submitters.extract(id);
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -174,6 +174,7 @@
   std::unordered_map<std::string, schema::FinishedRow> m_finished;
   std::unordered_map<std::string, std::vector<Done>> m_submitters;
   std::deque<Job*> m_dirty;
+  std::uint64_t m_submissions = 0;
   std::uint64_t m_tail = 0;    // Last position that was given out.
   std::uint64_t m_stored = 0;  // Everything up to it is in the store.
   std::deque<Effect> m_effects;
--- a/tests/cell/cell.h
+++ b/tests/cell/cell.h
@@ -167,7 +167,13 @@
       if (!accepted.contains(spec.id())) Submit(spec);
     });
     leader->scheduler->Submit(spec, milliseconds(0), [this, spec](const auto& result) {
-      if (result) accepted.insert(spec.id());
+      if (result) {
+        accepted.insert(spec.id());
+        return;
+      }
+      loop.After(loop.Delay(10, 600), [this, spec] {
+        if (!accepted.contains(spec.id())) Submit(spec);
+      });
     });
   }
 
--- a/tests/cell/model_test.cc
+++ b/tests/cell/model_test.cc
@@ -129,6 +129,56 @@
   CheckHistory(cell.history);
 }
 
+// Guards against LOST on jkanu, fresh-f3db: a job was refused while the store was down and handed
+// in again; the transaction that would have answered its first submission answered the second one,
+// which was not stored yet.
+TEST_CASE("cell: a job that was refused is accepted only once its second submission is stored") {
+  Cell cell(5, 1, 3, Resources{8000, 8000, 0});
+  const schema::JobSpec spec = cell.MakeJob("job", 1, TaskTruth{});
+  const schema::JobSpec first = cell.MakeJob("first", 1, TaskTruth{});
+  const schema::JobSpec other = cell.MakeJob("other", 1, TaskTruth{});
+  Scheduler* scheduler = nullptr;
+  int refused = 0;
+  const auto is_stored = [&] {
+    const std::vector<Row> rows = cell.store.Read(kJobTable, "s0").rows;
+    return std::any_of(rows.begin(), rows.end(),
+                       [](const Row& row) { return row.key.key == "job"; });
+  };
+  cell.history.submitted = {"job", "first", "other"};
+  cell.loop.After(milliseconds(2000), [&] {
+    cell.store.faults.down = true;
+    scheduler = cell.Leader()->scheduler.get();
+    scheduler->Submit(first, milliseconds(0), [](const auto&) {});
+  });
+  cell.loop.After(milliseconds(2100), [&] {
+    scheduler->Submit(spec, milliseconds(0),
+                      [&](const auto& result) { refused += result ? 0 : 1; });
+  });
+  cell.loop.After(milliseconds(4000), [&] {
+    CHECK(refused == 1);
+    cell.store.faults.down = false;
+  });
+  // The job comes again while a later transaction, which does not have it, is in flight.
+  bool is_accepted = false;
+  std::function<void()> poll = [&] {
+    if (cell.Leader()->commits->FailingFor() > milliseconds(0)) {
+      cell.loop.After(milliseconds(1), poll);
+      return;
+    }
+    scheduler->Submit(other, milliseconds(0), [](const auto&) {});
+    cell.loop.After(milliseconds(1), [&] {
+      scheduler->Submit(spec, milliseconds(0), [&](const auto& result) {
+        is_accepted = result.has_value();
+        CHECK(is_stored());
+      });
+    });
+  };
+  cell.loop.After(milliseconds(4001), poll);
+  cell.loop.RunFor(seconds(15));
+  CHECK(is_accepted);
+  CheckHistory(cell.history);
+}
+
 // One schedule of everything that may go wrong, at random moments.
 void RunSchedule(std::uint64_t seed) {
   Cell cell(seed, 3, 5, Resources{8000, 8000, 0});
