--- a/cell/job.h
+++ b/cell/job.h
@@ -58,6 +58,12 @@
   SteadyTime ticket_until{};  ///< The ticket is not used after this time.
 };
 
+/// A worker on which a task failed or stood still.
+struct AvoidedWorker {
+  std::uint32_t slot = 0;
+  SteadyTime until{};
+};
+
 struct Task {
   Step* step = nullptr;
   std::uint32_t index = 0;
@@ -67,7 +73,7 @@
   std::uint64_t last_run = 0;
   std::vector<Order*> orders;        ///< Live ones: none, one, or copies.
   SteadyTime retry_at{};             ///< Not started before this time.
-  std::vector<const Worker*> avoid;  ///< Workers on which it failed or stood still.
+  std::vector<AvoidedWorker> avoid;  ///< Not started there for some time.
 };
 
 /// Room for some tasks of a step on one life of a worker.
--- a/cell/limits.h
+++ b/cell/limits.h
@@ -65,8 +65,10 @@
 inline constexpr std::chrono::milliseconds kRefusalPause{300};
 // Progress is reported with each hold, at least each 1.5 s; three of them without any is a stall.
 inline constexpr std::chrono::milliseconds kStalledAfter{4500};
-// Workers that a task avoids at most; the rest is tried again.
-inline constexpr std::size_t kMaxAvoided = 8;
+// A task stays away from a worker on which it failed for this long, if there are others. Faults of
+// workers last 4 to 7 s, but the others may be full, and a task that could run may wait 3 s at
+// most.
+inline constexpr std::chrono::milliseconds kTaskAvoids{2000};
 // Runs that are skipped when a worker has seen a higher one.
 inline constexpr std::uint64_t kRunsToSkip = 16;
 // A gang is given up when it is not complete after this part of the time that its members wait; the
--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -384,8 +384,14 @@
   }
 }
 
+void Scheduler::AvoidFor(Task* task, const Worker& worker) {
+  const SteadyTime now = m_hooks.now();
+  std::erase_if(task->avoid, [now](const AvoidedWorker& avoided) { return avoided.until <= now; });
+  task->avoid.push_back({worker.slot, now + kTaskAvoids});
+}
+
 void Scheduler::RecordFailure(Worker* worker, Task* task) {
-  task->avoid.push_back(worker);
+  AvoidFor(task, *worker);
   if (++worker->failures_in_row < kFailuresToAvoid) return;
   const int doublings = static_cast<int>(std::min(worker->times_avoided, kMaxAvoidDoublings));
   worker->avoided_until = m_hooks.now() + kAvoidFirst * (1 << doublings);
@@ -424,7 +430,7 @@
     const bool never_ran = reason != VoidReason::kLapsed && reason != VoidReason::kWorkerGone &&
                            order.state != OrderState::kRunning && !order.stop_wanted;
     const bool in_time = m_hooks.now() < step->gang_started + m_options.gang_time / 2;
-    task->avoid.push_back(order.worker);
+    AvoidFor(task, *order.worker);
     if (!never_ran || !in_time) EndGang(step);
     GangMemberGone(step);
   }
@@ -630,7 +636,7 @@
           .Field("worker", id)
           .Field("percent", order->percent)
           .Field("for_ms", std::chrono::duration_cast<milliseconds>(now - order->percent_changed));
-      order->task->avoid.push_back(worker.get());
+      AvoidFor(order->task, *worker);
       if (!step.spec->gang()) worker->avoided_until = now + kAvoidStalled;
       m_fleet.Stop(order);
     }
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -151,6 +151,7 @@
   void Settle(Job* job);
   void RefreshReady(Job* job);
   void BeginDue(Job* job);
+  void AvoidFor(Task* task, const Worker& worker);
   void RecordFailure(Worker* worker, Task* task);
   void CheckStalled(SteadyTime now);
   void CheckGang(Step* step, SteadyTime now);
--- a/cell/scheduler_plan.cc
+++ b/cell/scheduler_plan.cc
@@ -21,10 +21,10 @@
 // Time from the end of one step to the start of the next without advice: two commits and a start.
 constexpr milliseconds kStepOverhead{50};
 
-// A task is not tried again where it failed, as long as there are others to try.
-bool Avoids(const Task& task, const Worker& worker) {
-  if (task.avoid.size() > kMaxAvoided) return false;
-  return std::find(task.avoid.begin(), task.avoid.end(), &worker) != task.avoid.end();
+bool Avoids(const Task& task, const Worker& worker, SteadyTime now) {
+  return std::any_of(task.avoid.begin(), task.avoid.end(), [&](const AvoidedWorker& avoided) {
+    return avoided.slot == worker.slot && now < avoided.until;
+  });
 }
 
 bool Waits(const Task& task, SteadyTime now) {
@@ -33,8 +33,9 @@
 
 // @returns whether no waiting task of the step may run on the worker.
 bool AllAvoid(const Step& step, const Worker& worker, SteadyTime now) {
-  return std::all_of(step.tasks.begin(), step.tasks.end(),
-                     [&](const Task& task) { return !Waits(task, now) || Avoids(task, worker); });
+  return std::all_of(step.tasks.begin(), step.tasks.end(), [&](const Task& task) {
+    return !Waits(task, now) || Avoids(task, worker, now);
+  });
 }
 
 milliseconds QuestionTime(const schema::AdviceSpec& advice, std::int64_t named) {
@@ -227,6 +228,7 @@
 }
 
 void Scheduler::ApplyPlan(const citronsill::Plan& plan) {
+  const SteadyTime now = m_hooks.now();
   for (Step* step : m_plan_steps) step->held.clear();
   for (const Reservation& reservation : plan.reservations) {
     for (const Share& share : reservation.shares) {
@@ -247,7 +249,7 @@
       step->gang_started = m_hooks.now();
     }
     for (Task& task : step->tasks) {
-      if (!Waits(task, m_hooks.now()) || Avoids(task, *worker)) continue;
+      if (!Waits(task, now) || Avoids(task, *worker, now)) continue;
       const std::uint64_t run = step->spec->gang() ? step->gang_run : task.last_run + 1;
       orders.push_back(Assign(&task, worker, run)->id);
       break;
--- a/tests/cell/model_test.cc
+++ b/tests/cell/model_test.cc
@@ -78,6 +78,19 @@
   CHECK(cell.history.starts == 3);
 }
 
+// Guards against LOST on a varied site: the only worker that is allowed is one on which the task
+// has failed, and the task waited for another one for ever.
+TEST_CASE("cell: a task that failed is tried again on the only worker there is") {
+  Cell cell(3, 1, 1, Resources{8000, 8000, 0});
+  TaskTruth truth;
+  truth.fails = true;
+  cell.loop.After(milliseconds(1000), [&] { cell.Submit(cell.MakeJob("job", 1, truth)); });
+  cell.loop.RunFor(seconds(15));
+  CheckHistory(cell.history);
+  CheckAllEnd(cell, {"job"});
+  CHECK(cell.history.starts == 3);
+}
+
 // Guards against an end that is acknowledged although the store does not keep it: rows that were
 // put together in the middle of an event lost it, and the task ran twice after a change of the
 // scheduler.
