--- a/cell/planner.cc
+++ b/cell/planner.cc
@@ -1,6 +1,7 @@
 #include "cell/planner.h"
 
 #include <algorithm>
+#include <map>
 #include <numeric>
 #include <tuple>
 
@@ -107,16 +108,40 @@
     for (std::uint32_t i = 0; i < count; ++i) m_plan.placements.push_back({unit.id, index});
   }
 
-  // Workers with room for the unit and at least the given fit, the tightest first: holes that are
-  // large enough for large tasks are kept.
+  // The rack on which a unit runs best; 0 when it does not matter.
+  //
+  // Load pattern: tasks that exchange data take several times as long on more than one rack. The
+  // rack that holds all of them most tightly is taken, or else the one that holds the most.
+  [[nodiscard]] std::uint32_t BestRack(const PlanUnit& unit, Fit least) const {
+    if (!unit.rack_local || unit.preferred_rack != 0) return unit.preferred_rack;
+    std::map<std::uint32_t, std::uint32_t> rooms;
+    for (std::uint32_t index = 0; index < m_workers.size(); ++index) {
+      if (unit.fits[index] >= least) rooms[m_workers[index].rack] += RoomOn(unit, index);
+    }
+    const auto key = [&unit](std::uint32_t room) {
+      const bool holds_all = room >= unit.count;
+      return std::tuple(!holds_all, holds_all ? room : UINT32_MAX - room);
+    };
+    const auto best = std::min_element(
+        rooms.begin(), rooms.end(),
+        [&](const auto& x, const auto& y) { return key(x.second) < key(y.second); });
+    return best == rooms.end() ? 0 : best->first;
+  }
+
+  // Workers with room for the unit and at least the given fit: those of its rack first, and among
+  // them the tightest, so that holes which are large enough for large tasks are kept.
   [[nodiscard]] std::vector<std::uint32_t> Candidates(const PlanUnit& unit, Fit least) const {
     std::vector<std::uint32_t> found;
     for (std::uint32_t index = 0; index < m_workers.size(); ++index) {
       if (unit.fits[index] >= least && RoomOn(unit, index) > 0) found.push_back(index);
     }
+    const std::uint32_t rack = BestRack(unit, least);
     const auto key = [&](std::uint32_t index) {
-      const bool far = unit.preferred_rack != 0 && m_workers[index].rack != unit.preferred_rack;
-      return std::tuple(far, m_workers[index].free.processors_milli, index);
+      const bool far = rack != 0 && m_workers[index].rack != rack;
+      // Members of a gang go where most of them fit, so that fewer workers can fail them.
+      const std::int64_t room =
+          unit.gang ? -std::int64_t{RoomOn(unit, index)} : m_workers[index].free.processors_milli;
+      return std::tuple(far, room, m_workers[index].free.processors_milli, index);
     };
     std::sort(found.begin(), found.end(),
               [&](std::uint32_t a, std::uint32_t b) { return key(a) < key(b); });
@@ -135,16 +160,12 @@
     if (left > 0) AskFor(unit, left);
   }
 
-  // Chooses workers for all members; those that hold the most of them first.
+  // Chooses workers for all members.
   // @returns nothing when not all of them fit.
   [[nodiscard]] std::vector<Share> GangRoom(const PlanUnit& unit, Fit least) const {
     std::vector<Share> chosen;
-    std::vector<std::uint32_t> found = Candidates(unit, least);
-    std::stable_sort(found.begin(), found.end(), [&](std::uint32_t a, std::uint32_t b) {
-      return RoomOn(unit, a) > RoomOn(unit, b);
-    });
     std::uint32_t left = unit.count;
-    for (const std::uint32_t index : found) {
+    for (const std::uint32_t index : Candidates(unit, least)) {
       if (left == 0) break;
       const std::uint32_t count = std::min(left, RoomOn(unit, index));
       chosen.push_back({index, count});
@@ -200,10 +221,7 @@
     double expected = 0.0;
     const double enough = (unit.gang ? kGangAskAhead : kAskAhead) * need;
     const auto add = [&](Fit fit, double share) {
-      std::vector<std::uint32_t> found = Candidates(unit, fit);
-      // A gang asks about workers with the most room. Single tasks leave those to gangs.
-      if (unit.gang) std::reverse(found.begin(), found.end());
-      for (const std::uint32_t index : found) {
+      for (const std::uint32_t index : Candidates(unit, fit)) {
         if (unit.fits[index] != fit || expected >= enough) continue;
         expected += share * RoomOn(unit, index);
         workers.push_back(index);
--- a/cell/planner.h
+++ b/cell/planner.h
@@ -61,11 +61,11 @@
   milliseconds chain{0};     ///< Expected time from the start of this step to the end of the job.
   milliseconds duration{0};  ///< Expected duration of a task.
   Resources size;
-  std::uint32_t count = 0;  ///< Tasks that wait.
-  bool gang = false;        ///< All or none.
-  bool rack_local = false;
+  std::uint32_t count = 0;           ///< Tasks that wait.
+  bool gang = false;                 ///< All or none.
+  bool rack_local = false;           ///< Slower on more than one rack.
   std::uint32_t max_per_worker = 0;  ///< 0 for no limit.
-  std::uint32_t preferred_rack = 0;  ///< Where its data is; 0 for anywhere.
+  std::uint32_t preferred_rack = 0;  ///< Where its data or the rest of it is; 0 for anywhere.
   std::vector<Fit> fits;             ///< By worker.
   /// Room that is kept for a gang while its tickets are renewed; not part of what is free.
   std::vector<Share> reserved;
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -161,6 +161,8 @@
   [[nodiscard]] milliseconds ExpectedRun(const Step& step) const;
   [[nodiscard]] milliseconds ExpectedChain(const Step& step) const;
   [[nodiscard]] SteadyTime ExpectedEndOf(const Order& order) const;
+  std::uint32_t RackNumber(const std::string& rack);
+  std::uint32_t PreferredRack(const Step& step);
   std::vector<PlanWorker> MakePlanWorkers();
   void AddUnits(Job* job, std::vector<PlanUnit>* units, std::vector<PlanWorker>* workers);
   void FillUnit(Step* step, PlanUnit* unit);
@@ -184,6 +186,7 @@
   Load m_load;
 
   // Of the current planning pass.
+  std::map<std::string, std::uint32_t> m_plan_racks;  // Numbers from 1.
   std::vector<Worker*> m_plan_workers;
   std::vector<Step*> m_plan_steps;
   std::uint64_t m_run_base;
--- a/cell/scheduler_plan.cc
+++ b/cell/scheduler_plan.cc
@@ -85,9 +85,24 @@
   return now + ExpectedRun(step);
 }
 
+std::uint32_t Scheduler::RackNumber(const std::string& rack) {
+  const auto next = static_cast<std::uint32_t>(m_plan_racks.size() + 1);
+  return m_plan_racks.try_emplace(rack, next).first->second;
+}
+
+// The rack that a step should go to: that of its data, or that of its tasks which run already.
+std::uint32_t Scheduler::PreferredRack(const Step& step) {
+  if (const std::string& rack = step.spec->data_rack(); !rack.empty()) return RackNumber(rack);
+  if (!step.spec->rack_local()) return 0;
+  for (const Task& task : step.tasks) {
+    if (!task.orders.empty()) return RackNumber(task.orders[0]->worker->description.rack);
+  }
+  return 0;
+}
+
 std::vector<PlanWorker> Scheduler::MakePlanWorkers() {
   const SteadyTime now = m_hooks.now();
-  std::map<std::string, std::uint32_t> racks;
+  m_plan_racks.clear();
   m_plan_workers.clear();
   std::vector<PlanWorker> workers;
   for (const auto& [id, worker] : m_fleet.Workers()) {
@@ -95,7 +110,7 @@
     out.takes_work = worker->TakesWork() && worker->avoided_until <= now;
     out.free = worker->Free();
     out.capacity = worker->description.capacity;
-    out.rack = racks.try_emplace(worker->description.rack, racks.size() + 1).first->second;
+    out.rack = RackNumber(worker->description.rack);
     if (out.takes_work) {
       ++m_load.workers;
       m_load.free += out.free;
@@ -153,6 +168,7 @@
   unit->duration = ExpectedRun(*step);
   unit->size = step->size;
   unit->rack_local = step->spec->rack_local();
+  unit->preferred_rack = PreferredRack(*step);
   unit->max_per_worker = step->spec->max_per_worker();
   const bool advised = queue.has_advice();
   unit->may_ask = advised && step->questions == 0 && step->advice_retry_at <= now;
--- a/scripts/vary_site.py
+++ b/scripts/vary_site.py
@@ -31,6 +31,7 @@
         "timed": share(0.3),
         "needs": share(0.3),
         "saves": share(0.9),
+        "tight": share(0.5),
     }
     changes.update({name: jobs[name] for name in jobs if rng.random() < 0.5})
     return changes
--- a/tests/cell/planner_test.cc
+++ b/tests/cell/planner_test.cc
@@ -247,6 +247,31 @@
   CHECK(order == std::vector<std::uint32_t>{3, 1, 0, 2});
 }
 
+// Load pattern: the tightest worker is on another rack than the data, where tasks take farX as
+// long.
+TEST_CASE("planner: tasks go to the rack of their data first, and elsewhere when it is full") {
+  std::vector<PlanWorker> workers{MakeWorker(4000), MakeWorker(9000), MakeWorker(5000)};
+  workers[1].rack = 2;
+  PlanUnit unit = MakeUnit(0, 4, 3000, 3);
+  unit.preferred_rack = 2;
+  const Plan plan = Decide({unit}, workers);
+  CHECK(CountByWorker(plan, 0) == std::map<std::uint32_t, std::uint32_t>{{0, 1}, {1, 3}});
+}
+
+// Load pattern: the same for tasks that exchange data with one another.
+TEST_CASE("planner: a step that is slower on several racks goes to one that holds all of it") {
+  std::vector<PlanWorker> workers(6, MakeWorker(9000));
+  for (std::uint32_t index = 0; index < 6; ++index) workers[index].rack = 1 + index / 2;
+  workers[2].free.processors_milli = 18000;
+  PlanUnit unit = MakeUnit(0, 3, 9000, 6);
+  unit.rack_local = true;
+  for (const bool is_gang : {false, true}) {
+    unit.gang = is_gang;
+    const Plan plan = Decide({unit}, workers);
+    CHECK(CountByWorker(plan, 0) == std::map<std::uint32_t, std::uint32_t>{{2, 2}, {3, 1}});
+  }
+}
+
 // Guards against ROUTE: more tasks of a step on a worker than the step allows.
 TEST_CASE("planner: tasks of a step on one worker are limited, those that run there count") {
   PlanUnit unit = MakeUnit(0, 9, 1000, 2);
