scheduler: ended jobs are removed once nobody may ask for them any more

Cause: finished rows were never removed, so store and memory grew with every job. Test: cell: an ended job is known as long as asked for, and then removed.

--- a/cell/limits.h
+++ b/cell/limits.h
@@ -51,6 +51,12 @@
 
 // ---- Scheduling
 
+// Ended jobs are known for this much longer than asked for: clocks differ by a few seconds, and
+// callers repeat a submission for less than this.
+inline constexpr std::chrono::milliseconds kKeepFinishedMargin{30000};
+// Ended jobs that one transaction removes: with the head row's 3 a second at least 60 a second,
+// more than one shard ends.
+inline constexpr std::size_t kFinishedRemovedAtOnce = 20;
 // A long-running task that failed is started again after this time.
 inline constexpr std::chrono::milliseconds kRestartDelay{250};
 // Failures in a row on one worker, of any tasks, after which it is avoided: hopeless tasks fail
--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -104,7 +104,7 @@
 }
 
 void Scheduler::LoadFinished(const std::string& id, const schema::FinishedRow& row) {
-  m_finished[id] = row;
+  KeepFinished(id, row);
 }
 
 // ---- Calls
@@ -239,9 +239,30 @@
     job->dirty_position = 0;
     AppendRows(job, &batch, &bytes);
   }
+  RemoveOldest(max_entries, &batch);
   return batch;
 }
 
+// Ended jobs that need not be known any more leave with whatever else is stored.
+void Scheduler::RemoveOldest(std::size_t max_entries, WriteBatch* batch) {
+  const auto oldest = std::chrono::duration_cast<milliseconds>(
+      m_hooks.wall().time_since_epoch() - m_options.keep_finished - kKeepFinishedMargin);
+  for (std::size_t left = kFinishedRemovedAtOnce; left > 0 && !m_finished_by_time.empty(); --left) {
+    const auto first = m_finished_by_time.begin();
+    if (first->first > oldest.count()) return;
+    if (batch->writes.size() + batch->removals.size() >= max_entries) return;
+    batch->removals.push_back({kFinishedTable, m_options.shard, first->second});
+    m_finished.erase(first->second);
+    m_finished_by_time.erase(first);
+  }
+}
+
+void Scheduler::KeepFinished(const std::string& id, const schema::FinishedRow& row) {
+  if (const auto [place, is_new] = m_finished.insert_or_assign(id, row); is_new) {
+    m_finished_by_time.emplace(row.finished_unix_ms(), id);
+  }
+}
+
 void Scheduler::AppendRows(Job* job, WriteBatch* batch, std::size_t* bytes) {
   const std::string& id = job->spec.id();
   const auto key = [&](const char* table) { return RowKey{table, m_options.shard, id}; };
@@ -286,7 +307,7 @@
     row.set_state(found->second->state);
     row.set_finished_unix_ms(
         std::chrono::duration_cast<milliseconds>(m_hooks.wall().time_since_epoch()).count());
-    m_finished[id] = row;
+    KeepFinished(id, row);
     m_jobs.erase(found);
   }
 }
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -137,6 +137,8 @@
   void AfterStored(std::function<void()> effect);
   void RunEffects();
   void AppendRows(Job* job, WriteBatch* batch, std::size_t* bytes);
+  void RemoveOldest(std::size_t max_entries, WriteBatch* batch);
+  void KeepFinished(const std::string& id, const schema::FinishedRow& row);
   void OnRunning(Order& order);
   void OnEnded(Order& order, RunEnd end, const std::string& save);
   void OnVoid(Order& order, VoidReason reason, StartVerdict verdict);
@@ -175,6 +177,7 @@
   Fleet m_fleet;
   std::unordered_map<std::string, std::unique_ptr<Job>> m_jobs;
   std::unordered_map<std::string, schema::FinishedRow> m_finished;
+  std::multimap<std::int64_t, std::string> m_finished_by_time;  // In Unix milliseconds.
   std::unordered_map<std::string, std::vector<Done>> m_submitters;
   std::deque<Job*> m_dirty;
   std::uint64_t m_submissions = 0;
--- a/tests/cell/model_test.cc
+++ b/tests/cell/model_test.cc
@@ -91,6 +91,27 @@
   CHECK(cell.history.starts == 3);
 }
 
+// Guards against a store, and a scheduler, that grow with every job that ever ran.
+TEST_CASE("cell: an ended job is known as long as asked for, and then removed") {
+  Cell cell(6, 2, 2, Resources{8000, 8000, 0});
+  std::vector<std::string> jobs;
+  for (int i = 0; i < 40; ++i) {
+    jobs.push_back("job" + std::to_string(i));
+    cell.loop.After(milliseconds(1000 + 20 * i),
+                    [&cell, id = jobs.back()] { cell.Submit(cell.MakeJob(id, 1, TaskTruth{})); });
+  }
+  const auto rows = [&cell] { return cell.store.Read(kFinishedTable, "s0").rows.size(); };
+  cell.loop.RunFor(seconds(60));
+  CHECK(rows() == 40);
+  // What the second scheduler loads is as old as it was.
+  cell.Leader()->Kill();
+  cell.loop.RunFor(seconds(60));
+  CheckAllEnd(cell, jobs);
+  cell.loop.RunFor(seconds(60));
+  CHECK(rows() == 0);
+  CHECK(!cell.State("job0").has_value());
+}
+
 // Guards against an end that is acknowledged although the store does not keep it: rows that were
 // put together in the middle of an event lost it, and the task ran twice after a change of the
 // scheduler.
