--- a/cell/limits.h
+++ b/cell/limits.h
@@ -122,14 +122,14 @@
 // An idle scheduler writes its head row this often, so that others see that it is alive.
 inline constexpr std::chrono::milliseconds kRenewPeriod{300};
 // A scheduler that does not speak on its links and whose head row has not changed for this long is
-// replaced: two renewals of a healthy one.
-inline constexpr std::chrono::milliseconds kOwnerSilence{700};
+// replaced: a renewal of a healthy one, and half of one for its way.
+inline constexpr std::chrono::milliseconds kOwnerSilence{500};
 // The same when connections to it fail at once, as they do when its process has ended; a live one
 // writes its head row more often.
 inline constexpr std::chrono::milliseconds kOwnerRefused{450};
 inline constexpr std::chrono::milliseconds kOwnerRefusedProbe{100};
-// A link to the scheduler that is silent for this long, five pings, is taken as a sign...
-inline constexpr std::chrono::milliseconds kOwnerLinkSilence{500};
+// A link to the scheduler that is silent for this long, two pings and a half, is taken as a sign...
+inline constexpr std::chrono::milliseconds kOwnerLinkSilence{250};
 // ...upon which its head row is read this often.
 inline constexpr std::chrono::milliseconds kOwnerProbePeriod{150};
 // The next heir waits this much longer than the one before it.
