--- a/cell/commit.cc
+++ b/cell/commit.cc
@@ -73,6 +73,8 @@
     m_on_release_begin();
   }
   m_failures = 0;
+  m_sendings = 0;
+  m_open = 0;
   m_sent = m_hooks.now();
   m_in_flight = true;
   Send();
@@ -84,31 +86,53 @@
   return std::min(first * (1 << std::min(m_failures, kMaxTimeoutDoublings)), kCommitTimeoutMax);
 }
 
+// The same transaction may be on its way several times: it cannot take effect twice, because it
+// changes its own condition.
+//
+// Load pattern: the store takes 50 times as long, and each sending again queues up behind the one
+// before it. A late answer to any of them counts.
 void CommitLog::Send() {
   m_last_write = m_hooks.now();
-  m_attempt_sent = m_last_write;
-  m_store->Commit(m_transaction, Timeout(),
-                  [this, alive = m_alive, attempt = ++m_attempt](const Result<CommitOutcome>& r) {
-                    if (*alive) OnResult(attempt, r);
-                  });
+  ++m_open;
+  const std::uint32_t sending = ++m_sendings;
+  const std::uint64_t sequence = m_head.sequence();
+  m_hooks.after(Timeout(), [this, alive = m_alive, sending, sequence] {
+    if (!*alive || m_lost || !m_in_flight || sequence != m_head.sequence()) return;
+    if (sending != m_sendings || m_open == 0) return;
+    NoteFailure({schema::CODE_COMMIT_UNKNOWN, "no answer in time"});
+    Send();
+  });
+  m_store->Commit(
+      m_transaction, kCommitTimeoutMax,
+      [this, alive = m_alive, sequence, sent = m_last_write](const Result<CommitOutcome>& result) {
+        if (*alive) OnResult(sequence, sent, result);
+      });
+}
+
+void CommitLog::NoteFailure(const Error& reason) {
+  if (m_failures++ > 0) return;
+  Log(LogLevel::kWarn, "commit-delayed")
+      .Field("shard", m_shard)
+      .Field("sequence", m_head.sequence())
+      .Field("reason", reason);
 }
 
-void CommitLog::OnResult(std::uint64_t attempt, const Result<CommitOutcome>& result) {
-  if (m_lost || attempt != m_attempt) return;
+void CommitLog::OnResult(std::uint64_t sequence, SteadyTime sent,
+                         const Result<CommitOutcome>& result) {
+  if (m_lost || !m_in_flight || sequence != m_head.sequence()) return;
+  --m_open;
   if (result) {
+    const auto took = std::chrono::duration_cast<milliseconds>(m_hooks.now() - sent);
+    m_latency += (took - m_latency) / kLatencyWindow;
     if (result.value().committed) return Succeed(result.value().version);
     return OnConflict(result.value());
   }
-  if (m_failures++ == 0) {
-    Log(LogLevel::kWarn, "commit-delayed")
-        .Field("shard", m_shard)
-        .Field("sequence", m_head.sequence())
-        .Field("reason", result.error());
-  }
-  // The same transaction again: it cannot take effect twice, because it changes its own condition.
+  NoteFailure(result.error());
+  if (m_open > 0) return;
   const bool refused = result.error().code == schema::CODE_TABLE_UNAVAILABLE;
-  m_hooks.after(refused ? kCommitRetry : milliseconds(0), [this, alive = m_alive] {
-    if (*alive && !m_lost) Send();
+  m_hooks.after(refused ? kCommitRetry : milliseconds(0), [this, alive = m_alive, sequence] {
+    const bool is_wanted = *alive && !m_lost && m_in_flight && sequence == m_head.sequence();
+    if (is_wanted && m_open == 0) Send();
   });
 }
 
@@ -142,8 +166,6 @@
                                  m_failures + 1);
   m_head_version = version;
   m_confirmed = m_sent;
-  const auto took = std::chrono::duration_cast<milliseconds>(m_hooks.now() - m_attempt_sent);
-  m_latency += (took - m_latency) / kLatencyWindow;
   // Changes that follow from what was stored go into one transaction: hence in flight until then.
   const std::shared_ptr<bool> alive = m_alive;
   if (m_position > 0) m_hooks.on_stored(m_position);
--- a/cell/commit.h
+++ b/cell/commit.h
@@ -61,9 +61,10 @@
   void Next();
   [[nodiscard]] milliseconds Timeout() const;
   void Send();
-  void OnResult(std::uint64_t attempt, const Result<CommitOutcome>& result);
+  void OnResult(std::uint64_t sequence, SteadyTime sent, const Result<CommitOutcome>& result);
   void OnConflict(const CommitOutcome& outcome);
   void Succeed(std::uint64_t version);
+  void NoteFailure(const Error& reason);
   void Lose();
 
   std::string m_shard;
@@ -73,8 +74,9 @@
   CommitHooks m_hooks;
   RowTransaction m_transaction;  // In flight, or to be sent again.
   std::uint64_t m_position = 0;  // That it stores.
-  std::uint64_t m_attempt = 0;
-  std::uint32_t m_failures = 0;  // Of this transaction, in a row.
+  std::uint32_t m_sendings = 0;  // Of this transaction.
+  std::uint32_t m_open = 0;      // Of them, those without an answer.
+  std::uint32_t m_failures = 0;  // Of them, those that failed or were not answered in time.
   bool m_in_flight = false;
   bool m_wanted = false;
   bool m_posted = false;
@@ -84,8 +86,7 @@
   schema::OwnerRow m_released_owner;
   std::function<void()> m_on_release_begin;
   std::function<void()> m_on_released;
-  SteadyTime m_sent{};  // First sending of the transaction.
-  SteadyTime m_attempt_sent{};
+  SteadyTime m_sent{};        // First sending of the transaction.
   milliseconds m_latency{0};  // Moving average of answers.
   SteadyTime m_confirmed{};
   SteadyTime m_last_write{};
--- a/cell/relay.cc
+++ b/cell/relay.cc
@@ -75,11 +75,14 @@
 void RelayedStore::Commit(RowTransaction transaction, milliseconds timeout, CommitDone done) {
   auto finish = [this, alive = m_alive, done = std::move(done)](const Result<CommitOutcome>& r) {
     if (!*alive) return;
+    --m_commits_open;
     m_commit_failed = !r.has_value();
     done(r);
   };
+  const bool is_suspect = m_commit_failed || m_commits_open > 0;
+  ++m_commits_open;
   const bool own_works = OwnPathWorks();
-  const LinkPtr link = own_works && !m_commit_failed ? nullptr : PickLink();
+  const LinkPtr link = own_works && !is_suspect ? nullptr : PickLink();
   if (!link) return CommitOwn(std::move(transaction), timeout, std::move(finish));
   if (own_works) return CommitBoth(link, std::move(transaction), timeout, std::move(finish));
   CommitRelayed(link, transaction, timeout, std::move(finish));
@@ -137,7 +140,12 @@
     race->done = nullptr;
     first(result);
   };
-  CommitRelayed(link, transaction, timeout, finish);
+  // A path that is silent is noticed by the other one being faster.
+  auto relayed = [this, race, finish](const Result<CommitOutcome>& result) {
+    if (result && race->done) OwnPathResult(false);
+    finish(result);
+  };
+  CommitRelayed(link, transaction, timeout, std::move(relayed));
   CommitOwn(std::move(transaction), timeout, finish);
 }
 
--- a/cell/relay.h
+++ b/cell/relay.h
@@ -22,8 +22,8 @@
                std::function<std::vector<LinkPtr>()> links);
   ~RelayedStore() override;
 
-  /// A transaction that is sent again after it failed goes both ways at once; its first answer
-  /// counts.
+  /// A transaction that is sent again, before or after the first one failed, goes both ways at
+  /// once; its first answer counts.
   void Commit(RowTransaction transaction, milliseconds timeout,
               std::function<void(Result<CommitOutcome>)> done) override;
   void Read(RowRange range, milliseconds timeout,
@@ -57,6 +57,7 @@
   std::function<std::vector<LinkPtr>()> m_links;
   std::uint32_t m_own_failures = 0;  // In a row.
   bool m_commit_failed = false;      // The last transaction.
+  std::uint32_t m_commits_open = 0;  // Transactions without an answer.
   bool m_probing = false;
   SteadyTime m_next_probe{};
   std::size_t m_next_link = 0;
