claim: shards that were given away are claimed at once, by the instance that was started last

The shard moved to instances that were restarted next, the first heir in the list was one that was ending, each heir read both rows before it claimed, and several claims queued up at the store: 1.3 s without a scheduler, then 1.4 s for its first transactions. Now heirs are those that say they may lead, the youngest of the strong ones first; the rows of a shard that was given away are known from the owner row; heirs follow one another after 250 ms.

--- a/cell/claim.cc
+++ b/cell/claim.cc
@@ -1,6 +1,8 @@
 #include "cell/claim.h"
 
 #include <algorithm>
+#include <string_view>
+#include <tuple>
 
 #include "cell/commit.h"
 #include "cell/limits.h"
@@ -8,6 +10,22 @@
 
 namespace citronsill {
 
+// Load pattern: all instances are restarted in turn. The strongest one that was started last goes
+// first, because it is not restarted again: the shard moves once instead of before each restart.
+std::vector<std::string> OrderHeirs(std::vector<Heir> heirs) {
+  const auto key = [](const Heir& heir) {
+    const std::uint32_t strength = std::min(heir.strength_milli, kFullStrengthMilli);
+    return std::tuple(-std::int64_t{strength}, -heir.started_unix_ms,
+                      std::string_view(heir.instance));
+  };
+  std::sort(heirs.begin(), heirs.end(),
+            [&key](const Heir& a, const Heir& b) { return key(a) < key(b); });
+  std::vector<std::string> names;
+  names.reserve(heirs.size());
+  for (Heir& heir : heirs) names.push_back(std::move(heir.instance));
+  return names;
+}
+
 Claimer::Claimer(std::string shard, schema::OwnerRow self, milliseconds handicap, ClaimHooks hooks)
     : m_shard(std::move(shard)),
       m_self(std::move(self)),
@@ -23,6 +41,7 @@
   m_vacant_since.reset();
   m_head_since.reset();
   m_claim_after_read = false;
+  m_claim_failed = false;
   if (version == 0) return;
   if (is_new) {
     Log(LogLevel::kInfo, "owner-changed")
@@ -51,11 +70,15 @@
   const bool is_vacant = m_owner_version == 0 || m_owner.released() || signs.has_denied;
   if (is_vacant) {
     if (!m_vacant_since) m_vacant_since = now;
-    if (now >= *m_vacant_since + Turn()) {
-      m_claim_after_read = true;
-      m_busy = true;
-      m_hooks.read_rows();
+    if (now < *m_vacant_since + Turn()) return;
+    if (m_owner.released() && !m_claim_failed) {
+      // Both rows were written by the transaction that released the shard.
+      m_head_version = m_owner_version;
+      return Claim();
     }
+    m_claim_after_read = true;
+    m_busy = true;
+    m_hooks.read_rows();
     return;
   }
   m_vacant_since.reset();
@@ -126,6 +149,7 @@
   m_busy = false;
   m_vacant_since.reset();
   m_head_since.reset();
+  m_claim_failed = true;
   if (!result) {
     Log(LogLevel::kWarn, "claim-unanswered")
         .Field("shard", m_shard)
--- a/cell/claim.h
+++ b/cell/claim.h
@@ -27,6 +27,16 @@
       on_gained;
 };
 
+/// An instance that could take a shard over.
+struct Heir {
+  std::string instance;
+  std::uint32_t strength_milli = 0;  ///< Share of a core, in thousandths.
+  std::int64_t started_unix_ms = 0;  ///< Start of its process.
+};
+
+/// @returns the names of the heirs, the one that is to go first at the front.
+std::vector<std::string> OrderHeirs(std::vector<Heir> heirs);
+
 /// What links tell about the scheduler of the shard.
 struct OwnerSigns {
   bool is_linked = false;   ///< A link to it is open and not silent.
@@ -80,6 +90,7 @@
   schema::HeadRow m_claimed_head;
   bool m_busy = false;
   bool m_claim_after_read = false;
+  bool m_claim_failed = false;  // The last claim, of the owner row as it is known.
   SteadyTime m_next_read{};
 };
 
--- a/cell/limits.h
+++ b/cell/limits.h
@@ -132,8 +132,9 @@
 inline constexpr std::chrono::milliseconds kOwnerLinkSilence{250};
 // ...upon which its head row is read this often.
 inline constexpr std::chrono::milliseconds kOwnerProbePeriod{150};
-// The next heir waits this much longer than the one before it.
-inline constexpr std::chrono::milliseconds kHeirStagger{80};
+// The next heir waits this much longer than the one before it: a claim takes 10 ms, and 250 to 300
+// while the store is slow; claims of several heirs would queue up there.
+inline constexpr std::chrono::milliseconds kHeirStagger{250};
 // Processor share from which on an instance is as good a scheduler as any, and the time by which
 // the weakest let others claim first: a few claims.
 inline constexpr std::uint32_t kFullStrengthMilli = 500;
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <vector>
 
+#include "cell/claim.h"
 #include "cell/follower.h"
 #include "cell/limits.h"
 #include "cell/log.h"
@@ -29,13 +30,17 @@
         timers(service),
         settings(std::move(node_settings)),
         platform(std::move(services)),
-        incarnation(RandomId()) {}
+        incarnation(RandomId()),
+        started_unix_ms(std::chrono::duration_cast<milliseconds>(
+                            std::chrono::system_clock::now().time_since_epoch())
+                            .count()) {}
 
   Runtime& runtime;
   TimerService& timers;
   NodeSettings settings;
   PlatformServices platform;
   std::uint64_t incarnation;
+  std::int64_t started_unix_ms;
   std::unique_ptr<RelayedStore> store;
   std::unique_ptr<LinkService> links;
   std::vector<LinkPtr> seed_links;
@@ -84,6 +89,8 @@
     shards.clear();
   }
 
+  [[nodiscard]] bool MayLead() const { return !draining && config != nullptr; }
+
   [[nodiscard]] schema::Hello Self() const {
     schema::Hello hello;
     hello.set_instance(settings.instance);
@@ -92,6 +99,7 @@
     hello.set_failure_domain(settings.failure_domain);
     hello.set_strength_milli(settings.strength_milli);
     hello.set_lane(static_cast<bool>(platform.ask_advice));
+    hello.set_started_unix_ms(started_unix_ms);
     return hello;
   }
 
@@ -109,7 +117,7 @@
     deps.for_each_link = [this](const std::function<void(const LinkPtr&)>& visit) {
       links->ForEach(visit);
     };
-    deps.may_claim = [this] { return !draining && config != nullptr; };
+    deps.may_claim = [this] { return MayLead(); };
     shards.push_back(Shard::Create(name, std::move(deps)));
   }
 
@@ -180,19 +188,20 @@
     schema::Ping ping;
     if (config) ping.set_config_version(config->version);
     ping.set_reaches_store(store->OwnPathWorks());
-    std::vector<std::pair<std::uint32_t, std::string>> heirs;
+    ping.set_may_lead(MayLead());
     for (const auto& shard : shards) {
       if (shard->IsLeader()) ping.add_shards(shard->Name());
     }
     if (ping.shards().empty()) return ping;
+    std::vector<Heir> candidates;
     links->ForEach([&](const LinkPtr& link) {
-      heirs.emplace_back(link->Peer().strength_milli(), link->Peer().instance());
-    });
-    // The strongest first.
-    std::sort(heirs.begin(), heirs.end(), [](const auto& a, const auto& b) {
-      return std::tuple(b.first, a.second) < std::tuple(a.first, b.second);
+      const schema::Hello& peer = link->Peer();
+      if (!link->LastPing().may_lead()) return;
+      candidates.push_back({peer.instance(), peer.strength_milli(), peer.started_unix_ms()});
     });
-    for (const auto& [strength, instance] : heirs) ping.add_heirs(instance);
+    for (std::string& instance : OrderHeirs(std::move(candidates))) {
+      ping.add_heirs(std::move(instance));
+    }
     return ping;
   }
 
