--- a/cell/commit.cc
+++ b/cell/commit.cc
@@ -87,20 +87,16 @@
 }
 
 // The same transaction may be on its way several times: it cannot take effect twice, because it
-// changes its own condition.
-//
-// Load pattern: the store takes 50 times as long, and each sending again queues up behind the one
-// before it. A late answer to any of them counts.
+// changes its own condition. A late answer to any of them counts.
 void CommitLog::Send() {
   m_last_write = m_hooks.now();
   ++m_open;
   const std::uint32_t sending = ++m_sendings;
   const std::uint64_t sequence = m_head.sequence();
   m_hooks.after(Timeout(), [this, alive = m_alive, sending, sequence] {
-    if (!*alive || m_lost || !m_in_flight || sequence != m_head.sequence()) return;
-    if (sending != m_sendings || m_open == 0) return;
+    if (!*alive || !IsCurrent(sequence) || sending != m_sendings || m_open == 0) return;
     NoteFailure({schema::CODE_COMMIT_UNKNOWN, "no answer in time"});
-    Send();
+    Probe();
   });
   m_store->Commit(
       m_transaction, kCommitTimeoutMax,
@@ -109,6 +105,41 @@
       });
 }
 
+// Asks what became of a transaction before it is sent again.
+//
+// Load pattern: the store takes 50 times as long, and writes of a part queue up there. What is sent
+// again only makes the queue longer; a read passes it, and tells a slow store from a lost answer.
+void CommitLog::Probe() {
+  const std::uint32_t sending = m_sendings;
+  const std::uint64_t sequence = m_head.sequence();
+  const SteadyTime sent = m_hooks.now();
+  m_hooks.after(Timeout(), [this, alive = m_alive, sending, sequence] {
+    if (*alive && IsCurrent(sequence) && sending == m_sendings && !m_probed) Send();
+  });
+  m_probed = false;
+  m_store->Read(RowRange{kHeadTable, m_shard, kShardRowKey, "", 1}, kCommitTimeoutMax,
+                [this, alive = m_alive, sending, sequence, sent](const Result<RowPage>& page) {
+                  if (*alive && IsCurrent(sequence)) OnProbe(sending, sent, page);
+                });
+}
+
+void CommitLog::OnProbe(std::uint32_t sending, SteadyTime sent, const Result<RowPage>& page) {
+  if (!page) {
+    if (sending == m_sendings) Send();
+    return;
+  }
+  if (page.value().rows.empty() || page.value().rows[0].version != m_head_version) {
+    return OnConflict({false, 0, page.value().rows});
+  }
+  if (sending != m_sendings) return;
+  const auto took = std::chrono::duration_cast<milliseconds>(m_hooks.now() - sent);
+  if (took < kCommitTimeoutMin) return Send();
+  m_probed = true;
+  m_hooks.after(Timeout(), [this, alive = m_alive, sending, sequence = m_head.sequence()] {
+    if (*alive && IsCurrent(sequence) && sending == m_sendings) Probe();
+  });
+}
+
 void CommitLog::NoteFailure(const Error& reason) {
   if (m_failures++ > 0) return;
   Log(LogLevel::kWarn, "commit-delayed")
@@ -119,11 +150,12 @@
 
 void CommitLog::OnResult(std::uint64_t sequence, SteadyTime sent,
                          const Result<CommitOutcome>& result) {
-  if (m_lost || !m_in_flight || sequence != m_head.sequence()) return;
+  if (!IsCurrent(sequence)) return;
   --m_open;
   if (result) {
+    // A store that has become slow is given time at once.
     const auto took = std::chrono::duration_cast<milliseconds>(m_hooks.now() - sent);
-    m_latency += (took - m_latency) / kLatencyWindow;
+    m_latency = std::max(took, m_latency + (took - m_latency) / kLatencyWindow);
     if (result.value().committed) return Succeed(result.value().version);
     return OnConflict(result.value());
   }
@@ -131,8 +163,7 @@
   if (m_open > 0) return;
   const bool refused = result.error().code == schema::CODE_TABLE_UNAVAILABLE;
   m_hooks.after(refused ? kCommitRetry : milliseconds(0), [this, alive = m_alive, sequence] {
-    const bool is_wanted = *alive && !m_lost && m_in_flight && sequence == m_head.sequence();
-    if (is_wanted && m_open == 0) Send();
+    if (*alive && IsCurrent(sequence) && m_open == 0) Send();
   });
 }
 
--- a/cell/commit.h
+++ b/cell/commit.h
@@ -61,7 +61,12 @@
   void Next();
   [[nodiscard]] milliseconds Timeout() const;
   void Send();
+  void Probe();
   void OnResult(std::uint64_t sequence, SteadyTime sent, const Result<CommitOutcome>& result);
+  void OnProbe(std::uint32_t sending, SteadyTime sent, const Result<RowPage>& page);
+  [[nodiscard]] bool IsCurrent(std::uint64_t sequence) const {
+    return !m_lost && m_in_flight && sequence == m_head.sequence();
+  }
   void OnConflict(const CommitOutcome& outcome);
   void Succeed(std::uint64_t version);
   void NoteFailure(const Error& reason);
@@ -77,6 +82,7 @@
   std::uint32_t m_sendings = 0;  // Of this transaction.
   std::uint32_t m_open = 0;      // Of them, those without an answer.
   std::uint32_t m_failures = 0;  // Of them, those that failed or were not answered in time.
+  bool m_probed = false;         // The store answered slowly that it is not there yet.
   bool m_in_flight = false;
   bool m_wanted = false;
   bool m_posted = false;
--- a/tests/cell/cell.h
+++ b/tests/cell/cell.h
@@ -403,7 +403,18 @@
       }
       cell->store.Commit(transaction, timeout, deliver);
     }
-    void Read(RowRange, milliseconds, std::function<void(Result<RowPage>)>) override {}
+    void Read(RowRange range, milliseconds timeout,
+              std::function<void(Result<RowPage>)> done) override {
+      auto deliver = [self = self, at = self->epoch, done](const Result<RowPage>& result) {
+        self->Deliver(at, [done, result] { done(result); });
+      };
+      const bool fails = self->cut_from_store || cell->store.faults.down;
+      cell->loop.After(self->cut_from_store ? timeout : cell->store.faults.latency,
+                       [cell = cell, deliver, fails, range] {
+                         if (fails) return deliver(Error{schema::CODE_TABLE_UNAVAILABLE, "down"});
+                         deliver(cell->store.Read(range.table, range.part));
+                       });
+    }
     void Follow(std::string, std::uint64_t, milliseconds,
                 std::function<void(Result<RowPage>)>) override {}
   };
