--- a/cell/limits.h
+++ b/cell/limits.h
@@ -106,8 +106,8 @@
 // outages of the store that the platform announces, of 4 to 9 s.
 inline constexpr std::chrono::milliseconds kLeadWithoutStore{10000};
 // Time for the store to answer before the same transaction is sent again: first and longest. A
-// healthy store answers within 10 ms.
-inline constexpr std::chrono::milliseconds kCommitTimeoutMin{120};
+// healthy store answers within 10 ms, and a read, which comes first, costs little.
+inline constexpr std::chrono::milliseconds kCommitTimeoutMin{60};
 inline constexpr std::chrono::milliseconds kCommitTimeoutMax{1500};
 // The store is given this many times its usual time to answer...
 inline constexpr int kCommitLatencyFactor = 3;
