commit: whether a scheduler may still give orders is decided in one place; a test for it

The mutant without the limit kLeadWithoutStore was not caught: in random schedules some worker always told the old scheduler of a higher fence.

--- a/cell/commit.cc
+++ b/cell/commit.cc
@@ -49,6 +49,10 @@
   return std::chrono::duration_cast<milliseconds>(m_hooks.now() - m_sent);
 }
 
+bool CommitLog::MayLead() const {
+  return !m_lost && m_hooks.now() < m_confirmed + kLeadWithoutStore;
+}
+
 void CommitLog::Tick() {
   if (m_lost || m_in_flight || m_hooks.now() < m_last_write + kRenewPeriod) return;
   Next();
--- a/cell/commit.h
+++ b/cell/commit.h
@@ -51,6 +51,10 @@
   /// @returns when the last transaction that is known to be in the store was sent.
   [[nodiscard]] SteadyTime Confirmed() const { return m_confirmed; }
 
+  /// @returns whether the scheduler may still give orders. One that cannot write may have been
+  /// replaced; who replaced it relies on its silence from then on.
+  [[nodiscard]] bool MayLead() const;
+
   /// Gives the shard away with the next transaction; then `done` is called. What changes after that
   /// transaction was put together is not stored.
   /// @param on_begin is called when it is put together.
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -103,9 +103,7 @@
     });
   }
 
-  [[nodiscard]] bool MayLead() const {
-    return !lost && !releasing && BootNow() < commits->Confirmed() + kLeadWithoutStore;
-  }
+  [[nodiscard]] bool MayLead() const { return !lost && !releasing && commits->MayLead(); }
 
   void MakeScheduler() {
     SchedulerOptions scheduler_options;
--- a/tests/cell/cell.h
+++ b/tests/cell/cell.h
@@ -47,6 +47,7 @@
   bool paused = false;
   bool alive = true;
   bool cut_from_store = false;
+  bool hears_others = true;  // Whether links to other instances work.
   std::unique_ptr<Claimer> claimer;
   std::unique_ptr<CommitLog> commits;
   std::unique_ptr<Scheduler> scheduler;
@@ -342,9 +343,9 @@
   for (const auto& other : m_cell.instances) {
     if ("i" + std::to_string(other->number) != claimer->Owner().instance()) continue;
     const bool is_same = other->incarnation == claimer->Owner().incarnation();
-    signs.has_denied = other->alive && !other->paused && !is_same;
+    signs.has_denied = other->alive && !other->paused && !is_same && hears_others;
     signs.is_refused = !other->alive;
-    signs.is_linked = other->alive && !other->paused && is_same;
+    signs.is_linked = other->alive && !other->paused && is_same && hears_others;
     if (signs.is_linked) signs.heard = m_cell.loop.Now();
   }
   claimer->Tick(signs, true);
@@ -526,7 +527,7 @@
   hooks.wall = [this] {
     return WallTime(std::chrono::duration_cast<milliseconds>(m_cell.loop.Now().time_since_epoch()));
   };
-  hooks.may_lead = [this] { return m_cell.loop.Now() < commits->Confirmed() + kLeadWithoutStore; };
+  hooks.may_lead = [this] { return commits->MayLead(); };
   hooks.start = [this](const Worker& worker, const StartOrder& order, std::uint64_t id) {
     CallWorker<StartAnswer>(
         worker.description.id, [order](WorkerLife& life) { return life.Start(order); },
--- a/tests/cell/model_test.cc
+++ b/tests/cell/model_test.cc
@@ -91,6 +91,31 @@
   CHECK(cell.history.starts == 3);
 }
 
+// Guards against a scheduler that was replaced and goes on renewing leases of a worker that only it
+// reaches, while its successor takes the worker's tasks as lapsed.
+TEST_CASE(
+    "cell: a scheduler without the store lets leases lapse before its successor counts on it") {
+  Cell cell(7, 2, 3, Resources{8000, 8000, 0});
+  TaskTruth truth;
+  truth.duration = milliseconds(40000);
+  truth.size.processors_milli = 2000;
+  cell.loop.After(milliseconds(1000), [&] { cell.Submit(cell.MakeJob("job", 8, truth)); });
+  cell.loop.After(milliseconds(3000), [&] {
+    Instance* first = cell.Leader();
+    // Nothing tells it of its successor: neither the store, nor links, nor workers with its fence.
+    first->cut_from_store = true;
+    cell.nodes["w0"].cut_from.insert(1 - first->number);
+    cell.nodes["w1"].cut_from.insert(first->number);
+    cell.nodes["w2"].cut_from.insert(first->number);
+    for (const auto& instance : cell.instances) instance->hears_others = false;
+    cell.loop.After(seconds(100), [first] { first->cut_from_store = false; });
+  });
+  cell.loop.RunFor(seconds(120));
+  CheckHistory(cell.history);
+  CheckAllEnd(cell, {"job"});
+  CHECK(cell.history.starts > 8);
+}
+
 // Guards against a store, and a scheduler, that grow with every job that ever ran.
 TEST_CASE("cell: an ended job is known as long as asked for, and then removed") {
   Cell cell(6, 2, 2, Resources{8000, 8000, 0});
