--- a/cell/limits.h
+++ b/cell/limits.h
@@ -163,6 +163,8 @@
 
 inline constexpr std::chrono::milliseconds kNodeTick{100};
 inline constexpr std::chrono::milliseconds kLogFlushPeriod{100};
+// The settings file is looked at this often: it may change without a signal.
+inline constexpr std::chrono::milliseconds kSettingsPoll{1000};
 // A process that ends gracefully stays this long: the load balancer needs two missed checks, one a
 // second, to send callers elsewhere.
 inline constexpr std::chrono::milliseconds kDrainAtLeast{2300};
--- a/tools/citronsill_node.cc
+++ b/tools/citronsill_node.cc
@@ -1,6 +1,7 @@
 // A node of a cell on the users' platform.
 #include <boost/program_options.hpp>
 #include <cstdlib>
+#include <filesystem>
 #include <iostream>
 
 #include "cell/limits.h"
@@ -38,7 +39,11 @@
     BOOST_OUTCOME_TRY(ServeMetrics());
     m_timers.Every(kLogFlushPeriod, [](SteadyTime) { FlushNodeLog(); });
     m_runtime.OnTerminate([this](int number) { Terminate(number); });
-    m_runtime.OnReload([this] { Reload(); });
+    m_runtime.OnReload([this] { Reload("signal"); });
+    m_changed = ChangeTime();
+    m_timers.Every(kSettingsPoll, [this](SteadyTime) {
+      if (ChangeTime() != m_changed) Reload("file");
+    });
     Log(LogLevel::kInfo, "started")
         .Field("ingress", m_file.node.ingress_address)
         .Field("link", m_file.node.link_address)
@@ -94,7 +99,15 @@
     m_runtime.Stop();
   }
 
-  void Reload() {
+  // @returns when the settings file was last changed; the earliest time when that is not known.
+  [[nodiscard]] std::filesystem::file_time_type ChangeTime() const {
+    std::error_code error;
+    const auto time = std::filesystem::last_write_time(m_path, error);
+    return error ? std::filesystem::file_time_type::min() : time;
+  }
+
+  void Reload(const char* reason) {
+    m_changed = ChangeTime();
     auto file = LoadNodeSettings(m_path);
     if (!file) {
       Log(LogLevel::kError, "reload-failed").Field("reason", file.error());
@@ -102,12 +115,15 @@
     }
     m_file.node.drain_time = file.value().node.drain_time;
     m_node->Reload(file.value().node);
-    Log(LogLevel::kInfo, "reloaded").Field("seeds", file.value().node.seeds.size());
+    Log(LogLevel::kInfo, "reloaded")
+        .Field("reason", reason)
+        .Field("seeds", file.value().node.seeds.size());
   }
 
   Runtime& m_runtime;
   TimerService& m_timers;
   std::string m_path;
+  std::filesystem::file_time_type m_changed;
   NodeFile m_file;
   std::unique_ptr<Node> m_node;
   std::unique_ptr<platform::Ingress> m_ingress;
