--- a/cell/node.cc
+++ b/cell/node.cc
@@ -95,7 +95,7 @@
     schema::Hello hello;
     hello.set_instance(settings.instance);
     hello.set_incarnation(incarnation);
-    hello.set_address(settings.link_address);
+    hello.set_address(settings.link_advertised_address);
     hello.set_failure_domain(settings.failure_domain);
     hello.set_strength_milli(settings.strength_milli);
     hello.set_lane(static_cast<bool>(platform.ask_advice));
@@ -112,7 +112,7 @@
     deps.settings = &settings;
     deps.self.set_instance(settings.instance);
     deps.self.set_incarnation(incarnation);
-    deps.self.set_address(settings.link_address);
+    deps.self.set_address(settings.link_advertised_address);
     deps.connect = [this](const std::string& address) { return links->Connect(address); };
     deps.for_each_link = [this](const std::function<void(const LinkPtr&)>& visit) {
       links->ForEach(visit);
--- a/cell/node_settings.cc
+++ b/cell/node_settings.cc
@@ -145,6 +145,8 @@
   fields.Address("ingress_address", true, &node.ingress_address);
   fields.Address("readiness_address", false, &node.readiness_address);
   fields.Address("link_address", true, &node.link_address);
+  fields.Address("link_advertised_address", false, &node.link_advertised_address);
+  if (node.link_advertised_address.empty()) node.link_advertised_address = node.link_address;
   fields.Address("metrics_address", false, &node.metrics_address);
   fields.Addresses("seeds", &node.seeds);
   fields.Share("processor_share", &node.strength_milli);
--- a/cell/settings.h
+++ b/cell/settings.h
@@ -19,10 +19,11 @@
   std::string instance;
   std::string failure_domain;
   std::string region;
-  std::string ingress_address;     ///< IP:port for callers.
-  std::string readiness_address;   ///< IP:port for the load balancer; empty for none.
-  std::string link_address;        ///< IP:port for other instances.
-  std::string metrics_address;     ///< IP:port; empty for none.
+  std::string ingress_address;          ///< IP:port for callers.
+  std::string readiness_address;        ///< IP:port for the load balancer; empty for none.
+  std::string link_address;             ///< IP:port that it listens on for other instances.
+  std::string link_advertised_address;  ///< IP:port at which they reach it.
+  std::string metrics_address;          ///< IP:port; empty for none.
   std::vector<std::string> seeds;  ///< Link addresses of some other instances; may be out of date.
   std::uint32_t strength_milli = 1000;  ///< Processor share of this instance, in thousandths.
   std::string log_level = "info";
--- a/tests/cell/store.h
+++ b/tests/cell/store.h
@@ -1,7 +1,9 @@
 // The row store in model time, with the faults that the platform announces.
 #pragma once
 
+#include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -61,7 +63,24 @@
 
   [[nodiscard]] std::uint64_t Transactions() const { return m_version; }
 
- private:
+  // Changes of a table after a version, in order; none when that history was dropped.
+  [[nodiscard]] std::optional<RowPage> Changes(const std::string& table,
+                                               std::uint64_t after) const {
+    if (after < m_history_from) return std::nullopt;
+    RowPage page;
+    page.version = m_version;
+    for (const Row& row : m_changes) {
+      if (row.key.table == table && row.version > after) page.rows.push_back(row);
+    }
+    return page;
+  }
+
+  void DropHistory() {
+    m_history_from = m_version;
+    m_changes.clear();
+  }
+
+  // Carries a transaction out at once, whatever the faults.
   CommitOutcome Apply(const RowTransaction& transaction) {
     CommitOutcome outcome;
     for (const RowCondition& condition : transaction.conditions) {
@@ -80,13 +99,22 @@
     for (Row row : transaction.writes) {
       row.version = m_version;
       m_rows[row.key] = row;
+      m_changes.push_back(row);
     }
-    for (const RowKey& key : transaction.removals) m_rows.erase(key);
+    for (const RowKey& key : transaction.removals) {
+      if (m_rows.erase(key) > 0) m_changes.push_back(Row{key, "", m_version, true});
+    }
+    if (on_change) on_change();
     return outcome;
   }
 
+  std::function<void()> on_change;
+
+ private:
   Loop& m_loop;
   std::map<RowKey, Row> m_rows;
+  std::vector<Row> m_changes;
+  std::uint64_t m_history_from = 0;  // Changes up to this version are forgotten.
   std::uint64_t m_version = 0;
 };
 
--- a/tests/cell/worker.h
+++ b/tests/cell/worker.h
@@ -39,11 +39,13 @@
   std::vector<std::string> violations;
   std::set<std::string> submitted;  // Jobs that were handed in.
   std::set<std::string> refused;    // Jobs of which callers were told that they never run.
+  std::set<std::string> started;    // Jobs of which a task was started.
   std::uint64_t starts = 0;
   int max_attempts = 3;
 
   void OnStart(const Run& run) {
     ++starts;
+    started.insert(run.task.job);
     const auto note = [&](const std::string& what) {
       violations.push_back(what + ": " + run.task.job + "." + std::to_string(run.task.step) + "." +
                            std::to_string(run.task.index) + " run " + std::to_string(run.run) +
--- /dev/null
+++ b/tests/soak/platform.cc
@@ -0,0 +1,444 @@
+#include "platform.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <functional>
+
+#include "cell/limits.h"
+#include "platform/wire.h"
+
+namespace citronsill::soak {
+namespace {
+
+namespace json = boost::json;
+using model::WorkerLife;
+using platform::Document;
+using platform::Integer;
+using platform::Quote;
+using platform::Text;
+
+constexpr milliseconds kAdvance{2};
+// Longer than any caller waits.
+constexpr milliseconds kNever{20000};
+constexpr milliseconds kTicketLife{2000};
+// Share of the workers, in percent, that may run a step.
+constexpr std::size_t kAllowedPercent = 70;
+constexpr Resources kCapacity{8000, 8000, 0};
+// Model time begins here, so that times before it can be told.
+constexpr SteadyTime kModelStart{std::chrono::hours(1)};
+
+HttpResponse Answer(unsigned status, std::string body = "{}") {
+  HttpResponse response;
+  response.status = status;
+  response.body = std::move(body);
+  return response;
+}
+
+// @returns the value of a parameter of a query, empty when there is none. Names and keys of this
+// test need no escapes.
+std::string Parameter(const std::string& target, const std::string& name) {
+  const std::size_t mark = target.find('?');
+  std::string query = mark == std::string::npos ? "" : "&" + target.substr(mark + 1);
+  const std::size_t at = query.find("&" + name + "=");
+  if (at == std::string::npos) return "";
+  const std::size_t from = at + name.size() + 2;
+  return query.substr(from, query.find('&', from) - from);
+}
+
+std::int64_t NumberParameter(const std::string& target, const std::string& name) {
+  return std::strtoll(Parameter(target, name).c_str(), nullptr, 10);
+}
+
+RowKey KeyOf(const json::object& row) {
+  return {Text(row, "table"), Text(row, "part"), Text(row, "key")};
+}
+
+std::string Encode(const RowPage& page) {
+  std::string body = fmt::format(R"({{"ver":{},"rows":[)", page.version);
+  const char* comma = "";
+  for (const Row& row : page.rows) {
+    fmt::format_to(std::back_inserter(body), R"({}{{"table":{},"part":{},"key":{},"ver":{})",
+                   std::exchange(comma, ","), Quote(row.key.table), Quote(row.key.part),
+                   Quote(row.key.key), row.version);
+    if (row.removed) {
+      body.append(R"(,"removed":true})");
+    } else {
+      body.append(R"(,"value":")").append(platform::EncodeBase64(row.value)).append(R"("})");
+    }
+  }
+  return body.append("]}");
+}
+
+const char* WordOf(RunEnd end) {
+  switch (end) {
+    case RunEnd::kDone:
+      return "done";
+    case RunEnd::kFailed:
+      return "failed";
+    case RunEnd::kStopped:
+      return "stopped";
+    case RunEnd::kLapsed:
+      return "lapsed";
+    case RunEnd::kBroken:
+      return "broken";
+    default:
+      return "alone";
+  }
+}
+
+std::string Encode(const HoldAnswer& answer, std::uint64_t born_unix_ms) {
+  std::string body = fmt::format(R"({{"clockMs":{},"born":{},"running":[)",
+                                 answer.clock.since_start.count(), born_unix_ms);
+  const char* comma = "";
+  for (const RunningTask& task : answer.running) {
+    fmt::format_to(std::back_inserter(body), R"({}["{}",{},"",{},0])", std::exchange(comma, ","),
+                   platform::TaskName(task.task), task.run, task.percent);
+  }
+  body.append(R"(],"ended":[)");
+  comma = "";
+  for (const EndedTask& ended : answer.ended) {
+    fmt::format_to(std::back_inserter(body), R"({}[{},"{}",{},"{}",""])", std::exchange(comma, ","),
+                   ended.number, platform::TaskName(ended.task), ended.run, WordOf(ended.end));
+  }
+  return body.append("]}");
+}
+
+HttpResponse Rejected(const WorkerLife& life, const char* reason) {
+  return Answer(409, fmt::format(R"({{"clockMs":{},"reason":"{}"}})",
+                                 life.ClockNow().since_start.count(), reason));
+}
+
+HttpResponse Obeyed(const WorkerLife& life) {
+  return Answer(200, fmt::format(R"({{"clockMs":{}}})", life.ClockNow().since_start.count()));
+}
+
+WorkerTime LeaseOf(const json::object& root) { return {milliseconds(Integer(root, "deadlineMs"))}; }
+
+}  // namespace
+
+Platform::Platform(Runtime& runtime, TimerService& timers, std::uint64_t seed)
+    : loop(seed), store(loop), m_runtime(runtime), m_timers(timers), m_began(BootNow()) {}
+
+Result<std::unique_ptr<Platform>> Platform::Create(Runtime& runtime, TimerService& timers,
+                                                   std::uint64_t seed, int instances, int workers) {
+  std::unique_ptr<Platform> made(new Platform(runtime, timers, seed));
+  BOOST_OUTCOME_TRY(made->Begin(instances, workers));
+  return made;
+}
+
+Result<void> Platform::Begin(int instances, int worker_count) {
+  store.on_change = [this] { AnswerFeeds(); };
+  history.truth = [this](const TaskRef& task) {
+    model::TaskTruth found = truth(task);
+    found.fails = found.fails || m_starts_fail;
+    return found;
+  };
+  for (int i = 0; i < instances; ++i) {
+    gates.push_back(std::make_unique<Gate>());
+    Gate* gate = gates.back().get();
+    BOOST_OUTCOME_TRY(gate->store, Serve([this, gate](const HttpRequest& request, HttpReply reply) {
+                        HandleStore(*gate, request, reply);
+                      }));
+    BOOST_OUTCOME_TRY(gate->advice,
+                      Serve([this, gate](const HttpRequest& request, HttpReply reply) {
+                        HandleAdvice(*gate, request, reply);
+                      }));
+  }
+  for (int i = 0; i < worker_count; ++i) {
+    workers.push_back(std::make_unique<WorkerHost>());
+    WorkerHost* worker = workers.back().get();
+    BOOST_OUTCOME_TRY(worker->endpoint,
+                      Serve([this, worker](const HttpRequest& request, HttpReply reply) {
+                        HandleWorker(*worker, request, reply);
+                      }));
+    StartWorker(worker);
+  }
+  WriteConfig(0);
+  m_timers.Every(kAdvance, [this](SteadyTime) { Advance(); });
+  return Success();
+}
+
+Result<Endpoint> Platform::Serve(HttpHandler handler) {
+  Endpoint endpoint;
+  HttpServerOptions options;
+  options.address = "127.0.0.1:0";
+  options.max_body_bytes = 4U << 20;
+  options.keep_headers = {"X-Expect-Instance"};
+  BOOST_OUTCOME_TRY(endpoint.server,
+                    HttpServer::Create(
+                        m_runtime, options,
+                        [this, handler = std::move(handler)](HttpRequest request, HttpReply reply) {
+                          Advance();
+                          handler(std::move(request), std::move(reply));
+                        }));
+  const auto loopback = asio::ip::make_address("127.0.0.1");
+  endpoint.relay = std::make_shared<Relay>(m_runtime.Context(),
+                                           Tcp::endpoint(loopback, endpoint.server->Port()));
+  if (!endpoint.relay->Listen(Tcp::endpoint(loopback, 0))) {
+    return Error{schema::CODE_PEER_UNREACHABLE, "a relay cannot listen"};
+  }
+  return endpoint;
+}
+
+void Platform::Advance() {
+  loop.RunUntil(kModelStart + std::chrono::duration_cast<milliseconds>(BootNow() - m_began));
+}
+
+// A server has to reply once; by then the client has given up.
+void Platform::NeverAnswer(const HttpReply& reply) {
+  loop.After(kNever, [reply] { reply(Answer(500)); });
+}
+
+// ---- The store
+
+void Platform::HandleStore(Gate& gate, const HttpRequest& request, const HttpReply& reply) {
+  if (gate.manner == StoreManner::kSilent) return NeverAnswer(reply);
+  if (gate.manner == StoreManner::kBusy || store.faults.down) return reply(Answer(503));
+  if (request.target == "/api/rows-tx") return HandleTransaction(request, reply);
+  if (request.target.starts_with("/api/rows-get")) return HandleRead(request, reply);
+  if (request.target.starts_with("/api/rows-feed")) return HandleFeed(request, reply);
+  reply(Answer(404));
+}
+
+void Platform::HandleTransaction(const HttpRequest& request, const HttpReply& reply) {
+  const auto document = Document::Parse(request.body);
+  if (!document) return reply(Answer(400));
+  RowTransaction transaction;
+  const auto each = [&](const char* name, const auto& take) {
+    const json::array* list = platform::List(document.value().Root(), name);
+    if (list == nullptr) return;
+    for (const json::value& value : *list) take(value.as_object());
+  };
+  each("expect", [&](const json::object& row) {
+    transaction.conditions.push_back({KeyOf(row), static_cast<std::uint64_t>(Integer(row, "ver"))});
+  });
+  each("writes", [&](const json::object& row) {
+    transaction.writes.push_back(
+        Row{KeyOf(row), platform::DecodeBase64(Text(row, "value")).value_or("")});
+  });
+  each("remove", [&](const json::object& row) { transaction.removals.push_back(KeyOf(row)); });
+  store.Commit(transaction, kNever, [reply](const Result<CommitOutcome>& result) {
+    if (!result) {
+      return reply(Answer(result.error().code == schema::CODE_TABLE_UNAVAILABLE ? 503 : 500));
+    }
+    const CommitOutcome& outcome = result.value();
+    reply(Answer(outcome.committed ? 200 : 412,
+                 Encode(RowPage{outcome.current, false, outcome.version})));
+  });
+}
+
+void Platform::HandleRead(const HttpRequest& request, const HttpReply& reply) {
+  const auto limit = static_cast<std::size_t>(NumberParameter(request.target, "limit"));
+  const std::string from = Parameter(request.target, "from");
+  RowPage page = store.Read(Parameter(request.target, "table"), Parameter(request.target, "part"));
+  std::erase_if(page.rows, [&from](const Row& row) { return row.key.key < from; });
+  std::string body = Encode(page);
+  if (limit > 0 && page.rows.size() > limit) {
+    page.rows.resize(limit);
+    body = Encode(page);
+    body.insert(1, R"("truncated":true,)");
+  }
+  loop.After(store.faults.latency, [reply, body = std::move(body)] { reply(Answer(200, body)); });
+}
+
+void Platform::HandleFeed(const HttpRequest& request, const HttpReply& reply) {
+  m_feeds.push_back({Parameter(request.target, "table"),
+                     static_cast<std::uint64_t>(NumberParameter(request.target, "after")),
+                     loop.Now() + milliseconds(NumberParameter(request.target, "waitMs")), reply});
+  const SteadyTime until = m_feeds.back().until;
+  AnswerFeeds();
+  loop.At(until, [this] { AnswerFeeds(); });
+}
+
+void Platform::AnswerFeeds() {
+  for (auto feed = m_feeds.begin(); feed != m_feeds.end();) {
+    const std::optional<RowPage> page = store.Changes(feed->table, feed->after);
+    if (page && page->rows.empty() && loop.Now() < feed->until) {
+      ++feed;
+      continue;
+    }
+    feed->reply(page ? Answer(200, Encode(*page)) : Answer(410));
+    feed = m_feeds.erase(feed);
+  }
+}
+
+void Platform::WriteConfig(int idle) {
+  const auto queue = [](const char* name, int priority, double stretch, int target, double decide,
+                        double each) {
+    return fmt::format(
+        R"({{"name":"{0}","host":"cell.example","prefix":"/{0}/","timeoutMs":3000,)"
+        R"("service":"pool","attempts":3,"priority":{1},"stretch":{2},"targetDurationMs":{3},)"
+        R"("advice":{{"decideMs":{4},"eachMs":{5},"validMs":{6}}}}})",
+        name, priority, stretch, target, decide, each, kTicketLife.count());
+  };
+  std::string routes = queue("short", 0, 1.5, 250, 8.0, 0.2) + "," +
+                       queue("batch", 2, 4.0, 3000, 40.0, 1.0) + "," +
+                       queue("gang", 1, 2.2, 1000, 150.0, 2.0);
+  for (int i = 0; i < idle; ++i) {
+    routes.append(",").append(queue(fmt::format("idle{}", i).c_str(), 2, 4.0, 1000, 1.0, 0.1));
+  }
+  const std::string text = fmt::format(
+      R"({{"version":{},"routes":[{}],"services":[{{"name":"pool","admissionCheck":false}}]}})",
+      ++m_config_version, routes);
+  store.Apply(RowTransaction{{}, {Row{{"op", "", "config"}, text}}, {}});
+}
+
+// ---- Workers
+
+void Platform::List(const WorkerHost& worker, bool listed) {
+  const RowKey key{"servers", "", worker.id};
+  if (!listed) {
+    store.Apply(RowTransaction{{}, {}, {key}});
+    return;
+  }
+  const std::string text = fmt::format(
+      R"({{"service":"pool","address":"{}","zone":"a","state":"{}","machine":"m","born":{},)"
+      R"("drainRemainingMs":{},"labels":["a","r1"],"capacity":{{"cpu":{},"memMb":{}}}}})",
+      worker.endpoint.Address(), worker.draining ? "draining" : "ready", worker.born_unix_ms,
+      worker.draining ? 2000 : 0, kCapacity.processors_milli, kCapacity.memory_mb);
+  store.Apply(RowTransaction{{}, {Row{key, text}}, {}});
+}
+
+void Platform::KillWorker(WorkerHost* worker) {
+  if (worker->life) worker->life->Die();
+  worker->endpoint.relay->Reset();
+}
+
+// A worker comes back with the id that it had, or with another one.
+void Platform::StartWorker(WorkerHost* worker) {
+  KillWorker(worker);
+  if (worker->id.empty() || loop.Chance(0.5)) {
+    if (!worker->id.empty()) List(*worker, false);
+    worker->id = "w" + std::to_string(++m_last_id);
+  }
+  worker->draining = false;
+  worker->holds.clear();
+  worker->life = std::make_shared<WorkerLife>(
+      loop, history, worker->id, kCapacity,
+      1.0 - kWorkerClockDrift * static_cast<double>(loop.Between(0, 100)) / 100.0);
+  worker->born_unix_ms = static_cast<std::uint64_t>(worker->life->Born());
+  worker->life->on_end = [worker] {
+    std::vector<std::function<void()>> holds;
+    holds.swap(worker->holds);
+    for (const auto& wake : holds) wake();
+  };
+  m_lives.push_back(worker->life);
+  List(*worker, true);
+}
+
+void Platform::HandleWorker(WorkerHost& worker, const HttpRequest& request,
+                            const HttpReply& reply) {
+  if (worker.life->dead) return NeverAnswer(reply);
+  if (request.Header("X-Expect-Instance") != worker.id) return reply(Answer(421));
+  if (request.target == "/api/hold") return HandleHold(worker, request, reply);
+  if (loop.Chance(worker.faults.late)) {
+    loop.After(loop.Delay(2000, 12000), [this, &worker, request, life = worker.life] {
+      if (!life->dead && worker.life == life) Obey(worker, request, true);
+    });
+    return NeverAnswer(reply);
+  }
+  HttpResponse response = Obey(worker, request, false);
+  if (loop.Chance(worker.faults.lost)) return NeverAnswer(reply);
+  reply(std::move(response));
+}
+
+HttpResponse Platform::Obey(WorkerHost& worker, const HttpRequest& request, bool is_late) {
+  WorkerLife& life = *worker.life;
+  const auto document = Document::Parse(request.body);
+  if (!document) return Answer(400);
+  const json::object& root = document.value().Root();
+  const auto task = platform::ParseTaskName(Text(root, "task"));
+  if (!task) return Answer(400);
+  const auto run = static_cast<std::uint64_t>(Integer(root, "run"));
+  const auto fence = static_cast<std::uint64_t>(Integer(root, "fence"));
+  if (request.target == "/api/run-stop") {
+    return life.Stop(*task, run, fence).stale_fence ? Rejected(life, "fence") : Obeyed(life);
+  }
+  if (request.target != "/api/run-start") return Answer(404);
+  const auto ticket = m_tickets.find(Text(root, "token"));
+  if (ticket == m_tickets.end() || ticket->second.step != platform::StepName(*task) ||
+      ticket->second.worker != worker.id || ticket->second.born_unix_ms != worker.born_unix_ms ||
+      loop.Now() > ticket->second.until) {
+    return Rejected(life, "ticket");
+  }
+  StartOrder order;
+  order.task = *task;
+  order.run = run;
+  order.fence = fence;
+  order.lease_until = LeaseOf(root);
+  const std::uint64_t starts = history.starts;
+  m_starts_fail = worker.faults.fails_tasks;
+  const StartAnswer answer = life.Start(order);
+  m_starts_fail = false;
+  if (history.starts > starts && !is_late && on_start) on_start(*task);
+  switch (answer.verdict) {
+    case StartVerdict::kStarted:
+      return Obeyed(life);
+    case StartVerdict::kStaleFence:
+      return Rejected(life, "fence");
+    case StartVerdict::kTooLate:
+      return Rejected(life, "late");
+    default:
+      return Rejected(life, "old");
+  }
+}
+
+void Platform::HandleHold(WorkerHost& worker, const HttpRequest& request, const HttpReply& reply) {
+  const auto document = Document::Parse(request.body);
+  if (!document) return reply(Answer(400));
+  const json::object& root = document.value().Root();
+  HoldOrder order;
+  order.fence = static_cast<std::uint64_t>(Integer(root, "fence"));
+  order.acknowledged = static_cast<std::uint64_t>(Integer(root, "ackedUpto"));
+  order.lease_until = LeaseOf(root);
+  order.wait = milliseconds(Integer(root, "waitMs"));
+  const std::shared_ptr<WorkerLife> life = worker.life;
+  const auto answer = [life, reply, born = worker.born_unix_ms](const HoldAnswer& held) {
+    reply(held.stale_fence ? Rejected(*life, "fence") : Answer(200, Encode(held, born)));
+  };
+  if (const std::optional<HoldAnswer> held = life->Hold(order); held) return answer(*held);
+  auto woken = std::make_shared<bool>(false);
+  const auto wake = [this, life, answer, reply, woken] {
+    if (std::exchange(*woken, true)) return;
+    if (life->dead) return NeverAnswer(reply);
+    answer(life->Look());
+  };
+  worker.holds.emplace_back(wake);
+  loop.After(order.wait, wake);
+}
+
+// ---- The policy service
+
+void Platform::HandleAdvice(Gate& gate, const HttpRequest& request, const HttpReply& reply) {
+  const auto document = Document::Parse(request.body);
+  if (!document) return reply(Answer(400));
+  const std::string step = Text(document.value().Root(), "step");
+  const json::array* asked = platform::List(document.value().Root(), "workers");
+  if (asked == nullptr) return reply(Answer(400));
+  std::string good;
+  const char* comma = "";
+  const milliseconds takes(10 + asked->size());
+  gate.advice_free = std::max(gate.advice_free, loop.Now()) + takes;
+  for (const json::value& value : *asked) {
+    const std::string id(value.as_string());
+    const auto worker = std::find_if(workers.begin(), workers.end(),
+                                     [&id](const auto& host) { return host->id == id; });
+    if (worker == workers.end()) continue;
+    // One host may always run the step, so that no job has to wait forever.
+    const std::size_t hash = std::hash<std::string>{}(step);
+    const auto host = static_cast<std::size_t>(worker - workers.begin());
+    const bool is_sure = hash % workers.size() == host;
+    if (!is_sure && std::hash<std::string>{}(step + id) % 100 >= kAllowedPercent) continue;
+    const std::string ticket = "ticket-" + std::to_string(++m_last_ticket);
+    m_tickets[ticket] = {step, id, (*worker)->born_unix_ms, gate.advice_free + kTicketLife};
+    fmt::format_to(std::back_inserter(good), R"({}["{}","{}"])", std::exchange(comma, ","), id,
+                   ticket);
+  }
+  loop.At(gate.advice_free, [reply, good = std::move(good)] {
+    reply(Answer(200, fmt::format(R"({{"validMs":{},"good":[{}]}})", kTicketLife.count(), good)));
+  });
+}
+
+}  // namespace citronsill::soak
--- /dev/null
+++ b/tests/soak/processes.cc
@@ -0,0 +1,194 @@
+#include "processes.h"
+
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstring>
+#include <fstream>
+
+#include "cell/commit.h"
+#include "schema/cell.pb.h"
+
+namespace citronsill::soak {
+namespace {
+
+constexpr milliseconds kWatchPeriod{20};
+// A process that is told to end has to be gone after this time, by the platform's pages.
+constexpr milliseconds kGrace{6000};
+constexpr int kPortsPerInstance = 10;
+
+std::string At(int port) { return "127.0.0.1:" + std::to_string(port); }
+
+}  // namespace
+
+Processes::Processes(Platform* platform, ProcessOptions options)
+    : m_platform(platform), m_options(std::move(options)) {}
+
+Result<std::unique_ptr<Processes>> Processes::Create(Runtime& runtime, TimerService& timers,
+                                                     Platform* platform, ProcessOptions options) {
+  std::unique_ptr<Processes> made(new Processes(platform, std::move(options)));
+  BOOST_OUTCOME_TRY(made->Begin(runtime, timers));
+  return made;
+}
+
+Processes::~Processes() {
+  for (const auto& instance : instances) {
+    if (instance->pid == 0) continue;
+    kill(instance->pid, SIGKILL);
+    waitpid(instance->pid, nullptr, 0);
+  }
+}
+
+Result<void> Processes::Begin(Runtime& runtime, TimerService& timers) {
+  const auto loopback = asio::ip::make_address("127.0.0.1");
+  for (std::size_t i = 0; i < m_platform->gates.size(); ++i) {
+    instances.push_back(std::make_unique<Instance>());
+    Instance* instance = instances.back().get();
+    instance->number = static_cast<int>(i);
+    const int port = m_options.base_port + kPortsPerInstance * instance->number;
+    int offset = 0;
+    for (std::shared_ptr<Relay>* relay : {&instance->ingress, &instance->link}) {
+      const auto target = static_cast<std::uint16_t>(port + offset);
+      *relay = std::make_shared<Relay>(runtime.Context(), Tcp::endpoint(loopback, target));
+      if (!(*relay)->Listen(Tcp::endpoint(loopback, 0))) {
+        return Error{schema::CODE_PEER_UNREACHABLE, "a relay cannot listen"};
+      }
+      ++offset;
+    }
+  }
+  for (const auto& instance : instances) {
+    Start(instance.get());
+    timers.Every(kWatchPeriod, [this, raw = instance.get()](SteadyTime) { Watch(raw); });
+  }
+  return Success();
+}
+
+std::vector<std::string> Processes::Entries() const {
+  std::vector<std::string> entries;
+  entries.reserve(instances.size());
+  for (const auto& instance : instances) entries.push_back(At(instance->ingress->Port()));
+  return entries;
+}
+
+void Processes::WriteSettings(const Instance& instance) {
+  const int port = m_options.base_port + kPortsPerInstance * instance.number;
+  std::string seeds;
+  for (int i = 0; i < 2; ++i) {
+    const auto number = static_cast<std::size_t>(
+        m_platform->loop.Between(0, static_cast<std::int64_t>(instances.size()) - 1));
+    seeds += fmt::format("{}\"{}\"", i == 0 ? "" : ",", At(instances[number]->link->Port()));
+  }
+  const Platform::Gate& gate = *m_platform->gates[static_cast<std::size_t>(instance.number)];
+  std::ofstream out(fmt::format("{}/n-{}.json", m_options.directory, instance.number));
+  out << fmt::format(
+      R"({{"instance":"n-{}","failure_domain":"a","region":"r","processor_share":0.5,)"
+      R"("ingress_address":"{}","link_address":"{}","link_advertised_address":"{}",)"
+      R"("readiness_address":"{}","metrics_address":"{}","seeds":[{}],"max_lease_ms":6000,)"
+      R"("gang_time_ms":3000,"keep_finished_s":120,"drain_time_s":6,"store_address":"{}",)"
+      R"("advice_address":"{}"}})",
+      instance.number, At(port), At(port + 1), At(instance.link->Port()), At(port + 2),
+      At(port + 3), seeds, gate.store.Address(), gate.advice.Address());
+}
+
+void Processes::Start(Instance* instance) {
+  WriteSettings(*instance);
+  instance->frozen = false;
+  instance->was_frozen = false;
+  instance->killed = false;
+  instance->told_to_end.reset();
+  const std::string settings = fmt::format("{}/n-{}.json", m_options.directory, instance->number);
+  const std::string log = fmt::format("{}/n-{}.log", m_options.directory, instance->number);
+  std::vector<std::string> words{m_options.program, "--settings", settings};
+  std::vector<char*> arguments;
+  arguments.reserve(words.size() + 1);
+  for (std::string& word : words) arguments.push_back(word.data());
+  arguments.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
+  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  const int error =
+      posix_spawn(&instance->pid, words[0].c_str(), &actions, nullptr, arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  if (error == 0) return;
+  instance->pid = 0;
+  instance->start_at = SteadyTime::max();
+  m_platform->history.violations.push_back("cannot start " + words[0] + ": " +
+                                           std::strerror(error));
+}
+
+// Notices processes that have ended, and those that do not end.
+void Processes::Watch(Instance* instance) {
+  const SteadyTime now = BootNow();
+  if (instance->pid == 0) {
+    if (now >= instance->start_at) Start(instance);
+    return;
+  }
+  if (instance->told_to_end && !instance->was_frozen && !instance->killed &&
+      now > *instance->told_to_end + kGrace) {
+    m_platform->history.violations.push_back(
+        fmt::format("n-{} did not end in time after SIGTERM", instance->number));
+    Kill(instance, milliseconds(500));
+  }
+  int status = 0;
+  if (waitpid(instance->pid, &status, WNOHANG) != instance->pid) return;
+  instance->pid = 0;
+  const bool is_expected =
+      instance->killed || (instance->told_to_end && WIFEXITED(status) && WEXITSTATUS(status) == 0);
+  if (is_expected) return;
+  m_platform->history.violations.push_back(
+      fmt::format("n-{} ended by itself, wait status {}", instance->number, status));
+  instance->start_at = now;
+}
+
+Processes::Instance* Processes::Scheduler() {
+  for (const Row& row : m_platform->store.Read(kOwnerTable, "s0").rows) {
+    schema::OwnerRow owner;
+    if (!owner.ParseFromString(row.value)) continue;
+    for (const auto& instance : instances) {
+      if (owner.instance() == fmt::format("n-{}", instance->number)) return instance.get();
+    }
+  }
+  return nullptr;
+}
+
+void Processes::Kill(Instance* instance, milliseconds down) {
+  if (instance->pid == 0) return;
+  instance->killed = true;
+  instance->start_at = BootNow() + down;
+  kill(instance->pid, SIGKILL);
+}
+
+void Processes::Terminate(Instance* instance, milliseconds down) {
+  if (instance->pid == 0 || instance->told_to_end) return;
+  instance->told_to_end = BootNow();
+  instance->was_frozen = instance->frozen;
+  instance->start_at = BootNow() + down;
+  kill(instance->pid, SIGTERM);
+}
+
+void Processes::Freeze(Instance* instance) {
+  if (instance->pid == 0) return;
+  instance->frozen = true;
+  instance->was_frozen = true;
+  kill(instance->pid, SIGSTOP);
+}
+
+void Processes::Thaw(Instance* instance) {
+  if (instance->pid == 0 || !instance->frozen) return;
+  instance->frozen = false;
+  kill(instance->pid, SIGCONT);
+}
+
+void Processes::Reload(Instance* instance) {
+  if (instance->pid == 0) return;
+  WriteSettings(*instance);
+  kill(instance->pid, SIGHUP);
+}
+
+}  // namespace citronsill::soak
--- /dev/null
+++ b/tools/relay.h
@@ -0,0 +1,164 @@
+/// Relays TCP connections of loopback and harms them on demand. Shared by the stand-in of the
+/// network and the fault soak.
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+#include "net.h"
+
+namespace citronsill {
+
+/// What happens to bytes. Forward is from the connecting side to the target.
+enum class Loss { kNone, kForward, kBackward, kBoth };
+
+/// One relayed connection.
+struct RelayedConnection {
+  explicit RelayedConnection(asio::io_context& context) : client(context), server(context) {}
+  Tcp::socket client;
+  Tcp::socket server;
+  std::atomic<bool> silent{false};
+};
+
+/// Relays connections of one port to a target. Its connections run on one thread.
+class Relay : public std::enable_shared_from_this<Relay> {
+ public:
+  Relay(asio::io_context& context, Tcp::endpoint target)
+      : m_context(context), m_acceptor(context), m_target(std::move(target)) {}
+
+  /// @param endpoint port 0 takes a free one. @returns whether it listens.
+  bool Listen(const Tcp::endpoint& endpoint) {
+    boost::system::error_code error;
+    m_acceptor.open(endpoint.protocol(), error);
+    if (!error) m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    if (!error) m_acceptor.bind(endpoint, error);
+    if (!error) m_acceptor.listen(64, error);
+    if (error) return false;
+    asio::co_spawn(
+        m_context,
+        [self = shared_from_this()]() -> asio::awaitable<void> { co_await self->Accept(); },
+        asio::detached);
+    return true;
+  }
+
+  /// @returns the port that it listens on.
+  [[nodiscard]] std::uint16_t Port() const { return m_acceptor.local_endpoint().port(); }
+
+  /// Bytes in these directions are dropped from now on.
+  void SetLoss(Loss loss) { m_loss = loss; }
+  /// Bytes are passed on this much later.
+  void SetDelay(std::chrono::milliseconds delay) { m_delay = delay; }
+  /// New connections are closed at once.
+  void SetRefusing(bool refusing) { m_refusing = refusing; }
+
+  /// Closes all connections with a reset.
+  void Reset() {
+    ForEachOpen([](RelayedConnection& link) {
+      boost::system::error_code ignored;
+      for (Tcp::socket* socket : {&link.client, &link.server}) {
+        socket->set_option(asio::socket_base::linger(true, 0), ignored);
+        socket->close(ignored);
+      }
+    });
+  }
+
+  /// Connections that are open now stay open and pass no more bytes.
+
+  void SilenceOpen() {
+    ForEachOpen([](RelayedConnection& link) { link.silent = true; });
+  }
+
+ private:
+  template <class Visit>
+  void ForEachOpen(Visit visit) {
+    std::lock_guard lock(m_mutex);
+    for (const auto& weak : m_links) {
+      if (const auto link = weak.lock()) visit(*link);
+    }
+  }
+
+  asio::awaitable<void> Accept() {
+    while (true) {
+      auto link = std::make_shared<RelayedConnection>(m_context);
+      boost::system::error_code error;
+      co_await m_acceptor.async_accept(link->client,
+                                       asio::redirect_error(asio::use_awaitable, error));
+      if (error) co_return;
+      if (m_refusing) continue;
+      {
+        std::lock_guard lock(m_mutex);
+        std::erase_if(m_links, [](const auto& weak) { return weak.expired(); });
+        m_links.push_back(link);
+      }
+      asio::co_spawn(
+          m_context,
+          [self = shared_from_this(), link]() -> asio::awaitable<void> {
+            co_await self->Connect(link);
+          },
+          asio::detached);
+    }
+  }
+
+  asio::awaitable<void> Connect(std::shared_ptr<RelayedConnection> link) {
+    boost::system::error_code error;
+    co_await link->server.async_connect(m_target, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      link->client.close(error);
+      co_return;
+    }
+    asio::co_spawn(
+        m_context,
+        [self = shared_from_this(), link]() -> asio::awaitable<void> {
+          co_await self->Copy(link, link->server, link->client, Loss::kBackward);
+        },
+        asio::detached);
+    co_await Copy(link, link->client, link->server, Loss::kForward);
+  }
+
+  bool IsLost(const RelayedConnection& link, Loss direction) const {
+    const Loss loss = m_loss;
+    return link.silent || loss == Loss::kBoth || loss == direction;
+  }
+
+  asio::awaitable<void> Copy(std::shared_ptr<RelayedConnection> link, Tcp::socket& from,
+                             Tcp::socket& to, Loss direction) {
+    std::array<char, 16384> buffer{};
+    boost::system::error_code error;
+    while (!error) {
+      const std::size_t size = co_await from.async_read_some(
+          asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, error));
+      if (error || IsLost(*link, direction)) continue;
+      if (const std::chrono::milliseconds delay = m_delay; delay.count() > 0) {
+        asio::steady_timer timer(m_context, delay);
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+      }
+      co_await asio::async_write(to, asio::buffer(buffer.data(), size),
+                                 asio::redirect_error(asio::use_awaitable, error));
+    }
+    link->client.close(error);
+    link->server.close(error);
+  }
+
+  asio::io_context& m_context;
+  Tcp::acceptor m_acceptor;
+  Tcp::endpoint m_target;
+  std::atomic<Loss> m_loss{Loss::kNone};
+  std::atomic<std::chrono::milliseconds> m_delay{std::chrono::milliseconds(0)};
+  std::atomic<bool> m_refusing{false};
+  std::mutex m_mutex;
+  std::vector<std::weak_ptr<RelayedConnection>> m_links;
+};
+
+}  // namespace citronsill
--- a/tools/relay_standin.cc
+++ b/tools/relay_standin.cc
@@ -2,116 +2,16 @@
 // both ways, or on the connections that are open now, while the connections themselves stay open.
 #include <boost/program_options.hpp>
 #include <iostream>
-#include <mutex>
 
 #include "citronsill/http.h"
 #include "internal.h"
+#include "relay.h"
 
 namespace options = boost::program_options;
 
 namespace citronsill {
 namespace {
 
-// What happens to bytes. Forward is from the connecting side to the target.
-enum class Loss { kNone, kForward, kBackward, kBoth };
-
-struct Link {
-  explicit Link(asio::io_context& context) : client(context), server(context) {}
-  Tcp::socket client;
-  Tcp::socket server;
-  std::atomic<bool> silent{false};
-};
-
-class Relay : public std::enable_shared_from_this<Relay> {
- public:
-  Relay(asio::io_context& context, Tcp::endpoint target)
-      : m_context(context), m_acceptor(context), m_target(std::move(target)) {}
-
-  bool Listen(const Tcp::endpoint& endpoint) {
-    boost::system::error_code error;
-    m_acceptor.open(endpoint.protocol(), error);
-    if (!error) m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    if (!error) m_acceptor.bind(endpoint, error);
-    if (!error) m_acceptor.listen(64, error);
-    if (error) return false;
-    asio::co_spawn(
-        m_context, [self = shared_from_this()]() -> Task<void> { co_await self->Accept(); },
-        asio::detached);
-    return true;
-  }
-
-  void SetLoss(Loss loss) { m_loss = loss; }
-
-  void SilenceOpen() {
-    std::lock_guard lock(m_mutex);
-    for (const auto& weak : m_links) {
-      if (auto link = weak.lock()) link->silent = true;
-    }
-  }
-
- private:
-  Task<void> Accept() {
-    while (true) {
-      auto link = std::make_shared<Link>(m_context);
-      boost::system::error_code error;
-      co_await m_acceptor.async_accept(link->client,
-                                       asio::redirect_error(asio::use_awaitable, error));
-      if (error) co_return;
-      {
-        std::lock_guard lock(m_mutex);
-        std::erase_if(m_links, [](const auto& weak) { return weak.expired(); });
-        m_links.push_back(link);
-      }
-      asio::co_spawn(
-          m_context,
-          [self = shared_from_this(), link]() -> Task<void> { co_await self->Connect(link); },
-          asio::detached);
-    }
-  }
-
-  Task<void> Connect(std::shared_ptr<Link> link) {
-    boost::system::error_code error;
-    co_await link->server.async_connect(m_target, asio::redirect_error(asio::use_awaitable, error));
-    if (error) {
-      link->client.close(error);
-      co_return;
-    }
-    asio::co_spawn(
-        m_context,
-        [self = shared_from_this(), link]() -> Task<void> {
-          co_await self->Copy(link, link->server, link->client, Loss::kBackward);
-        },
-        asio::detached);
-    co_await Copy(link, link->client, link->server, Loss::kForward);
-  }
-
-  bool IsLost(const Link& link, Loss direction) const {
-    const Loss loss = m_loss;
-    return link.silent || loss == Loss::kBoth || loss == direction;
-  }
-
-  Task<void> Copy(std::shared_ptr<Link> link, Tcp::socket& from, Tcp::socket& to, Loss direction) {
-    std::array<char, 16384> buffer{};
-    boost::system::error_code error;
-    while (!error) {
-      const std::size_t size = co_await from.async_read_some(
-          asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, error));
-      if (error || IsLost(*link, direction)) continue;
-      co_await asio::async_write(to, asio::buffer(buffer.data(), size),
-                                 asio::redirect_error(asio::use_awaitable, error));
-    }
-    link->client.close(error);
-    link->server.close(error);
-  }
-
-  asio::io_context& m_context;
-  Tcp::acceptor m_acceptor;
-  Tcp::endpoint m_target;
-  std::atomic<Loss> m_loss{Loss::kNone};
-  std::mutex m_mutex;
-  std::vector<std::weak_ptr<Link>> m_links;
-};
-
 // "/none", "/forward", "/backward", "/both" or "/silence"; "?N" names one relay, else all.
 HttpResponse Control(const std::string& target, const std::vector<std::shared_ptr<Relay>>& relays) {
   const std::map<std::string, Loss> losses{{"/none", Loss::kNone},
