--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -459,7 +459,8 @@
 
   void Submit(const schema::SubmitCall& call, Reply reply) {
     // While the store does not answer, a job would wait for nothing but its caller's deadline.
-    const milliseconds retry_after = scheduler->RetryAfterOf(call.spec().queue().name());
+    const milliseconds retry_after =
+        call.spec().queue().priority() == 0 ? kInteractiveRetryAfter : kBatchRetryAfter;
     if (!scheduler->Knows(call.spec().id()) && commits->FailingFor() > kRefuseWithoutStore) {
       return reply(Failure(StoreFailure(), retry_after));
     }
--- a/cell/limits.h
+++ b/cell/limits.h
@@ -75,8 +75,6 @@
 // workers last 4 to 7 s, but the others may be full, and a task that could run may wait 3 s at
 // most.
 inline constexpr std::chrono::milliseconds kTaskAvoids{2000};
-// Weight of the newest value in moving averages of a queue: about the last 20 count.
-inline constexpr double kQueueAverageWeight = 0.1;
 // Runs that are skipped when a worker has seen a higher one.
 inline constexpr std::uint64_t kRunsToSkip = 16;
 // A gang is given up when it is not complete after this part of the time that its members wait; the
@@ -101,6 +99,9 @@
 // New work is refused when the store has failed to answer for this long. Interactive work has a
 // second or two in all, and waiting uses up its callers' time for a call.
 inline constexpr std::chrono::milliseconds kRefuseWithoutStore{700};
+// When such callers are told to come back: four tries reach over an outage, which lasts 4 to 9 s.
+inline constexpr std::chrono::milliseconds kInteractiveRetryAfter{2000};
+inline constexpr std::chrono::milliseconds kBatchRetryAfter{3000};
 
 // ---- Ownership
 
--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -1,18 +1,18 @@
 #include "cell/scheduler.h"
 
 #include <algorithm>
-#include <cmath>
 
 #include "cell/limits.h"
 #include "cell/log.h"
 #include "cell/metrics.h"
-#include "cell/refusal.h"
 
 namespace citronsill {
 namespace {
 
 // Runs of a term are numbered from here on, so that they rise across terms without being stored.
 constexpr std::uint64_t kRunsPerTerm = 1U << 20;
+// Weight of the newest run in moving averages: about the last 20 count.
+constexpr double kAverageWeight = 0.1;
 
 const char* StateName(schema::JobState state) {
   switch (state) {
@@ -154,12 +154,6 @@
   m_hooks.plan_soon();
 }
 
-milliseconds Scheduler::RetryAfterOf(const std::string& queue) const {
-  const auto found = m_queues.find(queue);
-  const double objective = found == m_queues.end() ? 0.0 : found->second.objective_ms;
-  return RetryAfter(milliseconds(std::llround(objective)));
-}
-
 void Scheduler::RefuseUnsent(const Error& error) {
   std::vector<Job*> unsent;
   for (const auto& [id, job] : m_jobs) {
@@ -586,7 +580,7 @@
   QueueRecord& queue = m_queues[step->job->spec.queue().name()];
   const double share =
       asked.empty() ? 0.0 : static_cast<double>(good) / static_cast<double>(asked.size());
-  queue.allowed_share += kQueueAverageWeight * (share - queue.allowed_share);
+  queue.allowed_share += kAverageWeight * (share - queue.allowed_share);
   Log(LogLevel::kInfo, "advice")
       .Field("step", ref)
       .Field("asked", asked.size())
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -74,9 +74,6 @@
   /// @param done is called once the job is in the store, or with a reason why it was not accepted.
   void Submit(const schema::JobSpec& spec, milliseconds waited, Done done);
 
-  /// @returns when a caller whose job of this queue is refused should come back.
-  [[nodiscard]] milliseconds RetryAfterOf(const std::string& queue) const;
-
   /// Refuses the jobs that wait for their first transaction: nothing of them was sent to the store.
   /// @param error that their submitters get.
   void RefuseUnsent(const Error& error);
@@ -132,7 +129,6 @@
   struct QueueRecord {
     RunTimes run_times;
     double allowed_share = 0.5;  // Of workers, by the answers of the policy service.
-    double objective_ms = 0.0;   // Mean of its jobs; 0 before the first one.
   };
 
   FleetHooks MakeFleetHooks();
--- a/cell/scheduler_plan.cc
+++ b/cell/scheduler_plan.cc
@@ -5,7 +5,6 @@
 
 #include "cell/limits.h"
 #include "cell/log.h"
-#include "cell/refusal.h"
 #include "cell/scheduler.h"
 
 namespace citronsill {
@@ -17,6 +16,8 @@
 constexpr std::int64_t kUsualNamed = 16;
 // Progress below this says little about the end of a run.
 constexpr int kTellingPercent = 5;
+// A job is late, but worth something, up to this many times its objective.
+constexpr int kLateFactor = 3;
 // Time from the end of one step to the start of the next without advice: two commits and a start.
 constexpr milliseconds kStepOverhead{50};
 
@@ -128,13 +129,8 @@
     milliseconds chain{0};
     for (const auto& step : job->steps) chain = std::max(chain, ExpectedChain(*step));
     const schema::QueueSpec& queue = job->spec.queue();
-    const milliseconds objective =
-        milliseconds(queue.target_ms()) +
-        std::chrono::duration_cast<milliseconds>(chain * queue.stretch());
-    job->objective = job->arrived + objective;
-    double& mean = m_queues[queue.name()].objective_ms;
-    const auto newest = static_cast<double>(objective.count());
-    mean = mean == 0.0 ? newest : mean + kQueueAverageWeight * (newest - mean);
+    job->objective = job->arrived + milliseconds(queue.target_ms()) +
+                     std::chrono::duration_cast<milliseconds>(chain * queue.stretch());
   }
   for (const auto& step : job->steps) {
     if (!step->ready || step->IsDone()) continue;
--- a/src/engine.cc
+++ b/src/engine.cc
@@ -82,11 +82,15 @@
 }
 
 void Engine::Impl::ForgetIfDone(const JobPtr& job) {
-  if (job->waiting.empty() && job->running.empty() && job->interrupted.empty()) {
-    // Jobs that were never started have no results.
-    if (!job->attempts.empty()) health.ForgetJob(job->spec.id);
-    jobs.erase(job->spec.id);
-  }
+  if (const auto found = jobs.find(job->spec.id); found != jobs.end()) ForgetIfDone(found);
+}
+
+void Engine::Impl::ForgetIfDone(JobMap::iterator found) {
+  const Job& job = *found->second;
+  if (!job.waiting.empty() || !job.running.empty() || !job.interrupted.empty()) return;
+  // Jobs that were never started have no results.
+  if (!job.attempts.empty()) health.ForgetJob(job.spec.id);
+  jobs.erase(found);
 }
 
 bool Engine::Impl::IsQueueFull(const std::string& team) const {
@@ -272,8 +276,9 @@
 }
 
 bool Engine::Cancel(const std::string& id, SteadyTime now) {
-  const Impl::JobPtr job = m_impl->FindJob(id);
-  if (!job) return false;
+  const auto found = m_impl->jobs.find(id);
+  if (found == m_impl->jobs.end()) return false;
+  const Impl::JobPtr job = found->second;
   const bool holds_reservation = m_impl->IsReservedFor(*job);
   m_impl->DropWaiting(job, now);
   job->closed = true;
@@ -281,7 +286,7 @@
   m_impl->StopRunning(*job);
   if (holds_reservation) m_impl->reservation.reset();
   if (holds_reservation) m_impl->RoomChanged();
-  m_impl->ForgetIfDone(job);
+  m_impl->ForgetIfDone(found);
   return true;
 }
 
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -39,6 +39,7 @@
     std::set<TaskKey> interrupted;  ///< Were on a worker that was removed.
   };
   using JobPtr = std::shared_ptr<Job>;
+  using JobMap = std::unordered_map<std::string, JobPtr>;
 
   struct Running {
     JobPtr job;
@@ -128,6 +129,7 @@
   [[nodiscard]] double WorkOf(const LearnedEstimate& estimate) const;
   JobPtr FindJob(const std::string& id) const;
   void ForgetIfDone(const JobPtr& job);
+  void ForgetIfDone(JobMap::iterator found);
   [[nodiscard]] bool IsQueueFull(const std::string& team) const;
   void BeginWaiting(const Job& job);
   void EndWaiting(const Job& job);
@@ -184,7 +186,7 @@
   Resources capacity;
   std::uint32_t slots = 0;
 
-  std::unordered_map<std::string, JobPtr> jobs;
+  JobMap jobs;
   std::unordered_map<TaskKey, Running> running;
   std::size_t long_running = 0;  ///< Tasks that do not count as short work.
   WaitingQueue queue;
--- a/src/router.cc
+++ b/src/router.cc
@@ -108,8 +108,13 @@
     timers.After(retry, [weak = weak_from_this(), event, done, retry](SteadyTime) {
       auto self = weak.lock();
       if (!self) return;
-      // The next owner of the worker reports on its tasks.
-      if (!event.worker.empty() && !self->hooks.owns_worker(event.worker)) return;
+      // The next owner of the worker reports on tasks that the worker knows. Of one that was never
+      // started, neither knows anything: the home has to ask.
+      if (!event.worker.empty() && !self->hooks.owns_worker(event.worker)) {
+        TaskEvent released = event;
+        released.ended = false;
+        return self->SendReleased(released, retry);
+      }
       if (self->hooks.is_home(event.task.request_id) &&
           self->hooks.to_home(event, done) != schema::CODE_NOT_OWNER) {
         return;
