Stand-in worker: what happens after an attach is reported to the owner that attached, and to no earlier one

Cause of the red cases replace_all and freeze, traced with log lines in home, dispatcher and router: a task that a new owner started within milliseconds of its attach ended, and its report answered the sync that still waited from the earlier owner, which dropped it; the worker counted it as reported. The request stayed RUNNING. Change: an attach answers the syncs that wait, those of lower epochs as stale. A fault of the stand-in, not of the product.

--- a/tools/worker_standin.cc
+++ b/tools/worker_standin.cc
@@ -80,19 +80,33 @@
  private:
   struct Waiting {
     SteadyTime until;
+    std::uint64_t epoch = 0;
     HttpReply reply;
   };
 
+  // Answers the syncs that wait since before an attach: what happens from now on is reported to the
+  // instance that has attached, and to no earlier owner.
+  void EndWaiting(std::uint64_t epoch) {
+    for (const Waiting& waiting : m_waiting) {
+      schema::WorkerSyncResult result;
+      if (waiting.epoch < epoch) result.set_code(schema::CODE_STALE_EPOCH);
+      result.set_epoch(epoch);
+      waiting.reply(Json(result));
+    }
+    m_waiting.clear();
+  }
+
   void Sync(const HttpRequest& request, const HttpReply& reply, SteadyTime now) {
     schema::WorkerSync sync;
     if (!FromJson(request.body, UnknownFields::kIgnore, &sync)) return reply(BadRequest());
     schema::WorkerSyncResult result = m_worker.Sync(sync, now);
     if (result.code() != schema::CODE_OK) return reply(Json(result));
+    if (sync.attach()) EndWaiting(sync.epoch());
     if (sync.attach() || m_worker.HasNews()) {
       m_worker.Report(sync.attach(), &result);
       return reply(Json(result));
     }
-    m_waiting.push_back({now + ToMilliseconds(sync.wait()), reply});
+    m_waiting.push_back({now + ToMilliseconds(sync.wait()), sync.epoch(), reply});
   }
 
   void SetFault(const HttpReply& reply, bool fail, bool leave) {
