Limits of callers' requests come from the configuration

They were read and not applied: headers of more than 8 KiB were refused although 16 KiB are allowed.

--- a/cell/node.cc
+++ b/cell/node.cc
@@ -36,6 +36,7 @@
   std::vector<std::unique_ptr<Shard>> shards;
   std::unique_ptr<TableFollower> config_follower;
   CellConfigPtr config;
+  std::function<void(const CellConfig&)> on_config;
   TimerId tick_timer;
   TimerId gauge_timer;
   bool draining = false;
@@ -152,6 +153,7 @@
         .Field("version", config->version)
         .Field("source", source)
         .Field("queues", config->queues.size());
+    if (on_config) on_config(*config);
   }
 
   // ---- Links
@@ -270,6 +272,11 @@
 
 CellConfigPtr Node::Config() const { return m_impl->config; }
 
+void Node::OnConfig(std::function<void(const CellConfig&)> handler) {
+  m_impl->on_config = std::move(handler);
+  if (m_impl->config) m_impl->on_config(*m_impl->config);
+}
+
 void Node::Submit(schema::JobSpec spec, milliseconds timeout, CallDone done) {
   Shard& shard = m_impl->ShardOf(spec.id());
   schema::LinkMessage message;
--- a/cell/node.h
+++ b/cell/node.h
@@ -22,6 +22,10 @@
   /// @returns the configuration in force, null when none is known yet.
   [[nodiscard]] CellConfigPtr Config() const;
 
+  /// @param handler is called with each configuration that comes into force, and with the present
+  /// one.
+  void OnConfig(std::function<void(const CellConfig&)> handler);
+
   /// Calls of callers. `timeout` is the time that the caller waits.
   void Submit(schema::JobSpec spec, milliseconds timeout, CallDone done);
   void Cancel(const std::string& id, milliseconds timeout, CallDone done);
--- a/cell/settings.h
+++ b/cell/settings.h
@@ -11,6 +11,7 @@
 
 #include "cell/store.h"
 #include "cell/worker.h"
+#include "citronsill/http.h"
 #include "schema/cell.pb.h"
 
 namespace citronsill {
@@ -33,20 +34,12 @@
   milliseconds drain_time{4000};       ///< From SIGTERM until the process has to be gone.
 };
 
-/// Limits of callers' requests; part of the configuration.
-struct IngressLimits {
-  std::size_t max_header_bytes = 16384;
-  std::size_t max_body_bytes = 262144;
-  milliseconds header_timeout{3000};
-  milliseconds idle_timeout{15000};
-};
-
 /// A version of the configuration. Never changed after it was made.
 struct CellConfig {
   std::uint64_t version = 0;
   std::vector<schema::QueueSpec> queues;
-  IngressLimits limits;
-  std::string text;  ///< As it was written, to be passed on to other instances.
+  HttpLimits limits;  ///< Of callers' requests.
+  std::string text;   ///< As it was written, to be passed on to other instances.
 };
 using CellConfigPtr = std::shared_ptr<const CellConfig>;
 
--- a/include/citronsill/http.h
+++ b/include/citronsill/http.h
@@ -44,14 +44,20 @@
 /// Makes the answer to a message that cannot be read.
 using HttpReject = std::function<HttpResponse(unsigned status, const Error& error)>;
 
-struct HttpServerOptions {
-  std::string address;  ///< IP:port; port 0 takes a free one.
-  std::size_t max_connections = kMaxHttpConnections;
+/// Limits of the requests that a server takes.
+struct HttpLimits {
+  std::size_t max_header_bytes = kMaxHttpHeaderBytes;
   std::size_t max_body_bytes = kMaxHttpBodyBytes;
   std::chrono::milliseconds read_timeout = kHttpReadTimeout;  ///< For a request that has begun.
   std::chrono::milliseconds idle_timeout = kHttpIdleTimeout;  ///< Between two requests.
-  std::string tls_certificate_file;                           ///< PEM; TLS is used when set.
-  std::string tls_key_file;                                   ///< PEM.
+};
+
+struct HttpServerOptions {
+  std::string address;  ///< IP:port; port 0 takes a free one.
+  std::size_t max_connections = kMaxHttpConnections;
+  HttpLimits limits;
+  std::string tls_certificate_file;       ///< PEM; TLS is used when set.
+  std::string tls_key_file;               ///< PEM.
   std::vector<std::string> keep_headers;  ///< Headers that handlers get besides the named ones.
   HttpReject reject;                      ///< By default, a JSON object with code and message.
 };
@@ -66,6 +72,9 @@
   /// @returns the port that the server listens on.
   [[nodiscard]] std::uint16_t Port() const;
 
+  /// From now on requests have these limits; one that has begun keeps those that it began with.
+  void SetLimits(const HttpLimits& limits);
+
   /// Takes no new connections; open ones go on.
   void Close();
 
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -68,6 +68,7 @@
     std::unique_ptr<HttpStream> stream;
     beast::flat_buffer buffer;
     std::optional<RequestParser> parser;
+    std::shared_ptr<const HttpLimits> limits;  // Of the request that is being read.
     std::string out;
     Phase phase = Phase::kHandshake;
     SteadyTime deadline = SteadyTime::max();
@@ -85,6 +86,7 @@
         options(std::move(server_options)),
         handler(std::move(request_handler)) {
     if (!options.reject) options.reject = DefaultReject;
+    limits = std::make_shared<const HttpLimits>(options.limits);
   }
 
   asio::io_context& context;
@@ -94,6 +96,7 @@
   HttpServerOptions options;
   HttpHandler handler;
   HttpStreamFactory make_stream;
+  std::atomic<std::shared_ptr<const HttpLimits>> limits;
   std::atomic<bool> draining{false};
   std::atomic<std::size_t> count{0};
   std::mutex mutex;
@@ -142,11 +145,12 @@
       count = sessions.size();
     }
     asio::dispatch(session->stream->Socket().get_executor(), [self = shared_from_this(), session] {
-      session->deadline = Clock::now() + self->options.read_timeout;
-      session->stream->Handshake([self, session](error_code error) {
+      const std::chrono::milliseconds timeout = self->limits.load()->read_timeout;
+      session->deadline = Clock::now() + timeout;
+      session->stream->Handshake([self, session, timeout](error_code error) {
         if (error) return self->End(session);
         // The first request has to come soon; later ones may come after a pause.
-        self->StartRequest(session, self->options.read_timeout);
+        self->StartRequest(session, timeout);
       });
     });
   }
@@ -154,9 +158,7 @@
   void StartRequest(const SessionPtr& session, std::chrono::milliseconds timeout) {
     session->phase = Phase::kIdle;
     session->deadline = Clock::now() + timeout;
-    session->parser.emplace();
-    session->parser->body_limit(options.max_body_bytes);
-    session->parser->header_limit(kMaxHttpHeaderBytes);
+    session->parser.reset();
     if (session->buffer.size() > 0) return Parse(session);
     Read(session);
   }
@@ -171,11 +173,18 @@
         });
   }
 
+  // The limits are those at the first byte, not those at the end of the request before it.
+  void BeginRequest(const SessionPtr& session) {
+    session->limits = limits.load();
+    session->phase = Phase::kReading;
+    session->deadline = Clock::now() + session->limits->read_timeout;
+    session->parser.emplace();
+    session->parser->body_limit(session->limits->max_body_bytes);
+    session->parser->header_limit(static_cast<std::uint32_t>(session->limits->max_header_bytes));
+  }
+
   void Parse(const SessionPtr& session) {
-    if (session->phase == Phase::kIdle) {
-      session->phase = Phase::kReading;
-      session->deadline = Clock::now() + options.read_timeout;
-    }
+    if (session->phase == Phase::kIdle) BeginRequest(session);
     error_code error;
     while (!session->parser->is_done() && session->buffer.size() > 0) {
       const std::size_t used = session->parser->put(session->buffer.data(), error);
@@ -219,7 +228,7 @@
     if (draining) session->keep_alive = false;
     Write(session, response, [self = shared_from_this(), session] {
       if (!session->keep_alive) return self->End(session);
-      self->StartRequest(session, self->options.idle_timeout);
+      self->StartRequest(session, self->limits.load()->idle_timeout);
     });
   }
 
@@ -329,6 +338,10 @@
 
 std::size_t HttpServer::Connections() const { return m_impl->count; }
 
+void HttpServer::SetLimits(const HttpLimits& limits) {
+  m_impl->limits = std::make_shared<const HttpLimits>(limits);
+}
+
 void HttpServer::Close() {
   asio::post(m_impl->context, [impl = m_impl] {
     error_code ignored;
--- a/tests/decoder_test.cc
+++ b/tests/decoder_test.cc
@@ -77,8 +77,8 @@
   Server() : m_runtime(std::move(Runtime::Create(1).value())) {
     HttpServerOptions options;
     options.address = "127.0.0.1:0";
-    options.read_timeout = std::chrono::milliseconds(200);
-    options.idle_timeout = std::chrono::milliseconds(200);
+    options.limits.read_timeout = std::chrono::milliseconds(200);
+    options.limits.idle_timeout = std::chrono::milliseconds(200);
     m_http = std::move(
         HttpServer::Create(*m_runtime, options, [](const HttpRequest&, const HttpReply& reply) {
           reply(HttpResponse{});
--- a/tests/soak/platform.cc
+++ b/tests/soak/platform.cc
@@ -164,7 +164,7 @@
   Endpoint endpoint;
   HttpServerOptions options;
   options.address = "127.0.0.1:0";
-  options.max_body_bytes = 4U << 20;
+  options.limits.max_body_bytes = 4U << 20;
   options.keep_headers = {"X-Expect-Instance"};
   BOOST_OUTCOME_TRY(endpoint.server,
                     HttpServer::Create(
--- a/tools/platform_standin.cc
+++ b/tools/platform_standin.cc
@@ -192,7 +192,7 @@
   Platform platform(*timers.value());
   HttpServerOptions server_options;
   server_options.address = address;
-  server_options.max_body_bytes = 64 * kMaxHttpBodyBytes;
+  server_options.limits.max_body_bytes = 64 * kMaxHttpBodyBytes;
   auto server = HttpServer::Create(
       *runtime.value(), server_options,
       [&](const HttpRequest& request, const HttpReply& reply) { platform.Handle(request, reply); });
