Kept answers belong to one life of a worker; a state that waits for a transaction is logged

An id may come back as a worker of another kind: answers are kept by id and start, and asked for again after a new start. Test: tests/cell/scheduler_test.cc, failed with keys of ids alone.

--- a/cell/fleet.cc
+++ b/cell/fleet.cc
@@ -76,7 +76,6 @@
     slot = std::make_unique<Worker>();
     slot->description.id = id;
     slot->slot = m_next_slot++;
-    slot->key = AnswerKey(id);
     slot->next_hold = m_hooks.now();
   }
   return slot.get();
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -37,7 +37,6 @@
   bool silent = false;               ///< The last call failed.
   bool gone = false;                 ///< Another life of a worker answers at its address.
   std::uint32_t slot = 0;            ///< Number of the record; never used again.
-  std::uint32_t key = 0;             ///< Names it in stored answers of the policy service.
   std::uint32_t life = 0;            ///< Counts the lives that this record has stood for.
   std::optional<WorkerTime> clock;   ///< Its clock was at least this...
   SteadyTime clock_at{};             ///< ...at this time.
--- a/cell/job.cc
+++ b/cell/job.cc
@@ -95,8 +95,9 @@
   return TaskRef{job->spec.id(), occurrence, number, index};
 }
 
-std::uint32_t AnswerKey(const std::string& worker) {
-  return static_cast<std::uint32_t>(StableHash(worker));
+std::uint32_t AnswerKey(const WorkerDescription& worker) {
+  return static_cast<std::uint32_t>(
+      StableHash(worker.id + "/" + std::to_string(worker.born_unix_ms)));
 }
 
 Resources TaskRoom(const schema::StepSpec& spec) {
--- a/cell/job.h
+++ b/cell/job.h
@@ -61,11 +61,11 @@
 };
 
 /// What the policy service says of a step never changes: it is kept, so that another scheduler need
-/// not ask again. By the keys of workers.
+/// not ask again. By the keys of lives of workers.
 using KeptAnswers = std::unordered_map<std::uint32_t, bool>;
 
-/// @returns the key of a worker in `KeptAnswers`.
-std::uint32_t AnswerKey(const std::string& worker);
+/// @returns the key of one life of a worker in `KeptAnswers`.
+std::uint32_t AnswerKey(const WorkerDescription& worker);
 
 /// A worker on which a task failed or stood still.
 struct AvoidedWorker {
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -398,8 +398,11 @@
         .Field("waiting_tasks", load.waiting_tasks)
         .Field("free_lanes", counts.free)
         .Field("free_long_lanes", counts.free_long)
-        .Field("confirmed_ms_ago",
-               std::chrono::duration_cast<milliseconds>(BootNow() - commits->Confirmed()));
+        .Field("confirmed_ms_ago", ConfirmedAgo());
+  }
+
+  [[nodiscard]] milliseconds ConfirmedAgo() const {
+    return std::chrono::duration_cast<milliseconds>(BootNow() - commits->Confirmed());
   }
 
   void Tick() {
@@ -444,6 +447,11 @@
     const bool store_fails = commits->FailingFor() > milliseconds(0);
     if (!reads.Give(is_known ? ReadGate::Answer::kState : ReadGate::Answer::kUnknown, store_fails,
                     answer)) {
+      Log(LogLevel::kInfo, "state-waits")
+          .Field("job", id)
+          .Field("known", is_known)
+          .Field("store_fails", store_fails)
+          .Field("confirmed_ms_ago", ConfirmedAgo());
       commits->Wake();
     }
   }
--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -543,7 +543,9 @@
 void Scheduler::KeepAnswer(const Worker& worker, bool is_allowed, Step* step) {
   if (KindOf(step->job->spec.queue()) != QuestionKind::kLong) return;
   if (step->kept_answers.size() >= kMaxKeptAnswers) return;
-  if (step->kept_answers.try_emplace(worker.key, is_allowed).second) MarkDirty(step->job);
+  if (step->kept_answers.try_emplace(AnswerKey(worker.description), is_allowed).second) {
+    MarkDirty(step->job);
+  }
 }
 
 void Scheduler::OnAdvice(const TaskRef& ref, const std::vector<std::string>& asked,
--- a/cell/scheduler_plan.cc
+++ b/cell/scheduler_plan.cc
@@ -162,9 +162,10 @@
   for (const Worker* worker : workers) {
     if (step->advice.size() <= worker->slot) step->advice.resize(worker->slot + 1);
     AdviceOnWorker& advice = step->advice[worker->slot];
-    if (advice.looked_up || advice.asked) continue;
+    const bool is_known = worker->description.born_unix_ms != 0;
+    if (advice.looked_up || advice.asked || !is_known) continue;
     advice.looked_up = true;
-    const auto found = step->kept_answers.find(worker->key);
+    const auto found = step->kept_answers.find(AnswerKey(worker->description));
     if (found == step->kept_answers.end()) continue;
     advice.asked = true;
     advice.good = found->second;
--- a/tests/cell/scheduler_test.cc
+++ b/tests/cell/scheduler_test.cc
@@ -40,19 +40,19 @@
     scheduler = std::make_unique<Scheduler>(options, std::move(hooks));
   }
 
-  void AddWorkers() {
+  void AddWorkers(std::int64_t born_unix_ms = 1000) {
     for (int i = 0; i < kWorkers; ++i) {
       WorkerDescription worker;
       worker.id = "w" + std::to_string(i);
       worker.service = "pool";
       worker.address = worker.id;
       worker.capacity = {8000, 8000, 0};
-      worker.born_unix_ms = 1000;
+      worker.born_unix_ms = born_unix_ms;
       scheduler->Workers().Put(worker);
     }
     for (const std::uint64_t id : std::vector<std::uint64_t>(std::exchange(holds, {}))) {
       HoldAnswer answer;
-      answer.born_unix_ms = 1000;
+      answer.born_unix_ms = born_unix_ms;
       scheduler->Workers().OnHold(id, answer);
     }
   }
@@ -161,5 +161,26 @@
                     Bench::IsAllowed));
 }
 
+// Guards against answers about an earlier life of a worker, which may have been of another kind.
+TEST_CASE("scheduler: answers about earlier lives of workers are asked for again") {
+  Bench first(1);
+  first.AddWorkers();
+  first.scheduler->Submit(MakeGangJob(), milliseconds(0), [](const auto&) {});
+  std::map<std::string, std::string> rows = first.Store();
+  first.scheduler->Plan();
+  while (!first.asked.empty()) first.Answer();
+  rows.merge(first.Store());
+
+  schema::JobRow job;
+  schema::ProgressRow progress;
+  REQUIRE(job.ParseFromString(rows.at(kJobTable)));
+  REQUIRE(progress.ParseFromString(rows.at(kProgressTable)));
+  Bench second(2);
+  second.scheduler->LoadJob(job, &progress, second.now);
+  second.AddWorkers(2000);
+  second.scheduler->Plan();
+  CHECK_FALSE(second.asked.empty());
+}
+
 }  // namespace
 }  // namespace citronsill
