--- a/tests/cell/ingress_limits_test.cc
+++ b/tests/cell/ingress_limits_test.cc
@@ -3,7 +3,6 @@
 
 #include <future>
 
-#include "citronsill/http.h"
 #include "platform/platform.h"
 
 namespace citronsill {
