--- a/tests/cell/scheduler_test.cc
+++ b/tests/cell/scheduler_test.cc
@@ -106,80 +106,62 @@
   return job;
 }
 
-// Load pattern: a scheduler dies while gangs wait for room; its successor's lanes are taken for
-// seconds by questions that were answered before (hobu-sched-grown, scale-2).
-TEST_CASE("scheduler: what the policy service said is not asked again by the next scheduler") {
-  Bench first(1);
-  first.AddWorkers();
-  first.scheduler->Submit(MakeGangJob(), milliseconds(0), [](const auto&) {});
-  std::map<std::string, std::string> rows = first.Store();
-  first.scheduler->Plan();
-  std::size_t named = 0;
-  while (!first.asked.empty()) {
-    named += first.asked.front().workers.size();
-    first.Answer();
+// What a scheduler stored of a gang whose questions were answered.
+struct Stored {
+  // @param tasks of the gang; 10 fit on the allowed workers.
+  explicit Stored(std::uint32_t tasks) {
+    Bench first(1);
+    first.AddWorkers();
+    schema::JobSpec spec = MakeGangJob();
+    spec.mutable_steps(0)->set_task_count(tasks);
+    first.scheduler->Submit(spec, milliseconds(0), [](const auto&) {});
+    std::map<std::string, std::string> rows = first.Store();
     first.scheduler->Plan();
+    while (!first.asked.empty()) {
+      named += first.asked.front().workers.size();
+      first.Answer();
+      if (tasks > 10) first.scheduler->Plan();
+    }
+    rows.merge(first.Store());
+    REQUIRE(job.ParseFromString(rows.at(kJobTable)));
+    REQUIRE(progress.ParseFromString(rows.at(kProgressTable)));
+  }
+
+  // The next scheduler plans. @returns what it asks.
+  [[nodiscard]] std::vector<Question> Continue(std::int64_t born_unix_ms = 1000) const {
+    Bench second(2);
+    second.scheduler->LoadJob(job, &progress, second.now);
+    second.AddWorkers(born_unix_ms);
+    second.scheduler->Plan();
+    return second.asked;
   }
-  REQUIRE(named == kWorkers);
-  rows.merge(first.Store());
 
   schema::JobRow job;
   schema::ProgressRow progress;
-  REQUIRE(job.ParseFromString(rows.at(kJobTable)));
-  REQUIRE(progress.ParseFromString(rows.at(kProgressTable)));
-  Bench second(2);
-  second.scheduler->LoadJob(job, &progress, second.now);
-  second.AddWorkers();
-  second.scheduler->Plan();
-  CHECK(second.asked.empty());
+  std::size_t named = 0;
+};
+
+// Load pattern: a scheduler dies while gangs wait for room; its successor's lanes are taken for
+// seconds by questions that were answered before (hobu-sched-grown, scale-2).
+TEST_CASE("scheduler: what the policy service said is not asked again by the next scheduler") {
+  const Stored stored(11);
+  CHECK(stored.named == kWorkers);
+  CHECK(stored.Continue().empty());
 }
 
 // Guards against a gang that could start at once after a change of the scheduler, and asks about
 // workers that may not run it.
 TEST_CASE("scheduler: the next scheduler asks for tickets only where the step is allowed") {
-  Bench first(1);
-  first.AddWorkers();
-  schema::JobSpec spec = MakeGangJob();
-  spec.mutable_steps(0)->set_task_count(10);
-  first.scheduler->Submit(spec, milliseconds(0), [](const auto&) {});
-  std::map<std::string, std::string> rows = first.Store();
-  first.scheduler->Plan();
-  while (!first.asked.empty()) first.Answer();
-  rows.merge(first.Store());
-
-  schema::JobRow job;
-  schema::ProgressRow progress;
-  REQUIRE(job.ParseFromString(rows.at(kJobTable)));
-  REQUIRE(progress.ParseFromString(rows.at(kProgressTable)));
-  Bench second(2);
-  second.scheduler->LoadJob(job, &progress, second.now);
-  second.AddWorkers();
-  second.scheduler->Plan();
-  REQUIRE(second.asked.size() == 1);
-  CHECK(second.asked[0].workers.size() == 10);
-  CHECK(std::all_of(second.asked[0].workers.begin(), second.asked[0].workers.end(),
-                    Bench::IsAllowed));
+  const std::vector<Question> asked = Stored(10).Continue();
+  REQUIRE(asked.size() == 1);
+  CHECK(asked[0].workers.size() == 10);
+  CHECK(std::all_of(asked[0].workers.begin(), asked[0].workers.end(), Bench::IsAllowed));
 }
 
 // Guards against answers about an earlier life of a worker, which may have been of another kind.
 TEST_CASE("scheduler: answers about earlier lives of workers are asked for again") {
-  Bench first(1);
-  first.AddWorkers();
-  first.scheduler->Submit(MakeGangJob(), milliseconds(0), [](const auto&) {});
-  std::map<std::string, std::string> rows = first.Store();
-  first.scheduler->Plan();
-  while (!first.asked.empty()) first.Answer();
-  rows.merge(first.Store());
-
-  schema::JobRow job;
-  schema::ProgressRow progress;
-  REQUIRE(job.ParseFromString(rows.at(kJobTable)));
-  REQUIRE(progress.ParseFromString(rows.at(kProgressTable)));
-  Bench second(2);
-  second.scheduler->LoadJob(job, &progress, second.now);
-  second.AddWorkers(2000);
-  second.scheduler->Plan();
-  CHECK_FALSE(second.asked.empty());
+  constexpr std::int64_t kBornLater = 2000;
+  CHECK_FALSE(Stored(11).Continue(kBornLater).empty());
 }
 
 }  // namespace
--- a/tests/soak/platform.cc
+++ b/tests/soak/platform.cc
@@ -71,23 +71,6 @@
   return body.append("]}");
 }
 
-const char* WordOf(RunEnd end) {
-  switch (end) {
-    case RunEnd::kDone:
-      return "done";
-    case RunEnd::kFailed:
-      return "failed";
-    case RunEnd::kStopped:
-      return "stopped";
-    case RunEnd::kLapsed:
-      return "lapsed";
-    case RunEnd::kBroken:
-      return "broken";
-    default:
-      return "alone";
-  }
-}
-
 std::string Encode(const HoldAnswer& answer, std::uint64_t born_unix_ms) {
   std::string body = fmt::format(R"({{"clockMs":{},"born":{},"running":[)",
                                  answer.clock.since_start.count(), born_unix_ms);
@@ -100,7 +83,7 @@
   comma = "";
   for (const EndedTask& ended : answer.ended) {
     fmt::format_to(std::back_inserter(body), R"({}[{},"{}",{},"{}",""])", std::exchange(comma, ","),
-                   ended.number, platform::TaskName(ended.task), ended.run, WordOf(ended.end));
+                   ended.number, platform::TaskName(ended.task), ended.run, RunEndName(ended.end));
   }
   return body.append("]}");
 }
