Load of the event loop and age of the scheduler's queues in logs and metrics

Change: each instance measures how late a timer of 50 ms fires and its processor time against `processor_share` (CLOCK_PROCESS_CPUTIME_ID), as metrics, and says `overloaded` and `overload-over` when a limit is exceeded for the first time and when three seconds on end are below both; again each 10 s while it lasts. The scheduler's `load` line has these, planning passes and their time, and the age of the oldest change, effect of a change, call, question and overdue hold. Cost: one timer of 50 ms, and once a second a visit to all workers; nothing a task or a pass but three readings of the clock. Tests: tests/cell/overload_test.cc.

--- a/cell/fleet.cc
+++ b/cell/fleet.cc
@@ -537,11 +537,27 @@
   });
 }
 
-void Fleet::TickWorker(Worker* worker, SteadyTime now) {
-  if (!worker->hold_in_flight && now >= worker->next_hold && !worker->gone &&
-      (worker->listed || !worker->orders.empty()) && !worker->description.address.empty()) {
-    SendHold(worker, false);
+bool Fleet::IsHoldDue(const Worker& worker, SteadyTime now) {
+  return !worker.hold_in_flight && now >= worker.next_hold && !worker.gone &&
+         (worker.listed || !worker.orders.empty()) && !worker.description.address.empty();
+}
+
+Fleet::HoldBacklog Fleet::OverdueHolds() const {
+  const SteadyTime now = m_hooks.now();
+  HoldBacklog backlog;
+  for (const auto& [id, worker] : m_workers) {
+    // A hold is sent at the tick after the moment when it is due.
+    const SteadyTime late = now - kLeaderTick;
+    if (!IsHoldDue(*worker, late)) continue;
+    ++backlog.workers;
+    backlog.oldest =
+        std::max(backlog.oldest, std::chrono::duration_cast<milliseconds>(now - worker->next_hold));
   }
+  return backlog;
+}
+
+void Fleet::TickWorker(Worker* worker, SteadyTime now) {
+  if (IsHoldDue(*worker, now)) SendHold(worker, false);
   if (worker->look_wanted && !worker->look_in_flight) SendHold(worker, true);
   if (worker->orders.empty()) return;
   if (worker->silent || !worker->attached) {
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -136,6 +136,14 @@
 
   [[nodiscard]] std::size_t OrderCount() const { return m_orders.size(); }
 
+  /// Workers whose next hold should have been sent.
+  struct HoldBacklog {
+    std::size_t workers = 0;
+    milliseconds oldest{0};  ///< How long the oldest is overdue.
+  };
+  /// @remarks Visits all workers: for reports.
+  [[nodiscard]] HoldBacklog OverdueHolds() const;
+
  private:
   struct Hold {
     std::string worker;
@@ -158,6 +166,7 @@
   void CheckAbsent(Order* order, const HoldAnswer& answer, const Hold& hold);
   void StopStrays(Worker* worker);
   void TickWorker(Worker* worker, SteadyTime now);
+  [[nodiscard]] static bool IsHoldDue(const Worker& worker, SteadyTime now);
   [[nodiscard]] WorkerTime Estimate(const Worker& worker) const;
   [[nodiscard]] SteadyTime LapseAt(const Worker& worker) const;
   static Order* FindOrder(const Worker& worker, const TaskRef& task, std::uint64_t run);
--- a/cell/job.h
+++ b/cell/job.h
@@ -133,6 +133,7 @@
   bool stored = false;           ///< Its job row is in the store or in the transaction in flight.
   bool ever_started = false;
   std::uint64_t dirty_position = 0;  ///< Place in the queue for the store; 0 when not in it.
+  SteadyTime dirty_since{};          ///< When it entered this queue.
 
   [[nodiscard]] bool IsFinal() const {
     return state == schema::JOB_STATE_SUCCEEDED || state == schema::JOB_STATE_FAILED ||
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -58,6 +58,10 @@
   bool releasing = false;  // The last transaction is on its way.
   bool plan_pending = false;
   SteadyTime planned{};
+  SteadyTime plan_due{};  // Of the pass that is pending.
+  PassMeter passes;
+  WaitingSet open_calls;
+  WaitingSet open_questions;
   std::vector<std::function<void()>> until_loaded;
 
   // What is being read while the shard is loaded.
@@ -351,12 +355,14 @@
   void Ask(const TaskRef& step, std::vector<std::string> workers, QuestionKind kind) {
     std::vector<std::string> asked = workers;
     lanes.Ask(step, std::move(workers), kind, kAdviceTimeout,
-              [weak = weak_from_this(), step, asked,
-               sent = BootNow()](const Result<AdviceAnswer>& result) {
+              [weak = weak_from_this(), step, asked, sent = BootNow(),
+               key = open_questions.Add(BootNow())](const Result<AdviceAnswer>& result) {
                 NodeMetrics::Get().CountAdvice(
                     result.has_value(), std::chrono::duration_cast<milliseconds>(BootNow() - sent));
                 const auto self = weak.lock();
-                if (self && !self->lost) self->scheduler->OnAdvice(step, asked, result);
+                if (!self) return;
+                self->open_questions.Remove(key);
+                if (!self->lost) self->scheduler->OnAdvice(step, asked, result);
               });
   }
 
@@ -364,12 +370,18 @@
   void PlanSoon() {
     if (plan_pending || !loaded) return;
     plan_pending = true;
-    const auto since = std::chrono::duration_cast<milliseconds>(BootNow() - planned);
-    After(std::max(milliseconds(0), kPlanPeriod - since), [this] {
+    const SteadyTime now = BootNow();
+    const auto since = std::chrono::duration_cast<milliseconds>(now - planned);
+    const milliseconds delay = std::max(milliseconds(0), kPlanPeriod - since);
+    plan_due = now + delay;
+    After(delay, [this] {
       plan_pending = false;
       if (lost || releasing) return;
       planned = BootNow();
+      const SteadyTime due = plan_due;
       scheduler->Plan();
+      passes.OnPass(std::chrono::duration_cast<std::chrono::microseconds>(BootNow() - planned),
+                    std::chrono::duration_cast<milliseconds>(planned - due));
     });
   }
 
@@ -384,8 +396,8 @@
     metrics.SetGauge("waiting_tasks", static_cast<double>(load.waiting_tasks));
     metrics.SetGauge("free_processors", static_cast<double>(load.free.processors_milli) / 1000.0);
     metrics.SetGauge("free_lanes", counts.free);
-    Log(LogLevel::kInfo, "load")
-        .Field("shard", options.shard)
+    LogLine line(LogLevel::kInfo, "load");
+    line.Field("shard", options.shard)
         .Field("jobs", scheduler->ActiveJobs())
         .Field("orders", scheduler->Workers().OrderCount())
         .Field("workers", load.workers)
@@ -399,6 +411,51 @@
         .Field("free_lanes", counts.free)
         .Field("free_long_lanes", counts.free_long)
         .Field("confirmed_ms_ago", ConfirmedAgo());
+    ReportQueues(&line);
+  }
+
+  // Whether the scheduler keeps up with its work.
+  void ReportQueues(LogLine* line) {
+    const SteadyTime now = BootNow();
+    const LoopLoad loop = hooks.loop_load ? hooks.loop_load() : LoopLoad{};
+    const PassMeter::Window plans = passes.EndWindow();
+    const Scheduler::Backlog waiting = scheduler->StoreBacklog();
+    const Fleet::HoldBacklog holds = scheduler->Workers().OverdueHolds();
+    milliseconds plan_late = plans.latest;
+    if (plan_pending) {
+      plan_late = std::max(plan_late, std::chrono::duration_cast<milliseconds>(now - plan_due));
+    }
+    NodeMetrics& metrics = NodeMetrics::Get();
+    const auto set = [&metrics](const char* name, milliseconds value) {
+      metrics.SetGauge(name, static_cast<double>(value.count()) / 1000.0);
+    };
+    metrics.SetGauge("plan_passes", plans.passes);
+    metrics.SetGauge("plan_max_seconds", static_cast<double>(plans.longest.count()) / 1e6);
+    set("plan_late_seconds", plan_late);
+    set("oldest_effect_seconds", waiting.oldest_effect);
+    set("oldest_change_seconds", waiting.oldest_change);
+    set("oldest_call_seconds", open_calls.Oldest(now));
+    set("oldest_question_seconds", open_questions.Oldest(now));
+    metrics.SetGauge("overdue_holds", static_cast<double>(holds.workers));
+    set("overdue_hold_seconds", holds.oldest);
+    line->Field("loop_lag_ms", loop.lag_max)
+        .Field("loop_lag_p90_ms", loop.lag_p90)
+        .Field("processor_ms", loop.processor)
+        .Field("processor_percent", loop.processor_percent)
+        .Field("plans", plans.passes)
+        .Field("plan_last_us", static_cast<std::int64_t>(plans.last.count()))
+        .Field("plan_max_us", static_cast<std::int64_t>(plans.longest.count()))
+        .Field("plan_late_ms", plan_late)
+        .Field("effects", waiting.effects)
+        .Field("oldest_effect_ms", waiting.oldest_effect)
+        .Field("changes", waiting.changes)
+        .Field("oldest_change_ms", waiting.oldest_change)
+        .Field("calls", open_calls.Size())
+        .Field("oldest_call_ms", open_calls.Oldest(now))
+        .Field("questions", open_questions.Size())
+        .Field("oldest_question_ms", open_questions.Oldest(now))
+        .Field("overdue_holds", holds.workers)
+        .Field("overdue_hold_ms", holds.oldest);
   }
 
   [[nodiscard]] milliseconds ConfirmedAgo() const {
@@ -418,9 +475,17 @@
   // ---- Calls
 
   void Handle(const schema::LinkMessage& message, Reply reply) {
+    Carry(message, [weak = weak_from_this(), key = open_calls.Add(BootNow()),
+                    reply = std::move(reply)](schema::CallReply out) {
+      if (const auto self = weak.lock()) self->open_calls.Remove(key);
+      reply(std::move(out));
+    });
+  }
+
+  void Carry(const schema::LinkMessage& message, Reply reply) {
     if (lost || releasing) return reply(Failure({schema::CODE_NOT_OWNER, "the shard has moved"}));
     if (!loaded) {
-      until_loaded.push_back([this, message, reply = std::move(reply)] { Handle(message, reply); });
+      until_loaded.push_back([this, message, reply = std::move(reply)] { Carry(message, reply); });
       return;
     }
     if (message.has_submit()) return Submit(message.submit(), std::move(reply));
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -8,6 +8,7 @@
 
 #include "cell/commit.h"
 #include "cell/lanes.h"
+#include "cell/overload.h"
 #include "cell/scheduler.h"
 #include "cell/settings.h"
 #include "citronsill/runtime.h"
@@ -26,6 +27,8 @@
 struct LeaderHooks {
   /// The shard has another scheduler, or a worker has seen a higher fence.
   std::function<void()> on_lost;
+  /// What was last measured of this process, for logs.
+  std::function<LoopLoad()> loop_load;
 };
 
 class Leader {
--- a/cell/limits.h
+++ b/cell/limits.h
@@ -168,6 +168,19 @@
 inline constexpr std::chrono::milliseconds kConnectRefusedWithin{300};
 
 inline constexpr std::chrono::milliseconds kNodeTick{100};
+// The lag of the event loop is measured this often, at little cost: the period of the other timers.
+inline constexpr std::chrono::milliseconds kLoopProbePeriod{50};
+// Lag from which a process counts as overloaded: half of the time that workers have to answer,
+// which passes whether the answer is read or not.
+inline constexpr std::chrono::milliseconds kLoopLagLimit = kWorkerCallTimeout / 2;
+// Share of its processor time from which a process counts as overloaded. At 80% in the mean, work
+// that arrives at random waits four times as long as it takes.
+inline constexpr std::uint32_t kProcessorPercentLimit = 80;
+// Overload is over after this many seconds below both limits, so that one that comes and goes is
+// not reported each second.
+inline constexpr std::uint32_t kCalmWindows = 3;
+// Overload that lasts is reported again this often.
+inline constexpr std::chrono::milliseconds kOverloadReportPeriod{10000};
 inline constexpr std::chrono::milliseconds kLogFlushPeriod{100};
 // The settings file is looked at this often: it may change without a signal.
 inline constexpr std::chrono::milliseconds kSettingsPoll{1000};
--- a/cell/metrics.cc
+++ b/cell/metrics.cc
@@ -101,6 +101,11 @@
                                    .Name("citronsill_takeovers_total")
                                    .Help("Shards that this process has taken over.")
                                    .Register(registry);
+  Histogram& loop_lag = prometheus::BuildHistogram()
+                            .Name("citronsill_loop_lag_seconds")
+                            .Help("How late a periodic timer of the event loop fired.")
+                            .Register(registry)
+                            .Add({}, kLatencyBuckets);
   std::map<std::string, Family<Gauge>*> gauges;
 
   void Observe(Family<Histogram>& family, const prometheus::Labels& labels, milliseconds elapsed) {
@@ -149,6 +154,8 @@
 
 void NodeMetrics::CountTakeover() { m_impl->takeovers.Add({}).Increment(); }
 
+void NodeMetrics::ObserveLoopLag(milliseconds lag) { m_impl->loop_lag.Observe(Seconds(lag)); }
+
 void NodeMetrics::SetGauge(const std::string& name, double value) {
   Family<Gauge>*& family = m_impl->gauges[name];
   if (family == nullptr) {
--- a/cell/metrics.h
+++ b/cell/metrics.h
@@ -36,6 +36,8 @@
   void CountCommit(milliseconds elapsed, std::uint32_t attempts);
   void CountAdvice(bool answered, milliseconds elapsed);
   void CountTakeover();
+  /// A periodic timer fired late by this much.
+  void ObserveLoopLag(milliseconds lag);
   /// Sets a gauge without labels. @param name one of a fixed set.
   void SetGauge(const std::string& name, double value);
 
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -8,6 +8,7 @@
 #include "cell/limits.h"
 #include "cell/log.h"
 #include "cell/metrics.h"
+#include "cell/overload.h"
 #include "cell/relay.h"
 #include "net.h"
 
@@ -39,6 +40,10 @@
   std::function<void(const CellConfig&)> on_config;
   TimerId tick_timer;
   TimerId gauge_timer;
+  TimerId probe_timer;
+  LoopMeter meter{kLoopProbePeriod, BootNow(), ProcessorTime()};
+  LoopLoad loop_load;
+  OverloadWatch overload;
   bool draining = false;
   SteadyTime began = BootNow();
   SteadyTime seeds_tried{};
@@ -53,7 +58,15 @@
     FollowConfig();
     AddShard("s0");
     gauge_timer = timers.Every(kLoadReportPeriod, [weak = weak_from_this()](SteadyTime) {
-      if (const auto self = weak.lock()) self->SetGauges();
+      const auto self = weak.lock();
+      if (!self) return;
+      self->SetGauges();
+      self->CheckLoad();
+    });
+    probe_timer = timers.Every(kLoopProbePeriod, [weak = weak_from_this()](SteadyTime) {
+      if (const auto self = weak.lock()) {
+        NodeMetrics::Get().ObserveLoopLag(self->meter.OnProbe(BootNow()));
+      }
     });
     tick_timer = timers.Every(kNodeTick, [weak = weak_from_this()](SteadyTime) {
       if (const auto self = weak.lock()) self->Tick();
@@ -75,6 +88,7 @@
   void End() {
     timers.Cancel(tick_timer);
     timers.Cancel(gauge_timer);
+    timers.Cancel(probe_timer);
     config_follower.reset();
     shards.clear();
   }
@@ -108,6 +122,7 @@
       links->ForEach(visit);
     };
     deps.may_claim = [this] { return MayLead(); };
+    deps.loop_load = [this] { return loop_load; };
     shards.push_back(Shard::Create(name, std::move(deps)));
   }
 
@@ -236,6 +251,30 @@
     metrics.SetGauge("shards_led", static_cast<double>(led));
   }
 
+  void CheckLoad() {
+    const SteadyTime now = BootNow();
+    loop_load = meter.EndWindow(now, ProcessorTime(), settings.strength_milli);
+    NodeMetrics& metrics = NodeMetrics::Get();
+    metrics.SetGauge("loop_lag_max_seconds", static_cast<double>(loop_load.lag_max.count()) / 1000);
+    metrics.SetGauge("processor_percent", loop_load.processor_percent);
+    const OverloadChange change = overload.OnWindow(loop_load, now);
+    metrics.SetGauge("overloaded", overload.IsOverloaded() ? 1.0 : 0.0);
+    if (change == OverloadChange::kNone) return;
+    const bool is_over = change == OverloadChange::kOver;
+    const LoopLoad& worst = overload.Worst();
+    Log(is_over ? LogLevel::kInfo : LogLevel::kWarn, is_over ? "overload-over" : "overloaded")
+        .Field("for_ms", std::chrono::duration_cast<milliseconds>(now - overload.Since()))
+        .Field("lag_exceeds", worst.lag_max > kLoopLagLimit)
+        .Field("processor_exceeds", worst.processor_percent > kProcessorPercentLimit)
+        .Field("loop_lag_ms", loop_load.lag_max)
+        .Field("processor_percent", loop_load.processor_percent)
+        .Field("worst_lag_ms", worst.lag_max)
+        .Field("worst_processor_percent", worst.processor_percent)
+        .Field("strength_milli", settings.strength_milli)
+        .Field("leads", std::any_of(shards.begin(), shards.end(),
+                                    [](const auto& shard) { return shard->IsLeader(); }));
+  }
+
   void Tick() {
     store->Tick();
     const bool is_cut_off = std::none_of(shards.begin(), shards.end(), [](const auto& shard) {
--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -216,6 +216,7 @@
 void Scheduler::MarkDirty(Job* job) {
   if (job->dirty_position == 0) {
     job->dirty_position = ++m_tail;
+    job->dirty_since = m_hooks.now();
     m_dirty.push_back(job);
   }
   m_hooks.has_writes();
@@ -223,7 +224,16 @@
 
 void Scheduler::AfterStored(std::function<void()> effect) {
   if (m_stored == m_tail && m_effects.empty()) return effect();
-  m_effects.push_back({m_tail, std::move(effect)});
+  m_effects.push_back({m_tail, std::move(effect), m_hooks.now()});
+}
+
+Scheduler::Backlog Scheduler::StoreBacklog() const {
+  Backlog backlog;
+  backlog.effects = m_effects.size();
+  backlog.changes = m_dirty.size();
+  if (!m_effects.empty()) backlog.oldest_effect = Since(m_effects.front().since);
+  if (!m_dirty.empty()) backlog.oldest_change = Since(m_dirty.front()->dirty_since);
+  return backlog;
 }
 
 WriteBatch Scheduler::TakeBatch(std::size_t max_entries, std::size_t max_bytes) {
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -120,10 +120,20 @@
 
   [[nodiscard]] std::size_t ActiveJobs() const { return m_jobs.size(); }
 
+  /// What waits for the store.
+  struct Backlog {
+    std::size_t effects = 0;  ///< Of changes: orders to send, callers to answer.
+    milliseconds oldest_effect{0};
+    std::size_t changes = 0;  ///< Jobs whose rows are not in a transaction yet.
+    milliseconds oldest_change{0};
+  };
+  [[nodiscard]] Backlog StoreBacklog() const;
+
  private:
   struct Effect {
     std::uint64_t position;
     std::function<void()> run;
+    SteadyTime since;
   };
   // What was learned of the tasks of a queue.
   struct QueueRecord {
--- a/cell/shard.cc
+++ b/cell/shard.cc
@@ -170,6 +170,7 @@
     options.earlier_is_gone = signs.has_denied || earlier_released || owner.term() == 1;
     LeaderHooks hooks;
     hooks.on_lost = [this] { Lose(); };
+    hooks.loop_load = deps.loop_load;
     leader = Leader::Create(*deps.runtime, *deps.timers, deps.store, *deps.platform, *deps.settings,
                             std::move(options), std::move(hooks));
     deps.for_each_link([this](const LinkPtr& link) {
--- a/cell/shard.h
+++ b/cell/shard.h
@@ -35,6 +35,8 @@
   std::function<void(const std::function<void(const LinkPtr&)>&)> for_each_link;
   /// @returns whether this instance may become a scheduler.
   std::function<bool()> may_claim;
+  /// What was last measured of this process.
+  std::function<LoopLoad()> loop_load;
 };
 
 class Shard {
--- /dev/null
+++ b/tests/cell/overload_test.cc
@@ -0,0 +1,185 @@
+// Whether a process that falls behind can be told from its figures.
+#include "cell/overload.h"
+
+#include <doctest/doctest.h>
+
+#include "cell/limits.h"
+#include "cell/scheduler.h"
+
+namespace citronsill {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::seconds;
+
+constexpr SteadyTime kNow{seconds(1000)};
+
+// Guards against a loop that stands still for a moment each second and looks sound in the mean.
+TEST_CASE("overload: one late timer shows in the maximum, and not in the quantile") {
+  LoopMeter meter(milliseconds(50), kNow, microseconds(0));
+  SteadyTime now = kNow;
+  for (int i = 0; i < 19; ++i) {
+    now += milliseconds(i == 7 ? 50 + 320 : 50);
+    CHECK(meter.OnProbe(now) == milliseconds(i == 7 ? 320 : 0));
+  }
+  const LoopLoad load = meter.EndWindow(now, microseconds(0), 1000);
+  CHECK(load.lag_max == milliseconds(320));
+  CHECK(load.lag_p90 == milliseconds(0));
+  CHECK(meter.EndWindow(now + milliseconds(50), microseconds(0), 1000).lag_max == milliseconds(0));
+}
+
+// Guards against a window that ends while the loop is late, and shows no lag because the probe runs
+// after it.
+TEST_CASE("overload: a probe that is late counts before it fires") {
+  LoopMeter meter(milliseconds(50), kNow, microseconds(0));
+  CHECK(meter.EndWindow(kNow + milliseconds(900), microseconds(0), 1000).lag_max ==
+        milliseconds(850));
+}
+
+// Guards against a use of the processor that is compared with a whole core instead of the share,
+// and with a second instead of the window, which is longer when the loop is late.
+TEST_CASE("overload: processor time is compared with the share of the instance") {
+  LoopMeter meter(milliseconds(50), kNow, microseconds(500'000));
+  const LoopLoad load = meter.EndWindow(kNow + seconds(2), microseconds(770'000), 150);
+  CHECK(load.processor == milliseconds(270));
+  CHECK(load.processor_percent == 90);
+  CHECK(meter.EndWindow(kNow + seconds(3), microseconds(770'000), 150).processor_percent == 0);
+}
+
+LoopLoad MakeLoad(milliseconds lag, std::uint32_t percent) {
+  LoopLoad load;
+  load.lag_max = lag;
+  load.processor_percent = percent;
+  return load;
+}
+
+// Guards against an overload that is not reported, or is reported each second.
+TEST_CASE("overload: begins with either limit and is over after several calm windows") {
+  const LoopLoad calm = MakeLoad(kLoopLagLimit, kProcessorPercentLimit);
+  for (const LoopLoad& bad : {MakeLoad(kLoopLagLimit + milliseconds(1), 10),
+                              MakeLoad(milliseconds(0), kProcessorPercentLimit + 1)}) {
+    OverloadWatch watch;
+    SteadyTime now = kNow;
+    const auto next = [&](const LoopLoad& load) { return watch.OnWindow(load, now += seconds(1)); };
+    CHECK(next(calm) == OverloadChange::kNone);
+    CHECK(next(bad) == OverloadChange::kBegan);
+    CHECK(next(bad) == OverloadChange::kNone);
+    CHECK(next(calm) == OverloadChange::kNone);
+    CHECK(next(bad) == OverloadChange::kNone);
+    for (std::uint32_t i = 1; i < kCalmWindows; ++i) CHECK(next(calm) == OverloadChange::kNone);
+    CHECK(watch.IsOverloaded());
+    CHECK(next(calm) == OverloadChange::kOver);
+    CHECK_FALSE(watch.IsOverloaded());
+    CHECK(watch.Worst().lag_max == std::max(bad.lag_max, calm.lag_max));
+  }
+}
+
+// Guards against an overload of minutes of which only the first second is in the logs.
+TEST_CASE("overload: one that lasts is reported again, at a bounded rate") {
+  OverloadWatch watch;
+  const LoopLoad bad = MakeLoad(kLoopLagLimit * 2, 0);
+  int reports = 0;
+  for (int second = 0; second < 60; ++second) {
+    if (watch.OnWindow(bad, kNow + seconds(second)) != OverloadChange::kNone) ++reports;
+  }
+  CHECK(reports == 6);
+}
+
+// Guards against an age that is that of the newest, or of one that has been answered.
+TEST_CASE("overload: the age of a queue is that of its oldest entry") {
+  WaitingSet waiting;
+  CHECK(waiting.Oldest(kNow) == milliseconds(0));
+  const std::uint64_t first = waiting.Add(kNow);
+  waiting.Add(kNow + seconds(2));
+  CHECK(waiting.Oldest(kNow + seconds(3)) == seconds(3));
+  waiting.Remove(first);
+  CHECK(waiting.Oldest(kNow + seconds(3)) == seconds(1));
+}
+
+// Guards against passes that are counted twice or in no window.
+TEST_CASE("overload: planning passes count in the window in which they ended") {
+  PassMeter passes;
+  passes.OnPass(microseconds(9000), milliseconds(5));
+  passes.OnPass(microseconds(2000), milliseconds(70));
+  PassMeter::Window window = passes.EndWindow();
+  CHECK(window.passes == 2);
+  CHECK(window.last == microseconds(2000));
+  CHECK(window.longest == microseconds(9000));
+  CHECK(window.latest == milliseconds(70));
+  window = passes.EndWindow();
+  CHECK(window.passes == 0);
+  CHECK(window.last == microseconds(2000));
+  CHECK(window.longest == microseconds(0));
+}
+
+// Guards against processor time that does not grow, or that of another clock.
+TEST_CASE("overload: processor time grows with work, not with sleep") {
+  const microseconds before = ProcessorTime();
+  volatile std::uint64_t sum = 0;
+  while (ProcessorTime() - before < milliseconds(20)) sum = sum + 1;
+  CHECK(ProcessorTime() - before >= milliseconds(20));
+}
+
+struct Backlogged {
+  Backlogged() {
+    SchedulerOptions options;
+    options.shard = "s0";
+    options.term = 1;
+    options.lease = milliseconds(5000);
+    SchedulerHooks hooks;
+    hooks.now = [this] { return now; };
+    hooks.wall = [this] { return WallTime(now.time_since_epoch()); };
+    hooks.may_lead = [] { return true; };
+    hooks.hold = [this](const Worker&, const HoldOrder&, std::uint64_t id) { hold = id; };
+    hooks.has_writes = [] {};
+    hooks.plan_soon = [] {};
+    scheduler = std::make_unique<Scheduler>(options, std::move(hooks));
+  }
+
+  SteadyTime now = kNow;
+  std::uint64_t hold = 0;
+  std::unique_ptr<Scheduler> scheduler;
+};
+
+// Guards against callers and orders that wait for the store without a trace in the figures.
+TEST_CASE("overload: the backlog to the store has the age of its oldest entry") {
+  Backlogged bench;
+  schema::JobSpec job;
+  job.set_id("00000000000000aa");
+  job.add_steps()->set_task_count(1);
+  bench.scheduler->Submit(job, milliseconds(0), [](const auto&) {});
+  bench.now += milliseconds(700);
+  Scheduler::Backlog backlog = bench.scheduler->StoreBacklog();
+  CHECK(backlog.changes == 1);
+  CHECK(backlog.effects == 1);
+  CHECK(backlog.oldest_change == milliseconds(700));
+  CHECK(backlog.oldest_effect == milliseconds(700));
+  // In a transaction: the change does not wait any more, its effects do.
+  const WriteBatch batch = bench.scheduler->TakeBatch(97, 600000);
+  backlog = bench.scheduler->StoreBacklog();
+  CHECK(backlog.changes == 0);
+  CHECK(backlog.oldest_effect == milliseconds(700));
+  bench.scheduler->OnStored(batch.position);
+  CHECK(bench.scheduler->StoreBacklog().effects == 0);
+}
+
+// Guards against leases that lapse because their renewals are sent late, which shows nowhere else.
+TEST_CASE("overload: holds that are due and not sent are counted") {
+  Backlogged bench;
+  WorkerDescription worker;
+  worker.id = worker.address = "w0";
+  worker.capacity = {1000, 1000, 0};
+  bench.scheduler->Workers().Put(worker);
+  bench.now += seconds(2);
+  CHECK(bench.scheduler->Workers().OverdueHolds().workers == 0);
+  bench.scheduler->Workers().OnHold(bench.hold, Error{schema::CODE_WORKER_UNREACHABLE, "silent"});
+  bench.now += kHoldRetryMin;
+  CHECK(bench.scheduler->Workers().OverdueHolds().workers == 0);
+  bench.now += milliseconds(400);
+  const Fleet::HoldBacklog holds = bench.scheduler->Workers().OverdueHolds();
+  CHECK(holds.workers == 1);
+  CHECK(holds.oldest == milliseconds(400));
+}
+
+}  // namespace
+}  // namespace citronsill
