tests/cell: a cell of 350 workers whose instances have a share of a core

The model had no processor: an event cost nothing and never waited.

A lag of L also bounds the store to one transaction of 97 entries in each L, since its answers wait in the same queue.

--- a/tests/cell/cell.h
+++ b/tests/cell/cell.h
@@ -15,6 +15,8 @@
 #include "cell/limits.h"
 #include "cell/scheduler.h"
 #include "loop.h"
+#include "policy.h"
+#include "processor.h"
 #include "store.h"
 #include "worker.h"
 
@@ -55,19 +57,40 @@
   bool plan_pending = false;
   std::uint64_t epoch = 0;  // Counts schedulers and lives; events of earlier ones are dropped.
   OwnerSigns signs;
+  std::unique_ptr<Processor> processor;  // None: events cost nothing and do not wait.
+  EventCosts costs;
+  SteadyTime gained{};  // When it became the scheduler.
+  SteadyTime pinged{};  // When it last wrote to its links; only with a processor.
+  std::uint64_t passes = 0;
 
   void Restart();
   void Kill();
   void Pause(milliseconds time);
   void Tick();
+  void TickSoon();
   // Runs an event of this instance, after a pause if there is one.
   void Deliver(std::uint64_t of_epoch, std::function<void()> event);
+  // Runs an event of this instance that a timer of it has set off.
+  void DeliverAfter(milliseconds delay, std::function<void()> event);
+  // Charges the event that is running.
+  void Charge(microseconds cost) const {
+    if (processor) processor->Charge(cost);
+  }
+  // @returns when the event that is running sends something.
+  [[nodiscard]] SteadyTime SendTime() const;
   [[nodiscard]] bool Leads() const { return alive && !paused && scheduler && loaded; }
   void Lose();
 
  private:
   void Gain(const schema::OwnerRow& owner, const schema::HeadRow& head, std::uint64_t version);
   void Load();
+  void LoadRows();
+  void ReadWithin(milliseconds takes, microseconds cost, std::function<void()> done,
+                  std::function<void()> again);
+  void ReadWorkerList();
+  void Ask(const TaskRef& step, const std::vector<std::string>& workers, QuestionKind kind);
+  void ChargeCall(const std::string& worker, bool is_hold);
+  void Plan();
   SchedulerHooks MakeSchedulerHooks(std::uint64_t term);
   void PlanSoon();
   template <class Answer>
@@ -77,6 +100,10 @@
 
   Cell& m_cell;
   std::vector<std::function<void()>> m_while_paused;
+  std::shared_ptr<PolicyService::Lanes> m_lanes;  // Of the present scheduler.
+  SteadyTime m_planned{};
+  bool m_tick_pending = false;
+  std::set<std::pair<std::string, bool>> m_connected;  // Workers, and whether for holds.
 };
 
 class Cell {
@@ -104,10 +131,12 @@
   History history;
   NetworkFaults network;
   std::map<std::string, WorkerNode> nodes;
+  std::uint32_t links = 0;  // Other instances that are linked to the scheduler; they cost it pings.
   std::vector<std::unique_ptr<Instance>> instances;
   std::map<std::string, TaskTruth> truths;  // By job and step.
   std::set<std::string> accepted;
-  std::set<std::string> cancel_sent;  // Acknowledged or not.
+  std::set<std::string> cancel_sent;      // Acknowledged or not.
+  std::unique_ptr<PolicyService> policy;  // None: questions have no answer.
 
   std::shared_ptr<WorkerLife> NewLife(const std::string& id) {
     const double rate = 0.98 + 0.02 * static_cast<double>(loop.Between(0, 100)) / 100.0;
@@ -221,8 +250,7 @@
  private:
   void Tick() {
     for (const auto& instance : instances) {
-      if (instance->alive)
-        instance->Deliver(instance->epoch, [raw = instance.get()] { raw->Tick(); });
+      if (instance->alive) instance->TickSoon();
     }
     loop.After(milliseconds(50), [this] { Tick(); });
   }
@@ -239,13 +267,38 @@
   const auto run = [this, of_epoch, event = std::move(event)] {
     if (alive && epoch == of_epoch) event();
   };
-  if (paused) {
+  if (processor) {
+    processor->Arrive(run);
+  } else if (paused) {
     m_while_paused.push_back(run);
   } else {
     run();
   }
 }
 
+inline void Instance::DeliverAfter(milliseconds delay, std::function<void()> event) {
+  if (!processor) {
+    m_cell.loop.After(delay, [this, at = epoch, event = std::move(event)] { Deliver(at, event); });
+    return;
+  }
+  processor->At(SendTime() + delay, [this, at = epoch, event = std::move(event)] {
+    if (alive && epoch == at) event();
+  });
+}
+
+inline SteadyTime Instance::SendTime() const {
+  return processor ? processor->Now() : m_cell.loop.Now();
+}
+
+inline void Instance::TickSoon() {
+  if (!processor) return Deliver(epoch, [this] { Tick(); });
+  if (std::exchange(m_tick_pending, true)) return;
+  processor->At(m_cell.loop.Now(), [this] {
+    m_tick_pending = false;
+    if (alive) Tick();
+  });
+}
+
 inline void Instance::Restart() {
   ++epoch;
   alive = true;
@@ -294,6 +347,8 @@
   loaded = false;
   paused = false;
   m_while_paused.clear();
+  if (processor) processor->Clear();
+  m_tick_pending = false;
   scheduler.reset();
   commits.reset();
 }
@@ -301,9 +356,11 @@
 inline void Instance::Pause(milliseconds time) {
   if (!alive || paused) return;
   paused = true;
+  if (processor) processor->Freeze();
   m_cell.loop.After(time, [this, at = epoch] {
     if (epoch != at && !paused) return;
     paused = false;
+    if (processor) processor->Resume();
     std::vector<std::function<void()>> events;
     events.swap(m_while_paused);
     for (const auto& event : events) event();
@@ -327,8 +384,12 @@
       claimer->OnOwner(owner, row.version);
     }
   }
+  pinged = m_cell.loop.Now();
   if (scheduler) {
     if (!claimer->IsOwn()) return Lose();
+    Charge(costs.tick +
+           costs.tick_worker * static_cast<int>(scheduler->Workers().Workers().size()) +
+           costs.link_ping * static_cast<int>(m_cell.links) / 2);
     commits->Tick();
     if (loaded) {
       if (commits->FailingFor() > kRefuseWithoutStore) {
@@ -346,7 +407,10 @@
     signs.has_denied = other->alive && !other->paused && !is_same && hears_others;
     signs.is_refused = !other->alive;
     signs.is_linked = other->alive && !other->paused && is_same && hears_others;
-    if (signs.is_linked) signs.heard = m_cell.loop.Now();
+    if (other->processor && m_cell.loop.Now() > other->pinged + kLinkSilence) {
+      signs.is_linked = false;
+    }
+    if (signs.is_linked) signs.heard = other->processor ? other->pinged : m_cell.loop.Now();
   }
   claimer->Tick(signs, true);
 }
@@ -354,18 +418,39 @@
 inline void Instance::PlanSoon() {
   if (plan_pending) return;
   plan_pending = true;
+  if (processor) {
+    // As in cell/leader.cc.
+    const auto since = std::chrono::duration_cast<milliseconds>(SendTime() - m_planned);
+    return DeliverAfter(std::max(milliseconds(0), kPlanPeriod - since), [this] {
+      plan_pending = false;
+      if (scheduler && loaded) Plan();
+    });
+  }
   m_cell.loop.After(milliseconds(4), [this, at = epoch] {
     plan_pending = false;
     Deliver(at, [this] {
-      if (scheduler && loaded) scheduler->Plan();
+      if (scheduler && loaded) Plan();
     });
   });
 }
 
+inline void Instance::Plan() {
+  m_planned = m_cell.loop.Now();
+  ++passes;
+  const std::size_t orders = scheduler->Workers().OrderCount();
+  scheduler->Plan();
+  const std::size_t placed = scheduler->Workers().OrderCount() - orders;
+  if (processor) Charge(PlanCost(costs, CountPlanWork(*scheduler), placed));
+}
+
 inline void Instance::Gain(const schema::OwnerRow& owner, const schema::HeadRow& head,
                            std::uint64_t version) {
   if (scheduler) return;
   ++epoch;
+  plan_pending = false;
+  gained = m_cell.loop.Now();
+  m_connected.clear();
+  if (m_cell.policy) m_lanes = std::make_shared<PolicyService::Lanes>(m_cell.policy->MakeLanes());
   SchedulerOptions options;
   options.shard = "s0";
   options.term = owner.term();
@@ -376,12 +461,22 @@
   CommitHooks hooks;
   hooks.now = [this] { return m_cell.loop.Now(); };
   hooks.after = [this](milliseconds delay, std::function<void()> action) {
-    m_cell.loop.After(delay, [this, at = epoch, action] { Deliver(at, action); });
+    DeliverAfter(delay, std::move(action));
   };
   hooks.post = [this](std::function<void()> action) {
+    if (processor) {
+      return processor->Post([this, at = epoch, action] {
+        if (alive && epoch == at) action();
+      });
+    }
     m_cell.loop.After(milliseconds(0), [this, at = epoch, action] { Deliver(at, action); });
   };
-  hooks.take = [this] { return loaded ? scheduler->TakeBatch(97, 600000) : WriteBatch{}; };
+  hooks.take = [this] {
+    WriteBatch batch = loaded ? scheduler->TakeBatch(97, 600000) : WriteBatch{};
+    const auto entries = static_cast<int>(batch.writes.size() + batch.removals.size());
+    Charge(costs.transaction + costs.transaction_entry * entries);
+    return batch;
+  };
   hooks.on_stored = [this](std::uint64_t position) { scheduler->OnStored(position); };
   hooks.on_lost = [this] {
     m_cell.loop.After(milliseconds(0), [this, at = epoch] { Deliver(at, [this] { Lose(); }); });
@@ -394,7 +489,10 @@
     void Commit(RowTransaction transaction, milliseconds timeout,
                 std::function<void(Result<CommitOutcome>)> done) override {
       auto deliver = [self = self, at = self->epoch, done](const Result<CommitOutcome>& result) {
-        self->Deliver(at, [done, result] { done(result); });
+        self->Deliver(at, [self, done, result] {
+          self->Charge(self->costs.store_answer);
+          done(result);
+        });
       };
       if (self->cut_from_store) {
         cell->loop.After(timeout, [deliver] {
@@ -407,7 +505,10 @@
     void Read(RowRange range, milliseconds timeout,
               std::function<void(Result<RowPage>)> done) override {
       auto deliver = [self = self, at = self->epoch, done](const Result<RowPage>& result) {
-        self->Deliver(at, [done, result] { done(result); });
+        self->Deliver(at, [self, done, result] {
+          self->Charge(self->costs.store_answer);
+          done(result);
+        });
       };
       const bool fails = self->cut_from_store || cell->store.faults.down;
       cell->loop.After(self->cut_from_store ? timeout : cell->store.faults.latency,
@@ -427,35 +528,81 @@
   Load();
 }
 
-inline void Instance::Load() {
-  m_cell.loop.After(milliseconds(10), [this, at = epoch] {
-    Deliver(at, [this] {
-      if (m_cell.store.faults.down || cut_from_store) return Load();
-      std::map<std::string, schema::ProgressRow> progress;
-      for (const Row& row : m_cell.store.Read(kProgressTable, "s0").rows) {
-        progress[row.key.key].ParseFromString(row.value);
-      }
-      for (const Row& row : m_cell.store.Read(kFinishedTable, "s0").rows) {
-        schema::FinishedRow finished;
-        finished.ParseFromString(row.value);
-        scheduler->LoadFinished(row.key.key, finished);
-      }
-      const milliseconds lapse =
-          std::chrono::duration_cast<milliseconds>(kMaxLease * (1.0 + kWorkerClockDrift)) +
-          kLeaseMargin + kLeadWithoutStore;
-      for (const Row& row : m_cell.store.Read(kJobTable, "s0").rows) {
-        schema::JobRow job;
-        job.ParseFromString(row.value);
-        const auto found = progress.find(row.key.key);
-        scheduler->LoadJob(job, found == progress.end() ? nullptr : &found->second,
-                           m_cell.loop.Now() + lapse);
-      }
-      loaded = true;
-      m_cell.Describe(*this);
-      commits->Wake();
-      PlanSoon();
+// Reads something from the store, as the real one does: the answer counts unless its time-out has
+// run before it. @param cost of taking the answer in.
+inline void Instance::ReadWithin(milliseconds takes, microseconds cost, std::function<void()> done,
+                                 std::function<void()> again) {
+  auto answered = std::make_shared<bool>(false);
+  m_cell.loop.At(SendTime() + takes, [this, at = epoch, answered, cost, done] {
+    Deliver(at, [this, answered, cost, done] {
+      if (std::exchange(*answered, true)) return;
+      Charge(costs.store_answer + cost);
+      done();
     });
   });
+  DeliverAfter(kStoreReadTimeout, [this, answered, again = std::move(again)] {
+    if (std::exchange(*answered, true)) return;
+    DeliverAfter(kFollowRetryMin, again);
+  });
+}
+
+inline void Instance::Load() {
+  if (!processor) {
+    m_cell.loop.After(milliseconds(10),
+                      [this, at = epoch] { Deliver(at, [this] { LoadRows(); }); });
+    return;
+  }
+  std::size_t rows = 0;
+  for (const char* table : {kJobTable, kProgressTable, kFinishedTable}) {
+    rows += m_cell.store.Read(table, "s0").rows.size();
+  }
+  const auto pages = static_cast<int>(1 + rows / kMaxRowsPerRead);
+  ReadWithin(
+      m_cell.store.faults.latency * pages, costs.row_read * static_cast<int>(rows),
+      [this] { LoadRows(); }, [this] { Load(); });
+}
+
+inline void Instance::LoadRows() {
+  if (m_cell.store.faults.down || cut_from_store) return Load();
+  std::map<std::string, schema::ProgressRow> progress;
+  for (const Row& row : m_cell.store.Read(kProgressTable, "s0").rows) {
+    progress[row.key.key].ParseFromString(row.value);
+  }
+  for (const Row& row : m_cell.store.Read(kFinishedTable, "s0").rows) {
+    schema::FinishedRow finished;
+    finished.ParseFromString(row.value);
+    scheduler->LoadFinished(row.key.key, finished);
+  }
+  const milliseconds lapse =
+      std::chrono::duration_cast<milliseconds>(kMaxLease * (1.0 + kWorkerClockDrift)) +
+      kLeaseMargin + kLeadWithoutStore;
+  for (const Row& row : m_cell.store.Read(kJobTable, "s0").rows) {
+    schema::JobRow job;
+    job.ParseFromString(row.value);
+    const auto found = progress.find(row.key.key);
+    scheduler->LoadJob(job, found == progress.end() ? nullptr : &found->second,
+                       m_cell.loop.Now() + lapse);
+  }
+  loaded = true;
+  if (processor) {
+    ReadWorkerList();
+  } else {
+    m_cell.Describe(*this);
+  }
+  commits->Wake();
+  PlanSoon();
+}
+
+inline void Instance::ReadWorkerList() {
+  ReadWithin(
+      m_cell.store.faults.latency, costs.row_read * static_cast<int>(m_cell.nodes.size()),
+      [this] { m_cell.Describe(*this); }, [this] { ReadWorkerList(); });
+}
+
+inline void Instance::ChargeCall(const std::string& worker, bool is_hold) {
+  if (!processor) return;
+  Charge(costs.call_sent);
+  if (m_connected.emplace(worker, is_hold).second) Charge(costs.connection);
 }
 
 template <class Answer>
@@ -463,12 +610,19 @@
                           std::function<void(const Result<Answer>&)> done) {
   Loop& loop = m_cell.loop;
   const WorkerNode& node = m_cell.nodes[worker];
-  const auto deliver = [this, at = epoch, done](const Result<Answer>& result) {
-    Deliver(at, [done, result] { done(result); });
+  ChargeCall(worker, false);
+  auto answered = std::make_shared<bool>(false);
+  const auto take = [this, answered, done](const Result<Answer>& result) {
+    if (std::exchange(*answered, true)) return;
+    Charge(costs.call_answer);
+    done(result);
   };
-  const auto unanswered = [&loop, deliver] {
-    loop.After(kWorkerCallTimeout, [deliver] {
-      deliver(Error{schema::CODE_WORKER_UNREACHABLE, "no answer"});
+  const auto deliver = [this, at = epoch, take](const Result<Answer>& result) {
+    Deliver(at, [take, result] { take(result); });
+  };
+  const auto unanswered = [this, take] {
+    DeliverAfter(kWorkerCallTimeout, [take] {
+      take(Error{schema::CODE_WORKER_UNREACHABLE, "no answer"});
     });
   };
   const std::shared_ptr<WorkerLife> life = node.life;
@@ -480,13 +634,13 @@
     return unanswered();
   }
   const bool is_lost = loop.Chance(m_cell.network.lost);
-  loop.After(m_cell.network.latency, [&loop, life, act, deliver, is_lost, this] {
+  loop.At(SendTime() + m_cell.network.latency, [&loop, life, act, deliver, is_lost, this] {
     if (life->dead) return;
     const Answer answer = act(*life);
     if (is_lost) return;
     loop.After(m_cell.network.latency, [deliver, answer] { deliver(answer); });
   });
-  if (is_lost) unanswered();
+  if (is_lost || processor) unanswered();
 }
 
 inline void Instance::SendHold(const std::string& worker, const HoldOrder& order,
@@ -494,16 +648,23 @@
   Loop& loop = m_cell.loop;
   const std::shared_ptr<WorkerLife> life = m_cell.nodes[worker].life;
   auto answered = std::make_shared<bool>(false);
-  const auto deliver = [this, at = epoch, answered, id](const Result<HoldAnswer>& result) {
+  ChargeCall(worker, true);
+  const auto take = [this, answered, id](const Result<HoldAnswer>& result) {
     if (std::exchange(*answered, true)) return;
-    Deliver(at, [this, id, result] { scheduler->Workers().OnHold(id, result); });
+    const std::size_t runs =
+        result ? result.value().running.size() + result.value().ended.size() : 0;
+    Charge(costs.call_answer + costs.run_listed * static_cast<int>(runs));
+    scheduler->Workers().OnHold(id, result);
+  };
+  const auto deliver = [this, at = epoch, take](const Result<HoldAnswer>& result) {
+    Deliver(at, [take, result] { take(result); });
   };
-  loop.After(order.wait + kWorkerCallTimeout, [deliver] {
-    deliver(Error{schema::CODE_WORKER_UNREACHABLE, "no answer"});
+  DeliverAfter(order.wait + kWorkerCallTimeout, [take] {
+    take(Error{schema::CODE_WORKER_UNREACHABLE, "no answer"});
   });
   if (life->dead || m_cell.nodes[worker].cut_from.contains(number)) return;
   const milliseconds way = m_cell.network.latency;
-  loop.After(way, [this, &loop, worker, life, order, deliver, way] {
+  loop.At(SendTime() + way, [this, &loop, worker, life, order, deliver, way] {
     if (life->dead) return;
     const std::optional<HoldAnswer> answer = life->Hold(order);
     if (answer) {
@@ -521,6 +682,29 @@
   });
 }
 
+inline void Instance::Ask(const TaskRef& step, const std::vector<std::string>& workers,
+                          QuestionKind kind) {
+  if (!m_lanes) return;
+  Charge(costs.call_sent);
+  if (m_lanes->Counts().free == 0) {
+    return scheduler->OnAdvice(step, workers, Error{schema::CODE_OVERLOADED, "no lane is free"});
+  }
+  m_lanes->Add(kind, 1);
+  auto answered = std::make_shared<bool>(false);
+  const auto take = [this, answered, step, workers, kind](const Result<AdviceAnswer>& result) {
+    if (std::exchange(*answered, true)) return;
+    Charge(costs.call_answer + costs.asked_worker * static_cast<int>(workers.size()));
+    m_lanes->Add(kind, -1U);
+    scheduler->OnAdvice(step, workers, result);
+  };
+  m_cell.policy->Ask(SendTime(), step, workers, [this, at = epoch, take](const auto& answer) {
+    Deliver(at, [take, answer] { take(answer); });
+  });
+  DeliverAfter(kAdviceTimeout, [take] {
+    take(Error{schema::CODE_OVERLOADED, "no answer in time"});
+  });
+}
+
 inline SchedulerHooks Instance::MakeSchedulerHooks(std::uint64_t term) {
   SchedulerHooks hooks;
   hooks.now = [this] { return m_cell.loop.Now(); };
@@ -545,8 +729,9 @@
   hooks.hold = [this](const Worker& worker, const HoldOrder& order, std::uint64_t id) {
     SendHold(worker.description.id, order, id);
   };
-  hooks.ask = [](const TaskRef&, const std::vector<std::string>&, QuestionKind) {};
-  hooks.lanes = [] { return LaneCounts{}; };
+  hooks.ask = [this](const TaskRef& step, const std::vector<std::string>& workers,
+                     QuestionKind kind) { Ask(step, workers, kind); };
+  hooks.lanes = [this] { return m_lanes ? m_lanes->Counts() : LaneCounts{}; };
   hooks.has_writes = [this] {
     if (commits) commits->Wake();
   };
--- /dev/null
+++ b/tests/cell/grown.h
@@ -0,0 +1,533 @@
+// A cell of 350 workers under the load of a grown site, in model time, with instances that have a
+// share of a core; and checks of what callers are owed, made from what the workers do.
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <map>
+#include <memory>
+#include <numbers>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cell.h"
+
+namespace citronsill::model {
+
+using std::chrono::seconds;
+
+// Jobs of one kind. The figures are those of the site jkanu-grown.
+struct JobKind {
+  const char* name;
+  std::uint32_t priority;
+  std::uint32_t attempts;
+  double per_s;
+  double work_ms;  // Mean run time of a task...
+  double most_work_ms;
+  double steps;  // Mean.
+  double width;  // Mean number of tasks of a step...
+  double width_spread;
+  double most_width;
+  double milli;  // Mean size of a task.
+  double most_milli;
+  double memory_mb;
+  double most_memory_mb;
+  double uneven;           // Spread of run times within a step.
+  double estimate_off;     // Spread of the error of estimates.
+  double gangs;            // Share of jobs.
+  double stretch;          // Objective.
+  std::int64_t aim_ms;     //
+  int lasting;             // Jobs that last.
+  std::int64_t every_ms;   // Of timed jobs.
+  std::int64_t decide_us;  // Of the policy service.
+  std::int64_t each_us;
+  double allowed;
+};
+
+// Run times are cut at 1.5 times their mean: the tail of the site, of seven times the mean, would
+// only make the end of a test later.
+inline constexpr std::array<JobKind, 3> kJobKinds{{
+    {"hull-fairing", 1,     3,   3.32, 5300, 8000, 1.2,  20, 0.8,  120,    4500,  7600,
+     6300,           13000, 0.3, 0.2,  1.0,  2.2,  1000, 18, 4500, 702000, 10140, 0.3},
+    {"lashing-check",
+     2,
+     4,
+     8.69,
+     2300,
+     3500,
+     1.5,
+     25,
+     0.8,
+     150,
+     1700,
+     5200,
+     1800,
+     5300,
+     0.15,
+     0.5,
+     0.0,
+     4.0,
+     3000,
+     25,
+     3000,
+     130000,
+     1820,
+     0.45},
+    {"cut-list", 0,     3,    77.9, 850, 1300, 1.0, 3.2, 0.8,  19,    2500, 7400,
+     3600,       11000, 0.15, 0.2,  0.3, 1.5,  250, 0,   3000, 14300, 208,  0.7},
+}};
+
+struct GrownOptions {
+  std::vector<double> shares{0.5, 0.5, 0.5};  // Of a core, by instance; the first one begins.
+  double load = 1.0;                          // Times the rates of `kJobKinds`.
+  double swing = 0.55;                        // Of the wave of submissions, in 13 s.
+  double burst = 1.0;                         // Times the rate of `burst_kind` for 4 s.
+  int burst_kind = 2;
+  milliseconds burst_at{8000};
+  double timed = 0.0;  // Share of jobs that are timed, with 6 occurrences.
+  milliseconds transaction{5};
+  milliseconds way{1};  // To workers and to the store.
+  bool lasting = false;
+  milliseconds submissions{20000};
+  std::uint64_t seed = 1;
+};
+
+// What went wrong for callers, and how the scheduler fared.
+struct GrownReport {
+  std::size_t accepted = 0;
+  std::size_t submitted = 0;
+  std::size_t given_up = 0;  // Of them, refused or not answered five times.
+  std::size_t starved = 0;   // Jobs of which nothing ran for 3 s though there was room.
+  std::size_t lasting_away = 0;
+  std::size_t unknown = 0;
+  std::size_t unanswered = 0;  // Questions for the state of a job, for 3 s.
+  std::size_t late = 0;        // Jobs that ended too late, or never.
+  milliseconds longest_lag{0};
+  std::size_t most_waiting_units = 0;
+  std::string first;  // The first of the failures.
+
+  [[nodiscard]] std::string Text() const {
+    const auto number = [](std::size_t value) { return std::to_string(value); };
+    return number(accepted) + " of " + number(submitted) + " jobs accepted, " + number(given_up) +
+           " given up, " + number(starved) + " starved, " + number(late) + " late, " +
+           number(unknown) + " unknown, " + number(lasting_away) + " lasting tasks away, " +
+           number(unanswered) + " questions unanswered, longest lag " +
+           std::to_string(longest_lag.count()) + " ms, at most " + number(most_waiting_units) +
+           " waiting units; first: " + (first.empty() ? "none" : first);
+  }
+};
+
+class GrownCell {
+ public:
+  static constexpr std::uint32_t kInstances = 43;
+  static constexpr int kWorkers = 350;
+  static constexpr milliseconds kFinish{14000};         // `finish_s` of the site.
+  static constexpr milliseconds kStarved{3000};         // A task that could run has to be started.
+  static constexpr milliseconds kLastingAway{6000};     // A lasting task may be away.
+  static constexpr milliseconds kAfterFault{4000};      // Nothing is owed for so long.
+  static constexpr milliseconds kCallerPatience{3000};  // `deadline_ms` of the site.
+  static constexpr milliseconds kCheckPeriod{500};
+  static constexpr int kTries = 5;  // `retries` of the site, and the first one.
+
+  explicit GrownCell(GrownOptions grown_options)
+      : options(std::move(grown_options)),
+        cell(options.seed, static_cast<int>(options.shares.size()), kWorkers,
+             Resources{16000, 32768, 0}) {
+    for (std::size_t i = 0; i < options.shares.size(); ++i) {
+      cell.instances[i]->processor = std::make_unique<Processor>(cell.loop, options.shares[i]);
+    }
+    cell.links = kInstances - 1;
+    cell.policy = std::make_unique<PolicyService>(cell.loop, kInstances);
+    cell.policy->terms = [this](const TaskRef& step) { return m_jobs.at(step.job)->terms; };
+    cell.store.keeps_history = false;
+    cell.store.faults.latency = options.transaction + 2 * options.way;
+    cell.network.latency = options.way;
+    cell.history.truth = [this](const TaskRef& task) { return TruthOf(task); };
+    cell.history.on_phase = [this](const TaskRef& task, TaskPhase phase) { OnPhase(task, phase); };
+    m_began = cell.loop.Now() + kWarmUp;
+    m_calm_from = m_began + kAfterFault;
+  }
+
+  GrownOptions options;
+  Cell cell;
+  GrownReport report;
+
+  // Plays the submissions and the time until every job has to have ended.
+  void Run() {
+    cell.loop.At(m_began, [this] {
+      if (options.lasting) SubmitLasting();
+      Generate();
+    });
+    cell.loop.At(m_began, [this] { Check(); });
+    cell.loop.RunUntil(End() + kFinish + m_longest_chain + kCheckPeriod);
+    // The longest chain is only known now.
+    cell.loop.RunUntil(End() + kFinish + m_longest_chain + kCheckPeriod);
+    for (const std::string& violation : cell.history.violations) NoteFirst(violation);
+  }
+
+  // Something is done to the cell: nothing is owed for a while.
+  void Fault() { m_calm_from = cell.loop.Now() + kAfterFault; }
+
+  // @returns workers that the present scheduler may start tasks on.
+  std::size_t Attached() {
+    Instance* leader = cell.Leader();
+    if (leader == nullptr) return 0;
+    const auto& workers = leader->scheduler->Workers().Workers();
+    return static_cast<std::size_t>(
+        std::count_if(workers.begin(), workers.end(),
+                      [](const auto& entry) { return entry.second->TakesWork(); }));
+  }
+
+  // At this time after the first submission.
+  void At(milliseconds time, std::function<void()> action) {
+    cell.loop.At(m_began + time, std::move(action));
+  }
+
+ private:
+  struct JobRecord {
+    schema::JobSpec spec;
+    PolicyTerms terms;
+    TaskTruth truth;
+    double uneven = 0.0;
+    bool lasting = false;
+    bool accepted = false;
+    bool late = false;
+    int tries = 0;
+    SteadyTime starved_since;  // 0 while it is not.
+    bool starved = false;
+    milliseconds chain{0};  // Longest, of all occurrences; from the first submission.
+    int running = 0;
+    // By occurrence and step.
+    std::map<std::pair<std::uint32_t, std::uint32_t>, std::vector<TaskPhase>> phases;
+    std::vector<SteadyTime> away_since;  // Of lasting tasks that ran.
+  };
+
+  static constexpr milliseconds kWarmUp{2000};  // The first scheduler attaches to its workers.
+  static constexpr milliseconds kStep{10};      // Of submissions.
+  static constexpr double kWavePeriodS = 13.0;
+  static constexpr double kWavePhase = 0.22;
+  static constexpr milliseconds kLastingRun{3'600'000};
+
+  [[nodiscard]] SteadyTime End() const { return m_began + options.submissions; }
+
+  void NoteFirst(const std::string& what) {
+    if (!report.first.empty()) return;
+    const auto at = std::chrono::duration_cast<milliseconds>(cell.loop.Now() - m_began);
+    report.first = what + " at " + std::to_string(at.count()) + " ms";
+  }
+
+  // ---- Load
+
+  // @returns a number of a distribution with this mean; about log-normal.
+  double Spread(double mean, double spread, double most) {
+    double normal = -6.0;
+    for (int i = 0; i < 12; ++i) normal += static_cast<double>(cell.loop.Between(0, 9999)) / 1e4;
+    const double sigma = std::sqrt(std::log(1.0 + spread * spread));
+    return std::min(most, mean * std::exp(sigma * normal - sigma * sigma / 2.0));
+  }
+
+  [[nodiscard]] double RateFactor() const {
+    const double t = std::chrono::duration<double>(cell.loop.Now() - m_began).count();
+    return 1.0 + options.swing * std::sin(2.0 * std::numbers::pi * (t / kWavePeriodS + kWavePhase));
+  }
+
+  [[nodiscard]] bool IsBurst(int kind) const {
+    const auto at = cell.loop.Now() - m_began;
+    return kind == options.burst_kind && at >= options.burst_at &&
+           at < options.burst_at + seconds(4);
+  }
+
+  void Generate() {
+    if (cell.loop.Now() >= End()) return;
+    for (int kind = 0; kind < static_cast<int>(kJobKinds.size()); ++kind) {
+      const double rate = kJobKinds[kind].per_s * options.load * RateFactor() *
+                          (IsBurst(kind) ? options.burst : 1.0);
+      m_due[kind] += rate * std::chrono::duration<double>(kStep).count();
+      for (; m_due[kind] >= 1.0; m_due[kind] -= 1.0) {
+        Submit(MakeRecord(kJobKinds[kind], false, cell.loop.Chance(options.timed)));
+      }
+    }
+    cell.loop.After(kStep, [this] { Generate(); });
+  }
+
+  void SubmitLasting() {
+    for (const JobKind& kind : kJobKinds) {
+      for (int i = 0; i < kind.lasting; ++i) Submit(MakeRecord(kind, true, false));
+    }
+  }
+
+  JobRecord* MakeRecord(const JobKind& kind, bool lasting, bool timed) {
+    auto record = std::make_unique<JobRecord>();
+    schema::JobSpec& spec = record->spec;
+    spec.set_id(std::string(lasting ? "lasting-" : "") + kind.name + "-" +
+                std::to_string(m_jobs.size()));
+    spec.set_payload(std::string(kind.priority == 0 ? 250 : 600, 'x'));
+    schema::QueueSpec* queue = spec.mutable_queue();
+    queue->set_name(kind.name);
+    queue->set_service("pool");
+    queue->set_priority(kind.priority);
+    queue->set_max_attempts(kind.attempts);
+    queue->set_stretch(kind.stretch);
+    queue->set_target_ms(kind.aim_ms);
+    queue->mutable_advice()->set_decide_us(kind.decide_us);
+    queue->mutable_advice()->set_each_us(kind.each_us);
+    queue->mutable_advice()->set_valid_ms(1500);
+    record->terms = {true, milliseconds(kind.decide_us / 1000),
+                     std::chrono::microseconds(kind.each_us), milliseconds(1500), kind.allowed};
+    record->lasting = lasting;
+    record->uneven = kind.uneven;
+    const bool is_gang = !lasting && cell.loop.Chance(kind.gangs);
+    const double work = std::max(100.0, Spread(kind.work_ms, 0.5, kind.most_work_ms));
+    record->truth.duration = lasting ? kLastingRun : milliseconds(static_cast<std::int64_t>(work));
+    record->truth.size = {
+        static_cast<std::int64_t>(std::max(100.0, Spread(kind.milli, 0.4, kind.most_milli))),
+        static_cast<std::int64_t>(
+            std::max(100.0, Spread(kind.memory_mb, 0.5, kind.most_memory_mb))),
+        0};
+    record->truth.gang = is_gang;
+    const int steps = lasting ? 1 : 1 + (cell.loop.Chance(kind.steps - 1.0) ? 1 : 0);
+    const double most_width = lasting ? 4.0 : kind.most_width;
+    for (int number = 0; number < steps; ++number) {
+      schema::StepSpec* step = spec.add_steps();
+      step->set_task_count(static_cast<std::uint32_t>(
+          std::max(1.0, Spread(kind.width, kind.width_spread, most_width))));
+      step->mutable_size()->set_processors_milli(record->truth.size.processors_milli);
+      step->mutable_size()->set_memory_mb(record->truth.size.memory_mb);
+      step->set_estimate_ms(
+          static_cast<std::int64_t>(Spread(work, kind.estimate_off, 10.0 * work)));
+      step->set_gang(is_gang);
+      step->set_long_running(lasting);
+      if (number > 0) step->add_after(static_cast<std::uint32_t>(number - 1));
+    }
+    if (lasting) record->away_since.resize(spec.steps(0).task_count());
+    record->chain = record->truth.duration * 2 * steps;
+    if (timed) {
+      spec.set_occurrences(6);
+      spec.set_first_start_unix_ms(UnixMs() + 1000);
+      spec.set_interval_ms(kind.every_ms);
+      record->chain += milliseconds(1000 + 5 * kind.every_ms);
+    }
+    if (!lasting) m_longest_chain = std::max(m_longest_chain, record->chain);
+    JobRecord* raw = record.get();
+    m_jobs[spec.id()] = std::move(record);
+    return raw;
+  }
+
+  [[nodiscard]] std::int64_t UnixMs() const {
+    return std::chrono::duration_cast<milliseconds>(cell.loop.Now().time_since_epoch()).count();
+  }
+
+  // A caller hands a job in until it is accepted or it has tried often enough.
+  void Submit(JobRecord* job) {
+    if (job->accepted) return;
+    cell.history.submitted.insert(job->spec.id());
+    if (job->tries == 0) ++report.submitted;
+    if (job->tries >= kTries) {
+      ++report.given_up;
+      return;
+    }
+    Instance* leader = cell.Leader();
+    if (leader == nullptr) return RetrySubmit(job, milliseconds(300), job->tries);
+    ++job->tries;
+    leader->Deliver(leader->epoch, [this, leader, job] {
+      leader->Charge(leader->costs.submission);
+      leader->scheduler->Submit(job->spec, milliseconds(0),
+                                [this, job, tries = job->tries](const auto& result) {
+                                  if (!result) return RetrySubmit(job, milliseconds(1000), tries);
+                                  if (!job->accepted) ++report.accepted;
+                                  job->accepted = true;
+                                });
+    });
+    RetrySubmit(job, kCallerPatience, job->tries);
+  }
+
+  // @param tries that were made until now; a try that has an answer is followed by no other one.
+  void RetrySubmit(JobRecord* job, milliseconds delay, int tries) {
+    cell.loop.After(delay, [this, job, tries] {
+      if (job->tries == tries) Submit(job);
+    });
+  }
+
+  // ---- Truth
+
+  TaskTruth TruthOf(const TaskRef& task) {
+    const JobRecord& job = *m_jobs.at(task.job);
+    TaskTruth truth = job.truth;
+    if (job.lasting || truth.gang) return truth;
+    const std::uint64_t hash =
+        StableHash(task.job + std::to_string(task.step) + "/" + std::to_string(task.index));
+    const double factor = 1.0 + job.uneven * (static_cast<double>(hash % 2001) / 1000.0 - 1.0);
+    truth.duration = milliseconds(
+        static_cast<std::int64_t>(static_cast<double>(truth.duration.count()) * factor));
+    return truth;
+  }
+
+  std::vector<TaskPhase>& PhasesOf(JobRecord* job, std::uint32_t occurrence, std::uint32_t step) {
+    std::vector<TaskPhase>& phases = job->phases[{occurrence, step}];
+    if (phases.empty()) {
+      phases.resize(job->spec.steps(static_cast<int>(step)).task_count(), TaskPhase::kAway);
+    }
+    return phases;
+  }
+
+  void OnPhase(const TaskRef& task, TaskPhase phase) {
+    JobRecord* job = m_jobs.at(task.job).get();
+    std::vector<TaskPhase>& phases = PhasesOf(job, task.occurrence, task.step);
+    TaskPhase& known = phases[task.index];
+    if (known == TaskPhase::kNoted) return;
+    job->running += (phase == TaskPhase::kRunning ? 1 : 0) - (known == TaskPhase::kRunning ? 1 : 0);
+    known = phase;
+    if (phase == TaskPhase::kRunning) job->starved_since = {};
+    if (job->lasting) {
+      job->away_since[task.index] = phase == TaskPhase::kRunning ? SteadyTime{} : cell.loop.Now();
+    }
+    // The members of a gang end together: one end stands for all of them.
+    if (phase == TaskPhase::kNoted && job->truth.gang) {
+      job->running -=
+          static_cast<int>(std::count(phases.begin(), phases.end(), TaskPhase::kRunning));
+      std::fill(phases.begin(), phases.end(), TaskPhase::kNoted);
+    }
+  }
+
+  static bool IsOver(const std::vector<TaskPhase>& phases) {
+    return std::all_of(phases.begin(), phases.end(),
+                       [](TaskPhase phase) { return phase == TaskPhase::kNoted; });
+  }
+
+  // @returns whether a task of the job waits whose turn has come, and which step it is of.
+  std::optional<std::pair<std::uint32_t, std::uint32_t>> WaitingStep(JobRecord* job) {
+    const std::uint32_t occurrences = std::max(1U, job->spec.occurrences());
+    for (std::uint32_t occurrence = 0; occurrence < occurrences; ++occurrence) {
+      const std::int64_t due = job->spec.first_start_unix_ms() +
+                               job->spec.interval_ms() * static_cast<std::int64_t>(occurrence);
+      if (job->spec.occurrences() > 0 && UnixMs() < due) break;
+      for (int number = 0; number < job->spec.steps_size(); ++number) {
+        const auto step = static_cast<std::uint32_t>(number);
+        const std::vector<TaskPhase>& phases = PhasesOf(job, occurrence, step);
+        if (std::count(phases.begin(), phases.end(), TaskPhase::kAway) > 0) {
+          return std::pair(occurrence, step);
+        }
+        if (!IsOver(phases)) break;  // The steps after it have to wait.
+      }
+    }
+    return std::nullopt;
+  }
+
+  // @returns whether the tasks of a step fit twice over on the workers that may run them.
+  bool HasRoomTwice(const JobRecord& job, std::uint32_t step) {
+    const std::uint32_t tasks =
+        job.truth.gang ? job.spec.steps(static_cast<int>(step)).task_count() : 1;
+    std::int64_t fitting = 0;
+    for (const auto& [id, free] : m_free) {
+      const std::int64_t count = std::min(
+          free.processors_milli / std::max<std::int64_t>(1, job.truth.size.processors_milli),
+          free.memory_mb / std::max<std::int64_t>(1, job.truth.size.memory_mb));
+      if (count <= 0 || !IsAllowed(job.terms, TaskRef{job.spec.id(), 0, step, 0}, id)) continue;
+      fitting += count;
+      if (fitting >= 2 * static_cast<std::int64_t>(tasks)) return true;
+    }
+    return false;
+  }
+
+  // ---- Checks
+
+  void Check() {
+    const SteadyTime now = cell.loop.Now();
+    const bool is_calm = now >= m_calm_from;
+    LookAtWorkers();
+    Instance* leader = cell.Leader();
+    if (leader != nullptr) {
+      report.most_waiting_units =
+          std::max(report.most_waiting_units, leader->scheduler->LastLoad().waiting_units);
+      report.longest_lag = std::max(report.longest_lag, leader->processor->TakeLag());
+      AskState(leader);
+    }
+    for (auto& [id, job] : m_jobs) {
+      if (!job->accepted || job->late) continue;
+      const auto state = leader != nullptr ? leader->scheduler->State(id) : std::nullopt;
+      if (leader != nullptr && !state) {
+        ++report.unknown;
+        NoteFirst("unknown job " + id);
+      }
+      if (job->lasting) {
+        CheckLasting(job.get(), is_calm);
+      } else if (state == schema::JOB_STATE_SUCCEEDED) {
+        continue;
+      } else if (now > End() + kFinish + job->chain) {
+        job->late = true;
+        ++report.late;
+        NoteFirst("job " + id + " has not ended");
+      }
+      CheckStarved(job.get(), is_calm);
+    }
+    cell.loop.After(kCheckPeriod, [this] { Check(); });
+  }
+
+  void LookAtWorkers() {
+    m_free.clear();
+    Resources all;
+    Resources free;
+    for (const auto& [id, node] : cell.nodes) {
+      if (node.life->dead) continue;
+      m_free.emplace_back(id, node.life->Free());
+      all += kCapacity;
+      free += m_free.back().second;
+    }
+    m_is_half_free =
+        2 * free.processors_milli > all.processors_milli && 2 * free.memory_mb > all.memory_mb;
+  }
+
+  void CheckStarved(JobRecord* job, bool is_calm) {
+    const SteadyTime now = cell.loop.Now();
+    const auto waiting =
+        is_calm && m_is_half_free && job->running == 0 ? WaitingStep(job) : std::nullopt;
+    if (!waiting || !HasRoomTwice(*job, waiting->second)) {
+      job->starved_since = {};
+      return;
+    }
+    if (job->starved_since == SteadyTime{}) job->starved_since = now;
+    if (now < job->starved_since + kStarved || job->starved) return;
+    job->starved = true;
+    ++report.starved;
+    NoteFirst("starved job " + job->spec.id() + " step " + std::to_string(waiting->second));
+  }
+
+  void CheckLasting(JobRecord* job, bool is_calm) {
+    if (!is_calm) return;
+    for (std::size_t index = 0; index < job->away_since.size(); ++index) {
+      const SteadyTime since = job->away_since[index];
+      if (since == SteadyTime{} || cell.loop.Now() < since + kLastingAway) continue;
+      job->away_since[index] = SteadyTime{};
+      ++report.lasting_away;
+      NoteFirst("lasting task away: " + job->spec.id() + "." + std::to_string(index));
+    }
+  }
+
+  // A caller asks for the state of a job.
+  void AskState(Instance* leader) {
+    auto answered = std::make_shared<bool>(false);
+    leader->Deliver(leader->epoch, [leader, answered] {
+      leader->Charge(leader->costs.link_ping);
+      *answered = true;
+    });
+    cell.loop.After(kCallerPatience, [this, answered] {
+      if (*answered || cell.loop.Now() < m_calm_from + kCallerPatience) return;
+      ++report.unanswered;
+      NoteFirst("a question for a state was not answered");
+    });
+  }
+
+  static constexpr Resources kCapacity{16000, 32768, 0};
+
+  SteadyTime m_began;
+  SteadyTime m_calm_from;  // Nothing is owed before.
+  std::map<std::string, std::unique_ptr<JobRecord>> m_jobs;
+  std::array<double, kJobKinds.size()> m_due{};  // Submissions, and parts of one.
+  milliseconds m_longest_chain{0};
+  std::vector<std::pair<std::string, Resources>> m_free;  // By worker.
+  bool m_is_half_free = false;                            // Under half of the cell is in use.
+};
+
+}  // namespace citronsill::model
--- /dev/null
+++ b/tests/cell/policy.h
@@ -0,0 +1,92 @@
+// The policy service in model time: it says which workers may run the steps of a job.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "cell/scheduler.h"
+#include "loop.h"
+
+namespace citronsill::model {
+
+// What the service does with the questions about one job.
+struct PolicyTerms {
+  bool asks = false;  // Whether tasks of the job need a ticket.
+  milliseconds decide{0};
+  std::chrono::microseconds each{0};  // For each worker that is asked about.
+  milliseconds valid{1500};           // Of a ticket.
+  double allowed = 1.0;               // Share of workers.
+};
+
+// @returns whether the service allows a worker to run a step. The answer never changes.
+inline bool IsAllowed(const PolicyTerms& terms, const TaskRef& step, const std::string& worker) {
+  if (!terms.asks) return true;
+  const std::uint64_t hash =
+      StableHash(step.job + "/" + std::to_string(step.step) + "/" + worker) % 1000;
+  return static_cast<double>(hash) < terms.allowed * 1000.0;
+}
+
+class PolicyService {
+ public:
+  // @param lanes instances that can ask, one question at a time each.
+  PolicyService(Loop& loop, std::uint32_t lanes) : m_loop(loop), m_lanes(lanes) {}
+
+  std::function<PolicyTerms(const TaskRef&)> terms;
+
+  // Lanes as one scheduler sees them, with the parts kept for short questions as in `AdviceLanes`.
+  class Lanes {
+   public:
+    explicit Lanes(std::uint32_t all) : m_all(all) {}
+
+    [[nodiscard]] LaneCounts Counts() const {
+      constexpr std::uint32_t kKeptDivisor = 8;
+      const auto kept = [](std::uint32_t of) {
+        return of > 1 ? std::max(1U, of / kKeptDivisor) : 0;
+      };
+      const std::uint32_t most_batch = m_all - kept(m_all);
+      const std::uint32_t most_long = most_batch - kept(most_batch);
+      LaneCounts counts;
+      counts.free = m_all - m_busy;
+      counts.free_batch = std::min(counts.free, most_batch - std::min(most_batch, m_busy_batch));
+      counts.free_long = std::min(counts.free_batch, most_long - std::min(most_long, m_busy_long));
+      return counts;
+    }
+    void Add(QuestionKind kind, std::uint32_t change) {
+      m_busy += change;
+      if (kind != QuestionKind::kInteractive) m_busy_batch += change;
+      if (kind == QuestionKind::kLong) m_busy_long += change;
+    }
+
+   private:
+    std::uint32_t m_all;
+    std::uint32_t m_busy = 0;
+    std::uint32_t m_busy_batch = 0;  // Of them, not interactive.
+    std::uint32_t m_busy_long = 0;
+  };
+
+  [[nodiscard]] Lanes MakeLanes() const { return Lanes(m_lanes); }
+
+  // @param done gets the answer when the service has decided.
+  void Ask(SteadyTime sent, const TaskRef& step, const std::vector<std::string>& workers,
+           std::function<void(const AdviceAnswer&)> done) {
+    const PolicyTerms found = terms ? terms(step) : PolicyTerms{};
+    AdviceAnswer answer;
+    answer.valid = found.valid;
+    for (const std::string& worker : workers) {
+      if (IsAllowed(found, step, worker)) answer.tickets.push_back({worker, "ticket"});
+    }
+    const auto takes = found.decide + found.each * static_cast<std::int64_t>(workers.size());
+    m_loop.At(sent + kWay + takes + kWay, [answer, done = std::move(done)] { done(answer); });
+  }
+
+ private:
+  static constexpr milliseconds kWay{1};  // To an instance that asks, and from there.
+
+  Loop& m_loop;
+  std::uint32_t m_lanes;
+};
+
+}  // namespace citronsill::model
--- a/tests/cell/store.h
+++ b/tests/cell/store.h
@@ -26,6 +26,7 @@
   explicit Store(Loop& loop) : m_loop(loop) {}
 
   StoreFaults faults;
+  bool keeps_history = true;  // For `Changes`.
 
   void Commit(const RowTransaction& transaction, milliseconds timeout,
               const std::function<void(Result<CommitOutcome>)>& done) {
@@ -55,8 +56,9 @@
   [[nodiscard]] RowPage Read(const std::string& table, const std::string& part) const {
     RowPage page;
     page.version = m_version;
-    for (const auto& [key, row] : m_rows) {
-      if (key.table == table && key.part == part) page.rows.push_back(row);
+    for (auto it = m_rows.lower_bound(RowKey{table, part, ""}); it != m_rows.end(); ++it) {
+      if (it->first.table != table || it->first.part != part) break;
+      page.rows.push_back(it->second);
     }
     return page;
   }
@@ -99,10 +101,12 @@
     for (Row row : transaction.writes) {
       row.version = m_version;
       m_rows[row.key] = row;
-      m_changes.push_back(row);
+      if (keeps_history) m_changes.push_back(row);
     }
     for (const RowKey& key : transaction.removals) {
-      if (m_rows.erase(key) > 0) m_changes.push_back(Row{key, "", m_version, true});
+      if (m_rows.erase(key) > 0 && keeps_history) {
+        m_changes.push_back(Row{key, "", m_version, true});
+      }
     }
     if (on_change) on_change();
     return outcome;
--- a/tests/cell/worker.h
+++ b/tests/cell/worker.h
@@ -22,10 +22,19 @@
   std::uint32_t members = 1;
 };
 
+// What became of a task, as its workers know it.
+enum class TaskPhase {
+  kAway,  // No run, and no end that counts.
+  kRunning,
+  kEnded,  // A run ended done, which is not acknowledged yet.
+  kNoted,  // The end was acknowledged.
+};
+
 // Everything that workers did, over all of their lives.
 class History {
  public:
   std::function<TaskTruth(const TaskRef&)> truth;
+  std::function<void(const TaskRef&, TaskPhase)> on_phase;  // May be empty.
 
   struct Run {
     TaskRef task;
@@ -57,6 +66,11 @@
     if (!submitted.contains(run.task.job)) note("started unasked");
     if (refused.contains(run.task.job)) note("started though refused");
     running.emplace(run.task, run);
+    Note(run.task, TaskPhase::kRunning);
+  }
+
+  void Note(const TaskRef& task, TaskPhase phase) const {
+    if (on_phase) on_phase(task, phase);
   }
 
   void OnEnd(const Run& run) {
@@ -170,10 +184,20 @@
   void Die() {
     if (dead) return;
     dead = true;
-    for (const auto& [task, run] : m_running) m_history.OnEnd({task, run.run, m_id});
+    for (const auto& [task, run] : m_running) {
+      m_history.OnEnd({task, run.run, m_id});
+      m_history.Note(task, TaskPhase::kAway);
+    }
     m_running.clear();
   }
 
+  // @returns the room that running tasks leave.
+  [[nodiscard]] Resources Free() const {
+    Resources free = m_capacity;
+    for (const auto& [task, run] : m_running) free -= run.size;
+    return free;
+  }
+
   std::function<void()> on_end;  // Wakes a hold that waits.
 
  private:
@@ -212,6 +236,7 @@
     m_running.erase(found);
     m_history.OnEnd({task, run, m_id});
     m_history.ends[{task, run}] = end;
+    m_history.Note(task, end == RunEnd::kDone ? TaskPhase::kEnded : TaskPhase::kAway);
     m_ended.push_back({++m_last_end, task, run, end, ""});
     if (on_end) on_end();
   }
@@ -221,8 +246,13 @@
     while (!m_ended.empty() && m_ended.front().number <= number) {
       const EndedTask& ended = m_ended.front();
       if (!m_lapsed.contains(ended.number)) {
-        if (ended.end == RunEnd::kDone) m_history.done_noted.insert(ended.task);
+        if (ended.end == RunEnd::kDone) {
+          m_history.done_noted.insert(ended.task);
+          m_history.Note(ended.task, TaskPhase::kNoted);
+        }
         if (ended.end == RunEnd::kFailed) ++m_history.failures_noted[ended.task];
+      } else if (ended.end == RunEnd::kDone) {
+        m_history.Note(ended.task, TaskPhase::kAway);
       }
       m_ended.erase(m_ended.begin());
     }
