Tasks whose turn has come and that do not run: the input that holds them back, in logs and metrics

Lines told what was done, not which input of the decision kept a task from its start. A wait is counted from the end of the last run that ran, so starts that come to nothing do not reset it. The planner's part is additive: its plan names units that leave the room to gangs and room that is set aside. Bounds: 2,000 tasks, 16 visits to all workers, 10 lines a check, one line a task in 2 s; the rest is counted, and the next check goes on there. Tests: tests/cell/held_test.cc provokes each input by itself; retry-back-off, set-aside room and a full cell with a stale list only by facts that are handed in, because the scheduler's own back-off is shorter than 2 s.

--- a/cell/follower.cc
+++ b/cell/follower.cc
@@ -52,6 +52,7 @@
   FollowerHooks hooks;
   std::minstd_rand random;
   std::uint64_t version = 0;
+  SteadyTime heard = BootNow();
   milliseconds backoff{0};
   bool loaded = false;
   bool failing = false;
@@ -63,6 +64,7 @@
               if (self->stopped) return;
               if (!page) return self->Fail(page.error());
               self->loaded = true;
+              self->heard = BootNow();
               self->version = page.value().version;
               self->hooks.on_snapshot(page.value().rows);
               if (!self->stopped) self->Follow();
@@ -85,6 +87,7 @@
 
   void OnChanges(const RowPage& page) {
     Succeed();
+    heard = BootNow();
     version = std::max(version, page.version);
     for (const Row& row : page.rows) {
       if (row.key.part != part) continue;
@@ -135,4 +138,6 @@
 
 bool TableFollower::IsLoaded() const { return m_impl->loaded; }
 
+SteadyTime TableFollower::Heard() const { return m_impl->heard; }
+
 }  // namespace citronsill
--- a/cell/follower.h
+++ b/cell/follower.h
@@ -29,6 +29,8 @@
 
   /// @returns whether a snapshot was read.
   [[nodiscard]] bool IsLoaded() const;
+  /// @returns when the store last answered, by `BootNow`; when it was created until then.
+  [[nodiscard]] SteadyTime Heard() const;
 
  private:
   struct Impl;
--- a/cell/job.h
+++ b/cell/job.h
@@ -82,6 +82,8 @@
   std::uint64_t last_run = 0;
   std::vector<Order*> orders;        ///< Live ones: none, one, or copies.
   SteadyTime retry_at{};             ///< Not started before this time.
+  SteadyTime over_at{};              ///< When its last run ended or was lost.
+  SteadyTime held_logged{};          ///< When it was last reported as held.
   std::vector<AvoidedWorker> avoid;  ///< Not started there for some time.
 };
 
@@ -108,9 +110,12 @@
   SteadyTime gang_started{};           ///< When the first start was sent.
   bool gang_ending = false;            ///< A member ended: the others are on their way out.
   bool ready = false;                  ///< All earlier steps are done.
+  SteadyTime ready_since{};            ///< In this term.
+  bool yields = false;                 ///< The last planning pass left the room to gangs.
   std::vector<AdviceOnWorker> advice;  ///< By the slot of the worker; may be shorter.
   KeptAnswers kept_answers;
   std::uint32_t questions = 0;  ///< Of this step that have no answer yet.
+  SteadyTime question_since{};  ///< When the last question was asked.
   SteadyTime advice_retry_at{};
   std::vector<HeldRoom> held;  ///< Room that is kept for the gang while it waits for tickets.
 
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -51,6 +51,7 @@
   std::map<std::string, std::pair<std::string, std::shared_ptr<WorkerLink>>> links;
   TimerId tick_timer;
   TimerId report_timer;
+  TimerId held_timer;
   SteadyTime began = BootNow();
   ReadGate reads{BootNow};
   bool loaded = false;
@@ -80,12 +81,17 @@
     report_timer = timers.Every(kLoadReportPeriod, [weak = weak_from_this()](SteadyTime) {
       if (const auto self = weak.lock(); self && !self->lost) self->ReportLoad();
     });
+    held_timer = timers.Every(kHeldCheckPeriod, [weak = weak_from_this()](SteadyTime) {
+      if (const auto self = weak.lock(); self && !self->lost) self->CheckHeld();
+    });
   }
 
   void End() {
     lost = true;
     timers.Cancel(tick_timer);
     timers.Cancel(report_timer);
+    timers.Cancel(held_timer);
+    ReportHeld(HeldReport{});
     worker_list.reset();
     links.clear();
   }
@@ -458,6 +464,18 @@
         .Field("overdue_hold_ms", holds.oldest);
   }
 
+  void CheckHeld() {
+    if (!loaded || releasing) return;
+    const auto since = [](SteadyTime time) {
+      return std::chrono::duration_cast<milliseconds>(BootNow() - time);
+    };
+    HeldContext context;
+    context.commit_age = ConfirmedAgo();
+    context.plan_age = since(std::max(planned, began));
+    context.list_age = since(worker_list ? worker_list->Heard() : began);
+    ReportHeld(scheduler->CheckHeld(context));
+  }
+
   [[nodiscard]] milliseconds ConfirmedAgo() const {
     return std::chrono::duration_cast<milliseconds>(BootNow() - commits->Confirmed());
   }
--- a/cell/limits.h
+++ b/cell/limits.h
@@ -92,6 +92,23 @@
 inline constexpr std::chrono::milliseconds kLeaderTick{50};
 // A line on the load of the cell is logged this often.
 inline constexpr std::chrono::milliseconds kLoadReportPeriod{1000};
+// Tasks that wait are looked at for the reason this often.
+inline constexpr std::chrono::milliseconds kHeldCheckPeriod{1000};
+// A task that does not run this long after its turn came is reported: before the platform counts it
+// as lost, after 3 s.
+inline constexpr std::chrono::milliseconds kHeldAfter{2000};
+// A task that goes on waiting is reported again after this time.
+inline constexpr std::chrono::milliseconds kHeldLogPeriod{2000};
+// Bounds of one check, 0.5 to 0.7 ms with the 930 workers of the capacity target: tasks that
+// are looked at, a job of the largest size and more; tasks for which all workers are looked at; and
+// lines.
+inline constexpr std::size_t kHeldTasks = 2000;
+inline constexpr std::size_t kHeldScans = 16;
+inline constexpr std::size_t kHeldLines = 10;
+// The list of workers is stale when nothing was heard of it for three waits for its changes.
+inline constexpr std::chrono::milliseconds kWorkerListStaleAfter{3000};
+// Planning is late when no pass was made for ten ticks, each of which asks for one.
+inline constexpr std::chrono::milliseconds kPlanStaleAfter{500};
 // Changes within this time are answered by one planning pass.
 inline constexpr std::chrono::milliseconds kPlanPeriod{4};
 // Longest question to the policy service: 100 workers of the slowest kind, with as many waiting.
--- a/cell/metrics.cc
+++ b/cell/metrics.cc
@@ -106,6 +106,15 @@
                             .Help("How late a periodic timer of the event loop fired.")
                             .Register(registry)
                             .Add({}, kLatencyBuckets);
+  Family<Gauge>& held_tasks = prometheus::BuildGauge()
+                                  .Name("citronsill_held_tasks")
+                                  .Help("Tasks whose turn has come and that wait, by reason.")
+                                  .Register(registry);
+  Counter& held_suppressed = prometheus::BuildCounter()
+                                 .Name("citronsill_held_lines_suppressed_total")
+                                 .Help("Lines on held tasks that were left out.")
+                                 .Register(registry)
+                                 .Add({});
   std::map<std::string, Family<Gauge>*> gauges;
 
   void Observe(Family<Histogram>& family, const prometheus::Labels& labels, milliseconds elapsed) {
@@ -156,6 +165,14 @@
 
 void NodeMetrics::ObserveLoopLag(milliseconds lag) { m_impl->loop_lag.Observe(Seconds(lag)); }
 
+void NodeMetrics::SetHeldTasks(const char* reason, std::uint32_t tasks) {
+  m_impl->held_tasks.Add({{"reason", reason}}).Set(tasks);
+}
+
+void NodeMetrics::CountHeldSuppressed(std::uint32_t tasks) {
+  m_impl->held_suppressed.Increment(tasks);
+}
+
 void NodeMetrics::SetGauge(const std::string& name, double value) {
   Family<Gauge>*& family = m_impl->gauges[name];
   if (family == nullptr) {
--- a/cell/metrics.h
+++ b/cell/metrics.h
@@ -38,6 +38,9 @@
   void CountTakeover();
   /// A periodic timer fired late by this much.
   void ObserveLoopLag(milliseconds lag);
+  /// Tasks that one check found held back. @param reason one of a fixed set.
+  void SetHeldTasks(const char* reason, std::uint32_t tasks);
+  void CountHeldSuppressed(std::uint32_t tasks);
   /// Sets a gauge without labels. @param name one of a fixed set.
   void SetGauge(const std::string& name, double value);
 
--- a/cell/planner.cc
+++ b/cell/planner.cc
@@ -150,7 +150,10 @@
 
   void PlaceTasks(const PlanUnit& unit) {
     std::uint32_t left = Budget(unit);
-    if (left == 0) return;
+    if (left == 0) {
+      if (FitCount(m_free, unit.size, 1) > 0) m_plan.yielding.push_back(unit.id);
+      return;
+    }
     for (const std::uint32_t index : Candidates(unit, Fit::kReady)) {
       if (left == 0) return;
       const std::uint32_t count = std::min(left, RoomOn(unit, index));
@@ -350,6 +353,7 @@
       if (count == 0) return;
       for (std::uint32_t i = 0; i < count; ++i) m_reserved[index] += unit.size;
       m_reserved_until[index] = ready;
+      m_plan.set_aside.push_back({index, m_reserved[index]});
       left -= count;
     }
   }
--- a/cell/planner.h
+++ b/cell/planner.h
@@ -95,10 +95,18 @@
   std::vector<Share> shares;
 };
 
+/// Room on a worker that is kept for gangs until enough of it is free.
+struct SetAsideRoom {
+  std::uint32_t worker = 0;
+  Resources size;
+};
+
 struct Plan {
   std::vector<Placement> placements;      ///< Those of a gang follow one another.
   std::vector<Reservation> reservations;  ///< All that are in force from now on.
   std::vector<Question> questions;        ///< Most urgent first.
+  std::vector<std::uint32_t> yielding;    ///< Ids of units that leave all room to gangs.
+  std::vector<SetAsideRoom> set_aside;    ///< For gangs that wait.
 };
 
 /// The order in which units get their turn.
--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -350,6 +350,7 @@
   Step* step = task->step;
   Job* job = step->job;
   job->ever_started = true;
+  task->over_at = m_hooks.now();
   MarkDirty(job);
   if (!save.empty()) task->save = save;
   if (job->IsFinal() || task->done) return Settle(job);
@@ -440,6 +441,7 @@
   Step* step = task->step;
   Job* job = step->job;
   MarkDirty(job);
+  if (order.state == OrderState::kRunning) task->over_at = m_hooks.now();
   if (reason == VoidReason::kRefused) {
     switch (verdict) {
       case StartVerdict::kBadTicket:
@@ -535,7 +537,9 @@
 
 void Scheduler::RefreshReady(Job* job) {
   for (const auto& step : job->steps) {
-    if (!step->ready && PredecessorsDone(*step)) step->ready = true;
+    if (step->ready || !PredecessorsDone(*step)) continue;
+    step->ready = true;
+    step->ready_since = m_hooks.now();
   }
 }
 
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -14,7 +14,9 @@
 #include <vector>
 
 #include "cell/fleet.h"
+#include "cell/held.h"
 #include "cell/job.h"
+#include "cell/limits.h"
 #include "cell/planner.h"
 #include "cell/runtimes.h"
 #include "cell/store.h"
@@ -129,6 +131,10 @@
   };
   [[nodiscard]] Backlog StoreBacklog() const;
 
+  /// Finds out what holds back tasks whose turn has come. Bounded; to be called every
+  /// `kHeldCheckPeriod`.
+  HeldReport CheckHeld(const HeldContext& context);
+
  private:
   struct Effect {
     std::uint64_t position;
@@ -184,6 +190,26 @@
   void ApplyPlan(const citronsill::Plan& plan);
   Order* Assign(Task* task, Worker* worker, std::uint64_t run);
 
+  // Tasks that are held back.
+  struct FoundHeld {
+    Task* task;
+    SteadyTime since;
+    HeldReason reason;
+    HeldFacts facts;
+  };
+  struct HeldBudget {
+    std::size_t tasks = kHeldTasks;
+    std::size_t scans = kHeldScans;
+    std::vector<FoundHeld> reported;
+  };
+  std::uint32_t* PlacesOf(const Task& task, const Worker& worker, HeldRoomCounts* room);
+  HeldRoomCounts CountRoom(const Task& task, std::uint32_t need);
+  [[nodiscard]] HeldFacts FactsOf(const Task& task, const HeldContext& context) const;
+  static SteadyTime HeldSince(const Task& task);
+  bool CheckStep(Step* step, const HeldContext& context, HeldBudget* budget, HeldReport* report);
+  void CheckJobs(const HeldContext& context, HeldBudget* budget, HeldReport* report);
+  void AddLines(std::vector<FoundHeld> found, HeldReport* report);
+
   SchedulerOptions m_options;
   SchedulerHooks m_hooks;
   Fleet m_fleet;
@@ -199,6 +225,8 @@
   std::deque<std::pair<std::uint64_t, std::string>> m_settling;  // Removed once stored.
   std::map<std::string, QueueRecord> m_queues;
   Load m_load;
+  std::unordered_map<std::uint32_t, Resources> m_set_aside;  // By slot, of the last pass.
+  std::size_t m_held_skip = 0;  // Jobs that the next check for held tasks begins after.
 
   // Of the current planning pass.
   std::map<std::string, std::uint32_t> m_plan_racks;  // Numbers from 1.
--- /dev/null
+++ b/cell/scheduler_held.cc
@@ -0,0 +1,236 @@
+// The part of the scheduler that finds out why tasks whose turn has come do not run.
+#include <algorithm>
+#include <optional>
+
+#include "cell/limits.h"
+#include "cell/scheduler.h"
+
+namespace citronsill {
+namespace {
+
+// Places for tasks of `size` in `room`.
+std::uint32_t Places(const Resources& room, const Resources& size, std::uint32_t most) {
+  std::int64_t count = most;
+  const auto limit = [&count](std::int64_t have, std::int64_t need) {
+    if (need > 0) count = std::min(count, std::max<std::int64_t>(have, 0) / need);
+  };
+  limit(room.processors_milli, size.processors_milli);
+  limit(room.memory_mb, size.memory_mb);
+  limit(room.accelerators, size.accelerators);
+  return static_cast<std::uint32_t>(count);
+}
+
+bool Avoids(const Task& task, const Worker& worker, SteadyTime now) {
+  if (now < worker.avoided_until) return true;
+  return std::any_of(task.avoid.begin(), task.avoid.end(), [&](const AvoidedWorker& avoided) {
+    return avoided.slot == worker.slot && now < avoided.until;
+  });
+}
+
+bool IsSuitable(const Worker& worker, const Step& step) {
+  const WorkerDescription& description = worker.description;
+  if (!worker.listed || worker.gone || description.draining) return false;
+  if (description.service != step.job->spec.queue().service()) return false;
+  const std::string& label = step.spec->required_label();
+  return label.empty() || std::find(description.labels.begin(), description.labels.end(), label) !=
+                              description.labels.end();
+}
+
+}  // namespace
+
+// Where the places of one worker count.
+std::uint32_t* Scheduler::PlacesOf(const Task& task, const Worker& worker, HeldRoomCounts* room) {
+  const Step& step = *task.step;
+  if (!worker.attached) return &room->unattached_room;
+  if (worker.silent) return &room->silent_room;
+  if (!worker.strays.empty()) return &room->stray_room;
+  if (Avoids(task, worker, m_hooks.now())) return &room->avoided_room;
+  if (!step.job->spec.queue().has_advice()) return &room->ready_room;
+  const AdviceOnWorker* advice =
+      worker.slot < step.advice.size() ? &step.advice[worker.slot] : nullptr;
+  if (advice == nullptr || !advice->asked || advice->life != worker.life) {
+    return &room->unknown_room;
+  }
+  if (!advice->good) return &room->denied_room;
+  return advice->ticket_until > m_hooks.now() ? &room->ready_room : &room->allowed_room;
+}
+
+HeldRoomCounts Scheduler::CountRoom(const Task& task, std::uint32_t need) {
+  const Step& step = *task.step;
+  HeldRoomCounts room;
+  std::int64_t used = 0;
+  std::int64_t capacity = 0;
+  for (const auto& [id, worker] : m_fleet.Workers()) {
+    if (!IsSuitable(*worker, step)) continue;
+    ++room.listed;
+    if (worker->attached) ++room.attached;
+    if (Avoids(task, *worker, m_hooks.now())) ++room.avoided;
+    if (worker->silent) room.silent_heard = std::max(room.silent_heard, Since(worker->heard));
+    used += worker->used.processors_milli;
+    capacity += worker->description.capacity.processors_milli;
+    std::uint32_t most = need;
+    if (const std::uint32_t limit = step.spec->max_per_worker(); limit > 0) {
+      const auto present = static_cast<std::uint32_t>(
+          std::count_if(worker->orders.begin(), worker->orders.end(),
+                        [&step](const Order* order) { return order->task->step == &step; }));
+      most = std::min(most, limit - std::min(limit, present));
+    }
+    const std::uint32_t places = Places(worker->Free(), step.size, most);
+    std::uint32_t unreserved = places;
+    // What is set aside for the gang itself does not hold it back.
+    if (const auto aside = m_set_aside.find(worker->slot);
+        aside != m_set_aside.end() && step.held.empty()) {
+      Resources left = worker->Free();
+      left -= aside->second;
+      unreserved = Places(left, step.size, most);
+    }
+    *PlacesOf(task, *worker, &room) += unreserved;
+    room.reserved_room += places - unreserved;
+  }
+  if (capacity > 0) room.used_percent = static_cast<std::uint32_t>(100 * used / capacity);
+  return room;
+}
+
+HeldFacts Scheduler::FactsOf(const Task& task, const HeldContext& context) const {
+  const SteadyTime now = m_hooks.now();
+  const Step& step = *task.step;
+  HeldFacts facts;
+  facts.may_lead = m_hooks.may_lead();
+  facts.commit_age = context.commit_age;
+  facts.plan_age = context.plan_age;
+  facts.list_age = context.list_age;
+  if (!task.orders.empty()) {
+    const Order& order = *task.orders[0];
+    facts.has_order = true;
+    facts.order_state = order.state;
+    facts.order_age = Since(order.created);
+    facts.order_worker_silent = order.worker->silent || !order.worker->attached;
+    facts.order_worker_heard = Since(std::max(order.worker->heard, order.created));
+    return facts;
+  }
+  const bool is_whole_gang = step.spec->gang() && step.gang_run == 0;
+  facts.need = is_whole_gang ? static_cast<std::uint32_t>(step.tasks.size()) : 1;
+  const auto until = [now](SteadyTime time) {
+    return std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(time - now));
+  };
+  if (task.retry_at > now) facts.retry_in = until(task.retry_at);
+  facts.gang_ending = step.gang_ending;
+  facts.yields = step.yields;
+  facts.advised = step.job->spec.queue().has_advice();
+  if (!facts.advised) return facts;
+  facts.question_open = step.questions > 0;
+  if (facts.question_open) facts.question_age = Since(step.question_since);
+  if (step.advice_retry_at > now) facts.advice_retry_in = until(step.advice_retry_at);
+  const LaneCounts lanes = m_hooks.lanes();
+  switch (KindOf(step.job->spec.queue())) {
+    case QuestionKind::kInteractive:
+      facts.lane_free = lanes.free > 0;
+      break;
+    case QuestionKind::kBatch:
+      facts.lane_free = lanes.free_batch > 0;
+      break;
+    case QuestionKind::kLong:
+      facts.lane_free = lanes.free_long > 0;
+      break;
+  }
+  return facts;
+}
+
+// When the task should have run from: its turn came, or its last run ended or lost its worker.
+SteadyTime Scheduler::HeldSince(const Task& task) {
+  const SteadyTime turn = std::max(task.step->ready_since, task.over_at);
+  if (task.orders.empty() || task.orders[0]->state != OrderState::kRunning) return turn;
+  return std::max({turn, task.orders[0]->running_since, task.orders[0]->worker->heard});
+}
+
+// Looks at the waiting tasks of a step. @returns false when the check has no more to spend.
+bool Scheduler::CheckStep(Step* step, const HeldContext& context, HeldBudget* budget,
+                          HeldReport* report) {
+  const SteadyTime now = m_hooks.now();
+  // Tasks that avoid no worker by themselves see the same room.
+  std::optional<HeldRoomCounts> common;
+  const bool is_lasting = step->spec->long_running();
+  for (Task& task : step->tasks) {
+    if (budget->tasks == 0) return false;
+    --budget->tasks;
+    if (task.done) continue;
+    const SteadyTime since = HeldSince(task);
+    if (since + kHeldAfter > now) continue;
+    HeldFacts facts = FactsOf(task, context);
+    if (!facts.has_order) {
+      const bool is_common = task.avoid.empty();
+      if (!is_common || !common) {
+        if (budget->scans == 0) return false;
+        --budget->scans;
+        facts.room = CountRoom(task, facts.need);
+        if (is_common) common = facts.room;
+      } else {
+        facts.room = *common;
+      }
+    }
+    const HeldReason reason = WhyHeld(facts);
+    if (reason == HeldReason::kNotHeld) continue;
+    ++report->counts[reason];
+    if (!IsReported(reason, is_lasting) || task.held_logged + kHeldLogPeriod > now) continue;
+    budget->reported.push_back({&task, since, reason, facts});
+  }
+  return true;
+}
+
+// Tasks of which there was no line for the longest time come first.
+void Scheduler::AddLines(std::vector<FoundHeld> found, HeldReport* report) {
+  const std::size_t lines = std::min(found.size(), kHeldLines);
+  std::partial_sort(found.begin(), found.begin() + static_cast<std::ptrdiff_t>(lines), found.end(),
+                    [](const FoundHeld& a, const FoundHeld& b) {
+                      return a.task->held_logged < b.task->held_logged;
+                    });
+  report->suppressed = static_cast<std::uint32_t>(found.size() - lines);
+  found.resize(lines);
+  for (FoundHeld& entry : found) {
+    Task& task = *entry.task;
+    task.held_logged = m_hooks.now();
+    HeldTask held{task.step->Ref(task.index),
+                  task.step->spec->long_running(),
+                  Since(entry.since),
+                  entry.reason,
+                  entry.facts,
+                  0,
+                  ""};
+    if (!task.orders.empty()) {
+      held.run = task.orders[0]->run;
+      held.worker = task.orders[0]->worker->description.id;
+    }
+    report->lines.push_back(std::move(held));
+  }
+}
+
+HeldReport Scheduler::CheckHeld(const HeldContext& context) {
+  HeldReport report;
+  HeldBudget budget;
+  CheckJobs(context, &budget, &report);
+  AddLines(std::move(budget.reported), &report);
+  return report;
+}
+
+void Scheduler::CheckJobs(const HeldContext& context, HeldBudget* budget, HeldReport* report) {
+  const SteadyTime now = m_hooks.now();
+  auto entry = m_jobs.begin();
+  if (m_held_skip >= m_jobs.size()) m_held_skip = 0;
+  std::advance(entry, static_cast<std::ptrdiff_t>(m_held_skip));
+  for (std::size_t seen = 0; seen < m_jobs.size(); ++seen) {
+    if (entry == m_jobs.end()) entry = m_jobs.begin();
+    Job* job = (entry++)->second.get();
+    if (job->IsFinal()) continue;
+    for (const auto& step : job->steps) {
+      if (!step->ready || step->IsDone() || step->ready_since + kHeldAfter > now) continue;
+      if (CheckStep(step.get(), context, budget, report)) continue;
+      // The job that was left is looked at first next time, unless it has used all by itself.
+      m_held_skip = (m_held_skip + std::max<std::size_t>(seen, 1)) % m_jobs.size();
+      report->is_complete = false;
+      return;
+    }
+  }
+  m_held_skip = 0;
+}
+
+}  // namespace citronsill
--- a/cell/scheduler_plan.cc
+++ b/cell/scheduler_plan.cc
@@ -263,12 +263,22 @@
 
 void Scheduler::ApplyPlan(const citronsill::Plan& plan) {
   const SteadyTime now = m_hooks.now();
-  for (Step* step : m_plan_steps) step->held.clear();
+  for (Step* step : m_plan_steps) {
+    step->held.clear();
+    step->yields = false;
+  }
+  for (const std::uint32_t unit : plan.yielding) m_plan_steps[unit]->yields = true;
+  m_set_aside.clear();
+  for (const SetAsideRoom& room : plan.set_aside) {
+    m_set_aside[m_plan_workers[room.worker]->slot] = room.size;
+  }
   for (const Reservation& reservation : plan.reservations) {
     for (const Share& share : reservation.shares) {
       const Worker& worker = *m_plan_workers[share.worker];
       m_plan_steps[reservation.unit]->held.push_back(
           {worker.description.id, worker.life, share.count});
+      const Resources& size = m_plan_steps[reservation.unit]->size;
+      for (std::uint32_t i = 0; i < share.count; ++i) m_set_aside[worker.slot] += size;
     }
   }
   std::vector<std::uint64_t> orders;
@@ -310,6 +320,7 @@
       workers.push_back(m_plan_workers[index]->description.id);
     }
     ++step->questions;
+    step->question_since = now;
     m_hooks.ask(step->Ref(0), std::move(workers), KindOf(step->job->spec.queue()));
   }
 }
--- /dev/null
+++ b/tests/cell/held_test.cc
@@ -0,0 +1,535 @@
+// Each input that can hold a task back is provoked by itself, and has to be the one that is named.
+#include "cell/held.h"
+
+#include <doctest/doctest.h>
+
+#include <set>
+
+#include "cell/limits.h"
+#include "cell/scheduler.h"
+
+namespace citronsill {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr milliseconds kHeldLong = kHeldAfter + milliseconds(100);
+
+struct Question {
+  TaskRef step;
+  std::vector<std::string> workers;
+};
+
+struct Start {
+  StartOrder order;
+  std::uint64_t id = 0;
+};
+
+// A scheduler whose environment does only what a test lets it do.
+struct Bench {
+  Bench() {
+    SchedulerOptions options;
+    options.shard = "s0";
+    options.term = 1;
+    options.lease = milliseconds(5000);
+    options.gang_time = milliseconds(3000);
+    SchedulerHooks hooks;
+    hooks.now = [this] { return now; };
+    hooks.wall = [this] { return WallTime(now.time_since_epoch()); };
+    hooks.may_lead = [this] { return may_lead; };
+    hooks.start = [this](const Worker&, StartOrder order, std::uint64_t id) {
+      starts.push_back({std::move(order), id});
+    };
+    hooks.stop = [](const Worker&, const TaskRef&, std::uint64_t, std::uint64_t) {};
+    hooks.hold = [this](const Worker&, const HoldOrder&, std::uint64_t id) { holds.push_back(id); };
+    hooks.ask = [this](const TaskRef& step, std::vector<std::string> workers, QuestionKind) {
+      asked.push_back({step, std::move(workers)});
+    };
+    hooks.lanes = [this] { return lanes; };
+    hooks.has_writes = [] {};
+    hooks.plan_soon = [] {};
+    hooks.on_deposed = [] {};
+    scheduler = std::make_unique<Scheduler>(options, std::move(hooks));
+  }
+
+  void ListWorkers(int count) {
+    for (int i = 0; i < count; ++i) {
+      WorkerDescription worker;
+      worker.id = worker.address = "w" + std::to_string(i);
+      worker.service = "pool";
+      worker.capacity = {8000, 8000, 0};
+      worker.born_unix_ms = 1000;
+      scheduler->Workers().Put(worker);
+    }
+  }
+  // All holds that were sent are answered, with what runs and has ended.
+  void AnswerHolds(const HoldAnswer& like = {}) {
+    HoldAnswer answer = like;
+    answer.born_unix_ms = 1000;
+    for (const std::uint64_t id : std::exchange(holds, {})) {
+      scheduler->Workers().OnHold(id, answer);
+    }
+  }
+  void AddWorkers(int count) {
+    ListWorkers(count);
+    AnswerHolds();
+  }
+
+  schema::JobSpec MakeJob(const std::string& id, std::uint32_t tasks = 1) const {
+    schema::JobSpec job;
+    job.set_id(id);
+    job.mutable_queue()->set_name("batch");
+    job.mutable_queue()->set_service("pool");
+    job.mutable_queue()->set_priority(1);
+    job.mutable_queue()->set_max_attempts(3);
+    job.mutable_queue()->set_stretch(2.0);
+    job.mutable_queue()->set_target_ms(60000);
+    schema::StepSpec* step = job.add_steps();
+    step->set_task_count(tasks);
+    step->mutable_size()->set_processors_milli(8000);
+    step->mutable_size()->set_memory_mb(100);
+    step->set_estimate_ms(1000);
+    return job;
+  }
+  schema::JobSpec MakeAdvisedJob(const std::string& id, std::uint32_t tasks = 1) const {
+    schema::JobSpec job = MakeJob(id, tasks);
+    job.mutable_queue()->set_name("advised");
+    job.mutable_queue()->mutable_advice()->set_decide_us(1000);
+    job.mutable_queue()->mutable_advice()->set_each_us(100);
+    return job;
+  }
+  void Submit(const schema::JobSpec& job) {
+    scheduler->Submit(job, milliseconds(0), [](const auto&) {});
+  }
+  void Store() { scheduler->OnStored(scheduler->TakeBatch(97, 600000).position); }
+  // Plans, and stores the assignments so that starts are sent.
+  void Run(const schema::JobSpec& job) {
+    Submit(job);
+    Store();
+    scheduler->Plan();
+    Store();
+  }
+  void AnswerStart(StartVerdict verdict = StartVerdict::kStarted) {
+    StartAnswer answer;
+    answer.verdict = verdict;
+    scheduler->Workers().OnStart(starts.back().id, answer);
+  }
+  void AnswerQuestion(bool is_allowed, milliseconds valid) {
+    AdviceAnswer answer;
+    answer.valid = valid;
+    const Question question = asked.back();
+    asked.pop_back();
+    for (const std::string& worker : question.workers) {
+      if (is_allowed) answer.tickets.push_back({worker, "ticket"});
+    }
+    scheduler->OnAdvice(question.step, question.workers, answer);
+  }
+
+  HeldReport Check() { return scheduler->CheckHeld(context); }
+  // The line of a job's first task after a time that is long enough.
+  HeldTask Held(const std::string& job = "a") {
+    now += kHeldLong;
+    const HeldReport report = Check();
+    for (const HeldTask& held : report.lines) {
+      if (held.task.job == job && held.task.index == 0) {
+        CHECK(report.counts.at(held.reason) >= 1);
+        return held;
+      }
+    }
+    return HeldTask{};
+  }
+  HeldReason Reason(const std::string& job = "a") { return Held(job).reason; }
+
+  SteadyTime now{std::chrono::hours(1)};
+  bool may_lead = true;
+  LaneCounts lanes{8, 8, 8};
+  HeldContext context;
+  std::vector<std::uint64_t> holds;
+  std::vector<Question> asked;
+  std::vector<Start> starts;
+  std::unique_ptr<Scheduler> scheduler;
+};
+
+// Guards against a scheduler that knows no worker and shows nothing but waiting tasks.
+TEST_CASE("held: no worker is listed, or the list is stale") {
+  Bench bench;
+  bench.Submit(bench.MakeJob("a"));
+  CHECK(bench.Reason() == HeldReason::kNoWorkerListed);
+  bench.context.list_age = kWorkerListStaleAfter + milliseconds(1);
+  const HeldTask held = bench.Held();
+  CHECK(held.reason == HeldReason::kWorkerListStale);
+  CHECK(HeldAge(held.reason, held.facts) == bench.context.list_age);
+}
+
+// Guards against a stale list that is taken for a full cell.
+TEST_CASE("held: without room, a stale list of workers goes before a full cell") {
+  HeldFacts facts;
+  facts.room.listed = 1;
+  CHECK(WhyHeld(facts) == HeldReason::kNoRoom);
+  facts.list_age = kWorkerListStaleAfter + milliseconds(1);
+  CHECK(WhyHeld(facts) == HeldReason::kWorkerListStale);
+}
+
+// Guards against a label that no worker has: such a job stays queued for ever.
+TEST_CASE("held: a label that no worker has") {
+  Bench bench;
+  bench.AddWorkers(2);
+  schema::JobSpec job = bench.MakeJob("a");
+  job.mutable_steps(0)->set_required_label("none");
+  bench.Run(job);
+  CHECK(bench.Reason() == HeldReason::kNoWorkerListed);
+}
+
+// Guards against a takeover whose fence no worker accepts.
+TEST_CASE("held: no worker has accepted the fence") {
+  Bench bench;
+  bench.ListWorkers(2);
+  bench.Run(bench.MakeJob("a"));
+  CHECK(bench.Reason() == HeldReason::kNoWorkerAttached);
+}
+
+TEST_CASE("held: workers with room are silent") {
+  Bench bench;
+  bench.AddWorkers(2);
+  for (const std::uint64_t id : std::exchange(bench.holds, {})) {
+    bench.scheduler->Workers().OnHold(id, Error{schema::CODE_WORKER_UNREACHABLE, "cut"});
+  }
+  bench.Run(bench.MakeJob("a"));
+  const HeldTask held = bench.Held();
+  CHECK(held.reason == HeldReason::kWorkerSilent);
+  CHECK(HeldAge(held.reason, held.facts) == kHeldLong);
+}
+
+TEST_CASE("held: workers with room are avoided") {
+  Bench bench;
+  bench.AddWorkers(2);
+  for (const char* id : {"w0", "w1"}) {
+    bench.scheduler->Workers().Find(id)->avoided_until = bench.now + seconds(10);
+  }
+  bench.Run(bench.MakeJob("a"));
+  const HeldTask held = bench.Held();
+  CHECK(held.reason == HeldReason::kQuarantine);
+  CHECK(held.facts.room.avoided == 2);
+}
+
+// Guards against a worker that is empty by the scheduler's books and given nothing.
+TEST_CASE("held: runs that belong to no order are on the workers with room") {
+  Bench bench;
+  bench.ListWorkers(1);
+  HoldAnswer answer;
+  answer.running.push_back({{"other", 0, 0, 0}, 7, "", 0, 0});
+  bench.AnswerHolds(answer);
+  bench.Run(bench.MakeJob("a"));
+  CHECK(bench.Reason() == HeldReason::kStrayRuns);
+}
+
+// Guards against lines on tasks that wait for room: they are not lost, and there may be thousands.
+TEST_CASE("held: a full cell holds ordinary tasks without a line, lasting ones with one") {
+  Bench bench;
+  bench.AddWorkers(1);
+  bench.Run(bench.MakeJob("first"));
+  bench.AnswerStart();
+  bench.Run(bench.MakeJob("a"));
+  schema::JobSpec lasting = bench.MakeJob("lasting");
+  lasting.mutable_steps(0)->set_long_running(true);
+  bench.Run(lasting);
+  bench.now += kHeldLong;
+  bench.scheduler->Workers().Find("w0")->heard = bench.now;
+  const HeldReport report = bench.Check();
+  CHECK(report.counts == std::map<HeldReason, std::uint32_t>{{HeldReason::kNoRoom, 2}});
+  REQUIRE(report.lines.size() == 1);
+  CHECK(report.lines[0].task.job == "lasting");
+  CHECK(report.lines[0].is_lasting);
+}
+
+TEST_CASE("held: no lane to the policy service is free") {
+  Bench bench;
+  bench.lanes = {};
+  bench.AddWorkers(2);
+  bench.Run(bench.MakeAdvisedJob("a"));
+  CHECK(bench.asked.empty());
+  CHECK(bench.Reason() == HeldReason::kNoLane);
+}
+
+TEST_CASE("held: a question to the policy service is open") {
+  Bench bench;
+  bench.AddWorkers(2);
+  bench.Run(bench.MakeAdvisedJob("a"));
+  REQUIRE(bench.asked.size() == 1);
+  const HeldTask held = bench.Held();
+  CHECK(held.reason == HeldReason::kQuestionOpen);
+  CHECK(HeldAge(held.reason, held.facts) == kHeldLong);
+}
+
+TEST_CASE("held: a question to the policy service has failed") {
+  Bench bench;
+  bench.AddWorkers(2);
+  bench.Run(bench.MakeAdvisedJob("a"));
+  bench.now += kHeldLong;
+  bench.scheduler->OnAdvice(bench.asked[0].step, bench.asked[0].workers,
+                            Error{schema::CODE_TIMEOUT, "no answer"});
+  const HeldReport report = bench.Check();
+  REQUIRE(report.lines.size() == 1);
+  CHECK(report.lines[0].reason == HeldReason::kAdviceBackOff);
+}
+
+TEST_CASE("held: the policy service allows no worker with room") {
+  Bench bench;
+  bench.AddWorkers(2);
+  bench.Run(bench.MakeAdvisedJob("a"));
+  bench.AnswerQuestion(false, seconds(10));
+  bench.scheduler->Plan();
+  CHECK(bench.Reason() == HeldReason::kNotAllowed);
+}
+
+// Guards against tickets that run out between the answer and the pass that would use them.
+TEST_CASE("held: tickets have lapsed") {
+  Bench bench;
+  bench.AddWorkers(2);
+  bench.Run(bench.MakeAdvisedJob("a"));
+  bench.AnswerQuestion(true, milliseconds(500));
+  CHECK(bench.Reason() == HeldReason::kTicketLapsed);
+}
+
+// Guards against a pass that comes late and is taken for one of its inputs.
+TEST_CASE("held: no planning pass is made") {
+  Bench bench;
+  bench.AddWorkers(2);
+  bench.Submit(bench.MakeJob("a"));
+  bench.context.plan_age = kPlanStaleAfter + milliseconds(1);
+  const HeldTask held = bench.Held();
+  CHECK(held.reason == HeldReason::kNotPlanned);
+  CHECK(HeldAge(held.reason, held.facts) == bench.context.plan_age);
+}
+
+// Guards against a reason that is made up where none is known.
+TEST_CASE("held: passes are made and leave the task out") {
+  Bench bench;
+  bench.AddWorkers(2);
+  bench.Submit(bench.MakeJob("a"));
+  CHECK(bench.Reason() == HeldReason::kPassedOver);
+}
+
+// Load pattern: a gang waits for room that a cell of this size never has.
+TEST_CASE("held: batch work yields to a gang") {
+  Bench bench;
+  bench.AddWorkers(2);
+  schema::JobSpec gang = bench.MakeJob("gang", 3);
+  gang.mutable_steps(0)->set_gang(true);
+  // It has its turn first.
+  gang.mutable_queue()->set_target_ms(30000);
+  bench.Run(gang);
+  bench.Run(bench.MakeJob("a"));
+  CHECK(bench.starts.empty());
+  CHECK(bench.Reason() == HeldReason::kYieldsToGangs);
+}
+
+// Load pattern: a gang waits for its tickets, and room for all of its members is kept meanwhile.
+TEST_CASE("held: the room is reserved for a gang, which waits for an answer") {
+  Bench bench;
+  bench.AddWorkers(2);
+  schema::JobSpec gang = bench.MakeAdvisedJob("gang", 2);
+  gang.mutable_steps(0)->set_gang(true);
+  bench.Run(gang);
+  bench.AnswerQuestion(true, milliseconds(500));
+  bench.now += seconds(1);
+  bench.scheduler->Plan();
+  REQUIRE(bench.asked.size() == 1);
+  bench.Run(bench.MakeJob("a"));
+  CHECK(bench.starts.empty());
+  bench.now += kHeldLong;
+  bench.scheduler->Plan();
+  const HeldReport report = bench.Check();
+  CHECK(report.counts == std::map<HeldReason, std::uint32_t>{{HeldReason::kQuestionOpen, 2},
+                                                             {HeldReason::kReservedRoom, 1}});
+}
+
+// Load pattern: a gang waits for runs to end, and the room that is free already is set aside.
+TEST_CASE("held: room that is set aside for a gang counts as reserved") {
+  HeldFacts facts;
+  facts.room.listed = facts.room.attached = 4;
+  facts.room.reserved_room = 2;
+  facts.room.avoided_room = 1;
+  CHECK(WhyHeld(facts) == HeldReason::kReservedRoom);
+}
+
+TEST_CASE("held: an assignment is being stored, or the store takes none") {
+  Bench bench;
+  bench.AddWorkers(1);
+  bench.Submit(bench.MakeJob("a"));
+  bench.scheduler->Plan();
+  HeldTask held = bench.Held();
+  CHECK(held.reason == HeldReason::kOrderStoring);
+  CHECK(held.worker == "w0");
+  CHECK(HeldAge(held.reason, held.facts) == kHeldLong);
+  bench.context.commit_age = kRefuseWithoutStore + milliseconds(1);
+  held = bench.Held();
+  CHECK(held.reason == HeldReason::kStore);
+  CHECK(HeldAge(held.reason, held.facts) == bench.context.commit_age);
+}
+
+TEST_CASE("held: a scheduler that may not lead without the store") {
+  Bench bench;
+  bench.AddWorkers(1);
+  bench.may_lead = false;
+  bench.Run(bench.MakeJob("a"));
+  CHECK(bench.Reason() == HeldReason::kStore);
+}
+
+TEST_CASE("held: a start has no answer") {
+  Bench bench;
+  bench.AddWorkers(1);
+  bench.Run(bench.MakeJob("a"));
+  REQUIRE(bench.starts.size() == 1);
+  CHECK(bench.Reason() == HeldReason::kOrderSending);
+}
+
+// Guards against an order of unknown outcome that is taken for one that its worker ignores.
+TEST_CASE("held: it is not known whether a start was carried out") {
+  Bench bench;
+  bench.AddWorkers(1);
+  bench.Run(bench.MakeJob("a"));
+  bench.scheduler->Workers().OnStart(bench.starts[0].id,
+                                     Error{schema::CODE_WORKER_UNREACHABLE, "no answer"});
+  CHECK(bench.Reason() == HeldReason::kWorkerSilent);
+  bench.AnswerHolds();
+  CHECK(bench.Reason() == HeldReason::kOrderUnknown);
+}
+
+// Guards against a lasting task that is shown as running while its worker has gone.
+TEST_CASE("held: the worker of a run does not answer") {
+  Bench bench;
+  bench.AddWorkers(1);
+  schema::JobSpec job = bench.MakeJob("a");
+  job.mutable_steps(0)->set_long_running(true);
+  bench.Run(job);
+  bench.AnswerStart();
+  CHECK(bench.Reason() == HeldReason::kNotHeld);
+  for (const std::uint64_t id : std::exchange(bench.holds, {})) {
+    bench.scheduler->Workers().OnHold(id, Error{schema::CODE_WORKER_UNREACHABLE, "cut"});
+  }
+  const HeldTask held = bench.Held();
+  CHECK(held.reason == HeldReason::kWorkerSilent);
+  CHECK(held.is_lasting);
+  CHECK(held.waited == 2 * kHeldLong);
+}
+
+// Guards against a back-off of seconds that nothing shows.
+TEST_CASE("held: a task that failed a moment ago") {
+  HeldFacts facts;
+  facts.room.listed = facts.room.attached = facts.room.ready_room = 1;
+  facts.retry_in = milliseconds(1);
+  CHECK(WhyHeld(facts) == HeldReason::kRetryBackOff);
+}
+
+TEST_CASE("held: a gang whose earlier run has not ended everywhere") {
+  Bench bench;
+  bench.AddWorkers(2);
+  schema::JobSpec job = bench.MakeJob("a", 2);
+  job.mutable_steps(0)->set_gang(true);
+  bench.Run(job);
+  REQUIRE(bench.starts.size() == 2);
+  for (const Start& start : bench.starts) {
+    StartAnswer answer;
+    bench.scheduler->Workers().OnStart(start.id, answer);
+  }
+  // The member on the first worker ends, the other one goes on.
+  HoldAnswer answer;
+  answer.born_unix_ms = 1000;
+  answer.ended.push_back(
+      {1, bench.starts[0].order.task, bench.starts[0].order.run, RunEnd::kFailed, ""});
+  REQUIRE(bench.starts[0].order.task.index == 0);
+  bench.scheduler->Workers().OnHold(bench.holds[0], answer);
+  CHECK(bench.Reason() == HeldReason::kGangEnding);
+}
+
+// Guards against a wait that begins anew with each start that comes to nothing.
+TEST_CASE("held: starts that are refused do not reset the time that a task has waited") {
+  Bench bench;
+  bench.AddWorkers(1);
+  bench.Run(bench.MakeJob("a"));
+  bench.now += milliseconds(1500);
+  bench.AnswerStart(StartVerdict::kUnwilling);
+  bench.now += milliseconds(700);
+  const HeldReport report = bench.Check();
+  REQUIRE(report.lines.size() == 1);
+  CHECK(report.lines[0].waited == milliseconds(2200));
+}
+
+// Guards against a task that is reported as soon as a long run of it has ended.
+TEST_CASE("held: a task waits from the end of its last run") {
+  Bench bench;
+  bench.AddWorkers(1);
+  bench.Run(bench.MakeJob("a"));
+  bench.AnswerStart();
+  bench.now += seconds(30);
+  HoldAnswer answer;
+  answer.ended.push_back(
+      {1, bench.starts[0].order.task, bench.starts[0].order.run, RunEnd::kFailed, ""});
+  bench.AnswerHolds(answer);
+  bench.now += kHeldAfter - milliseconds(1);
+  CHECK(bench.Check().counts.empty());
+  bench.now += milliseconds(1);
+  const HeldReport report = bench.Check();
+  REQUIRE(report.lines.size() == 1);
+  CHECK(report.lines[0].waited == kHeldAfter);
+}
+
+// Guards against tasks whose turn has not come.
+TEST_CASE("held: steps that follow others are not looked at before their turn") {
+  Bench bench;
+  schema::JobSpec job = bench.MakeJob("a");
+  *job.add_steps() = job.steps(0);
+  job.mutable_steps(1)->add_after(0);
+  bench.Submit(job);
+  bench.now += kHeldLong;
+  const HeldReport report = bench.Check();
+  REQUIRE(report.lines.size() == 1);
+  CHECK(report.lines[0].task.step == 0);
+}
+
+// Guards against logs that are flooded when all tasks are held.
+TEST_CASE("held: lines are bounded, those left out are counted, and a task's come every 2 s") {
+  Bench bench;
+  bench.Submit(bench.MakeJob("a", 3 * kHeldLines));
+  bench.now += kHeldLong;
+  std::set<TaskRef> reported;
+  for (int i = 0; i < 2; ++i) {
+    const HeldReport report = bench.Check();
+    CHECK(report.counts.at(HeldReason::kNoWorkerListed) == 3 * kHeldLines);
+    CHECK(report.lines.size() == kHeldLines);
+    CHECK(report.suppressed == (i == 0 ? 2 : 1) * kHeldLines);
+    for (const HeldTask& held : report.lines) CHECK(reported.insert(held.task).second);
+    bench.now += kHeldCheckPeriod;
+  }
+}
+
+// Guards against a check whose cost grows with the jobs times the workers, and against jobs that a
+// bounded check never gets to.
+TEST_CASE("held: one check is bounded, and the next goes on where it ended") {
+  Bench bench;
+  bench.ListWorkers(1);
+  constexpr int kJobs = 3 * kHeldScans;
+  for (int i = 0; i < kJobs; ++i) bench.Submit(bench.MakeJob("job" + std::to_string(i)));
+  std::set<std::string> reported;
+  bench.now += kHeldLong;
+  for (int i = 0; i < 12; ++i) {
+    const HeldReport report = bench.Check();
+    CHECK_FALSE(report.is_complete);
+    CHECK(report.counts.at(HeldReason::kNoWorkerAttached) <= kHeldScans);
+    for (const HeldTask& held : report.lines) reported.insert(held.task.job);
+    bench.now += kHeldCheckPeriod;
+  }
+  CHECK(reported.size() == kJobs);
+}
+
+// Guards against two reasons of one name, and one without.
+TEST_CASE("held: each reason has a name of its own") {
+  std::set<std::string> names;
+  for (const HeldReason reason : kHeldReasons) names.insert(HeldReasonName(reason));
+  CHECK(names.size() == std::size(kHeldReasons));
+  CHECK_FALSE(names.contains("unknown"));
+}
+
+}  // namespace
+}  // namespace citronsill
