Connections of callers that end without a whole answer: a line and a counter by reason

The entry had no line for it: a request that was still unanswered at the end of the process, an answer that could not be written and a connection beyond the limit ended alike. A process that drains reports what is unanswered before it ends. A caller that leaves while its request is handled shows when its answer is written, not before. Tests: tests/cell/cut_test.cc.

--- a/cell/metrics.cc
+++ b/cell/metrics.cc
@@ -106,6 +106,10 @@
                             .Help("How late a periodic timer of the event loop fired.")
                             .Register(registry)
                             .Add({}, kLatencyBuckets);
+  Family<Counter>& cuts = prometheus::BuildCounter()
+                              .Name("citronsill_answers_cut_total")
+                              .Help("Connections of callers that ended without a whole answer.")
+                              .Register(registry);
   Family<Gauge>& held_tasks = prometheus::BuildGauge()
                                   .Name("citronsill_held_tasks")
                                   .Help("Tasks whose turn has come and that wait, by reason.")
@@ -165,6 +169,10 @@
 
 void NodeMetrics::ObserveLoopLag(milliseconds lag) { m_impl->loop_lag.Observe(Seconds(lag)); }
 
+void NodeMetrics::CountCut(const char* reason) {
+  m_impl->cuts.Add({{"reason", reason}}).Increment();
+}
+
 void NodeMetrics::SetHeldTasks(const char* reason, std::uint32_t tasks) {
   m_impl->held_tasks.Add({{"reason", reason}}).Set(tasks);
 }
--- a/cell/metrics.h
+++ b/cell/metrics.h
@@ -38,6 +38,8 @@
   void CountTakeover();
   /// A periodic timer fired late by this much.
   void ObserveLoopLag(milliseconds lag);
+  /// A caller's connection ended without a whole answer. @param reason one of a fixed set.
+  void CountCut(const char* reason);
   /// Tasks that one check found held back. @param reason one of a fixed set.
   void SetHeldTasks(const char* reason, std::uint32_t tasks);
   void CountHeldSuppressed(std::uint32_t tasks);
--- a/include/citronsill/http.h
+++ b/include/citronsill/http.h
@@ -52,6 +52,28 @@
   std::chrono::milliseconds idle_timeout = kHttpIdleTimeout;  ///< Between two requests.
 };
 
+/// Why a connection ended before its request was answered as a whole.
+enum class HttpCutReason {
+  kPeerClosed,   ///< The client, or the way to it.
+  kDeadline,     ///< The client did not read the answer, or send its request, in time.
+  kShutdown,     ///< The process ends.
+  kConnections,  ///< There were too many connections; nothing was read.
+};
+
+/// @returns the name for logs and metrics.
+const char* HttpCutReasonName(HttpCutReason reason);
+
+/// A connection that ended before its request was answered as a whole.
+struct HttpCut {
+  HttpCutReason reason{};
+  bool was_read = false;       ///< The whole request had been read.
+  bool was_answering = false;  ///< A part of the answer may have been sent.
+  bool draining = false;       ///< The server asked its clients to leave.
+  std::string method;          ///< Empty until the request was read, as is the target.
+  std::string target;
+  std::chrono::milliseconds age{0};  ///< Since the first byte of the request.
+};
+
 struct HttpServerOptions {
   std::string address;  ///< IP:port; port 0 takes a free one.
   std::size_t max_connections = kMaxHttpConnections;
@@ -60,6 +82,7 @@
   std::string tls_key_file;               ///< PEM.
   std::vector<std::string> keep_headers;  ///< Headers that handlers get besides the named ones.
   HttpReject reject;                      ///< By default, a JSON object with code and message.
+  std::function<void(const HttpCut&)> on_cut;  ///< May be empty.
 };
 
 class HttpServer {
@@ -82,6 +105,10 @@
   /// until their next response, because a client may be sending on them; new ones are still taken.
   void Drain();
 
+  /// Reports requests that have no whole answer as cut by the end of the process.
+  /// @param done is called after that, with a runtime of one thread; the process may end then.
+  void ReportUnanswered(std::function<void()> done);
+
   /// @returns the number of open connections.
   [[nodiscard]] std::size_t Connections() const;
 
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -74,6 +74,11 @@
     SteadyTime deadline = SteadyTime::max();
     bool keep_alive = true;
     bool silenced = false;
+    bool expired = false;  // Closed because it missed its deadline.
+    bool cut = false;      // Reported as ended without a whole answer.
+    SteadyTime began{};    // First byte of the request.
+    std::string method;
+    std::string target;
     std::size_t lingered_bytes = 0;
   };
   using SessionPtr = std::shared_ptr<Session>;
@@ -140,9 +145,9 @@
     session->stream = make_stream(std::move(socket));
     {
       std::lock_guard lock(mutex);
-      if (sessions.size() >= options.max_connections) return;
-      sessions.insert(session);
+      if (sessions.size() < options.max_connections) sessions.insert(session);
       count = sessions.size();
+      if (!sessions.contains(session)) return Cut(session, HttpCutReason::kConnections);
     }
     asio::dispatch(session->stream->Socket().get_executor(), [self = shared_from_this(), session] {
       const std::chrono::milliseconds timeout = self->limits.load()->read_timeout;
@@ -177,7 +182,10 @@
   void BeginRequest(const SessionPtr& session) {
     session->limits = limits.load();
     session->phase = Phase::kReading;
-    session->deadline = Clock::now() + session->limits->read_timeout;
+    session->began = Clock::now();
+    session->method.clear();
+    session->target.clear();
+    session->deadline = session->began + session->limits->read_timeout;
     session->parser.emplace();
     session->parser->body_limit(session->limits->max_body_bytes);
     session->parser->header_limit(static_cast<std::uint32_t>(session->limits->max_header_bytes));
@@ -205,6 +213,8 @@
     HttpRequest request;
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
+    session->method = request.method;
+    session->target = request.target;
     request.authorization = std::string(message[http::field::authorization]);
     request.accept = std::string(message[http::field::accept]);
     request.host = std::string(message[http::field::host]);
@@ -227,7 +237,7 @@
     if (session->silenced) return;
     if (draining) session->keep_alive = false;
     Write(session, response, [self = shared_from_this(), session] {
-      if (!session->keep_alive) return self->End(session);
+      if (!session->keep_alive) return self->End(session, true);
       self->StartRequest(session, self->limits.load()->idle_timeout);
     });
   }
@@ -273,7 +283,31 @@
         });
   }
 
-  void End(const SessionPtr& session) {
+  void Cut(const SessionPtr& session, HttpCutReason reason) {
+    if (!options.on_cut || std::exchange(session->cut, true)) return;
+    HttpCut cut;
+    cut.reason = reason;
+    cut.was_read = !session->method.empty();
+    cut.was_answering = session->phase == Phase::kWriting;
+    cut.draining = draining;
+    cut.method = session->method;
+    cut.target = session->target;
+    if (session->began != SteadyTime{}) {
+      cut.age =
+          std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - session->began);
+    }
+    options.on_cut(cut);
+  }
+
+  static bool IsUnanswered(const Session& session) {
+    return session.phase == Phase::kReading || session.phase == Phase::kHandling ||
+           session.phase == Phase::kWriting;
+  }
+
+  void End(const SessionPtr& session, bool is_answered = false) {
+    if (!is_answered && IsUnanswered(*session)) {
+      Cut(session, session->expired ? HttpCutReason::kDeadline : HttpCutReason::kPeerClosed);
+    }
     session->stream->Close();
     std::lock_guard lock(mutex);
     sessions.erase(session);
@@ -294,7 +328,9 @@
   void CloseExpired() {
     const SteadyTime now = Clock::now();
     ForEach([now](const SessionPtr& session) {
-      if (session->deadline <= now) session->stream->Close();
+      if (session->deadline > now) return;
+      session->expired = true;
+      session->stream->Close();
     });
   }
 
@@ -351,10 +387,37 @@
 
 void HttpServer::Drain() { m_impl->draining = true; }
 
+void HttpServer::ReportUnanswered(std::function<void()> done) {
+  // Answers that have been written come first: the ends of their writes are in the event loop, or
+  // get there when the handler ends that is running now. Hence two turns.
+  asio::post(m_impl->context, [impl = m_impl, done = std::move(done)] {
+    asio::post(impl->context, [impl, done] {
+      impl->ForEach([impl](const Impl::SessionPtr& session) {
+        if (Impl::IsUnanswered(*session)) impl->Cut(session, HttpCutReason::kShutdown);
+      });
+      asio::post(impl->context, done);
+    });
+  });
+}
+
 void HttpServer::SilenceOpenConnections() {
   m_impl->ForEach([](const Impl::SessionPtr& session) { session->silenced = true; });
 }
 
+const char* HttpCutReasonName(HttpCutReason reason) {
+  switch (reason) {
+    case HttpCutReason::kPeerClosed:
+      return "peer-closed";
+    case HttpCutReason::kDeadline:
+      return "deadline";
+    case HttpCutReason::kShutdown:
+      return "shutdown";
+    case HttpCutReason::kConnections:
+      return "connections";
+  }
+  return "unknown";
+}
+
 const std::string& HttpRequest::Header(const std::string& name) const {
   static const std::string none;
   for (const auto& [key, value] : headers) {
--- /dev/null
+++ b/tests/cell/cut_test.cc
@@ -0,0 +1,175 @@
+// Connections of callers that end without a whole answer are told apart by what ended them.
+#include <doctest/doctest.h>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <condition_variable>
+#include <future>
+#include <mutex>
+#include <thread>
+
+#include "citronsill/http.h"
+#include "net.h"
+
+namespace citronsill {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr const char* kRequest = "GET /jobs/x HTTP/1.1\r\nHost: h\r\n\r\n";
+
+// A server whose handler answers when it is told to.
+struct Server {
+  explicit Server(std::size_t max_connections = 8, HttpLimits limits = {})
+      : runtime(std::move(Runtime::Create(1).value())) {
+    HttpServerOptions options;
+    options.address = "127.0.0.1:0";
+    options.max_connections = max_connections;
+    options.limits = limits;
+    options.on_cut = [this](const HttpCut& cut) { Note([&] { cuts.push_back(cut); }); };
+    server = std::move(
+        HttpServer::Create(*runtime, options, [this](const HttpRequest&, const HttpReply& reply) {
+          Note([&] { replies.push_back(reply); });
+        }).value());
+    runtime->Start();
+  }
+  ~Server() { runtime->Stop(); }
+  Server(const Server&) = delete;
+  Server& operator=(const Server&) = delete;
+
+  void Note(const std::function<void()>& change) {
+    const std::lock_guard lock(mutex);
+    change();
+    changed.notify_all();
+  }
+  bool Await(const std::function<bool()>& condition) {
+    std::unique_lock lock(mutex);
+    return changed.wait_for(lock, 5s, condition);
+  }
+  // @returns the one cut that there has to be.
+  HttpCut Cut() {
+    REQUIRE(Await([this] { return !cuts.empty(); }));
+    std::this_thread::sleep_for(20ms);
+    const std::lock_guard lock(mutex);
+    CHECK(cuts.size() == 1);
+    return cuts[0];
+  }
+
+  std::unique_ptr<Runtime> runtime;
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::vector<HttpCut> cuts;
+  std::vector<HttpReply> replies;
+  std::unique_ptr<HttpServer> server;
+};
+
+struct Client {
+  explicit Client(const Server& server) : socket(io) {
+    socket.connect({asio::ip::make_address("127.0.0.1"), server.server->Port()});
+  }
+  void Send(const std::string& text) { asio::write(socket, asio::buffer(text)); }
+  void Reset() {
+    socket.set_option(asio::socket_base::linger(true, 0));
+    socket.close();
+  }
+
+  asio::io_context io;
+  Tcp::socket socket;
+};
+
+HttpResponse LargeAnswer() {
+  HttpResponse response;
+  response.body = std::string(32U << 20, 'x');
+  return response;
+}
+
+// Guards against a shutdown that leaves a request unanswered and shows nowhere but at the caller.
+TEST_CASE("cut: a request without an answer at the end of the process") {
+  Server server;
+  Client client(server);
+  client.Send(kRequest);
+  REQUIRE(server.Await([&] { return !server.replies.empty(); }));
+  server.server->Drain();
+  server.server->ReportUnanswered([] {});
+  const HttpCut cut = server.Cut();
+  CHECK(cut.reason == HttpCutReason::kShutdown);
+  CHECK(cut.was_read);
+  CHECK_FALSE(cut.was_answering);
+  CHECK(cut.draining);
+  CHECK(cut.method == "GET");
+  CHECK(cut.target == "/jobs/x");
+}
+
+// Guards against a caller's reset that is taken for a cut of ours.
+TEST_CASE("cut: the caller leaves before its answer") {
+  Server server;
+  Client client(server);
+  client.Send(kRequest);
+  REQUIRE(server.Await([&] { return !server.replies.empty(); }));
+  client.Reset();
+  std::this_thread::sleep_for(20ms);
+  server.replies[0](LargeAnswer());
+  const HttpCut cut = server.Cut();
+  CHECK(cut.reason == HttpCutReason::kPeerClosed);
+  CHECK(cut.was_read);
+  CHECK(cut.was_answering);
+  CHECK_FALSE(cut.draining);
+}
+
+// Guards against a part of a request that counts as a whole one.
+TEST_CASE("cut: the caller leaves within its request, or misses the time for it") {
+  HttpLimits limits;
+  limits.read_timeout = 100ms;
+  Server server(8, limits);
+  {
+    Client client(server);
+    client.Send("GET /jobs/x HTTP/1.1\r\nHo");
+    std::this_thread::sleep_for(20ms);
+    client.Reset();
+    const HttpCut cut = server.Cut();
+    CHECK(cut.reason == HttpCutReason::kPeerClosed);
+    CHECK_FALSE(cut.was_read);
+  }
+  server.Note([&] { server.cuts.clear(); });
+  Client client(server);
+  client.Send("GET /jobs/x HTTP/1.1\r\nHo");
+  const HttpCut cut = server.Cut();
+  CHECK(cut.reason == HttpCutReason::kDeadline);
+  CHECK_FALSE(cut.was_read);
+  CHECK(cut.age >= 100ms);
+}
+
+// Guards against callers that are turned away without a trace.
+TEST_CASE("cut: there are too many connections") {
+  Server server(1);
+  Client first(server);
+  first.Send(kRequest);
+  REQUIRE(server.Await([&] { return !server.replies.empty(); }));
+  Client second(server);
+  const HttpCut cut = server.Cut();
+  CHECK(cut.reason == HttpCutReason::kConnections);
+  CHECK_FALSE(cut.was_read);
+}
+
+// Guards against a report on connections that ended as they should.
+TEST_CASE("cut: answered requests and idle connections are none") {
+  Server server;
+  Client client(server);
+  client.Send(kRequest);
+  REQUIRE(server.Await([&] { return !server.replies.empty(); }));
+  server.replies[0](HttpResponse{});
+  std::string answer(16, '\0');
+  asio::read(client.socket, asio::buffer(answer));
+  CHECK(answer.starts_with("HTTP/1.1 200"));
+  std::promise<void> reported;
+  server.server->ReportUnanswered([&] { reported.set_value(); });
+  reported.get_future().wait();
+  client.Reset();
+  std::this_thread::sleep_for(20ms);
+  const std::lock_guard lock(server.mutex);
+  CHECK(server.cuts.empty());
+}
+
+}  // namespace
+}  // namespace citronsill
--- a/tools/citronsill_node.cc
+++ b/tools/citronsill_node.cc
@@ -91,12 +91,15 @@
     const bool is_quiet = m_node_drained && m_ingress->Connections() == 0;
     const bool is_over = since >= m_file.node.drain_time - kDrainReserve;
     if (!is_over && !(is_quiet && since >= kDrainAtLeast)) return;
-    Log(LogLevel::kInfo, "stopped")
-        .Field("after_ms", since)
-        .Field("open_connections", m_ingress->Connections())
-        .Field("node_drained", m_node_drained);
-    FlushNodeLog();
-    m_runtime.Stop();
+    if (std::exchange(m_stopping, true)) return;
+    m_ingress->ReportUnanswered([this, since] {
+      Log(LogLevel::kInfo, "stopped")
+          .Field("after_ms", since)
+          .Field("open_connections", m_ingress->Connections())
+          .Field("node_drained", m_node_drained);
+      FlushNodeLog();
+      m_runtime.Stop();
+    });
   }
 
   // @returns when the settings file was last changed; the earliest time when that is not known.
@@ -130,6 +133,7 @@
   std::unique_ptr<HttpServer> m_metrics;
   bool m_draining = false;
   bool m_node_drained = false;
+  bool m_stopping = false;
 };
 
 int Run(const std::string& path, bool only_check) {
