--- a/tests/cell/grown.h
+++ b/tests/cell/grown.h
@@ -310,6 +310,7 @@
       record->chain += milliseconds(1000 + 5 * kind.every_ms);
     }
     if (!lasting) m_longest_chain = std::max(m_longest_chain, record->chain);
+    ++report.submitted;
     JobRecord* raw = record.get();
     m_jobs[spec.id()] = std::move(record);
     return raw;
@@ -323,7 +324,6 @@
   void Submit(JobRecord* job) {
     if (job->accepted) return;
     cell.history.submitted.insert(job->spec.id());
-    if (job->tries == 0) ++report.submitted;
     if (job->tries >= kTries) {
       ++report.given_up;
       return;
