--- a/tests/cell/processor.h
+++ b/tests/cell/processor.h
@@ -45,6 +45,8 @@
   std::uint64_t workers = 0;
   std::uint64_t pairs = 0;  // Of a waiting unit and a worker.
   std::uint64_t orders = 0;
+
+  [[nodiscard]] std::uint64_t Total() const { return workers + pairs + orders; }
 };
 
 // @returns what the last pass of `scheduler` has looked at. The planner does not count it: it looks
