A job that becomes final says why: the runs that counted as attempts, or the call that cancelled it

`job-final` gave the state; which runs had used up the attempts had to be guessed from `run-ended` lines, which also list ends that do not count. Change: `job-final` has `cause` (done, attempts, cancel-call) and, for attempts, the task, its failures, what the queue allows and the runs of this term that counted with their workers; counts of an earlier scheduler are in `failures`, their runs are not known. `jobs_final_total{state}` counts. Memory: one entry for each run that failed.

--- a/cell/job.cc
+++ b/cell/job.cc
@@ -113,6 +113,19 @@
                                job.spec.interval_ms() * static_cast<std::int64_t>(occurrence)));
 }
 
+FinalCause AttemptsUsedUp(const Task& task, std::uint32_t failures) {
+  const Step& step = *task.step;
+  FinalCause cause{"attempts", step.Ref(task.index), failures,
+                   step.job->spec.queue().max_attempts(), ""};
+  for (const CountedFailure& failure : step.job->failures) {
+    if (failure.occurrence != step.occurrence || failure.step != step.number) continue;
+    if (!step.spec->gang() && failure.index != task.index) continue;
+    if (!cause.runs.empty()) cause.runs.append(",");
+    cause.runs.append(std::to_string(failure.run)).append("@").append(failure.worker);
+  }
+  return cause;
+}
+
 void BeginOccurrence(Job* job) { MakeSteps(job->occurrences_begun++, job); }
 
 void EndOccurrence(std::uint32_t occurrence, Job* job) {
--- a/cell/job.h
+++ b/cell/job.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -123,6 +124,24 @@
   [[nodiscard]] TaskRef Ref(std::uint32_t index) const;
 };
 
+/// A run that counted as an attempt of its task, or of its gang.
+struct CountedFailure {
+  std::uint32_t occurrence = 0;
+  std::uint32_t step = 0;
+  std::uint32_t index = 0;
+  std::uint64_t run = 0;
+  std::string worker;
+};
+
+/// What made a job final.
+struct FinalCause {
+  std::string_view cause;       ///< done, attempts or cancel-call.
+  std::optional<TaskRef> task;  ///< Whose attempts are used up; of a gang, the member that failed.
+  std::uint32_t failures = 0;   ///< That counted, in all terms.
+  std::uint32_t attempts = 0;   ///< That the queue allows.
+  std::string runs;  ///< Of this term that counted, as RUN@WORKER; earlier ones are not known.
+};
+
 struct Job {
   schema::JobSpec spec;
   schema::JobState state = schema::JOB_STATE_QUEUED;
@@ -137,8 +156,9 @@
   std::uint64_t submission = 0;  ///< Numbers the submissions that one scheduler took.
   bool stored = false;           ///< Its job row is in the store or in the transaction in flight.
   bool ever_started = false;
-  std::uint64_t dirty_position = 0;  ///< Place in the queue for the store; 0 when not in it.
-  SteadyTime dirty_since{};          ///< When it entered this queue.
+  std::uint64_t dirty_position = 0;      ///< Place in the queue for the store; 0 when not in it.
+  SteadyTime dirty_since{};              ///< When it entered this queue.
+  std::vector<CountedFailure> failures;  ///< Of this term.
 
   [[nodiscard]] bool IsFinal() const {
     return state == schema::JOB_STATE_SUCCEEDED || state == schema::JOB_STATE_FAILED ||
@@ -146,6 +166,9 @@
   }
 };
 
+/// @returns why `task` has made its job fail.
+FinalCause AttemptsUsedUp(const Task& task, std::uint32_t failures);
+
 /// Makes the steps of the next occurrence of `job`.
 void BeginOccurrence(Job* job);
 
--- a/cell/metrics.cc
+++ b/cell/metrics.cc
@@ -106,6 +106,10 @@
                             .Help("How late a periodic timer of the event loop fired.")
                             .Register(registry)
                             .Add({}, kLatencyBuckets);
+  Family<Counter>& finals = prometheus::BuildCounter()
+                                .Name("citronsill_jobs_final_total")
+                                .Help("Jobs that have become final, by state.")
+                                .Register(registry);
   Family<Counter>& cuts = prometheus::BuildCounter()
                               .Name("citronsill_answers_cut_total")
                               .Help("Connections of callers that ended without a whole answer.")
@@ -169,6 +173,10 @@
 
 void NodeMetrics::ObserveLoopLag(milliseconds lag) { m_impl->loop_lag.Observe(Seconds(lag)); }
 
+void NodeMetrics::CountFinal(const char* state) {
+  m_impl->finals.Add({{"state", state}}).Increment();
+}
+
 void NodeMetrics::CountCut(const char* reason) {
   m_impl->cuts.Add({{"reason", reason}}).Increment();
 }
--- a/cell/metrics.h
+++ b/cell/metrics.h
@@ -36,6 +36,8 @@
   void CountCommit(milliseconds elapsed, std::uint32_t attempts);
   void CountAdvice(bool answered, milliseconds elapsed);
   void CountTakeover();
+  /// A job has become final. @param state one of a fixed set.
+  void CountFinal(const char* state);
   /// A periodic timer fired late by this much.
   void ObserveLoopLag(milliseconds lag);
   /// A caller's connection ended without a whole answer. @param reason one of a fixed set.
--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -186,7 +186,7 @@
       .Field("job", id)
       .Field("state", StateName(job->state))
       .Field("live_orders", job->live_orders);
-  Finish(job, schema::JOB_STATE_CANCELLED);
+  Finish(job, schema::JOB_STATE_CANCELLED, {"cancel-call", {}, 0, 0, ""});
   AfterStored([done = std::move(done)] { done(schema::JOB_STATE_CANCELLED); });
 }
 
@@ -402,17 +402,23 @@
     return;
   }
   std::uint32_t failures = 0;
+  const auto count = [&] {
+    step->job->failures.push_back(
+        {step->occurrence, step->number, task->index, order.run, order.worker->description.id});
+  };
   if (step->spec->gang()) {
     if (step->gang_failed_run != order.run) {
       step->gang_failed_run = order.run;
       ++step->gang_failures;
+      count();
     }
     failures = step->gang_failures;
   } else {
     failures = ++task->failures;
+    count();
   }
   if (failures >= step->job->spec.queue().max_attempts()) {
-    Finish(step->job, schema::JOB_STATE_FAILED);
+    Finish(step->job, schema::JOB_STATE_FAILED, AttemptsUsedUp(*task, failures));
   }
 }
 
@@ -502,19 +508,32 @@
   const bool all_done = std::all_of(job->steps.begin(), job->steps.end(),
                                     [](const auto& other) { return other->IsDone(); });
   if (all_done && job->occurrences_begun == OccurrenceCount(*job)) {
-    Finish(job, schema::JOB_STATE_SUCCEEDED);
+    Finish(job, schema::JOB_STATE_SUCCEEDED, {"done", {}, 0, 0, ""});
   }
 }
 
-void Scheduler::Finish(Job* job, schema::JobState state) {
+std::vector<CountedFailure> Scheduler::CountedFailures(const std::string& id) const {
+  const auto found = m_jobs.find(id);
+  return found == m_jobs.end() ? std::vector<CountedFailure>{} : found->second->failures;
+}
+
+void Scheduler::Finish(Job* job, schema::JobState state, const FinalCause& cause) {
   if (job->IsFinal()) return;
-  Log(LogLevel::kInfo, "job-final")
-      .Field("job", job->spec.id())
+  NodeMetrics::Get().CountFinal(StateName(state));
+  LogLine line(LogLevel::kInfo, "job-final");
+  line.Field("job", job->spec.id())
       .Field("queue", job->spec.queue().name())
       .Field("state", StateName(state))
       .Field("age_ms", std::chrono::duration_cast<milliseconds>(m_hooks.now() - job->arrived))
       .Field("objective_ms",
-             std::chrono::duration_cast<milliseconds>(job->objective - job->arrived));
+             std::chrono::duration_cast<milliseconds>(job->objective - job->arrived))
+      .Field("cause", cause.cause);
+  if (cause.task) {
+    line.Field("task", *cause.task)
+        .Field("failures", cause.failures)
+        .Field("attempts", cause.attempts)
+        .Field("runs", cause.runs);
+  }
   job->state = state;
   for (const auto& step : job->steps) {
     for (const Task& task : step->tasks) {
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -99,6 +99,12 @@
   /// Everything up to `position` is in the store.
   void OnStored(std::uint64_t position);
 
+  /// @returns runs that counted as attempts since this scheduler took the job over.
+  [[nodiscard]] std::vector<CountedFailure> CountedFailures(const std::string& id) const;
+
+  /// @returns jobs that have ended and can still be asked for.
+  [[nodiscard]] std::size_t FinishedJobs() const { return m_finished.size(); }
+
   void OnAdvice(const TaskRef& step, const std::vector<std::string>& asked,
                 const Result<AdviceAnswer>& result);
 
@@ -167,7 +173,7 @@
   Step* FindStep(const TaskRef& ref);
   void KeepAnswer(const Worker& worker, bool is_allowed, Step* step);
   static void LookUpAnswers(const std::vector<Worker*>& workers, Step* step);
-  void Finish(Job* job, schema::JobState state);
+  void Finish(Job* job, schema::JobState state, const FinalCause& cause);
   void Settle(Job* job);
   void RefreshReady(Job* job);
   void BeginDue(Job* job);
