What decided that a job is not known, or that a call has no answer, is in the entry's line

Whether the scheduler was one that had been replaced, one that had read nothing, or whether there was none could not be told. Change: a scheduler that knows no job answers with its term, the jobs and ended jobs that it knows, the age of its last commit and whether it has loaded (a new last field of CallReply; other versions ignore it); an entry that gives a call up says which scheduler it knew of, whether it was linked, had got the call, and, if it is this instance, has loaded. Tests: tests/cell/outcome_test.cc, a shard on a real event loop against a store that refuses, hides its jobs, or works.

--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -495,11 +495,25 @@
   void Handle(const schema::LinkMessage& message, Reply reply) {
     Carry(message, [weak = weak_from_this(), key = open_calls.Add(BootNow()),
                     reply = std::move(reply)](schema::CallReply out) {
-      if (const auto self = weak.lock()) self->open_calls.Remove(key);
+      if (const auto self = weak.lock()) {
+        self->open_calls.Remove(key);
+        if (out.code() == schema::CODE_NOT_FOUND) *out.mutable_basis() = self->Basis();
+      }
       reply(std::move(out));
     });
   }
 
+  [[nodiscard]] schema::AnswerBasis Basis() const {
+    schema::AnswerBasis basis;
+    basis.set_instance(options.owner.instance());
+    basis.set_term(options.owner.term());
+    basis.set_jobs(scheduler->ActiveJobs());
+    basis.set_finished(scheduler->FinishedJobs());
+    basis.set_confirmed_ms_ago(ConfirmedAgo().count());
+    basis.set_loaded(loaded);
+    return basis;
+  }
+
   void Carry(const schema::LinkMessage& message, Reply reply) {
     if (lost || releasing) return reply(Failure({schema::CODE_NOT_OWNER, "the shard has moved"}));
     if (!loaded) {
--- a/cell/shard.cc
+++ b/cell/shard.cc
@@ -313,8 +313,10 @@
   void OnReply(const PendingPtr& call, const schema::CallReply& reply) {
     call->in_flight = false;
     if (reply.code() == schema::CODE_NOT_OWNER) return;
-    Finish(call, CallOutcome{reply.code(), reply.message(), reply.state(), reply.waiting(),
-                             milliseconds(reply.retry_after_ms())});
+    CallOutcome outcome{reply.code(), reply.message(), reply.state(), reply.waiting(),
+                        milliseconds(reply.retry_after_ms())};
+    if (reply.has_basis()) outcome.scheduler_basis = reply.basis();
+    Finish(call, std::move(outcome));
   }
 
   void Finish(const PendingPtr& call, CallOutcome outcome) {
@@ -328,14 +330,25 @@
     done(std::move(outcome));
   }
 
+  [[nodiscard]] EntryBasis Basis(const PendingCall& call) const {
+    const schema::OwnerRow& owner = claimer.Owner();
+    return {owner.instance(),
+            owner.term(),
+            leader != nullptr,
+            leader && leader->IsLoaded(),
+            owner_link && owner_link->IsOpen(),
+            call.was_sent};
+  }
+
   void ExpirePending() {
     const SteadyTime now = BootNow();
     const std::list<PendingPtr> calls = pending;
     for (const PendingPtr& call : calls) {
       if (now >= call->deadline) {
         const auto code = call->was_sent ? schema::CODE_OUTCOME_UNKNOWN : schema::CODE_NO_OWNER;
-        Finish(call,
-               CallOutcome{code, "no answer of the scheduler in time", {}, 0, kNoOwnerRetryAfter});
+        CallOutcome outcome{code, "no answer of the scheduler in time", {}, 0, kNoOwnerRetryAfter};
+        outcome.entry_basis = Basis(*call);
+        Finish(call, std::move(outcome));
       } else if (!call->in_flight) {
         SendOne(call);
       }
--- a/cell/shard.h
+++ b/cell/shard.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "cell/leader.h"
@@ -11,6 +12,16 @@
 
 namespace citronsill {
 
+/// What an entry knew of the way to the scheduler when it gave a call up.
+struct EntryBasis {
+  std::string owner;  ///< Instance whose scheduler the shard has, as far as known.
+  std::uint64_t term = 0;
+  bool is_owner = false;   ///< This instance.
+  bool is_loaded = false;  ///< Its scheduler has read the shard; only if it is this instance.
+  bool is_linked = false;
+  bool was_sent = false;  ///< A scheduler had got the call.
+};
+
 /// How a call of a caller ended.
 struct CallOutcome {
   schema::Code code{};  ///< CODE_OK, or:
@@ -21,6 +32,9 @@
   schema::JobState state{};
   std::uint64_t waiting = 0;
   milliseconds retry_after{0};  ///< 0 when the caller is told nothing.
+  /// Who decided on an outcome that is not CODE_OK; neither when there is nothing to say of it.
+  std::optional<schema::AnswerBasis> scheduler_basis{};
+  std::optional<EntryBasis> entry_basis{};
 };
 using CallDone = std::function<void(CallOutcome)>;
 
--- /dev/null
+++ b/tests/cell/outcome_test.cc
@@ -0,0 +1,157 @@
+// What decided on an outcome that callers take as a loss: an unknown job, or no answer.
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <future>
+#include <map>
+
+#include "cell/leader.h"
+#include "cell/shard.h"
+
+namespace citronsill {
+namespace {
+
+using std::chrono::seconds;
+
+// A store without rows but those of ownership, which can fall silent.
+class StubStore : public RowStore {
+ public:
+  explicit StubStore(Runtime& runtime) : m_runtime(runtime) {}
+
+  std::atomic<bool> refuses{false};
+  std::atomic<bool> hides_jobs{false};
+
+  void Commit(RowTransaction transaction, milliseconds,
+              std::function<void(Result<CommitOutcome>)> done) override {
+    m_runtime.Post([this, transaction = std::move(transaction), done = std::move(done)] {
+      if (refuses) return done(Error{schema::CODE_TABLE_UNAVAILABLE, "down"});
+      ++m_version;
+      for (const Row& row : transaction.writes) {
+        m_rows[row.key] = Row{row.key, row.value, m_version, false};
+      }
+      done(CommitOutcome{true, m_version, {}});
+    });
+  }
+  void Read(RowRange range, milliseconds, std::function<void(Result<RowPage>)> done) override {
+    if (hides_jobs && range.table == kJobTable) return;
+    m_runtime.Post([this, range = std::move(range), done = std::move(done)] {
+      if (refuses) return done(Error{schema::CODE_TABLE_UNAVAILABLE, "down"});
+      RowPage page;
+      page.version = m_version;
+      for (const auto& [key, row] : m_rows) {
+        if (key.table == range.table && key.part == range.part) page.rows.push_back(row);
+      }
+      done(std::move(page));
+    });
+  }
+  void Follow(std::string, std::uint64_t, milliseconds,
+              std::function<void(Result<RowPage>)>) override {}
+
+ private:
+  Runtime& m_runtime;
+  std::uint64_t m_version = 0;
+  std::map<RowKey, Row> m_rows;
+};
+
+// A shard of one instance, on its own thread.
+struct Entry {
+  Entry()
+      : runtime(std::move(Runtime::Create(1).value())),
+        timers(std::move(TimerService::Create(*runtime).value())),
+        store(*runtime) {
+    settings.instance = "n-0";
+    runtime->Start();
+  }
+  ~Entry() {
+    OnLoop([this] { shard.reset(); });
+    runtime->Stop();
+  }
+  Entry(const Entry&) = delete;
+  Entry& operator=(const Entry&) = delete;
+
+  void OnLoop(const std::function<void()>& action) const {
+    std::promise<void> done;
+    runtime->Post([&] {
+      action();
+      done.set_value();
+    });
+    done.get_future().wait();
+  }
+
+  // Asks for a job that does not exist.
+  CallOutcome Ask(milliseconds timeout) {
+    std::promise<CallOutcome> answer;
+    OnLoop([&] {
+      ShardDeps deps;
+      deps.runtime = runtime.get();
+      deps.timers = timers.get();
+      deps.store = &store;
+      deps.platform = &platform;
+      deps.settings = &settings;
+      deps.self.set_instance("n-0");
+      deps.self.set_incarnation(7);
+      deps.self.set_address("127.0.0.1:1");
+      deps.connect = [](const std::string&) { return LinkPtr(); };
+      deps.for_each_link = [](const std::function<void(const LinkPtr&)>&) {};
+      deps.may_claim = [] { return true; };
+      shard = Shard::Create("s0", std::move(deps));
+      schema::LinkMessage message;
+      message.mutable_state()->set_id("00000000000000aa");
+      shard->Call(message, timeout, [&](CallOutcome o) { answer.set_value(std::move(o)); });
+    });
+    return answer.get_future().get();
+  }
+
+  std::unique_ptr<Runtime> runtime;
+  std::unique_ptr<TimerService> timers;
+  StubStore store;
+  PlatformServices platform;
+  NodeSettings settings;
+  std::unique_ptr<Shard> shard;
+};
+
+// Guards against an unknown job of which nobody can tell whether the scheduler had lost its shard,
+// or had read nothing.
+TEST_CASE("outcome: that a job is not known says what the scheduler knew") {
+  Entry entry;
+  const CallOutcome outcome = entry.Ask(seconds(8));
+  REQUIRE(outcome.code == schema::CODE_NOT_FOUND);
+  REQUIRE(outcome.scheduler_basis.has_value());
+  CHECK_FALSE(outcome.entry_basis.has_value());
+  CHECK(outcome.scheduler_basis->instance() == "n-0");
+  CHECK(outcome.scheduler_basis->term() == 1);
+  CHECK(outcome.scheduler_basis->jobs() == 0);
+  CHECK(outcome.scheduler_basis->loaded());
+  // The answer waits for a transaction, hence one of less than a claim's time ago.
+  CHECK(outcome.scheduler_basis->confirmed_ms_ago() < kOwnerSilenceMost.count());
+}
+
+// Guards against a missing answer whose line does not tell a missing scheduler from a slow one.
+TEST_CASE("outcome: no answer, because no scheduler was found") {
+  Entry entry;
+  entry.store.refuses = true;
+  const CallOutcome outcome = entry.Ask(milliseconds(300));
+  CHECK(outcome.code == schema::CODE_NO_OWNER);
+  CHECK_FALSE(outcome.scheduler_basis.has_value());
+  REQUIRE(outcome.entry_basis.has_value());
+  CHECK(outcome.entry_basis->owner.empty());
+  CHECK_FALSE(outcome.entry_basis->is_owner);
+  CHECK_FALSE(outcome.entry_basis->is_linked);
+  CHECK_FALSE(outcome.entry_basis->was_sent);
+}
+
+TEST_CASE("outcome: no answer, because the scheduler has not loaded its shard") {
+  Entry entry;
+  entry.store.hides_jobs = true;
+  const CallOutcome outcome = entry.Ask(seconds(4));
+  CHECK(outcome.code == schema::CODE_OUTCOME_UNKNOWN);
+  REQUIRE(outcome.entry_basis.has_value());
+  CHECK(outcome.entry_basis->owner == "n-0");
+  CHECK(outcome.entry_basis->term == 1);
+  CHECK(outcome.entry_basis->is_owner);
+  CHECK_FALSE(outcome.entry_basis->is_loaded);
+  CHECK(outcome.entry_basis->was_sent);
+}
+
+}  // namespace
+}  // namespace citronsill
