--- a/tests/cell/grown.h
+++ b/tests/cell/grown.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <numbers>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -37,8 +38,8 @@
   double uneven;           // Spread of run times within a step.
   double estimate_off;     // Spread of the error of estimates.
   double gangs;            // Share of jobs.
-  double stretch;          // Objective.
-  std::int64_t aim_ms;     //
+  double stretch;          // Objective: this many times the chain of work...
+  std::int64_t aim_ms;     // ...and this.
   int lasting;             // Jobs that last.
   std::int64_t every_ms;   // Of timed jobs.
   std::int64_t decide_us;  // Of the policy service.
@@ -49,34 +50,78 @@
 // Run times are cut at 1.5 times their mean: the tail of the site, of seven times the mean, would
 // only make the end of a test later.
 inline constexpr std::array<JobKind, 3> kJobKinds{{
-    {"hull-fairing", 1,     3,   3.32, 5300, 8000, 1.2,  20, 0.8,  120,    4500,  7600,
-     6300,           13000, 0.3, 0.2,  1.0,  2.2,  1000, 18, 4500, 702000, 10140, 0.3},
-    {"lashing-check",
-     2,
-     4,
-     8.69,
-     2300,
-     3500,
-     1.5,
-     25,
-     0.8,
-     150,
-     1700,
-     5200,
-     1800,
-     5300,
-     0.15,
-     0.5,
-     0.0,
-     4.0,
-     3000,
-     25,
-     3000,
-     130000,
-     1820,
-     0.45},
-    {"cut-list", 0,     3,    77.9, 850, 1300, 1.0, 3.2, 0.8,  19,    2500, 7400,
-     3600,       11000, 0.15, 0.2,  0.3, 1.5,  250, 0,   3000, 14300, 208,  0.7},
+    {.name = "hull-fairing",
+     .priority = 1,
+     .attempts = 3,
+     .per_s = 3.32,
+     .work_ms = 5300,
+     .most_work_ms = 8000,
+     .steps = 1.2,
+     .width = 20,
+     .width_spread = 0.8,
+     .most_width = 120,
+     .milli = 4500,
+     .most_milli = 7600,
+     .memory_mb = 6300,
+     .most_memory_mb = 13000,
+     .uneven = 0.3,
+     .estimate_off = 0.2,
+     .gangs = 1.0,
+     .stretch = 2.2,
+     .aim_ms = 1000,
+     .lasting = 18,
+     .every_ms = 4500,
+     .decide_us = 702000,
+     .each_us = 10140,
+     .allowed = 0.3},
+    {.name = "lashing-check",
+     .priority = 2,
+     .attempts = 4,
+     .per_s = 8.69,
+     .work_ms = 2300,
+     .most_work_ms = 3500,
+     .steps = 1.5,
+     .width = 25,
+     .width_spread = 0.8,
+     .most_width = 150,
+     .milli = 1700,
+     .most_milli = 5200,
+     .memory_mb = 1800,
+     .most_memory_mb = 5300,
+     .uneven = 0.15,
+     .estimate_off = 0.5,
+     .gangs = 0.0,
+     .stretch = 4.0,
+     .aim_ms = 3000,
+     .lasting = 25,
+     .every_ms = 3000,
+     .decide_us = 130000,
+     .each_us = 1820,
+     .allowed = 0.45},
+    {.name = "cut-list",
+     .priority = 0,
+     .attempts = 3,
+     .per_s = 77.9,
+     .work_ms = 850,
+     .most_work_ms = 1300,
+     .steps = 1.0,
+     .width = 3.2,
+     .width_spread = 0.8,
+     .most_width = 19,
+     .milli = 2500,
+     .most_milli = 7400,
+     .memory_mb = 3600,
+     .most_memory_mb = 11000,
+     .uneven = 0.15,
+     .estimate_off = 0.2,
+     .gangs = 0.3,
+     .stretch = 1.5,
+     .aim_ms = 250,
+     .lasting = 0,
+     .every_ms = 3000,
+     .decide_us = 14300,
+     .each_us = 208,
+     .allowed = 0.7},
 }};
 
 struct GrownOptions {
