Soak: instances inherit no connections of the relays

Cause: instances that are started again inherited all open sockets of the soak. A relay that closed such a connection closed only its own copy: neither caller nor instance saw the end, and the next call on it got no answer. Faults that reset or end connections were weaker than meant from the first restart on.

Sockets of relays stayed in CLOSE_WAIT with the end unread, and a node held 188 descriptors.

--- a/tests/soak/processes.cc
+++ b/tests/soak/processes.cc
@@ -112,6 +112,9 @@
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // Connections of the relays that an instance inherits stay open when the relay closes them: the
+  // other side then sees no end, and calls on them time out.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   const int error =
       posix_spawn(&instance->pid, words[0].c_str(), &actions, nullptr, arguments.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
