Soak: slow instances, large cells, lasting and timed jobs, checks of waiting tasks

Faults: `slow` gives an instance, the scheduler half of the time, 5 to 25% of its processor for 0.8 to 6 s by SIGSTOP and SIGCONT in periods of 20 to 100 ms.

Checks while it runs: a connection that ends without an answer over 200 ms after the request, without an unplanned fault from 3 s before; ended jobs stay known as they were told; lasting jobs neither succeed nor fail; occurrences start no earlier than 250 ms before their time; a task of a job with nothing running is started within 3 s of room for it twice over while under half of the room is in use; a lasting task is away for at most 6 s. The last two count from 4 s after the last disruption. A pause of the soak itself of 200 ms or more counts as one, and the longest is printed. What was broken stands in the log of faults at its time.

--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -6,16 +6,20 @@
 build=${BUILD:-build}
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
-run() { # SEED SECONDS PORT
-  "$build/citronsill_soak" --node "$build/citronsill_node" --directory "$work" --seed "$1" --seconds "$2" \
-    --port "$3" > "$work/$1.out" 2>&1 &
+run() { # SEED SECONDS PORT OPTIONS...
+  local seed=$1 seconds=$2 port=$3
+  shift 3
+  "$build/citronsill_soak" --node "$build/citronsill_node" --directory "$work" --seed "$seed" \
+    --seconds "$seconds" --port "$port" "$@" > "$work/$seed.out" 2>&1 &
 }
-run 1 8 16400
-run 2 8 16800
+# Long enough for a calm stretch, in which tasks that wait are checked.
+run 1 20 16400 --rate 7
+# Every instance has the smallest share of a processor that the platform gives one.
+run 2 20 16800 --rate 20 --workers 60 --share 0.12
 wait
 # Seeds that failed: a frozen scheduler denied jobs of its successor (docs/incidents/2026-12-04-frozen-scheduler.md).
-run 104 15 17200
-run 202 15 17600
+run 104 15 17200 --plain
+run 202 15 17600 --plain
 wait
 cat "$work"/*.out
 ! grep -q '^not ok' "$work"/*.out
--- a/tests/soak/platform.cc
+++ b/tests/soak/platform.cc
@@ -20,6 +20,9 @@
 using platform::Text;
 
 constexpr milliseconds kAdvance{2};
+// A pause of this process that instances may take for a failure: calls to workers fail after 250
+// ms.
+constexpr milliseconds kStall{200};
 // Longer than any caller waits.
 constexpr milliseconds kNever{20000};
 constexpr milliseconds kTicketLife{2000};
@@ -132,6 +135,7 @@
   for (int i = 0; i < worker_count; ++i) {
     workers.push_back(std::make_unique<WorkerHost>());
     WorkerHost* worker = workers.back().get();
+    worker->number = static_cast<std::size_t>(i);
     BOOST_OUTCOME_TRY(worker->endpoint,
                       Serve([this, worker](const HttpRequest& request, HttpReply reply) {
                         HandleWorker(*worker, request, reply);
@@ -166,7 +170,19 @@
 }
 
 void Platform::Advance() {
-  loop.RunUntil(kModelStart + std::chrono::duration_cast<milliseconds>(BootNow() - m_began));
+  const SteadyTime now =
+      kModelStart + std::chrono::duration_cast<milliseconds>(BootNow() - m_began);
+  const auto stood = std::chrono::duration_cast<milliseconds>(now - loop.Now());
+  loop.RunUntil(now);
+  if (loop.Now() < kModelStart + kStall) return;
+  calm.stall = std::max(calm.stall, stood);
+  // Relays, workers and store stood still, too: the instances have seen a disruption.
+  if (stood >= kStall) Disturb(now, false);
+}
+
+void Platform::Disturb(SteadyTime until, bool is_planned) {
+  calm.disturbed = std::max(calm.disturbed, until);
+  if (!is_planned) calm.unplanned = std::max(calm.unplanned, until);
 }
 
 // A server has to reply once; by then the client has given up.
@@ -256,9 +272,9 @@
         R"("advice":{{"decideMs":{4},"eachMs":{5},"validMs":{6}}}}})",
         name, priority, stretch, target, decide, each, kTicketLife.count());
   };
-  std::string routes = queue("short", 0, 1.5, 250, 8.0, 0.2) + "," +
-                       queue("batch", 2, 4.0, 3000, 40.0, 1.0) + "," +
-                       queue("gang", 1, 2.2, 1000, 150.0, 2.0);
+  std::string routes =
+      queue("short", 0, 1.5, 250, 8.0, 0.2) + "," + queue("batch", 2, 4.0, 3000, 40.0, 1.0) + "," +
+      queue("gang", 1, 2.2, 1000, 150.0, 2.0) + "," + queue("serving", 1, 4.0, 1000, 8.0, 0.2);
   for (int i = 0; i < idle; ++i) {
     routes.append(",").append(queue(fmt::format("idle{}", i).c_str(), 2, 4.0, 1000, 1.0, 0.1));
   }
@@ -266,6 +282,7 @@
       R"({{"version":{},"routes":[{}],"services":[{{"name":"pool","admissionCheck":false}}]}})",
       ++m_config_version, routes);
   store.Apply(RowTransaction{{}, {Row{{"op", "", "config"}, text}}, {}});
+  calm.configured = loop.Now();
 }
 
 // ---- Workers
@@ -294,7 +311,9 @@
   KillWorker(worker);
   if (worker->id.empty() || loop.Chance(0.5)) {
     if (!worker->id.empty()) List(*worker, false);
+    m_by_id.erase(worker->id);
     worker->id = "w" + std::to_string(++m_last_id);
+    m_by_id[worker->id] = worker;
   }
   worker->draining = false;
   worker->holds.clear();
@@ -351,6 +370,11 @@
   order.run = run;
   order.fence = fence;
   order.lease_until = LeaseOf(root);
+  if (lasts && lasts(*task)) {
+    // A task that lasts is started again however it has ended.
+    history.done_noted.erase(*task);
+    history.failures_noted.erase(*task);
+  }
   const std::uint64_t starts = history.starts;
   m_starts_fail = worker.faults.fails_tasks;
   const StartAnswer answer = life.Start(order);
@@ -394,6 +418,14 @@
 
 // ---- The policy service
 
+bool Platform::IsAllowed(const std::string& step, const WorkerHost& worker) const {
+  // One host may always run the step, so that no job has to wait forever.
+  const bool is_sure = std::hash<std::string>{}(step) % workers.size() == worker.number;
+  return is_sure || std::hash<std::string>{}(step + worker.id) % 100 < kAllowedPercent;
+}
+
+Resources Platform::Capacity() { return kCapacity; }
+
 void Platform::HandleAdvice(Gate& gate, const HttpRequest& request, const HttpReply& reply) {
   const auto document = Document::Parse(request.body);
   if (!document) return reply(Answer(400));
@@ -406,16 +438,10 @@
   gate.advice_free = std::max(gate.advice_free, loop.Now()) + takes;
   for (const json::value& value : *asked) {
     const std::string id(value.as_string());
-    const auto worker = std::find_if(workers.begin(), workers.end(),
-                                     [&id](const auto& host) { return host->id == id; });
-    if (worker == workers.end()) continue;
-    // One host may always run the step, so that no job has to wait forever.
-    const std::size_t hash = std::hash<std::string>{}(step);
-    const auto host = static_cast<std::size_t>(worker - workers.begin());
-    const bool is_sure = hash % workers.size() == host;
-    if (!is_sure && std::hash<std::string>{}(step + id) % 100 >= kAllowedPercent) continue;
+    const auto worker = m_by_id.find(id);
+    if (worker == m_by_id.end() || !IsAllowed(step, *worker->second)) continue;
     const std::string ticket = "ticket-" + std::to_string(++m_last_ticket);
-    m_tickets[ticket] = {step, id, (*worker)->born_unix_ms, gate.advice_free + kTicketLife};
+    m_tickets[ticket] = {step, id, worker->second->born_unix_ms, gate.advice_free + kTicketLife};
     fmt::format_to(std::back_inserter(good), R"({}["{}","{}"])", std::exchange(comma, ","), id,
                    ticket);
   }
--- a/tests/soak/platform.h
+++ b/tests/soak/platform.h
@@ -46,6 +46,7 @@
     SteadyTime advice_free{};  // The policy service takes one call at a time from an instance.
   };
   struct WorkerHost {
+    std::size_t number = 0;
     std::string id;
     Endpoint endpoint;
     std::shared_ptr<model::WorkerLife> life;
@@ -64,6 +65,19 @@
   std::vector<std::unique_ptr<Gate>> gates;  // By instance.
   std::vector<std::unique_ptr<WorkerHost>> workers;
   std::function<model::TaskTruth(const TaskRef&)> truth;  // Of the jobs of the callers.
+  std::function<bool(const TaskRef&)> lasts;  // Whether a task runs until its job is cancelled.
+
+  // When the last disruption ends or ended. `disturbed` has restarts and terminations, too.
+  struct Calm {
+    SteadyTime disturbed{};
+    SteadyTime unplanned{};
+    SteadyTime configured{};  // When the configuration was last written.
+    milliseconds stall{0};    // Longest time in which this process itself stood still.
+  };
+  Calm calm;
+  std::vector<std::string> notes;  // For the log of faults.
+  // Notes a disruption that lasts until then.
+  void Disturb(SteadyTime until, bool is_planned);
 
   // Writes a new version of the configuration, with `idle` queues that nobody uses.
   void WriteConfig(int idle);
@@ -71,6 +85,9 @@
   void List(const WorkerHost& worker, bool listed);
   void KillWorker(WorkerHost* worker);
   void StartWorker(WorkerHost* worker);
+  // @returns whether the queue's policy lets a worker run a step, named as in orders.
+  [[nodiscard]] bool IsAllowed(const std::string& step, const WorkerHost& worker) const;
+  static Resources Capacity();
 
   // Called with the task when a worker starts a run on an order that was not late.
   std::function<void(const TaskRef&)> on_start;
@@ -109,6 +126,7 @@
   SteadyTime m_began;
   std::list<Feed> m_feeds;
   std::map<std::string, IssuedTicket> m_tickets;
+  std::map<std::string, WorkerHost*> m_by_id;
   std::uint64_t m_config_version = 0;
   std::uint64_t m_last_ticket = 0;
   std::uint64_t m_last_id = 0;
--- a/tests/soak/processes.cc
+++ b/tests/soak/processes.cc
@@ -6,6 +6,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstring>
 #include <fstream>
@@ -20,6 +21,10 @@
 // A process that is told to end has to be gone after this time, by the platform's pages.
 constexpr milliseconds kGrace{6000};
 constexpr int kPortsPerInstance = 10;
+// A throttled process runs and pauses in turn, once in this time: the pause stays below the 250 ms
+// after which calls to workers and links count as failed.
+constexpr std::int64_t kLeastPeriodMs = 20;
+constexpr std::int64_t kMostPeriodMs = 100;
 
 std::string At(int port) { return "127.0.0.1:" + std::to_string(port); }
 
@@ -49,6 +54,7 @@
     instances.push_back(std::make_unique<Instance>());
     Instance* instance = instances.back().get();
     instance->number = static_cast<int>(i);
+    instance->share = m_options.share;
     const int port = m_options.base_port + kPortsPerInstance * instance->number;
     int offset = 0;
     for (std::shared_ptr<Relay>* relay : {&instance->ingress, &instance->link}) {
@@ -85,13 +91,14 @@
   const Platform::Gate& gate = *m_platform->gates[static_cast<std::size_t>(instance.number)];
   std::ofstream out(fmt::format("{}/n-{}.json", m_options.directory, instance.number));
   out << fmt::format(
-      R"({{"instance":"n-{}","failure_domain":"a","region":"r","processor_share":0.5,)"
+      R"({{"instance":"n-{}","failure_domain":"a","region":"r","processor_share":{},)"
       R"("ingress_address":"{}","link_address":"{}","link_advertised_address":"{}",)"
       R"("readiness_address":"{}","metrics_address":"{}","seeds":[{}],"max_lease_ms":6000,)"
       R"("gang_time_ms":3000,"keep_finished_s":120,"drain_time_s":6,"store_address":"{}",)"
       R"("advice_address":"{}"}})",
-      instance.number, At(port), At(port + 1), At(instance.link->Port()), At(port + 2),
-      At(port + 3), seeds, gate.store.Address(), gate.advice.Address());
+      instance.number, m_options.share < 1.0 ? m_options.share : 0.5, At(port), At(port + 1),
+      At(instance.link->Port()), At(port + 2), At(port + 3), seeds, gate.store.Address(),
+      gate.advice.Address());
 }
 
 void Processes::Start(Instance* instance) {
@@ -118,7 +125,7 @@
   const int error =
       posix_spawn(&instance->pid, words[0].c_str(), &actions, nullptr, arguments.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
-  if (error == 0) return;
+  if (error == 0) return ApplyShare(*instance);
   instance->pid = 0;
   instance->start_at = SteadyTime::max();
   m_platform->history.violations.push_back("cannot start " + words[0] + ": " +
@@ -128,6 +135,12 @@
 // Notices processes that have ended, and those that do not end.
 void Processes::Watch(Instance* instance) {
   const SteadyTime now = BootNow();
+  if (instance->pid == 0 || instance->told_to_end || instance->frozen ||
+      instance->fault_share < 1.0) {
+    const bool is_planned = instance->told_to_end && !instance->killed && !instance->was_frozen &&
+                            instance->fault_share == 1.0;
+    m_platform->Disturb(m_platform->loop.Now(), is_planned);
+  }
   if (instance->pid == 0) {
     if (now >= instance->start_at) Start(instance);
     return;
@@ -139,7 +152,7 @@
     Kill(instance, milliseconds(500));
   }
   int status = 0;
-  if (waitpid(instance->pid, &status, WNOHANG) != instance->pid) return;
+  if (!m_throttle.Reap(instance->pid, &status)) return;
   instance->pid = 0;
   const bool is_expected =
       instance->killed || (instance->told_to_end && WIFEXITED(status) && WEXITSTATUS(status) == 0);
@@ -170,6 +183,7 @@
 void Processes::Terminate(Instance* instance, milliseconds down) {
   if (instance->pid == 0 || instance->told_to_end) return;
   instance->told_to_end = BootNow();
+  instance->terminated_at = m_platform->loop.Now();
   instance->was_frozen = instance->frozen;
   instance->start_at = BootNow() + down;
   kill(instance->pid, SIGTERM);
@@ -179,6 +193,7 @@
   if (instance->pid == 0) return;
   instance->frozen = true;
   instance->was_frozen = true;
+  m_throttle.Remove(instance->pid);
   kill(instance->pid, SIGSTOP);
 }
 
@@ -186,11 +201,30 @@
   if (instance->pid == 0 || !instance->frozen) return;
   instance->frozen = false;
   kill(instance->pid, SIGCONT);
+  ApplyShare(*instance);
+}
+
+void Processes::Slow(Instance* instance, double share) {
+  instance->fault_share = share;
+  ApplyShare(*instance);
+}
+
+void Processes::SetUpSlow(Instance* instance, double share) {
+  instance->share = share;
+  ApplyShare(*instance);
+}
+
+void Processes::ApplyShare(const Instance& instance) {
+  if (instance.pid == 0 || instance.frozen) return;
+  const double share = std::min(instance.share, instance.fault_share);
+  if (share >= 1.0) return m_throttle.Remove(instance.pid);
+  m_throttle.Set(instance.pid, share, m_platform->loop.Delay(kLeastPeriodMs, kMostPeriodMs));
 }
 
 void Processes::Reload(Instance* instance) {
   if (instance->pid == 0) return;
   WriteSettings(*instance);
+  instance->reloaded_at = m_platform->loop.Now();
   kill(instance->pid, SIGHUP);
 }
 
--- a/tests/soak/processes.h
+++ b/tests/soak/processes.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "platform.h"
+#include "throttle.h"
 
 namespace citronsill::soak {
 
@@ -16,6 +17,7 @@
   std::string program;    // Path of citronsill_node.
   std::string directory;  // For settings and logs.
   int base_port = 0;      // The ports from here on are free, ten an instance.
+  double share = 1.0;     // Of its processor that each instance has, all the time.
 };
 
 class Processes {
@@ -26,9 +28,14 @@
     std::shared_ptr<Relay> link;
     pid_t pid = 0;
     bool frozen = false;
-    bool was_frozen = false;  // Since it was told to end.
-    bool killed = false;      // By a signal of ours.
+    bool was_frozen = false;   // Since it was told to end.
+    bool killed = false;       // By a signal of ours.
+    double share = 1.0;        // Of its processor, as long as it is set up.
+    double fault_share = 1.0;  // Of its processor, while a fault lasts.
     std::optional<SteadyTime> told_to_end;
+    // Times of the model, for checks of what callers see.
+    std::optional<SteadyTime> terminated_at;
+    std::optional<SteadyTime> reloaded_at;
     SteadyTime start_at{};  // A process that has ended is started again then.
   };
 
@@ -46,6 +53,10 @@
   void Terminate(Instance* instance, milliseconds down);
   void Freeze(Instance* instance);
   void Thaw(Instance* instance);
+  // Gives an instance a share of its processor from now on, for a fault; 1 ends it.
+  void Slow(Instance* instance, double share);
+  // Gives an instance a share of its processor as long as the cell runs.
+  void SetUpSlow(Instance* instance, double share);
   // Writes the settings anew, with other seeds, and tells the process.
   void Reload(Instance* instance);
 
@@ -55,9 +66,11 @@
   void WriteSettings(const Instance& instance);
   void Start(Instance* instance);
   void Watch(Instance* instance);
+  void ApplyShare(const Instance& instance);
 
   Platform* m_platform;
   ProcessOptions m_options;
+  Throttle m_throttle;
 };
 
 }  // namespace citronsill::soak
