Fleet: ends of runs whose lease was taken as lapsed count

Cause: a worker that was silent until its lease was taken as lapsed had finished the run before. When it was heard again, its list of ends had the run; the end belonged to no order, counted for nothing, and was acknowledged. Evidence: order-void reason=lapsed at 39.436, run-ended how=done known=false at 39.615, run 3 assigned at 45.718. Change: an end that no order stands for is credited to its task: done marks it as done; failed counts as an attempt if this term gave the run up (others may have been counted before they were acknowledged). Tests: 'a run that ended done behind a lapsed lease does not run again' failed with 8 starts instead of 4, 'a run that failed behind a lapsed lease counts as an attempt' with 4 instead of 3; both pass.

--- a/cell/fleet.cc
+++ b/cell/fleet.cc
@@ -334,7 +334,10 @@
         .Field("number", ended.number)
         .Field("known", order != nullptr);
     worker->strays.erase(ended.task);
-    if (order == nullptr) continue;
+    if (order == nullptr) {
+      m_hooks.on_unclaimed_end(*worker, ended.task, ended.run, ended.end, ended.save);
+      continue;
+    }
     const std::unique_ptr<Order> over = Detach(order);
     m_hooks.on_ended(*over, ended.end, ended.save);
   }
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -79,6 +79,11 @@
   std::function<void(Order&)> on_running;
   std::function<void(Order&, RunEnd, const std::string& save)> on_ended;
   std::function<void(Order&, VoidReason, StartVerdict)> on_void;
+  /// A run ended that no order stands for any more, for example after its lease was taken as
+  /// lapsed.
+  std::function<void(const Worker&, const TaskRef&, std::uint64_t run, RunEnd,
+                     const std::string& save)>
+      on_unclaimed_end;
   /// Ends up to `number` were taken in; `Acknowledge` follows once they are in the store.
   std::function<void(Worker&, std::uint64_t number)> on_ends;
   /// The room on some worker may have changed.
--- a/cell/job.h
+++ b/cell/job.h
@@ -81,11 +81,12 @@
   std::uint32_t failures = 0;
   std::string save;
   std::uint64_t last_run = 0;
-  std::vector<Order*> orders;        ///< Live ones: none, one, or copies.
-  SteadyTime retry_at{};             ///< Not started before this time.
-  SteadyTime over_at{};              ///< When its last run ended or was lost.
-  SteadyTime held_logged{};          ///< When it was last reported as held.
-  std::vector<AvoidedWorker> avoid;  ///< Not started there for some time.
+  std::vector<std::uint64_t> lapsed_runs;  ///< Given up in this term; their ends may still come.
+  std::vector<Order*> orders;              ///< Live ones: none, one, or copies.
+  SteadyTime retry_at{};                   ///< Not started before this time.
+  SteadyTime over_at{};                    ///< When its last run ended or was lost.
+  SteadyTime held_logged{};                ///< When it was last reported as held.
+  std::vector<AvoidedWorker> avoid;        ///< Not started there for some time.
 };
 
 /// Room for some tasks of a step on one life of a worker.
--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -55,6 +55,10 @@
   hooks.on_void = [this](Order& order, VoidReason reason, StartVerdict verdict) {
     OnVoid(order, reason, verdict);
   };
+  hooks.on_unclaimed_end = [this](const Worker& worker, const TaskRef& ref, std::uint64_t run,
+                                  RunEnd end, const std::string& save) {
+    OnUnclaimedEnd(worker, ref, run, end, save);
+  };
   hooks.on_ends = [this](Worker& worker, std::uint64_t number) { OnEnds(worker, number); };
   hooks.on_room = [this] { m_hooks.plan_soon(); };
   hooks.on_deposed = m_hooks.on_deposed;
@@ -381,6 +385,11 @@
   m_queues[step->job->spec.queue().name()].run_times.Add(
       std::chrono::duration_cast<milliseconds>(m_hooks.now() - order.running_since),
       milliseconds(step->spec->estimate_ms()));
+  MarkDone(task);
+}
+
+void Scheduler::MarkDone(Task* task) {
+  Step* step = task->step;
   if (step->spec->gang()) {
     // The members end together: one end stands for all of them.
     for (Task& member : step->tasks) member.done = true;
@@ -393,6 +402,31 @@
   if (step->IsDone()) StepDone(step);
 }
 
+// A silent worker may have finished a run before its lease ran out. Its end is acknowledged like
+// any other, so it counts: the task must not run again.
+void Scheduler::OnUnclaimedEnd(const Worker& worker, const TaskRef& ref, std::uint64_t run,
+                               RunEnd end, const std::string& save) {
+  Step* step = FindStep(ref);
+  if (step == nullptr || ref.index >= step->tasks.size()) return;
+  Job* job = step->job;
+  Task* task = &step->tasks[ref.index];
+  if (job->IsFinal() || task->done || step->spec->long_running()) return;
+  if (end == RunEnd::kDone) {
+    if (step->spec->gang()) EndGang(step);
+    MarkDone(task);
+  } else if (end == RunEnd::kFailed && std::erase(task->lapsed_runs, run) > 0) {
+    // Only failures that this term gave up: others may have been counted before they were
+    // acknowledged.
+    CountFailure(task, run, worker.description.id);
+  } else {
+    return;
+  }
+  if (!save.empty() && task->orders.empty()) task->save = save;
+  MarkDirty(job);
+  Settle(job);
+  m_hooks.plan_soon();
+}
+
 void Scheduler::TaskFailed(const Order& order) {
   Task* task = order.task;
   Step* step = task->step;
@@ -401,6 +435,11 @@
     task->retry_at = m_hooks.now() + kRestartDelay;
     return;
   }
+  CountFailure(task, order.run, order.worker->description.id);
+}
+
+void Scheduler::CountFailure(Task* task, std::uint64_t run, const std::string& worker) {
+  Step* step = task->step;
   std::uint32_t failures = 0;
   const auto count = [&] {
     step->job->failures.push_back(
@@ -448,6 +487,7 @@
   Job* job = step->job;
   MarkDirty(job);
   if (order.state == OrderState::kRunning) task->over_at = m_hooks.now();
+  if (reason == VoidReason::kLapsed) task->lapsed_runs.push_back(order.run);
   if (reason == VoidReason::kRefused) {
     switch (verdict) {
       case StartVerdict::kBadTicket:
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -164,9 +164,13 @@
   void OnRunning(Order& order);
   void OnEnded(Order& order, RunEnd end, const std::string& save);
   void OnVoid(Order& order, VoidReason reason, StartVerdict verdict);
+  void OnUnclaimedEnd(const Worker& worker, const TaskRef& ref, std::uint64_t run, RunEnd end,
+                      const std::string& save);
   void OnEnds(Worker& worker, std::uint64_t number);
   void TaskDone(const Order& order);
   void TaskFailed(const Order& order);
+  void MarkDone(Task* task);
+  void CountFailure(Task* task, std::uint64_t run, const std::string& worker);
   void EndGang(Step* step);
   void GangMemberGone(Step* step);
   void StepDone(Step* step);
--- a/tests/cell/model_test.cc
+++ b/tests/cell/model_test.cc
@@ -66,6 +66,38 @@
   CheckAllEnd(cell, {"job"});
 }
 
+// Guards against TWICE: a worker is silent until its lease is taken as lapsed, and then reports
+// that the run was done before. The end was acknowledged, counted for nothing, and the task ran
+// again.
+TEST_CASE("cell: a run that ended done behind a lapsed lease does not run again") {
+  Cell cell(8, 1, 1, Resources{8000, 8000, 0});
+  TaskTruth truth;
+  truth.duration = milliseconds(1500);
+  cell.loop.After(milliseconds(1000), [&] { cell.Submit(cell.MakeJob("job", 4, truth)); });
+  cell.loop.After(milliseconds(1700), [&] { cell.nodes["w0"].cut_from.insert(0); });
+  cell.loop.After(milliseconds(12000), [&] { cell.nodes["w0"].cut_from.clear(); });
+  cell.loop.RunFor(seconds(25));
+  CheckHistory(cell.history);
+  CheckAllEnd(cell, {"job"});
+  CHECK(cell.history.starts == 4);
+}
+
+// Guards against BUDGET: a failed run whose lease was taken as lapsed was not counted, and the task
+// was tried more often than its queue allows.
+TEST_CASE("cell: a run that failed behind a lapsed lease counts as an attempt") {
+  Cell cell(9, 1, 1, Resources{8000, 8000, 0});
+  TaskTruth truth;
+  truth.duration = milliseconds(1500);
+  truth.fails = true;
+  cell.loop.After(milliseconds(1000), [&] { cell.Submit(cell.MakeJob("job", 1, truth)); });
+  cell.loop.After(milliseconds(1700), [&] { cell.nodes["w0"].cut_from.insert(0); });
+  cell.loop.After(milliseconds(12000), [&] { cell.nodes["w0"].cut_from.clear(); });
+  cell.loop.RunFor(seconds(30));
+  CheckHistory(cell.history);
+  CheckAllEnd(cell, {"job"});
+  CHECK(cell.history.starts == 3);
+}
+
 // Guards against a task that waits forever because the only worker offered is one it failed on.
 TEST_CASE("cell: a task that failed goes to another worker") {
   Cell cell(3, 1, 3, Resources{8000, 8000, 0});
