Scheduler: a refused job's place in the queue for the store does not hold up what waits behind it

What callers may see: orders that are given while the store is down are never sent, and their room stays taken (LOST). Cause: jobs that are refused because the store fails leave the queue, but effects that wait for their position went on waiting for it until some later job was stored. Change: a position that was withdrawn counts as stored once everything before it is. Test: 'a refused job does not hold up orders that were given after it': it fails without the change.

--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -170,11 +170,23 @@
       }
     }
     std::erase(m_dirty, job);
+    if (job->dirty_position != 0) m_withdrawn.insert(job->dirty_position);
     auto submitters = m_submitters.extract(job->spec.id());
     m_jobs.erase(job->spec.id());
     if (submitters.empty()) continue;
     for (const Done& submitter : submitters.mapped()) submitter(error);
   }
+  PassWithdrawn();
+  RunEffects();
+}
+
+// What was withdrawn from the queue for the store is never stored: what waits for it goes on once
+// everything before it is stored.
+void Scheduler::PassWithdrawn() {
+  while (!m_withdrawn.empty() && *m_withdrawn.begin() <= m_stored + 1) {
+    m_stored = std::max(m_stored, *m_withdrawn.begin());
+    m_withdrawn.erase(m_withdrawn.begin());
+  }
 }
 
 void Scheduler::Cancel(const std::string& id, Done done) {
@@ -310,6 +322,7 @@
 
 void Scheduler::OnStored(std::uint64_t position) {
   m_stored = std::max(m_stored, position);
+  PassWithdrawn();
   RunEffects();
   while (!m_settling.empty() && m_settling.front().first <= m_stored) {
     const std::string id = std::move(m_settling.front().second);
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -158,6 +158,7 @@
   void MarkDirty(Job* job);
   void AfterStored(std::function<void()> effect);
   void RunEffects();
+  void PassWithdrawn();
   void AppendRows(Job* job, WriteBatch* batch, std::size_t* bytes);
   void RemoveOldest(std::size_t max_entries, WriteBatch* batch);
   void KeepFinished(const std::string& id, const schema::FinishedRow& row);
@@ -229,8 +230,9 @@
   std::unordered_map<std::string, std::vector<Done>> m_submitters;
   std::deque<Job*> m_dirty;
   std::uint64_t m_submissions = 0;
-  std::uint64_t m_tail = 0;    // Last position that was given out.
-  std::uint64_t m_stored = 0;  // Everything up to it is in the store.
+  std::uint64_t m_tail = 0;             // Last position that was given out.
+  std::uint64_t m_stored = 0;           // Everything up to it is in the store.
+  std::set<std::uint64_t> m_withdrawn;  // Positions whose change is not stored any more.
   std::deque<Effect> m_effects;
   std::deque<std::pair<std::uint64_t, std::string>> m_settling;  // Removed once stored.
   std::map<std::string, QueueRecord> m_queues;
--- a/tests/cell/model_test.cc
+++ b/tests/cell/model_test.cc
@@ -142,6 +142,41 @@
   CHECK(away <= milliseconds(6000));
 }
 
+// Guards against LOST: the store was down, a job that came then was refused, and what waited for
+// its place in the queue for the store waited for ever: among them the restart of a lasting task.
+TEST_CASE("cell: a refused job does not hold up orders that were given after it") {
+  Cell cell(12, 1, 3, Resources{8000, 8000, 0});
+  cell.history.max_attempts = 1000;
+  TaskTruth truth;
+  truth.duration = milliseconds(1500);
+  truth.fails = true;
+  schema::JobSpec lasting = cell.MakeJob("lasting", 1, truth);
+  lasting.mutable_steps(0)->set_long_running(true);
+  const schema::JobSpec other = cell.MakeJob("other", 1, TaskTruth{});
+  cell.history.submitted.insert("other");
+  bool is_refused = false;
+  std::uint64_t starts_while_down = 0;
+  // The store fails shortly before the first run ends; the job comes before its restart.
+  std::function<void()> poll = [&] {
+    if (cell.history.starts == 0) return cell.loop.After(milliseconds(10), poll);
+    cell.loop.After(milliseconds(1400), [&] { cell.store.faults.down = true; });
+    cell.loop.After(milliseconds(1650), [&] {
+      cell.Leader()->scheduler->Submit(other, milliseconds(0),
+                                       [&](const auto& result) { is_refused = !result; });
+    });
+    cell.loop.After(milliseconds(4500), [&] {
+      cell.store.faults.down = false;
+      starts_while_down = cell.history.starts;
+    });
+  };
+  cell.loop.After(milliseconds(2000), [&] { cell.Submit(lasting); });
+  cell.loop.After(milliseconds(2010), poll);
+  cell.loop.RunFor(seconds(20));
+  CHECK(is_refused);
+  CHECK(cell.history.starts > starts_while_down);
+  CheckHistory(cell.history);
+}
+
 // Guards against a task that waits forever because the only worker offered is one it failed on.
 TEST_CASE("cell: a task that failed goes to another worker") {
   Cell cell(3, 1, 3, Resources{8000, 8000, 0});
