Leader: cancelling a job that is not known waits, as asking for its state does, until the shard is certainly owned

Cause: only State went through the read gate; Cancel answered from memory. Change: that there is no such job, or that it has ended, goes through the read gate for DELETE too. Jobs that are active are cancelled with the next transaction, which a replaced scheduler cannot store. No test of its own: tests/cell/reads_test.cc covers the gate, and the leader has none in model time.

--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -521,15 +521,25 @@
       return;
     }
     if (message.has_submit()) return Submit(message.submit(), std::move(reply));
-    if (message.has_cancel()) {
-      return scheduler->Cancel(message.cancel().id(), WithState(std::move(reply)));
-    }
+    if (message.has_cancel()) return Cancel(message.cancel().id(), std::move(reply));
     if (message.has_state()) return State(message.state().id(), std::move(reply));
     schema::CallReply out;
     out.set_waiting(scheduler->Waiting(message.waiting().queue()));
     reply(std::move(out));
   }
 
+  // That there is no such job, or that it has ended, is told only while the shard is certainly
+  // owned: the successor of a scheduler that was frozen may have accepted it. A job that is known
+  // is cancelled with the next transaction, which a scheduler that was replaced cannot store.
+  void Cancel(const std::string& id, Reply reply) {
+    const auto cancel = [this, id, reply = std::move(reply)] {
+      scheduler->Cancel(id, WithState(reply));
+    };
+    if (scheduler->IsActive(id)) return cancel();
+    const auto kind = scheduler->Knows(id) ? ReadGate::Answer::kState : ReadGate::Answer::kUnknown;
+    if (!reads.Give(kind, commits->FailingFor() > milliseconds(0), cancel)) commits->Wake();
+  }
+
   void State(const std::string& id, Reply reply) {
     const bool is_known = scheduler->State(id).has_value();
     const auto answer = [this, id, reply = std::move(reply)] {
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -86,6 +86,9 @@
   /// @returns the state that is in the store, none for an unknown job.
   [[nodiscard]] std::optional<schema::JobState> State(const std::string& id) const;
 
+  /// @returns whether the job is known and has not been put away as ended.
+  [[nodiscard]] bool IsActive(const std::string& id) const { return m_jobs.contains(id); }
+
   /// @returns whether the job is known, in the store or on its way to it.
   [[nodiscard]] bool Knows(const std::string& id) const {
     return m_jobs.contains(id) || m_finished.contains(id);
