Shards: a weak scheduler hands its shard to an instance of twice its strength

Change: an instance that schedules, has done so for 4 s, reaches the store, and has been linked for 4 s to one of at least twice its strength gives the shard away as it does at shutdown; the first heir takes it. No test in model time: instances of the model have no links.

--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -626,6 +626,11 @@
       std::move(owner), [impl = m_impl.get()] { impl->releasing = true; }, std::move(done));
 }
 
+bool Leader::IsCalm() const {
+  return m_impl->loaded && !m_impl->releasing && BootNow() > m_impl->began + kHandOverAfter &&
+         m_impl->commits->FailingFor() == milliseconds(0);
+}
+
 bool Leader::IsLoaded() const { return m_impl->loaded; }
 
 }  // namespace citronsill
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -52,6 +52,9 @@
   /// Gives the shard away; `done` is called when everything is stored.
   void Release(std::function<void()> done);
 
+  /// @returns whether it has loaded the shard for a while and the store answers.
+  [[nodiscard]] bool IsCalm() const;
+
   /// @returns whether it has loaded what the store keeps.
   [[nodiscard]] bool IsLoaded() const;
 
--- a/cell/limits.h
+++ b/cell/limits.h
@@ -164,6 +164,11 @@
 // A link of 50 Mbit/s carries what half of a core can schedule.
 inline constexpr std::uint32_t kStrengthMilliPerMbps = 10;
 inline constexpr std::chrono::milliseconds kWeakestHandicap{600};
+// An instance that schedules gives its shard to one of at least this many times its strength...
+inline constexpr std::uint32_t kHandOverFactor = 2;
+// ...that has been linked for this long, as it has been the scheduler itself: instances that start
+// or end in turn do not pass it around.
+inline constexpr std::chrono::milliseconds kHandOverAfter{4000};
 inline constexpr std::chrono::milliseconds kStoreReadTimeout{1000};
 // Wait of a call that follows changes: the longest that the store allows is 30 s; a connection that
 // fell silent is noticed after it, so it stays within the time for a change of the configuration.
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -279,6 +279,27 @@
                                     [](const auto& shard) { return shard->IsLeader(); }));
   }
 
+  // Load pattern: the strong instances are away for a moment, and a weak one becomes the scheduler
+  // of more than it can do.
+  void OfferShards() {
+    if (draining) return;
+    std::uint32_t strongest = 0;
+    links->ForEach([&strongest](const LinkPtr& link) {
+      if (!link->LastPing().may_lead()) return;
+      strongest = std::max(strongest, link->Peer().strength_milli());
+    });
+    const std::uint32_t own = Strength();
+    if (std::min(strongest, kFullStrengthMilli) < own * kHandOverFactor) {
+      stronger_since.reset();
+      return;
+    }
+    if (!stronger_since) stronger_since = BootNow();
+    if (BootNow() < *stronger_since + kHandOverAfter) return;
+    for (const auto& shard : shards) shard->HandOver();
+  }
+
+  std::optional<SteadyTime> stronger_since;  // A much stronger instance has been linked.
+
   void Tick() {
     store->Tick();
     const bool is_cut_off = std::none_of(shards.begin(), shards.end(), [](const auto& shard) {
@@ -292,6 +313,7 @@
         if (seed != settings.link_address) seed_links.push_back(links->Connect(seed));
       }
     }
+    OfferShards();
     if (!draining || !on_drained) return;
     for (const auto& shard : shards) {
       if (shard->IsLeader() || shard->PendingCalls() > 0) return;
--- a/cell/shard.cc
+++ b/cell/shard.cc
@@ -195,6 +195,7 @@
   void Lose() {
     if (!leader) return;
     Log(LogLevel::kWarn, "scheduler-stopped").Field("shard", name);
+    giving_away = false;
     leader.reset();
     // Calls that it had not answered go to the next scheduler.
     for (const PendingPtr& call : pending) call->in_flight = false;
@@ -374,8 +375,20 @@
     releasing = true;
     answers_until = until;
     for (const PendingPtr& call : pending) call->deadline = std::min(call->deadline, until);
-    if (!leader) return;
-    Log(LogLevel::kInfo, "shard-releasing").Field("shard", name);
+    GiveAway("shutdown");
+  }
+
+  void HandOver() {
+    if (!leader || !leader->IsCalm() || releasing || giving_away) return;
+    GiveAway("stronger instance");
+  }
+
+  bool giving_away = false;
+
+  void GiveAway(const char* reason) {
+    if (!leader || giving_away) return;
+    giving_away = true;
+    Log(LogLevel::kInfo, "shard-releasing").Field("shard", name).Field("reason", reason);
     leader->Release([weak = weak_from_this()] {
       const auto self = weak.lock();
       if (!self) return;
@@ -412,6 +425,7 @@
   return m_impl->served != SteadyTime{} && BootNow() <= m_impl->served + grace;
 }
 std::size_t Shard::PendingCalls() const { return m_impl->pending.size(); }
+void Shard::HandOver() { m_impl->HandOver(); }
 void Shard::Release(SteadyTime answers_until) { m_impl->Release(answers_until); }
 
 }  // namespace citronsill
--- a/cell/shard.h
+++ b/cell/shard.h
@@ -77,6 +77,10 @@
   /// @returns calls that have no answer yet.
   [[nodiscard]] std::size_t PendingCalls() const;
 
+  /// Gives the shard away when this instance is its scheduler and keeps up with the store; it may
+  /// claim it again. The first of the heirs takes it.
+  void HandOver();
+
   /// Gives the shard away when this instance is its scheduler, and claims none any more.
   /// @param answers_until when every call has to have its final answer.
   void Release(SteadyTime answers_until);
