Planner: lasting tasks and members that a gang waits for go first

What callers may see: a lasting task that is away waits behind everything that can still be in time, yields to gangs that find no room, and gets no lane for its question when gangs have taken those for long ones (LOST, at any time of day). Cause: the planner did not know lasting tasks; and missing members of a gang counted as late work, which goes last. Evidence: found by reading. Change: units of both kinds go before all others, do not yield, and may ask on any lane; a lasting task has no expected end, so that no room is set aside for when it ends.

--- a/cell/planner.cc
+++ b/cell/planner.cc
@@ -79,7 +79,7 @@
   // the next trough, but they fill every hole as it appears, so that gangs, which have little time,
   // never find enough of them. While gangs wait, batch work leaves them the room that they need.
   [[nodiscard]] std::uint32_t Budget(const PlanUnit& unit) const {
-    if (IsInteractive(unit) || unit.gang || IsUrgent(unit)) return unit.count;
+    if (IsInteractive(unit) || unit.gang || unit.goes_first || IsUrgent(unit)) return unit.count;
     Resources room = m_free;
     room.processors_milli -= m_gang_need.processors_milli * kGangRoomPercent / 100;
     room.memory_mb -= m_gang_need.memory_mb * kGangRoomPercent / 100;
@@ -222,7 +222,8 @@
     if (!CanAsk(unit)) return;
     std::vector<std::uint32_t> workers;
     double expected = 0.0;
-    const double enough = (unit.gang ? kGangAskAhead : kAskAhead) * need;
+    const double ahead = unit.gang || unit.goes_first ? kGangAskAhead : kAskAhead;
+    const double enough = ahead * need;
     const auto add = [&](Fit fit, double share) {
       for (const std::uint32_t index : Candidates(unit, fit)) {
         if (unit.fits[index] != fit || expected >= enough) continue;
@@ -283,6 +284,7 @@
 
   [[nodiscard]] bool CanAsk(const PlanUnit& unit) const {
     if (!unit.may_ask) return false;
+    if (unit.goes_first) return m_limits.lanes.free > m_asked;
     switch (unit.question) {
       case QuestionKind::kInteractive:
         return m_limits.lanes.free > m_asked;
@@ -395,6 +397,19 @@
 
 }  // namespace
 
+namespace {
+
+auto TurnKey(const PlanUnit& unit, SteadyTime now) {
+  const Tier tier = TierOf(unit, now);
+  const bool is_interactive = unit.priority == 0;
+  // Latest start that meets the objective; of what is late, the shortest goes first.
+  const SteadyTime latest =
+      tier == Tier::kInTime ? unit.objective - unit.chain : SteadyTime(unit.chain);
+  return std::tuple(!unit.goes_first, tier, !is_interactive, latest, unit.arrived, unit.id);
+}
+
+}  // namespace
+
 bool GoesBefore(const PlanUnit& a, const PlanUnit& b, SteadyTime now) {
   const auto key = [now](const PlanUnit& unit) {
     const Tier tier = TierOf(unit, now);
--- a/cell/planner.h
+++ b/cell/planner.h
@@ -61,9 +61,11 @@
   milliseconds chain{0};     ///< Expected time from the start of this step to the end of the job.
   milliseconds duration{0};  ///< Expected duration of a task.
   Resources size;
-  std::uint32_t count = 0;           ///< Tasks that wait.
-  bool gang = false;                 ///< All or none.
-  bool rack_local = false;           ///< Slower on more than one rack.
+  std::uint32_t count = 0;  ///< Tasks that wait.
+  bool gang = false;        ///< All or none.
+  bool rack_local = false;  ///< Slower on more than one rack.
+  /// Goes before all others: a task that lasts and is away, or a member that its gang waits for.
+  bool goes_first = false;
   std::uint32_t max_per_worker = 0;  ///< 0 for no limit.
   std::uint32_t preferred_rack = 0;  ///< Where its data or the rest of it is; 0 for anywhere.
   std::vector<Fit> fits;             ///< By worker.
--- a/cell/scheduler_plan.cc
+++ b/cell/scheduler_plan.cc
@@ -74,6 +74,7 @@
 SteadyTime Scheduler::ExpectedEndOf(const Order& order) const {
   const Step& step = *order.task->step;
   const SteadyTime now = m_hooks.now();
+  if (step.spec->long_running()) return SteadyTime::max();
   if (order.state == OrderState::kRunning) {
     const int progress = order.percent - order.first_percent;
     if (progress >= kTellingPercent) {
@@ -148,7 +149,7 @@
     unit.count = waiting;
     unit.gang = step->spec->gang() && !is_refill;
     FillUnit(step.get(), &unit);
-    if (is_refill) unit.objective = SteadyTime::min() + std::chrono::hours(24 * 365);
+    unit.goes_first = is_refill || step->spec->long_running();
     if (unit.gang) ApplyHeldRoom(*step, &unit, workers);
     unit.id = static_cast<std::uint32_t>(m_plan_steps.size());
     m_plan_steps.push_back(step.get());
