--- a/cell/fleet.cc
+++ b/cell/fleet.cc
@@ -1,6 +1,7 @@
 #include "cell/fleet.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "cell/limits.h"
 #include "cell/log.h"
@@ -90,6 +91,8 @@
       !worker->description.address.empty() && worker->description.address != description.address;
   if (reborn || moved) EndLife(worker);
   worker->description = description;
+  worker->rack = 0;
+  worker->service = 0;
   worker->description.born_unix_ms = std::max(known_born, description.born_unix_ms);
   if (!worker->listed) worker->next_hold = m_hooks.now();
   worker->listed = true;
@@ -122,6 +125,7 @@
   worker->used += order->size;
   task->orders.push_back(order.get());
   ++task->step->job->live_orders;
+  ++m_on_way;
   Order* raw = order.get();
   m_orders.emplace(raw->id, std::move(order));
   return raw;
@@ -132,11 +136,18 @@
   order->worker->used -= order->size;
   std::erase(order->task->orders, order);
   --order->task->step->job->live_orders;
+  if (IsOnWay(*order)) --m_on_way;
   auto owned = std::move(m_orders.extract(order->id).mapped());
   m_hooks.on_room();
   return owned;
 }
 
+void Fleet::SetState(Order* order, OrderState state) {
+  const bool was_on_way = IsOnWay(*order);
+  order->state = state;
+  if (was_on_way && !IsOnWay(*order)) --m_on_way;
+}
+
 Order* Fleet::FindOrder(std::uint64_t id) {
   const auto found = m_orders.find(id);
   return found == m_orders.end() ? nullptr : found->second.get();
@@ -153,7 +164,7 @@
   }
   worker->lapse_without_clock = std::max(worker->lapse_without_clock, lapse);
   Order* order = NewOrder(task, worker, row.run());
-  order->state = OrderState::kUnknown;
+  SetState(order, OrderState::kUnknown);
   order->earlier_term = true;
   order->unknown_since = m_hooks.now();
   const std::int64_t born = worker->description.born_unix_ms;
@@ -172,7 +183,9 @@
   }
   // The worker would refuse it: storing the assignment took longer than the ticket is valid.
   if (m_hooks.now() > order->ticket_until) return VoidOrder(order, VoidReason::kNeverSent);
-  order->state = OrderState::kSending;
+  SetState(order, OrderState::kSending);
+  order->sent = m_hooks.now();
+  ++m_starts_sent;
   order->start_until = Estimate(*worker) + kStartWindow;
   worker->lease_sent = std::max(worker->lease_sent, order->start_until);
   StartOrder start;
@@ -209,10 +222,11 @@
   if (found == m_orders.end()) return;
   Order* order = found->second.get();
   Worker* worker = order->worker;
+  m_calls.Add(std::chrono::duration_cast<milliseconds>(m_hooks.now() - order->sent));
   if (!result) {
     CallFailed(worker);
     if (order->state != OrderState::kSending) return;
-    order->state = OrderState::kUnknown;
+    SetState(order, OrderState::kUnknown);
     order->unknown_since = m_hooks.now();
     Log(LogLevel::kInfo, "start-unanswered")
         .Field("task", order->task->step->Ref(order->task->index))
@@ -228,7 +242,7 @@
   switch (answer.verdict) {
     case StartVerdict::kStarted:
       if (order->state == OrderState::kSending) {
-        order->state = OrderState::kRunning;
+        SetState(order, OrderState::kRunning);
         order->running_since = m_hooks.now();
         order->percent_changed = m_hooks.now();
         m_hooks.on_running(*order);
@@ -274,9 +288,17 @@
   if (found == m_holds.end()) return;
   const Hold hold = std::move(found->second);
   m_holds.erase(found);
+  if (!hold.waits) m_calls.Add(std::chrono::duration_cast<milliseconds>(m_hooks.now() - hold.sent));
   Worker* worker = Find(hold.worker);
   if (worker == nullptr || worker->life != hold.life) return;
   (hold.look ? worker->look_in_flight : worker->hold_in_flight) = false;
+  const bool was_attaching = !hold.look && std::exchange(worker->attaching, false);
+  if (was_attaching) --m_attaching;
+  TakeHold(worker, hold, result);
+  if (was_attaching) AttachNext();
+}
+
+void Fleet::TakeHold(Worker* worker, const Hold& hold, const Result<HoldAnswer>& result) {
   if (!result) {
     CallFailed(worker);
     if (!hold.look) {
@@ -367,7 +389,7 @@
     }
     listed.push_back(order);
     if (order->state == OrderState::kSending || order->state == OrderState::kUnknown) {
-      order->state = OrderState::kRunning;
+      SetState(order, OrderState::kRunning);
       order->running_since = now;
       order->percent_changed = now;
       order->first_percent = running.percent;
@@ -459,6 +481,7 @@
   worker->acknowledged = 0;
   worker->hold_in_flight = false;
   worker->look_in_flight = false;
+  if (std::exchange(worker->attaching, false)) --m_attaching;
   worker->strays.clear();
   worker->failures_in_row = 0;
   worker->next_hold = m_hooks.now();
@@ -490,6 +513,17 @@
              std::chrono::duration_cast<milliseconds>(m_hooks.now() - worker->heard));
 }
 
+// Attaches one more worker that is due.
+//
+// Load pattern: a takeover has to reach hundreds of workers. Asked all at once, a slow scheduler
+// handles the first answers when the time-outs of the last ones have passed.
+void Fleet::AttachNext() {
+  for (const auto& [id, worker] : m_workers) {
+    if (m_attaching >= kAttachedAtOnce) return;
+    if (!worker->attached) TickWorker(worker.get(), m_hooks.now());
+  }
+}
+
 void Fleet::SendHold(Worker* worker, bool look) {
   if (worker->gone) return;
   if (!m_hooks.may_lead()) {
@@ -512,8 +546,12 @@
   }
   const bool waits = !look && worker->attached && worker->seen_end == worker->acknowledged;
   order.wait = waits ? kHoldWait : milliseconds(0);
+  if (!look && !worker->attached) {
+    worker->attaching = true;
+    ++m_attaching;
+  }
   const std::uint64_t id = ++m_last_id;
-  m_holds.emplace(id, Hold{worker->description.id, worker->life, look, m_hooks.now()});
+  m_holds.emplace(id, Hold{worker->description.id, worker->life, look, waits, m_hooks.now()});
   m_hooks.hold(*worker, order, id);
 }
 
@@ -571,7 +609,8 @@
 }
 
 void Fleet::TickWorker(Worker* worker, SteadyTime now) {
-  if (IsHoldDue(*worker, now)) SendHold(worker, false);
+  const bool may_attach = worker->attached || m_attaching < kAttachedAtOnce;
+  if (IsHoldDue(*worker, now) && may_attach) SendHold(worker, false);
   if (worker->look_wanted && !worker->look_in_flight) SendHold(worker, true);
   if (worker->orders.empty()) return;
   if (worker->silent || !worker->attached) {
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "cell/job.h"
+#include "cell/pace.h"
 #include "cell/worker.h"
 
 namespace citronsill {
@@ -32,11 +33,13 @@
 
 struct Worker {
   WorkerDescription description;
-  bool listed = false;               ///< In the list of workers.
-  bool attached = false;             ///< It has accepted the fence of this term in this life.
-  bool silent = false;               ///< The last call failed.
-  bool gone = false;                 ///< Another life of a worker answers at its address.
-  std::uint32_t slot = 0;            ///< Number of the record; never used again.
+  bool listed = false;     ///< In the list of workers.
+  bool attached = false;   ///< It has accepted the fence of this term in this life.
+  bool silent = false;     ///< The last call failed.
+  bool gone = false;       ///< Another life of a worker answers at its address.
+  std::uint32_t slot = 0;  ///< Number of the record; never used again.
+  std::uint32_t rack = 0;  ///< Numbers of its rack and service in planning passes.
+  std::uint32_t service = 0;
   std::uint32_t life = 0;            ///< Counts the lives that this record has stood for.
   std::optional<WorkerTime> clock;   ///< Its clock was at least this...
   SteadyTime clock_at{};             ///< ...at this time.
@@ -50,6 +53,7 @@
   bool hold_in_flight = false;
   bool look_in_flight = false;
   bool look_wanted = false;
+  bool attaching = false;  ///< The hold in flight is the first one of this life.
   std::vector<Order*> orders;
   Resources used;
   /// Runs on it that belong to no order: they are stopped, and nothing is started until they ended.
@@ -149,11 +153,21 @@
   /// @remarks Visits all workers: for reports.
   [[nodiscard]] HoldBacklog OverdueHolds() const;
 
+  /// @returns starts that were sent so far.
+  [[nodiscard]] std::uint64_t StartsSent() const { return m_starts_sent; }
+
+  /// @returns orders that wait for the store or for the answer to their start.
+  [[nodiscard]] std::size_t OrdersOnWay() const { return m_on_way; }
+
+  /// @returns how long short calls to workers take.
+  [[nodiscard]] const CallTimes& Calls() const { return m_calls; }
+
  private:
   struct Hold {
     std::string worker;
     std::uint32_t life = 0;
     bool look = false;  // Does not wait for an end.
+    bool waits = false;
     SteadyTime sent;
   };
 
@@ -172,6 +186,7 @@
     return order.state == OrderState::kStoring || order.state == OrderState::kSending;
   }
   void SendStop(Order* order);
+  void TakeHold(Worker* worker, const Hold& hold, const Result<HoldAnswer>& result);
   bool TakeEnds(Worker* worker, const HoldAnswer& answer);
   void TakeRunning(Worker* worker, const HoldAnswer& answer, const Hold& hold);
   void CheckAbsent(Order* order, const HoldAnswer& answer, const Hold& hold);
@@ -190,6 +205,10 @@
   std::unordered_map<std::uint64_t, Hold> m_holds;
   std::uint64_t m_last_id = 0;
   std::uint32_t m_next_slot = 0;
+  std::uint64_t m_starts_sent = 0;
+  std::size_t m_on_way = 0;
+  std::size_t m_attaching = 0;  // Workers whose first hold of this life has no answer yet.
+  CallTimes m_calls;
 };
 
 }  // namespace citronsill
--- a/cell/job.h
+++ b/cell/job.h
@@ -42,6 +42,7 @@
   SteadyTime ticket_until = SteadyTime::max();
   WorkerTime start_until;  ///< The worker rejects the start after this time.
   SteadyTime created;
+  SteadyTime sent;           ///< When its start was sent.
   SteadyTime running_since;  ///< When it was first known to run.
   SteadyTime unknown_since;
   std::optional<SteadyTime> stopped_at;  ///< When the worker acknowledged a stop.
@@ -119,6 +120,8 @@
   std::uint32_t questions = 0;  ///< Of this step that have no answer yet.
   SteadyTime question_since{};  ///< When the last question was asked.
   SteadyTime advice_retry_at{};
+  std::uint32_t waiting = 0;   ///< Tasks that the last planning pass has found and left waiting.
+  SteadyTime examine_at{};     ///< Planning passes leave it out before this time.
   std::vector<HeldRoom> held;  ///< Room that is kept for the gang while it waits for tickets.
 
   [[nodiscard]] bool IsDone() const { return done == tasks.size(); }
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -58,11 +58,12 @@
   bool lost = false;
   bool releasing = false;  // The last transaction is on its way.
   bool plan_pending = false;
-  SteadyTime planned{};
   SteadyTime plan_due{};  // Of the pass that is pending.
   PassMeter passes;
   WaitingSet open_calls;
   WaitingSet open_questions;
+  SteadyTime planned{};
+  PassPacer pacer;
   std::vector<std::function<void()>> until_loaded;
 
   // What is being read while the shard is loaded.
@@ -338,22 +339,24 @@
     });
   }
 
+  [[nodiscard]] milliseconds CallTimeout() const { return scheduler->Workers().Calls().Timeout(); }
+
   void SendStart(const Worker& worker, StartOrder order, std::uint64_t id) {
     const auto link = LinkTo(worker);
     if (!link) return Unreachable(&Fleet::OnStart, id);
-    link->Start(std::move(order), kWorkerCallTimeout, Deliver(&Fleet::OnStart, id));
+    link->Start(std::move(order), CallTimeout(), Deliver(&Fleet::OnStart, id));
   }
 
   void SendStop(const Worker& worker, const TaskRef& task, std::uint64_t run, std::uint64_t id) {
     const auto link = LinkTo(worker);
     if (!link) return Unreachable(&Fleet::OnStop, id);
-    link->Stop(task, run, options.owner.term(), kWorkerCallTimeout, Deliver(&Fleet::OnStop, id));
+    link->Stop(task, run, options.owner.term(), CallTimeout(), Deliver(&Fleet::OnStop, id));
   }
 
   void SendHold(const Worker& worker, const HoldOrder& order, std::uint64_t id) {
     const auto link = LinkTo(worker);
     if (!link) return Unreachable(&Fleet::OnHold, id);
-    link->Hold(order, order.wait + kWorkerCallTimeout, Deliver(&Fleet::OnHold, id));
+    link->Hold(order, order.wait + CallTimeout(), Deliver(&Fleet::OnHold, id));
   }
 
   // ---- Planning
@@ -377,8 +380,7 @@
     if (plan_pending || !loaded) return;
     plan_pending = true;
     const SteadyTime now = BootNow();
-    const auto since = std::chrono::duration_cast<milliseconds>(now - planned);
-    const milliseconds delay = std::max(milliseconds(0), kPlanPeriod - since);
+    const milliseconds delay = pacer.Delay(now);
     plan_due = now + delay;
     After(delay, [this] {
       plan_pending = false;
@@ -386,7 +388,9 @@
       planned = BootNow();
       const SteadyTime due = plan_due;
       scheduler->Plan();
-      passes.OnPass(std::chrono::duration_cast<std::chrono::microseconds>(BootNow() - planned),
+      const SteadyTime ended = BootNow();
+      pacer.OnPass(planned, ended);
+      passes.OnPass(std::chrono::duration_cast<std::chrono::microseconds>(ended - planned),
                     std::chrono::duration_cast<milliseconds>(planned - due));
     });
   }
--- a/cell/limits.h
+++ b/cell/limits.h
@@ -39,6 +39,15 @@
 inline constexpr std::chrono::milliseconds kStartWindow{1500};
 // Time for a worker to answer a start, stop or look; healthy ones take a few milliseconds.
 inline constexpr std::chrono::milliseconds kWorkerCallTimeout{250};
+// The same when answers take long because the scheduler or its link is busy: this many times their
+// mean time, up to a sixth of the longest usual lease.
+inline constexpr int kCallTimeFactor = 4;
+inline constexpr std::chrono::milliseconds kWorkerCallTimeoutMost{1500};
+// Weight of a call in the mean time of calls: about the last 60 count, 0.1 s of starts at the peak.
+inline constexpr double kCallTimeWeight = 1.0 / 64;
+// Workers that are attached at the same time after a takeover: their answers arrive within the
+// time-out on an instance with 0.12 of a core, at 1 ms of processor time for a new connection.
+inline constexpr std::size_t kAttachedAtOnce = 24;
 // Longest wait of a hold: a lease outlasts three of them.
 inline constexpr std::chrono::milliseconds kHoldWait{1500};
 // Holds are repeated this often while ends cannot be acknowledged because the store is slow.
@@ -109,6 +118,40 @@
 inline constexpr std::chrono::milliseconds kWorkerListStaleAfter{3000};
 // Planning is late when no pass was made for ten ticks, each of which asks for one.
 inline constexpr std::chrono::milliseconds kPlanStaleAfter{500};
+// Orders that may wait for the store or for their worker's answer: adapted between these figures,
+// this often. 2,000 are three seconds of starts at the peak; 64 keep an instance of 0.12 of a core
+// busy, which starts some 200 tasks a second.
+inline constexpr std::size_t kWindowLeast = 64;
+inline constexpr std::size_t kWindowFirst = 512;
+inline constexpr std::size_t kWindowMost = 2048;
+inline constexpr std::chrono::milliseconds kWindowPeriod{200};
+// Mean time of calls to workers from which on the scheduler or its link counts as overloaded: they
+// take 2 to 10 ms, and a fifth of the workers may be silent for 250 ms each.
+inline constexpr std::chrono::milliseconds kBusyCallTime{100};
+// The scheduler counts as the limit of starts for this long after it was, so that single passes
+// without waiting tasks do not let everything in.
+inline constexpr std::chrono::milliseconds kLimitedFor{1000};
+// Rate of starts: an average over about this time.
+inline constexpr std::chrono::duration<double> kStartRateTime{1.0};
+// A job is refused while the tasks before its own take longer than this to start: a task that could
+// run may wait 3 s at most, and questions, commits and the start take as long again under load.
+// Batch work is also passed by interactive work that comes later.
+inline constexpr std::chrono::duration<double> kMostStartWait{1.5};
+inline constexpr std::chrono::duration<double> kMostBatchStartWait{0.75};
+// While the scheduler is the limit, a step whose job does not run at all gets its first task
+// started before all other work after this time: half of the 3 s that it may wait.
+inline constexpr std::chrono::milliseconds kFirstTaskDue{1500};
+// An assignment is expected to wait for the store at most this long: half of a ticket's life.
+inline constexpr std::chrono::milliseconds kSendDelayMost{700};
+// Weight of an assignment in the mean time that they wait for the store.
+inline constexpr double kSendDelayWeight = 1.0 / 32;
+// Waiting steps whose workers one planning pass looks at. With 350 workers that is about 2 ms.
+inline constexpr std::size_t kExaminedAtOnce = 200;
+// Steps that were examined for nothing come after the others for this long when there are more.
+inline constexpr std::chrono::milliseconds kExamineAgain{100};
+// Between two planning passes this many times the duration of the first one goes by, so that
+// planning takes at most a third of the processor.
+inline constexpr int kPlanPauseFactor = 2;
 // Changes within this time are answered by one planning pass.
 inline constexpr std::chrono::milliseconds kPlanPeriod{4};
 // Longest question to the policy service: 100 workers of the slowest kind, with as many waiting.
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -1,6 +1,7 @@
 #include "cell/node.h"
 
 #include <algorithm>
+#include <optional>
 #include <vector>
 
 #include "cell/claim.h"
--- /dev/null
+++ b/cell/pace.cc
@@ -0,0 +1,61 @@
+#include "cell/pace.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cell/limits.h"
+
+namespace citronsill {
+
+void CallTimes::Add(milliseconds took) {
+  m_mean_ms += kCallTimeWeight * (static_cast<double>(took.count()) - m_mean_ms);
+}
+
+milliseconds CallTimes::Mean() const { return milliseconds(static_cast<std::int64_t>(m_mean_ms)); }
+
+milliseconds CallTimes::Timeout() const {
+  return std::clamp(Mean() * kCallTimeFactor, kWorkerCallTimeout, kWorkerCallTimeoutMost);
+}
+
+void PassPacer::OnPass(SteadyTime began, SteadyTime ended) {
+  m_next = std::max(began + kPlanPeriod, ended + (ended - began) * kPlanPauseFactor);
+}
+
+milliseconds PassPacer::Delay(SteadyTime now) const {
+  return std::max(milliseconds(0), std::chrono::ceil<milliseconds>(m_next - now));
+}
+
+void OrderWindow::Adjust(SteadyTime now, milliseconds call_time, bool was_full) {
+  m_was_full |= was_full;
+  if (now < m_adjusted + kWindowPeriod) return;
+  m_adjusted = now;
+  m_is_full = std::exchange(m_was_full, false);
+  if (call_time > kBusyCallTime) {
+    m_size = std::max(kWindowLeast, m_size * 3 / 4);
+  } else if (m_is_full) {
+    m_size = std::min(kWindowMost, m_size + m_size / 4);
+  }
+}
+
+std::size_t OrderWindow::Room(std::size_t on_way) const {
+  return m_size - std::min(m_size, on_way);
+}
+
+void Intake::Update(SteadyTime now, std::uint64_t sent, bool is_limiting) {
+  if (is_limiting) m_limited_until = now + kLimitedFor;
+  const auto elapsed = std::chrono::duration<double>(now - m_updated).count();
+  if (m_updated != SteadyTime{} && elapsed > 0) {
+    const double weight = std::min(1.0, elapsed / kStartRateTime.count());
+    m_rate += weight * (static_cast<double>(sent - m_sent) / elapsed - m_rate);
+  }
+  m_updated = now;
+  m_sent = sent;
+}
+
+bool Intake::Accepts(SteadyTime now, std::size_t waiting, bool is_interactive) const {
+  if (!IsLimited(now)) return true;
+  const auto most_wait = is_interactive ? kMostStartWait : kMostBatchStartWait;
+  return static_cast<double>(waiting) <= m_rate * most_wait.count();
+}
+
+}  // namespace citronsill
--- a/cell/planner.cc
+++ b/cell/planner.cc
@@ -39,23 +39,59 @@
         m_reserved(workers->size()),
         m_reserved_until(workers->size(), SteadyTime::min()) {
     for (const PlanWorker& worker : m_workers) {
-      if (worker.takes_work) m_free += worker.free;
+      if (!worker.takes_work) continue;
+      m_free += worker.free;
+      m_most_free.RaiseTo(worker.free);
     }
   }
 
-  Plan Run(const std::vector<PlanUnit>& units) {
-    for (const PlanUnit& unit : units) {
+  Plan Run(std::vector<PlanUnit>* units, const std::vector<std::size_t>& order) {
+    for (const std::size_t index : order) {
+      PlanUnit& unit = (*units)[index];
       if (unit.count == 0) continue;
+      if (IsCut()) {
+        // Room that is held for a gang is held on.
+        if (!unit.reserved.empty()) m_plan.reservations.push_back({unit.id, unit.reserved});
+        continue;
+      }
+      if (!IsWorthExamining(unit)) {
+        if (unit.gang) AddNeed(unit);
+        continue;
+      }
+      if (m_limits.describe) m_limits.describe(&unit);
+      ++m_plan.examined;
+      const std::size_t decisions = Decisions();
       if (unit.gang) {
         if (!PlaceGang(unit)) AddNeed(unit);
       } else {
         PlaceTasks(unit);
       }
+      if (Decisions() == decisions) m_plan.fruitless.push_back(unit.id);
     }
     return std::move(m_plan);
   }
 
  private:
+  [[nodiscard]] std::size_t Decisions() const {
+    return m_plan.placements.size() + m_plan.questions.size() + m_plan.reservations.size();
+  }
+
+  // @returns whether the limits of this pass are used up.
+  bool IsCut() {
+    m_plan.placements_cut |= m_plan.placements.size() >= m_limits.most_placements;
+    m_plan.examined_cut |= m_plan.examined >= m_limits.most_examined;
+    return m_plan.placements_cut || m_plan.examined_cut;
+  }
+
+  // Load pattern: thousands of steps wait in a cell that is full. What is free at most on any
+  // worker tells most of them apart from those that are worth a look at all workers.
+  [[nodiscard]] bool IsWorthExamining(const PlanUnit& unit) const {
+    if (CanAsk(unit) || !unit.reserved.empty()) return true;
+    if (unit.gang && m_gangs_set_aside < kGangsSetAside) return true;
+    const std::uint32_t least = unit.gang ? unit.count : 1;
+    return FitCount(m_most_free, unit.size, 1) > 0 && FitCount(m_free, unit.size, least) == least;
+  }
+
   [[nodiscard]] bool IsInteractive(const PlanUnit& unit) const { return unit.priority == 0; }
 
   // Room on a worker that a unit may use now: without what is set aside for units before it.
@@ -131,20 +167,21 @@
   // Workers with room for the unit and at least the given fit: those of its rack first, and among
   // them the tightest, so that holes which are large enough for large tasks are kept.
   [[nodiscard]] std::vector<std::uint32_t> Candidates(const PlanUnit& unit, Fit least) const {
-    std::vector<std::uint32_t> found;
-    for (std::uint32_t index = 0; index < m_workers.size(); ++index) {
-      if (unit.fits[index] >= least && RoomOn(unit, index) > 0) found.push_back(index);
-    }
     const std::uint32_t rack = BestRack(unit, least);
-    const auto key = [&](std::uint32_t index) {
+    std::vector<std::tuple<bool, std::int64_t, std::int64_t, std::uint32_t>> keys;
+    for (std::uint32_t index = 0; index < m_workers.size(); ++index) {
+      if (unit.fits[index] < least) continue;
+      const std::uint32_t room = RoomOn(unit, index);
+      if (room == 0) continue;
+      const std::int64_t free = m_workers[index].free.processors_milli;
       const bool far = rack != 0 && m_workers[index].rack != rack;
       // Members of a gang go where most of them fit, so that fewer workers can fail them.
-      const std::int64_t room =
-          unit.gang ? -std::int64_t{RoomOn(unit, index)} : m_workers[index].free.processors_milli;
-      return std::tuple(far, room, m_workers[index].free.processors_milli, index);
-    };
-    std::sort(found.begin(), found.end(),
-              [&](std::uint32_t a, std::uint32_t b) { return key(a) < key(b); });
+      keys.emplace_back(far, unit.gang ? -std::int64_t{room} : free, free, index);
+    }
+    std::sort(keys.begin(), keys.end());
+    std::vector<std::uint32_t> found;
+    found.reserve(keys.size());
+    for (const auto& key : keys) found.push_back(std::get<3>(key));
     return found;
   }
 
@@ -215,6 +252,7 @@
       m_workers[share.worker].free += unit.size;
       m_free += unit.size;
     }
+    m_most_free.RaiseTo(m_workers[share.worker].free);
   }
 
   // Asks for tickets for `need` tasks that have no worker yet.
@@ -362,7 +400,8 @@
 
   // Tickets are asked for this many times the tasks that need one.
   static constexpr double kAskAhead = 1.5;
-  // The same for gangs, which need all of their room at one moment.
+  // The same for gangs, which need all of their room at one moment, and for tasks that go first:
+  // the few workers that one of them needs may be full when the answer comes.
   static constexpr double kGangAskAhead = 3.0;
   // Lanes that one unit uses at a time.
   static constexpr std::size_t kMostLanesAtOnce = 4;
@@ -387,6 +426,7 @@
   std::vector<Resources> m_reserved;
   std::vector<SteadyTime> m_reserved_until;
   Resources m_free;
+  Resources m_most_free;  // Of each resource, no worker has more.
   Resources m_gang_need;  // Of gangs that had their turn and wait.
   std::uint32_t m_asked = 0;
   std::uint32_t m_asked_batch = 0;
@@ -411,23 +451,19 @@
 }  // namespace
 
 bool GoesBefore(const PlanUnit& a, const PlanUnit& b, SteadyTime now) {
-  const auto key = [now](const PlanUnit& unit) {
-    const Tier tier = TierOf(unit, now);
-    const bool is_interactive = unit.priority == 0;
-    // Latest start that meets the objective; of what is late, the shortest goes first.
-    const SteadyTime latest =
-        tier == Tier::kInTime ? unit.objective - unit.chain : SteadyTime(unit.chain);
-    return std::tuple(tier, !is_interactive, latest, unit.arrived, unit.id);
-  };
-  return key(a) < key(b);
+  return TurnKey(a, now) < TurnKey(b, now);
 }
 
 Plan MakePlan(const PlanLimits& limits, std::vector<PlanUnit> units,
               std::vector<PlanWorker>* workers) {
-  std::sort(units.begin(), units.end(), [&limits](const PlanUnit& a, const PlanUnit& b) {
-    return GoesBefore(a, b, limits.now);
-  });
-  return Planner(limits, workers).Run(units);
+  std::vector<std::pair<decltype(TurnKey(units[0], limits.now)), std::size_t>> turns;
+  turns.reserve(units.size());
+  for (const PlanUnit& unit : units) turns.emplace_back(TurnKey(unit, limits.now), turns.size());
+  std::sort(turns.begin(), turns.end());
+  std::vector<std::size_t> order;
+  order.reserve(turns.size());
+  for (const auto& [key, index] : turns) order.push_back(index);
+  return Planner(limits, workers).Run(&units, order);
 }
 
 }  // namespace citronsill
--- a/cell/planner.h
+++ b/cell/planner.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
+#include <limits>
 #include <vector>
 
 #include "cell/types.h"
@@ -80,6 +82,13 @@
 struct PlanLimits {
   SteadyTime now;
   LaneCounts lanes;
+  /// Tasks that may be placed; a gang that begins below it is placed whole.
+  std::size_t most_placements = std::numeric_limits<std::size_t>::max();
+  /// Units whose workers may be looked at, which is what a pass costs.
+  std::size_t most_examined = std::numeric_limits<std::size_t>::max();
+  /// Fills in what a unit says of workers (`fits`, `present`, `preferred_rack`, `duration`); called
+  /// for the units that are examined only. May be empty when the units have it already.
+  std::function<void(PlanUnit*)> describe = nullptr;
 };
 
 struct Placement {
@@ -109,6 +118,10 @@
   std::vector<Question> questions;        ///< Most urgent first.
   std::vector<std::uint32_t> yielding;    ///< Ids of units that leave all room to gangs.
   std::vector<SetAsideRoom> set_aside;    ///< For gangs that wait.
+  std::vector<std::uint32_t> fruitless;   ///< Ids of units that were examined for nothing.
+  std::size_t examined = 0;               ///< Units whose workers were looked at.
+  bool placements_cut = false;            ///< Units were left because of `most_placements`.
+  bool examined_cut = false;              ///< Units were left because of `most_examined`.
 };
 
 /// The order in which units get their turn.
--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -1,6 +1,7 @@
 #include "cell/scheduler.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "cell/limits.h"
 #include "cell/log.h"
@@ -121,6 +122,18 @@
     return;
   }
   if (auto checked = CheckJob(spec); !checked) return done(checked.error());
+  const bool is_interactive = spec.queue().priority() == 0;
+  const std::size_t ahead = is_interactive ? m_load.waiting_interactive : m_load.waiting_tasks;
+  if (!m_intake.Accepts(m_hooks.now(), ahead, is_interactive)) {
+    Log(LogLevel::kInfo, "job-refused")
+        .Field("job", spec.id())
+        .Field("reason", "too many tasks wait for the scheduler")
+        .Field("waiting_tasks", ahead)
+        .Field("starts_per_s", static_cast<std::int64_t>(m_intake.Rate()))
+        .Field("window", m_window.Size())
+        .Field("call_ms", m_fleet.Calls().Mean());
+    return done(Error{schema::CODE_OVERLOADED, "the scheduler starts less than is asked for"});
+  }
   auto job = std::make_unique<Job>();
   job->spec = spec;
   job->accepted_unix_ms =
@@ -455,12 +468,11 @@
   Step* step = task->step;
   std::uint32_t failures = 0;
   const auto count = [&] {
-    step->job->failures.push_back(
-        {step->occurrence, step->number, task->index, order.run, order.worker->description.id});
+    step->job->failures.push_back({step->occurrence, step->number, task->index, run, worker});
   };
   if (step->spec->gang()) {
-    if (step->gang_failed_run != order.run) {
-      step->gang_failed_run = order.run;
+    if (step->gang_failed_run != run) {
+      step->gang_failed_run = run;
       ++step->gang_failures;
       count();
     }
@@ -612,6 +624,8 @@
     if (step->ready || !PredecessorsDone(*step)) continue;
     step->ready = true;
     step->ready_since = m_hooks.now();
+    if (m_least_size) LowerLeastSize(*step);
+    CountWaiting(*step, step->tasks.size());
   }
 }
 
@@ -681,6 +695,8 @@
 void Scheduler::Tick() {
   const SteadyTime now = m_hooks.now();
   m_fleet.Tick();
+  m_window.Adjust(now, m_fleet.Calls().Mean(), std::exchange(m_window_was_full, false));
+  m_intake.Update(now, m_fleet.StartsSent(), m_window.IsLimiting());
   for (const auto& [id, job] : m_jobs) {
     if (job->IsFinal()) continue;
     BeginDue(job.get());
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -118,7 +119,7 @@
 
   Fleet& Workers() { return m_fleet; }
 
-  /// What a planning pass found, for logs and metrics.
+  /// What a planning pass left, and what has become ready since.
   struct Load {
     std::size_t workers = 0;  ///< That take work.
     Resources free;           ///< On them.
@@ -126,6 +127,13 @@
     std::size_t waiting_units = 0;  ///< Steps with waiting tasks.
     std::size_t waiting_gangs = 0;
     std::size_t waiting_tasks = 0;
+    std::size_t waiting_interactive = 0;  ///< Of the waiting tasks.
+    std::size_t examined_units = 0;       ///< Whose workers were looked at.
+
+    void ClearWaiting() {
+      waiting_units = waiting_gangs = 0;
+      waiting_tasks = waiting_interactive = 0;
+    }
   };
   [[nodiscard]] const Load& LastLoad() const { return m_load; }
 
@@ -155,6 +163,8 @@
     RunTimes run_times;
     double allowed_share = 0.5;  // Of workers, by the answers of the policy service.
   };
+  // Numbers for names, from 1.
+  using Numbers = std::map<std::string, std::uint32_t>;
 
   FleetHooks MakeFleetHooks();
   [[nodiscard]] milliseconds Since(SteadyTime time) const;
@@ -195,11 +205,17 @@
   [[nodiscard]] milliseconds ExpectedRun(const Step& step) const;
   [[nodiscard]] milliseconds ExpectedChain(const Step& step) const;
   [[nodiscard]] SteadyTime ExpectedEndOf(const Order& order) const;
-  std::uint32_t RackNumber(const std::string& rack);
+  static std::uint32_t NumberOf(const std::string& name, Numbers* numbers);
+  [[nodiscard]] milliseconds SendDelay() const;
   std::uint32_t PreferredRack(const Step& step);
   std::vector<PlanWorker> MakePlanWorkers();
   void AddUnits(Job* job, std::vector<PlanUnit>* units, std::vector<PlanWorker>* workers);
   void FillUnit(Step* step, PlanUnit* unit);
+  void DescribeUnit(PlanUnit* unit);
+  void LowerLeastSize(const Step& step);
+  void CountWaiting(const Step& step, std::size_t tasks);
+  void CountPlaced(Step* step);
+  [[nodiscard]] bool MayDecide() const;
   void ApplyHeldRoom(const Step& step, PlanUnit* unit, std::vector<PlanWorker>* workers);
   void ApplyPlan(const citronsill::Plan& plan);
   Order* Assign(Task* task, Worker* worker, std::uint64_t run);
@@ -243,9 +259,19 @@
   std::unordered_map<std::uint32_t, Resources> m_set_aside;  // By slot, of the last pass.
   std::size_t m_held_skip = 0;  // Jobs that the next check for held tasks begins after.
 
+  Numbers m_racks;
+  Numbers m_services;
+  OrderWindow m_window;
+  Intake m_intake;
+  bool m_window_was_full = false;
+  double m_send_delay_ms = 0.0;  // Mean time that assignments wait for the store.
+
   // Of the current planning pass.
-  std::map<std::string, std::uint32_t> m_plan_racks;  // Numbers from 1.
   std::vector<Worker*> m_plan_workers;
+  std::optional<Resources>
+      m_least_size;              // Not more than any step needs that may have waiting tasks.
+  Resources m_plan_most_free;    // Of each resource, no worker that takes work has more.
+  bool m_plan_has_lane = false;  // To the policy service.
   std::vector<Step*> m_plan_steps;
   std::uint64_t m_run_base;
 };
--- a/cell/scheduler_plan.cc
+++ b/cell/scheduler_plan.cc
@@ -86,36 +86,49 @@
   return now + ExpectedRun(step);
 }
 
-std::uint32_t Scheduler::RackNumber(const std::string& rack) {
-  const auto next = static_cast<std::uint32_t>(m_plan_racks.size() + 1);
-  return m_plan_racks.try_emplace(rack, next).first->second;
+std::uint32_t Scheduler::NumberOf(const std::string& name, Numbers* numbers) {
+  const auto next = static_cast<std::uint32_t>(numbers->size() + 1);
+  return numbers->try_emplace(name, next).first->second;
+}
+
+milliseconds Scheduler::SendDelay() const {
+  return std::min(milliseconds(static_cast<std::int64_t>(m_send_delay_ms)), kSendDelayMost);
 }
 
 // The rack that a step should go to: that of its data, or that of its tasks which run already.
 std::uint32_t Scheduler::PreferredRack(const Step& step) {
-  if (const std::string& rack = step.spec->data_rack(); !rack.empty()) return RackNumber(rack);
+  if (const std::string& rack = step.spec->data_rack(); !rack.empty())
+    return NumberOf(rack, &m_racks);
   if (!step.spec->rack_local()) return 0;
   for (const Task& task : step.tasks) {
-    if (!task.orders.empty()) return RackNumber(task.orders[0]->worker->description.rack);
+    if (!task.orders.empty()) return NumberOf(task.orders[0]->worker->description.rack, &m_racks);
   }
   return 0;
 }
 
 std::vector<PlanWorker> Scheduler::MakePlanWorkers() {
   const SteadyTime now = m_hooks.now();
-  m_plan_racks.clear();
   m_plan_workers.clear();
+  m_plan_most_free = {};
+  m_load.workers = 0;
+  m_load.free = {};
+  m_load.capacity = {};
+  m_load.examined_units = 0;
   std::vector<PlanWorker> workers;
+  workers.reserve(m_fleet.Workers().size());
   for (const auto& [id, worker] : m_fleet.Workers()) {
     PlanWorker out;
     out.takes_work = worker->TakesWork() && worker->avoided_until <= now;
     out.free = worker->Free();
     out.capacity = worker->description.capacity;
-    out.rack = RackNumber(worker->description.rack);
+    if (worker->rack == 0) worker->rack = NumberOf(worker->description.rack, &m_racks);
+    if (worker->service == 0) worker->service = NumberOf(worker->description.service, &m_services);
+    out.rack = worker->rack;
     if (out.takes_work) {
       ++m_load.workers;
       m_load.free += out.free;
       m_load.capacity += out.capacity;
+      m_plan_most_free.RaiseTo(out.free);
     }
     workers.push_back(std::move(out));
     m_plan_workers.push_back(worker.get());
@@ -135,25 +148,47 @@
   }
   for (const auto& step : job->steps) {
     if (!step->ready || step->IsDone()) continue;
+    LowerLeastSize(*step);
     const auto waiting = static_cast<std::uint32_t>(
         std::count_if(step->tasks.begin(), step->tasks.end(),
                       [now](const Task& task) { return Waits(task, now); }));
     if (waiting == 0) continue;
-    m_load.waiting_tasks += waiting;
-    ++m_load.waiting_units;
-    if (step->spec->gang()) ++m_load.waiting_gangs;
+    CountWaiting(*step, waiting);
+    step->waiting = waiting;
+    // Load pattern: thousands of steps wait in a cell that is full. Those that fit nowhere, and
+    // about which nothing can be asked, need no place in the order.
+    const bool may_ask = m_plan_has_lane && step->questions == 0 && job->spec.queue().has_advice();
+    if (!step->spec->gang() && !may_ask && !m_plan_most_free.Covers(step->size)) continue;
     // Members that are missing from a gang are placed one by one; a gang that ends is waited for.
     const bool is_refill = step->spec->gang() && step->gang_run != 0;
     if (step->gang_ending) continue;
+    if (now < step->examine_at && step->held.empty()) continue;
     PlanUnit unit;
     unit.count = waiting;
     unit.gang = step->spec->gang() && !is_refill;
     FillUnit(step.get(), &unit);
     unit.goes_first = is_refill || step->spec->long_running();
     if (unit.gang) ApplyHeldRoom(*step, &unit, workers);
-    unit.id = static_cast<std::uint32_t>(m_plan_steps.size());
-    m_plan_steps.push_back(step.get());
-    units->push_back(std::move(unit));
+    const auto add = [&](PlanUnit part) {
+      part.id = static_cast<std::uint32_t>(m_plan_steps.size());
+      m_plan_steps.push_back(step.get());
+      units->push_back(std::move(part));
+    };
+    // Load pattern: interactive work alone is more than the scheduler can start, and batch work
+    // that was accepted would wait for the end of the wave.
+    const bool is_due =
+        m_intake.IsLimited(now) && job->live_orders == 0 && now > step->ready_since + kFirstTaskDue;
+    // Parts of a step would not count one another's tasks against its limit for a worker.
+    if (is_due && !unit.gang && unit.count > 1 && unit.max_per_worker == 0) {
+      PlanUnit first = unit;
+      first.count = 1;
+      first.goes_first = true;
+      add(std::move(first));
+      --unit.count;
+    } else {
+      unit.goes_first |= is_due;
+    }
+    add(std::move(unit));
   }
 }
 
@@ -175,7 +210,6 @@
 }
 
 void Scheduler::FillUnit(Step* step, PlanUnit* unit) {
-  const SteadyTime now = m_hooks.now();
   const Job& job = *step->job;
   const schema::QueueSpec& queue = job.spec.queue();
   unit->priority = queue.priority();
@@ -183,24 +217,38 @@
   unit->objective = job.objective;
   unit->late_limit = job.arrived + kLateFactor * (job.objective - job.arrived);
   unit->chain = ExpectedChain(*step);
-  unit->duration = ExpectedRun(*step);
   unit->size = step->size;
   unit->rack_local = step->spec->rack_local();
-  unit->preferred_rack = PreferredRack(*step);
   unit->max_per_worker = step->spec->max_per_worker();
+  unit->may_ask =
+      queue.has_advice() && step->questions == 0 && step->advice_retry_at <= m_hooks.now();
+  if (queue.has_advice()) unit->question = KindOf(queue);
+}
+
+// The part that looks at all workers.
+void Scheduler::DescribeUnit(PlanUnit* unit) {
+  const SteadyTime now = m_hooks.now();
+  Step* step = m_plan_steps[unit->id];
+  const schema::QueueSpec& queue = step->job->spec.queue();
   const bool advised = queue.has_advice();
-  unit->may_ask = advised && step->questions == 0 && step->advice_retry_at <= now;
+  unit->duration = ExpectedRun(*step);
+  unit->preferred_rack = PreferredRack(*step);
   if (advised) {
-    unit->question = KindOf(queue);
     unit->allowed_share = std::max(0.05, m_queues[queue.name()].allowed_share);
+    LookUpAnswers(m_plan_workers, step);
   }
-  if (advised) LookUpAnswers(m_plan_workers, step);
+  // A ticket has to last until the assignment is stored.
+  const SteadyTime sent_by = now + SendDelay();
+  const std::uint32_t service = NumberOf(queue.service(), &m_services);
+  const bool may_avoid =
+      std::none_of(step->tasks.begin(), step->tasks.end(),
+                   [now](const Task& task) { return task.avoid.empty() && Waits(task, now); });
   unit->fits.resize(m_plan_workers.size(), Fit::kNever);
   if (unit->max_per_worker > 0) unit->present.resize(m_plan_workers.size());
   for (std::uint32_t index = 0; index < m_plan_workers.size(); ++index) {
     const Worker& worker = *m_plan_workers[index];
-    if (worker.description.service != queue.service()) continue;
-    if (AllAvoid(*step, worker, now)) continue;
+    if (worker.service != service) continue;
+    if (may_avoid && AllAvoid(*step, worker, now)) continue;
     if (const std::string& label = step->spec->required_label(); !label.empty()) {
       const auto& labels = worker.description.labels;
       if (std::find(labels.begin(), labels.end(), label) == labels.end()) continue;
@@ -219,7 +267,7 @@
     if (advice == nullptr || !advice->asked || advice->life != worker.life) {
       unit->fits[index] = Fit::kUnknown;
     } else if (advice->good) {
-      unit->fits[index] = advice->ticket_until > now ? Fit::kReady : Fit::kAllowed;
+      unit->fits[index] = advice->ticket_until > sent_by ? Fit::kReady : Fit::kAllowed;
     }
   }
 }
@@ -239,11 +287,44 @@
   }
 }
 
+void Scheduler::CountWaiting(const Step& step, std::size_t tasks) {
+  m_load.waiting_tasks += tasks;
+  if (step.job->spec.queue().priority() == 0) m_load.waiting_interactive += tasks;
+  ++m_load.waiting_units;
+  if (step.spec->gang()) ++m_load.waiting_gangs;
+}
+
+void Scheduler::CountPlaced(Step* step) {
+  --m_load.waiting_tasks;
+  if (step->job->spec.queue().priority() == 0) --m_load.waiting_interactive;
+  if (--step->waiting > 0) return;
+  --m_load.waiting_units;
+  if (step->spec->gang()) --m_load.waiting_gangs;
+}
+
+void Scheduler::LowerLeastSize(const Step& step) {
+  if (!m_least_size) m_least_size = step.size;
+  m_least_size->LowerTo(step.size);
+}
+
+// Load pattern: the cell is full for seconds at a time, and each end of a task asks for a pass.
+// While no worker has room for the smallest of the steps and nothing can be asked, there is nothing
+// to decide, however much waits.
+bool Scheduler::MayDecide() const {
+  return m_plan_has_lane || !m_least_size || m_plan_most_free.Covers(*m_least_size);
+}
+
 void Scheduler::Plan() {
   if (!m_hooks.may_lead()) return;
-  m_load = {};
-  m_plan_steps.clear();
   std::vector<PlanWorker> workers = MakePlanWorkers();
+  PlanLimits limits;
+  limits.now = m_hooks.now();
+  limits.lanes = m_hooks.lanes();
+  m_plan_has_lane = limits.lanes.free > 0;
+  if (!MayDecide()) return;
+  m_load.ClearWaiting();
+  m_plan_steps.clear();
+  m_least_size.reset();
   std::vector<PlanUnit> units;
   for (const auto& [id, job] : m_jobs) AddUnits(job.get(), &units, &workers);
   if (units.empty()) return;
@@ -256,10 +337,18 @@
       }
     }
   }
-  PlanLimits limits;
-  limits.now = m_hooks.now();
-  limits.lanes = m_hooks.lanes();
-  ApplyPlan(MakePlan(limits, std::move(units), &workers));
+  limits.most_placements = m_window.Room(m_fleet.OrdersOnWay());
+  limits.most_examined = kExaminedAtOnce;
+  limits.describe = [this](PlanUnit* unit) { DescribeUnit(unit); };
+  const citronsill::Plan plan = MakePlan(limits, std::move(units), &workers);
+  m_load.examined_units = plan.examined;
+  m_window_was_full |= plan.placements_cut;
+  if (plan.examined_cut) {
+    for (const std::uint32_t unit : plan.fruitless) {
+      m_plan_steps[unit]->examine_at = limits.now + kExamineAgain;
+    }
+  }
+  ApplyPlan(plan);
 }
 
 void Scheduler::ApplyPlan(const citronsill::Plan& plan) {
@@ -297,6 +386,7 @@
       if (!Waits(task, now) || Avoids(task, *worker, now)) continue;
       const std::uint64_t run = step->spec->gang() ? step->gang_run : task.last_run + 1;
       orders.push_back(Assign(&task, worker, run)->id);
+      CountPlaced(step);
       break;
     }
   }
@@ -305,6 +395,10 @@
       for (const std::uint64_t id : orders) {
         Order* order = m_fleet.FindOrder(id);
         if (order == nullptr || order->state != OrderState::kStoring) continue;
+        const auto waited =
+            std::chrono::duration_cast<milliseconds>(m_hooks.now() - order->created);
+        m_send_delay_ms +=
+            kSendDelayWeight * (static_cast<double>(waited.count()) - m_send_delay_ms);
         const Task& task = *order->task;
         if (task.step->spec->gang() && !task.step->gang_sent) {
           task.step->gang_sent = true;
--- a/include/citronsill/types.h
+++ b/include/citronsill/types.h
@@ -1,6 +1,7 @@
 /// Plain types that every module shares.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <compare>
 #include <cstdint>
@@ -43,6 +44,20 @@
     return *this;
   }
 
+  /// Takes the larger of the two in every dimension.
+  void RaiseTo(const Resources& other) {
+    processors_milli = std::max(processors_milli, other.processors_milli);
+    memory_mb = std::max(memory_mb, other.memory_mb);
+    accelerators = std::max(accelerators, other.accelerators);
+  }
+
+  /// Takes the smaller of the two in every dimension.
+  void LowerTo(const Resources& other) {
+    processors_milli = std::min(processors_milli, other.processors_milli);
+    memory_mb = std::min(memory_mb, other.memory_mb);
+    accelerators = std::min(accelerators, other.accelerators);
+  }
+
   /// @returns whether `other` fits into this in every dimension.
   [[nodiscard]] bool Covers(const Resources& other) const {
     return processors_milli >= other.processors_milli && memory_mb >= other.memory_mb &&
--- a/tests/cell/cell.h
+++ b/tests/cell/cell.h
@@ -101,7 +101,7 @@
   Cell& m_cell;
   std::vector<std::function<void()>> m_while_paused;
   std::shared_ptr<PolicyService::Lanes> m_lanes;  // Of the present scheduler.
-  SteadyTime m_planned{};
+  PassPacer m_pacer;
   bool m_tick_pending = false;
   std::set<std::pair<std::string, bool>> m_connected;  // Workers, and whether for holds.
 };
@@ -417,9 +417,7 @@
   if (plan_pending) return;
   plan_pending = true;
   if (processor) {
-    // As in cell/leader.cc.
-    const auto since = std::chrono::duration_cast<milliseconds>(SendTime() - m_planned);
-    return DeliverAfter(std::max(milliseconds(0), kPlanPeriod - since), [this] {
+    return DeliverAfter(m_pacer.Delay(SendTime()), [this] {
       plan_pending = false;
       if (scheduler && loaded) Plan();
     });
@@ -433,13 +431,14 @@
 }
 
 inline void Instance::Plan() {
-  m_planned = m_cell.loop.Now();
+  const SteadyTime began = SendTime();
   ++passes;
   const std::size_t orders = scheduler->Workers().OrderCount();
   scheduler->Plan();
   const std::size_t now = scheduler->Workers().OrderCount();
   const std::size_t placed = now - std::min(now, orders);
   if (processor) Charge(PlanCost(costs, CountPlanWork(*scheduler), placed));
+  m_pacer.OnPass(began, SendTime());
 }
 
 inline void Instance::Gain(const schema::OwnerRow& owner, const schema::HeadRow& head,
@@ -620,7 +619,7 @@
     Deliver(at, [take, result] { take(result); });
   };
   const auto unanswered = [this, take] {
-    DeliverAfter(kWorkerCallTimeout, [take] {
+    DeliverAfter(scheduler->Workers().Calls().Timeout(), [take] {
       take(Error{schema::CODE_WORKER_UNREACHABLE, "no answer"});
     });
   };
@@ -658,7 +657,7 @@
   const auto deliver = [this, at = epoch, take](const Result<HoldAnswer>& result) {
     Deliver(at, [take, result] { take(result); });
   };
-  DeliverAfter(order.wait + kWorkerCallTimeout, [take] {
+  DeliverAfter(order.wait + scheduler->Workers().Calls().Timeout(), [take] {
     take(Error{schema::CODE_WORKER_UNREACHABLE, "no answer"});
   });
   if (life->dead || m_cell.nodes[worker].cut_from.contains(number)) return;
--- /dev/null
+++ b/tests/cell/pace_test.cc
@@ -0,0 +1,94 @@
+// Pace of a scheduler under more work than its processor or link can do.
+#include "cell/pace.h"
+
+#include <doctest/doctest.h>
+
+namespace citronsill {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr SteadyTime kNow{seconds(1000)};
+
+// Guards against calls that are given up and repeated because the answers of all workers are late:
+// the repetitions made them later still.
+TEST_CASE("pace: calls wait longer while all calls take long, and not longer than a bound") {
+  CallTimes calls;
+  CHECK(calls.Timeout() == kWorkerCallTimeout);
+  for (int i = 0; i < 500; ++i) calls.Add(milliseconds(200));
+  CHECK(calls.Timeout() >= milliseconds(600));
+  for (int i = 0; i < 500; ++i) calls.Add(milliseconds(5000));
+  CHECK(calls.Timeout() == kWorkerCallTimeoutMost);
+  for (int i = 0; i < 1000; ++i) calls.Add(milliseconds(5));
+  CHECK(calls.Timeout() == kWorkerCallTimeout);
+}
+
+// Guards against a few silent workers that make the others look slow: 6 of 100 calls time out.
+TEST_CASE("pace: silent workers do not count as an overloaded scheduler") {
+  CallTimes calls;
+  for (int i = 0; i < 1000; ++i) calls.Add(milliseconds(i % 16 == 0 ? 250 : 8));
+  CHECK(calls.Mean() < kBusyCallTime);
+}
+
+// Guards against assignments that outlive their tickets: thousands waited behind one another.
+TEST_CASE("pace: the order window shrinks while calls take long and grows while it is full") {
+  OrderWindow window;
+  const std::size_t first = window.Size();
+  SteadyTime now = kNow;
+  const auto run = [&](milliseconds call_time, bool was_full) {
+    for (int i = 0; i < 100; ++i) {
+      now += milliseconds(50);
+      window.Adjust(now, call_time, was_full);
+    }
+  };
+  run(milliseconds(10), false);
+  CHECK(window.Size() == first);
+  run(milliseconds(300), true);
+  CHECK(window.Size() == kWindowLeast);
+  CHECK(window.IsLimiting());
+  CHECK(window.Room(kWindowLeast + 5) == 0);
+  run(milliseconds(10), true);
+  CHECK(window.Size() == kWindowMost);
+  CHECK(!window.IsLimiting());
+}
+
+// Guards against refusals while the store is away: the window is full, and the scheduler is not the
+// limit.
+TEST_CASE("pace: a window that is full at its usual size does not refuse jobs") {
+  OrderWindow window;
+  window.Adjust(kNow, milliseconds(10), true);
+  CHECK(!window.IsLimiting());
+}
+
+// Guards against a planning pass that follows the last one at once and leaves no time for answers.
+TEST_CASE("pace: planning passes take at most a third of the time") {
+  PassPacer pacer;
+  pacer.OnPass(kNow, kNow + milliseconds(30));
+  CHECK(pacer.Delay(kNow + milliseconds(30)) == milliseconds(30) * kPlanPauseFactor);
+  pacer.OnPass(kNow, kNow);
+  CHECK(pacer.Delay(kNow) == kPlanPeriod);
+}
+
+// Guards against jobs that are accepted and wait beside free workers until their callers give up.
+TEST_CASE("pace: jobs are refused while more tasks wait than start in time") {
+  Intake intake;
+  SteadyTime now = kNow;
+  std::uint64_t sent = 0;
+  const auto run = [&](bool is_limiting) {
+    for (int i = 0; i < 100; ++i) {
+      now += milliseconds(50);
+      intake.Update(now, sent += 10, is_limiting);
+    }
+  };
+  run(false);
+  CHECK(intake.Accepts(now, 100000, false));
+  run(true);  // 200 starts a second.
+  CHECK(intake.Accepts(now, 100, false));
+  CHECK(!intake.Accepts(now, 200, false));
+  CHECK(intake.Accepts(now, 200, true));
+  CHECK(!intake.Accepts(now, 400, true));
+  CHECK(intake.Accepts(now + kLimitedFor, 500, true));
+}
+
+}  // namespace
+}  // namespace citronsill
--- a/tests/cell/plan_cost_test.cc
+++ b/tests/cell/plan_cost_test.cc
@@ -28,8 +28,8 @@
     hooks.may_lead = [] { return true; };
     hooks.start = [](const Worker&, const StartOrder&, std::uint64_t) {};
     hooks.stop = [](const Worker&, const TaskRef&, std::uint64_t, std::uint64_t) {};
-    hooks.hold = [this](const Worker&, const HoldOrder&, std::uint64_t id) {
-      m_holds.push_back(id);
+    hooks.hold = [this](const Worker& worker, const HoldOrder&, std::uint64_t id) {
+      if (!worker.attached) m_holds.push_back(id);
     };
     hooks.ask = [](const TaskRef&, const std::vector<std::string>&, QuestionKind) {};
     hooks.lanes = [] { return LaneCounts{}; };
@@ -80,7 +80,10 @@
       worker.born_unix_ms = 1000;
       scheduler->Workers().Put(worker);
     }
-    for (const std::uint64_t id : std::vector<std::uint64_t>(m_holds)) {
+    // Workers are attached a few at a time.
+    while (!m_holds.empty()) {
+      const std::uint64_t id = m_holds.front();
+      m_holds.erase(m_holds.begin());
       HoldAnswer answer;
       answer.born_unix_ms = 1000;
       scheduler->Workers().OnHold(id, answer);
--- a/tests/cell/planner_test.cc
+++ b/tests/cell/planner_test.cc
@@ -294,5 +294,79 @@
   CHECK(plan.questions[0].workers == std::vector<std::uint32_t>{1});
 }
 
+// Guards against LOST: a lasting task that was started hours ago counts as late work, and waits for
+// its worker behind everything that can still be in time.
+TEST_CASE("planner: a lasting task that is away goes before all other work") {
+  PlanUnit lasting = MakeUnit(0, 1, 8000, 2);
+  lasting.objective = kNow - seconds(100);
+  lasting.late_limit = kNow - seconds(50);
+  lasting.goes_first = true;
+  PlanUnit quick = MakeUnit(1, 4, 4000, 2);
+  quick.priority = 0;
+  const Plan plan = Decide({quick, lasting}, {MakeWorker(8000), MakeWorker(0)});
+  CHECK(Placed(plan, 0) == 1);
+  CHECK(Placed(plan, 1) == 0);
+}
+
+// Guards against LOST: a lasting task without an objective yields to a gang that finds no room.
+TEST_CASE("planner: a lasting task does not yield to a gang that waits") {
+  PlanUnit lasting = MakeUnit(0, 1, 2000, 3);
+  lasting.objective = kNow + seconds(600);
+  lasting.goes_first = true;
+  const Plan plan = Decide({MakeGang(1, 12, 8000, 3), lasting}, std::vector(3, MakeWorker(4000)));
+  CHECK(Placed(plan, 0) == 1);
+}
+
+// Guards against LOST: all lanes for long questions are taken by gangs, and a lasting task of their
+// queue gets no ticket.
+TEST_CASE("planner: a lasting task may ask on any lane") {
+  PlanUnit lasting = MakeUnit(0, 1, 2000, 20);
+  lasting.fits.assign(20, Fit::kUnknown);
+  lasting.question = QuestionKind::kLong;
+  lasting.may_ask = true;
+  const std::vector<PlanWorker> workers(20, MakeWorker(4000));
+  CHECK(Decide({lasting}, workers, LaneCounts{1, 0, 0}).questions.empty());
+  lasting.goes_first = true;
+  CHECK(Decide({lasting}, workers, LaneCounts{1, 0, 0}).questions.size() == 1);
+}
+
+// Guards against passes whose cost is waiting steps times workers: in a cell that is full, steps
+// that fit on no worker are passed over without a look at all workers.
+TEST_CASE("planner: steps that cannot be placed cost no look at the workers") {
+  std::vector<PlanUnit> units;
+  for (std::uint32_t id = 0; id < 3000; ++id) units.push_back(MakeUnit(id, 2, 2000, 4));
+  const Plan plan = Decide(units, std::vector(4, MakeWorker(1000)));
+  CHECK(plan.examined == 0);
+}
+
+// Guards against a pass that takes longer the more steps wait, and against a step that is never
+// reached because as many others come before it.
+TEST_CASE("planner: a pass examines a bounded number of steps and says which were in vain") {
+  std::vector<PlanUnit> units;
+  for (std::uint32_t id = 0; id < 50; ++id) {
+    units.push_back(MakeUnit(id, 1, 2000, 4));
+    units.back().fits.assign(4, Fit::kNever);
+  }
+  std::vector<PlanWorker> workers(4, MakeWorker(4000));
+  PlanLimits limits{kNow, kManyLanes};
+  limits.most_examined = 20;
+  const Plan plan = MakePlan(limits, units, &workers);
+  CHECK(plan.examined == 20);
+  CHECK(plan.fruitless.size() == 20);
+  CHECK(plan.examined_cut);
+}
+
+// Guards against assignments that queue up for the store until their tickets have run out.
+TEST_CASE("planner: no more tasks are placed than may be on their way") {
+  std::vector<PlanUnit> units;
+  for (std::uint32_t id = 0; id < 50; ++id) units.push_back(MakeUnit(id, 1, 100, 4));
+  std::vector<PlanWorker> workers(4, MakeWorker(32000));
+  PlanLimits limits{kNow, kManyLanes};
+  limits.most_placements = 20;
+  const Plan plan = MakePlan(limits, units, &workers);
+  CHECK(plan.placements.size() == 20);
+  CHECK(plan.placements_cut);
+}
+
 }  // namespace
 }  // namespace citronsill
--- a/tests/cell/processor.h
+++ b/tests/cell/processor.h
@@ -57,7 +57,7 @@
   const Scheduler::Load& load = scheduler.LastLoad();
   PlanWork work;
   work.workers = scheduler.Workers().Workers().size();
-  work.pairs = load.waiting_units * work.workers;
+  work.pairs = load.examined_units * work.workers;
   if (load.waiting_gangs > 0) work.orders = scheduler.Workers().OrderCount();
   return work;
 }
--- a/tests/cell/scheduler_test.cc
+++ b/tests/cell/scheduler_test.cc
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 
+#include "cell/limits.h"
+
 namespace citronsill {
 namespace {
 
@@ -29,7 +31,9 @@
     hooks.may_lead = [] { return true; };
     hooks.start = [](const Worker&, const StartOrder&, std::uint64_t) {};
     hooks.stop = [](const Worker&, const TaskRef&, std::uint64_t, std::uint64_t) {};
-    hooks.hold = [this](const Worker&, const HoldOrder&, std::uint64_t id) { holds.push_back(id); };
+    hooks.hold = [this](const Worker& worker, const HoldOrder&, std::uint64_t id) {
+      if (!worker.attached) holds.push_back(id);
+    };
     hooks.ask = [this](const TaskRef& step, std::vector<std::string> workers, QuestionKind) {
       asked.push_back({step, std::move(workers)});
     };
@@ -50,7 +54,10 @@
       worker.born_unix_ms = born_unix_ms;
       scheduler->Workers().Put(worker);
     }
-    for (const std::uint64_t id : std::vector<std::uint64_t>(std::exchange(holds, {}))) {
+    // Workers are attached a few at a time.
+    while (!holds.empty()) {
+      const std::uint64_t id = holds.front();
+      holds.erase(holds.begin());
       HoldAnswer answer;
       answer.born_unix_ms = born_unix_ms;
       scheduler->Workers().OnHold(id, answer);
@@ -81,7 +88,7 @@
   }
 
   SteadyTime now{std::chrono::hours(1)};
-  std::vector<std::uint64_t> holds;
+  std::vector<std::uint64_t> holds;  // First ones of workers, without an answer.
   std::vector<Question> asked;
   std::unique_ptr<Scheduler> scheduler;
 };
@@ -164,5 +171,34 @@
   CHECK_FALSE(Stored(11).Continue(kBornLater).empty());
 }
 
+// Guards against LOST in masses: a new scheduler with little processor time asked hundreds of
+// workers at once, gave the calls up before it came to the answers, and attached none of them.
+TEST_CASE("scheduler: workers are attached a few at a time, and all of them") {
+  Bench bench(1);
+  constexpr int kMany = 350;
+  for (int i = 0; i < kMany; ++i) {
+    WorkerDescription worker;
+    worker.id = "w" + std::to_string(i);
+    worker.service = "pool";
+    worker.address = worker.id;
+    worker.capacity = {8000, 8000, 0};
+    worker.born_unix_ms = 1000;
+    bench.scheduler->Workers().Put(worker);
+  }
+  std::size_t most = 0;
+  while (!bench.holds.empty()) {
+    most = std::max(most, bench.holds.size());
+    const std::uint64_t id = bench.holds.front();
+    bench.holds.erase(bench.holds.begin());
+    HoldAnswer answer;
+    answer.born_unix_ms = 1000;
+    bench.scheduler->Workers().OnHold(id, answer);
+  }
+  CHECK(most <= kAttachedAtOnce);
+  const auto& workers = bench.scheduler->Workers().Workers();
+  CHECK(std::all_of(workers.begin(), workers.end(),
+                    [](const auto& entry) { return entry.second->attached; }));
+}
+
 }  // namespace
 }  // namespace citronsill
