Scheduler: a failed run of a gang counts once, and ends of given-up runs leave the saves of gangs alone

And the end of a given-up run set the save of one member only, though all members have to start from the same. Change: the failed runs that were counted are all remembered; an end that no order stands for sets a save only when its run is the newest of a task outside of gangs. No test of its own yet.

--- a/cell/job.h
+++ b/cell/job.h
@@ -107,10 +107,10 @@
   std::vector<Task> tasks;
   std::uint32_t done = 0;
   std::uint32_t gang_failures = 0;
-  std::uint64_t gang_run = 0;          ///< Run of the members that are there; 0 for none.
-  std::uint64_t gang_failed_run = 0;   ///< Last run that was counted as failed.
-  bool gang_sent = false;              ///< The start of a member was sent.
-  SteadyTime gang_started{};           ///< When the first start was sent.
+  std::uint64_t gang_run = 0;                   ///< Run of the members that are there; 0 for none.
+  std::vector<std::uint64_t> gang_failed_runs;  ///< That were counted as failed.
+  bool gang_sent = false;                       ///< The start of a member was sent.
+  SteadyTime gang_started{};                    ///< When the first start was sent.
   bool gang_ending = false;            ///< A member ended: the others are on their way out.
   bool ready = false;                  ///< All earlier steps are done.
   SteadyTime ready_since{};            ///< In this term.
--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -447,7 +447,9 @@
   } else {
     return;
   }
-  if (!save.empty() && task->orders.empty()) task->save = save;
+  // Members of a gang start from the same save, and an older run's save is behind a newer one's.
+  const bool is_newest = run == task->last_run && task->orders.empty();
+  if (!save.empty() && !step->spec->gang() && is_newest) task->save = save;
   MarkDirty(job);
   Settle(job);
   m_hooks.plan_soon();
@@ -471,8 +473,9 @@
     step->job->failures.push_back({step->occurrence, step->number, task->index, run, worker});
   };
   if (step->spec->gang()) {
-    if (step->gang_failed_run != run) {
-      step->gang_failed_run = run;
+    auto& counted = step->gang_failed_runs;
+    if (std::find(counted.begin(), counted.end(), run) == counted.end()) {
+      counted.push_back(run);
       ++step->gang_failures;
       count();
     }
