Fleet: silent workers do not keep others from being attached

Cause: workers are attached 24 at a time in the order of their names, and a silent one is due again before those behind it were tried; its time-outs, counted as samples of what calls take, made the time-out grow to 1.5 s. Change: those with runs go first, then those that were not tried for the longest time; of the calls to a silent worker only the first one counts.

--- a/cell/fleet.cc
+++ b/cell/fleet.cc
@@ -1,6 +1,7 @@
 #include "cell/fleet.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "cell/limits.h"
@@ -98,6 +99,7 @@
   worker->listed = true;
   worker->gone = false;
   TickWorker(worker, m_hooks.now());
+  AttachNext();
   m_hooks.on_room();
 }
 
@@ -222,7 +224,7 @@
   if (found == m_orders.end()) return;
   Order* order = found->second.get();
   Worker* worker = order->worker;
-  m_calls.Add(std::chrono::duration_cast<milliseconds>(m_hooks.now() - order->sent));
+  NoteCall(*worker, order->sent, result.has_value());
   if (!result) {
     CallFailed(worker);
     if (order->state != OrderState::kSending) return;
@@ -288,9 +290,9 @@
   if (found == m_holds.end()) return;
   const Hold hold = std::move(found->second);
   m_holds.erase(found);
-  if (!hold.waits) m_calls.Add(std::chrono::duration_cast<milliseconds>(m_hooks.now() - hold.sent));
   Worker* worker = Find(hold.worker);
   if (worker == nullptr || worker->life != hold.life) return;
+  if (!hold.waits) NoteCall(*worker, hold.sent, result.has_value());
   (hold.look ? worker->look_in_flight : worker->hold_in_flight) = false;
   const bool was_attaching = !hold.look && std::exchange(worker->attaching, false);
   if (was_attaching) --m_attaching;
@@ -504,6 +506,13 @@
   worker->clock_at = worker->heard;
 }
 
+// Of the calls to a silent worker only the first one counts: silence of some says nothing of how
+// long the others take.
+void Fleet::NoteCall(const Worker& worker, SteadyTime sent, bool answered) {
+  if (!answered && worker.silent) return;
+  m_calls.Add(std::chrono::duration_cast<milliseconds>(m_hooks.now() - sent));
+}
+
 void Fleet::CallFailed(Worker* worker) {
   if (worker->silent) return;
   worker->silent = true;
@@ -513,14 +522,26 @@
              std::chrono::duration_cast<milliseconds>(m_hooks.now() - worker->heard));
 }
 
-// Attaches one more worker that is due.
+// Attaches more workers, as far as there may be more at a time: first those with runs, whose leases
+// run out, then those that were not tried for the longest time.
 //
 // Load pattern: a takeover has to reach hundreds of workers. Asked all at once, a slow scheduler
-// handles the first answers when the time-outs of the last ones have passed.
+// handles the first answers when the time-outs of the last ones have passed; and some of them are
+// silent, and must not keep the others waiting.
 void Fleet::AttachNext() {
+  if (m_attaching >= kAttachedAtOnce) return;
+  const SteadyTime now = m_hooks.now();
+  std::vector<Worker*> due;
   for (const auto& [id, worker] : m_workers) {
+    if (!worker->attached && IsHoldDue(*worker, now)) due.push_back(worker.get());
+  }
+  std::sort(due.begin(), due.end(), [](const Worker* a, const Worker* b) {
+    return std::tuple(a->orders.empty(), a->next_hold, a->slot) <
+           std::tuple(b->orders.empty(), b->next_hold, b->slot);
+  });
+  for (Worker* worker : due) {
     if (m_attaching >= kAttachedAtOnce) return;
-    if (!worker->attached) TickWorker(worker.get(), m_hooks.now());
+    SendHold(worker, false);
   }
 }
 
@@ -582,6 +603,7 @@
   workers.reserve(m_workers.size());
   for (const auto& [id, worker] : m_workers) workers.push_back(worker.get());
   for (Worker* worker : workers) TickWorker(worker, now);
+  AttachNext();
   std::erase_if(m_workers, [](const auto& entry) {
     const Worker& worker = *entry.second;
     return !worker.listed && worker.orders.empty() && !worker.hold_in_flight &&
@@ -609,8 +631,7 @@
 }
 
 void Fleet::TickWorker(Worker* worker, SteadyTime now) {
-  const bool may_attach = worker->attached || m_attaching < kAttachedAtOnce;
-  if (IsHoldDue(*worker, now) && may_attach) SendHold(worker, false);
+  if (worker->attached && IsHoldDue(*worker, now)) SendHold(worker, false);
   if (worker->look_wanted && !worker->look_in_flight) SendHold(worker, true);
   if (worker->orders.empty()) return;
   if (worker->silent || !worker->attached) {
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -178,6 +178,7 @@
   void EndLife(Worker* worker);
   void Heard(Worker* worker, const std::optional<WorkerTime>& clock);
   void CallFailed(Worker* worker);
+  void NoteCall(const Worker& worker, SteadyTime sent, bool answered);
   void SendHold(Worker* worker, bool look);
   void AttachNext();
   void BoundEarlierLeases(Worker* worker, const std::optional<WorkerTime>& clock);
--- a/tests/cell/scheduler_test.cc
+++ b/tests/cell/scheduler_test.cc
@@ -32,7 +32,9 @@
     hooks.start = [](const Worker&, const StartOrder&, std::uint64_t) {};
     hooks.stop = [](const Worker&, const TaskRef&, std::uint64_t, std::uint64_t) {};
     hooks.hold = [this](const Worker& worker, const HoldOrder&, std::uint64_t id) {
-      if (!worker.attached) holds.push_back(id);
+      if (worker.attached) return;
+      holds.push_back(id);
+      first_holds.push_back({id, worker.description.id, now});
     };
     hooks.ask = [this](const TaskRef& step, std::vector<std::string> workers, QuestionKind) {
       asked.push_back({step, std::move(workers)});
@@ -88,7 +90,13 @@
   }
 
   SteadyTime now{std::chrono::hours(1)};
-  std::vector<std::uint64_t> holds;  // First ones of workers, without an answer.
+  struct FirstHold {
+    std::uint64_t id;
+    std::string worker;
+    SteadyTime sent;
+  };
+  std::vector<std::uint64_t> holds;    // First ones of workers, without an answer.
+  std::vector<FirstHold> first_holds;  // The same, for tests that answer some of them.
   std::vector<Question> asked;
   std::unique_ptr<Scheduler> scheduler;
 };
@@ -200,5 +208,73 @@
                     [](const auto& entry) { return entry.second->attached; }));
 }
 
+// Guards against LOST: steps that cannot run anywhere fill every bounded planning pass, and one
+// that could run is never reached.
+TEST_CASE("scheduler: a step behind a thousand that cannot run is reached") {
+  Bench bench(1);
+  bench.AddWorkers();
+  const auto submit = [&](const std::string& id, std::uint32_t priority, const char* label) {
+    schema::JobSpec job;
+    job.set_id(id);
+    job.mutable_queue()->set_name(id);
+    job.mutable_queue()->set_service("pool");
+    job.mutable_queue()->set_priority(priority);
+    job.mutable_queue()->set_max_attempts(3);
+    job.mutable_queue()->set_stretch(2.0);
+    schema::StepSpec* step = job.add_steps();
+    step->set_task_count(1);
+    step->mutable_size()->set_processors_milli(1000);
+    step->mutable_size()->set_memory_mb(100);
+    step->set_estimate_ms(1000);
+    step->set_required_label(label);
+    bench.scheduler->Submit(job, milliseconds(0), [](const auto&) {});
+  };
+  for (int i = 0; i < 1000; ++i) submit("bound" + std::to_string(i), 0, "none-has-it");
+  submit("free", 2, "");
+  std::size_t passes = 0;
+  while (bench.scheduler->Workers().OrderCount() == 0 && passes < 20) {
+    bench.now += milliseconds(50);
+    bench.scheduler->Plan();
+    ++passes;
+  }
+  CHECK(bench.scheduler->Workers().OrderCount() == 1);
+}
+
+// Guards against LOST: some workers are silent while a scheduler takes over, and the healthy ones
+// behind them are never attached.
+TEST_CASE("scheduler: silent workers do not keep healthy ones from being attached") {
+  Bench bench(1);
+  constexpr int kMany = 350;
+  const auto is_silent = [](const std::string& id) { return std::stoi(id.substr(1)) % 3 == 0; };
+  for (int i = 0; i < kMany; ++i) {
+    WorkerDescription worker;
+    worker.id = "w" + std::to_string(i);
+    worker.service = "pool";
+    worker.address = worker.id;
+    worker.capacity = {8000, 8000, 0};
+    worker.born_unix_ms = 1000;
+    bench.scheduler->Workers().Put(worker);
+  }
+  // Healthy workers answer within 50 ms, calls to the others time out.
+  for (int tick = 0; tick < 60; ++tick) {
+    bench.now += milliseconds(50);
+    for (const auto& hold : std::exchange(bench.first_holds, {})) {
+      if (is_silent(hold.worker) && bench.now < hold.sent + milliseconds(250)) {
+        bench.first_holds.push_back(hold);
+        continue;
+      }
+      HoldAnswer answer;
+      answer.born_unix_ms = 1000;
+      const Result<HoldAnswer> silence = Error{schema::CODE_WORKER_UNREACHABLE, "timed out"};
+      bench.scheduler->Workers().OnHold(hold.id, is_silent(hold.worker) ? silence : answer);
+    }
+    bench.scheduler->Tick();
+  }
+  const auto& workers = bench.scheduler->Workers().Workers();
+  CHECK(std::all_of(workers.begin(), workers.end(), [&](const auto& entry) {
+    return entry.second->attached || is_silent(entry.first);
+  }));
+}
+
 }  // namespace
 }  // namespace citronsill
