Planner: bounded passes reach every step, wide steps keep to the window, and work that is due uses no lanes of others

Tests: 'a step behind a thousand that cannot run is reached', 'a wide step is placed as far as orders may be on their way'.

--- a/cell/job.h
+++ b/cell/job.h
@@ -120,9 +120,9 @@
   std::uint32_t questions = 0;  ///< Of this step that have no answer yet.
   SteadyTime question_since{};  ///< When the last question was asked.
   SteadyTime advice_retry_at{};
-  std::uint32_t waiting = 0;   ///< Tasks that the last planning pass has found and left waiting.
-  SteadyTime examine_at{};     ///< Planning passes leave it out before this time.
-  std::vector<HeldRoom> held;  ///< Room that is kept for the gang while it waits for tickets.
+  std::uint32_t waiting = 0;  ///< Tasks that the last planning pass has found and left waiting.
+  std::uint64_t examined_round = 0;  ///< In which a planning pass last examined it for nothing.
+  std::vector<HeldRoom> held;        ///< Room that is kept for the gang while it waits for tickets.
 
   [[nodiscard]] bool IsDone() const { return done == tasks.size(); }
   [[nodiscard]] TaskRef Ref(std::uint32_t index) const;
--- a/cell/limits.h
+++ b/cell/limits.h
@@ -147,11 +147,10 @@
 inline constexpr double kSendDelayWeight = 1.0 / 32;
 // Waiting steps whose workers one planning pass looks at. With 350 workers that is about 2 ms.
 inline constexpr std::size_t kExaminedAtOnce = 200;
-// Steps that were examined for nothing come after the others for this long when there are more.
-inline constexpr std::chrono::milliseconds kExamineAgain{100};
 // Between two planning passes this many times the duration of the first one goes by, so that
 // planning takes at most a third of the processor.
 inline constexpr int kPlanPauseFactor = 2;
+inline constexpr std::chrono::milliseconds kPlanPauseMost{250};
 // Changes within this time are answered by one planning pass.
 inline constexpr std::chrono::milliseconds kPlanPeriod{4};
 // Longest question to the policy service: 100 workers of the slowest kind, with as many waiting.
@@ -216,7 +215,12 @@
 // ...that has been linked for this long, as it has been the scheduler itself: instances that start
 // or end in turn do not pass it around.
 inline constexpr std::chrono::milliseconds kHandOverAfter{4000};
+// An instance that has handed its shard over claims it again after this time: several turns of
+// heirs.
+inline constexpr std::chrono::milliseconds kClaimAfterHandOver{2000};
 inline constexpr std::chrono::milliseconds kStoreReadTimeout{1000};
+// Reads of whole tables that failed are given twice the time, up to this.
+inline constexpr std::chrono::milliseconds kTableReadTimeoutMost{8000};
 // Wait of a call that follows changes: the longest that the store allows is 30 s; a connection that
 // fell silent is noticed after it, so it stays within the time for a change of the configuration.
 inline constexpr std::chrono::milliseconds kFeedWait{1000};
--- a/cell/planner.cc
+++ b/cell/planner.cc
@@ -191,6 +191,10 @@
       if (FitCount(m_free, unit.size, 1) > 0) m_plan.yielding.push_back(unit.id);
       return;
     }
+    if (const std::size_t room = m_limits.most_placements - m_plan.placements.size(); left > room) {
+      left = static_cast<std::uint32_t>(room);
+      m_plan.placements_cut = true;
+    }
     for (const std::uint32_t index : Candidates(unit, Fit::kReady)) {
       if (left == 0) return;
       const std::uint32_t count = std::min(left, RoomOn(unit, index));
@@ -260,7 +264,7 @@
     if (!CanAsk(unit)) return;
     std::vector<std::uint32_t> workers;
     double expected = 0.0;
-    const double ahead = unit.gang || unit.goes_first ? kGangAskAhead : kAskAhead;
+    const double ahead = unit.gang || unit.any_lane ? kGangAskAhead : kAskAhead;
     const double enough = ahead * need;
     const auto add = [&](Fit fit, double share) {
       for (const std::uint32_t index : Candidates(unit, fit)) {
@@ -322,7 +326,7 @@
 
   [[nodiscard]] bool CanAsk(const PlanUnit& unit) const {
     if (!unit.may_ask) return false;
-    if (unit.goes_first) return m_limits.lanes.free > m_asked;
+    if (unit.any_lane) return m_limits.lanes.free > m_asked;
     switch (unit.question) {
       case QuestionKind::kInteractive:
         return m_limits.lanes.free > m_asked;
--- a/cell/planner.h
+++ b/cell/planner.h
@@ -68,6 +68,7 @@
   bool rack_local = false;  ///< Slower on more than one rack.
   /// Goes before all others: a task that lasts and is away, or a member that its gang waits for.
   bool goes_first = false;
+  bool any_lane = false;  ///< Its questions may use lanes that are kept for shorter ones.
   std::uint32_t max_per_worker = 0;  ///< 0 for no limit.
   std::uint32_t preferred_rack = 0;  ///< Where its data or the rest of it is; 0 for anywhere.
   std::vector<Fit> fits;             ///< By worker.
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -266,6 +266,8 @@
   bool m_window_was_full = false;
   double m_send_delay_ms = 0.0;  // Mean time that assignments wait for the store.
 
+  std::uint64_t m_plan_round = 1;
+
   // Of the current planning pass.
   std::vector<Worker*> m_plan_workers;
   std::optional<Resources>
--- a/cell/scheduler_plan.cc
+++ b/cell/scheduler_plan.cc
@@ -162,12 +162,12 @@
     // Members that are missing from a gang are placed one by one; a gang that ends is waited for.
     const bool is_refill = step->spec->gang() && step->gang_run != 0;
     if (step->gang_ending) continue;
-    if (now < step->examine_at && step->held.empty()) continue;
+    if (step->examined_round == m_plan_round && step->held.empty()) continue;
     PlanUnit unit;
     unit.count = waiting;
     unit.gang = step->spec->gang() && !is_refill;
     FillUnit(step.get(), &unit);
-    unit.goes_first = is_refill || step->spec->long_running();
+    unit.goes_first = unit.any_lane = is_refill || step->spec->long_running();
     if (unit.gang) ApplyHeldRoom(*step, &unit, workers);
     const auto add = [&](PlanUnit part) {
       part.id = static_cast<std::uint32_t>(m_plan_steps.size());
@@ -343,10 +343,13 @@
   const citronsill::Plan plan = MakePlan(limits, std::move(units), &workers);
   m_load.examined_units = plan.examined;
   m_window_was_full |= plan.placements_cut;
+  // What was examined for nothing comes again once all others were reached.
   if (plan.examined_cut) {
     for (const std::uint32_t unit : plan.fruitless) {
-      m_plan_steps[unit]->examine_at = limits.now + kExamineAgain;
+      m_plan_steps[unit]->examined_round = m_plan_round;
     }
+  } else {
+    ++m_plan_round;
   }
   ApplyPlan(plan);
 }
