--- a/cell/node.cc
+++ b/cell/node.cc
@@ -286,7 +286,7 @@
     if (draining) return;
     std::uint32_t strongest = 0;
     links->ForEach([&strongest](const LinkPtr& link) {
-      if (!link->LastPing().may_lead()) return;
+      if (!link->LastPing().may_lead() || !link->LastPing().reaches_store()) return;
       strongest = std::max(strongest, link->Peer().strength_milli());
     });
     const std::uint32_t own = Strength();
--- a/cell/shard.cc
+++ b/cell/shard.cc
@@ -215,7 +215,7 @@
       served = signs.heard;
     }
     earlier_released = claimer.Owner().released();
-    claimer.Tick(signs, !releasing && deps.may_claim());
+    claimer.Tick(signs, !releasing && deps.may_claim() && BootNow() >= claim_after);
     const bool has_owner = !claimer.Owner().address().empty() && !claimer.IsOwn();
     if (has_owner && !owner_link && BootNow() >= next_connect) {
       next_connect = BootNow() + kLinkRetry;
@@ -380,10 +380,12 @@
 
   void HandOver() {
     if (!leader || !leader->IsCalm() || releasing || giving_away) return;
+    claim_after = BootNow() + kClaimAfterHandOver;
     GiveAway("stronger instance");
   }
 
   bool giving_away = false;
+  SteadyTime claim_after{};  // Others go first after a hand-over.
 
   void GiveAway(const char* reason) {
     if (!leader || giving_away) return;
