--- a/cell/follower.cc
+++ b/cell/follower.cc
@@ -54,15 +54,20 @@
   std::uint64_t version = 0;
   SteadyTime heard = BootNow();
   milliseconds backoff{0};
+  milliseconds read_timeout = kStoreReadTimeout;
   bool loaded = false;
   bool failing = false;
   bool stopped = false;
 
   void Load() {
-    ReadAll(store, RowRange{table, part, "", "", kMaxRowsPerRead}, kStoreReadTimeout,
+    ReadAll(store, RowRange{table, part, "", "", kMaxRowsPerRead}, read_timeout,
             [self = shared_from_this()](const Result<RowPage>& page) {
               if (self->stopped) return;
-              if (!page) return self->Fail(page.error());
+              if (!page) {
+                self->read_timeout = std::min(self->read_timeout * 2, kTableReadTimeoutMost);
+                return self->Fail(page.error());
+              }
+              self->read_timeout = kStoreReadTimeout;
               self->loaded = true;
               self->heard = BootNow();
               self->version = page.value().version;
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -71,6 +71,7 @@
   RowPage progress;
   RowPage finished;
   int pages_missing = 0;
+  milliseconds load_timeout = kStoreReadTimeout;
 
   void Begin() {
     MakeScheduler();
@@ -183,11 +184,12 @@
   }
 
   void LoadTable(const char* table, RowPage* into) {
-    ReadAll(store, RowRange{table, options.shard, "", "", kMaxRowsPerRead}, kStoreReadTimeout,
+    ReadAll(store, RowRange{table, options.shard, "", "", kMaxRowsPerRead}, load_timeout,
             [weak = weak_from_this(), table, into](Result<RowPage> page) {
               const auto self = weak.lock();
               if (!self || self->lost) return;
               if (!page) {
+                self->load_timeout = std::min(self->load_timeout * 2, kTableReadTimeoutMost);
                 Log(LogLevel::kWarn, "load-delayed")
                     .Field("table", table)
                     .Field("reason", page.error());
--- a/cell/pace.cc
+++ b/cell/pace.cc
@@ -18,7 +18,10 @@
 }
 
 void PassPacer::OnPass(SteadyTime began, SteadyTime ended) {
-  m_next = std::max(began + kPlanPeriod, ended + (ended - began) * kPlanPauseFactor);
+  // A process that was frozen in a pass does not pause for as long.
+  const auto pause =
+      std::min<SteadyTime::duration>((ended - began) * kPlanPauseFactor, kPlanPauseMost);
+  m_next = std::max(began + kPlanPeriod, ended + pause);
 }
 
 milliseconds PassPacer::Delay(SteadyTime now) const {
