The pace of starts in logs and metrics: window, orders on their way, time of calls, refusals, and why a task is held

A task that waits because no more orders may be on their way showed as passed-over. The reason order-window, fields of the load line and gauges tell it. No decision changes.

--- a/cell/held.cc
+++ b/cell/held.cc
@@ -89,6 +89,8 @@
       return "no-room";
     case HeldReason::kNotPlanned:
       return "not-planned";
+    case HeldReason::kOrderWindow:
+      return "order-window";
     case HeldReason::kYieldsToGangs:
       return "yields-to-gangs";
     case HeldReason::kNotAllowed:
@@ -118,6 +120,7 @@
   if (facts.room.Usable() < facts.need) return WhyNoRoom(facts);
   // What the planner has not seen it could not decide on.
   if (facts.plan_age > kPlanStaleAfter) return HeldReason::kNotPlanned;
+  if (facts.window_full) return HeldReason::kOrderWindow;
   if (facts.yields) return HeldReason::kYieldsToGangs;
   if (facts.advised && facts.room.ready_room < facts.need) return WhyNoTicket(facts);
   return HeldReason::kPassedOver;
--- a/cell/held.h
+++ b/cell/held.h
@@ -31,6 +31,7 @@
   kReservedRoom,      ///< The room is set aside for gangs.
   kNoRoom,
   kNotPlanned,     ///< No planning pass was made for some time.
+  kOrderWindow,    ///< No more orders may be on their way: the scheduler starts what it can.
   kYieldsToGangs,  ///< Batch work leaves the room to gangs that wait.
   kNotAllowed,     ///< The policy service allows none of those with room.
   kQuestionOpen,   ///< The policy service has not answered.
@@ -49,10 +50,11 @@
     HeldReason::kNoWorkerListed, HeldReason::kNoWorkerAttached,
     HeldReason::kQuarantine,     HeldReason::kStrayRuns,
     HeldReason::kReservedRoom,   HeldReason::kNoRoom,
-    HeldReason::kNotPlanned,     HeldReason::kYieldsToGangs,
-    HeldReason::kNotAllowed,     HeldReason::kQuestionOpen,
-    HeldReason::kAdviceBackOff,  HeldReason::kNoLane,
-    HeldReason::kTicketLapsed,   HeldReason::kPassedOver};
+    HeldReason::kNotPlanned,     HeldReason::kOrderWindow,
+    HeldReason::kYieldsToGangs,  HeldReason::kNotAllowed,
+    HeldReason::kQuestionOpen,   HeldReason::kAdviceBackOff,
+    HeldReason::kNoLane,         HeldReason::kTicketLapsed,
+    HeldReason::kPassedOver};
 
 /// @returns the name for logs and metrics.
 const char* HeldReasonName(HeldReason reason);
@@ -102,6 +104,7 @@
   milliseconds commit_age{0};  ///< Since the last transaction that the store has taken was sent.
   milliseconds plan_age{0};    ///< Since the last planning pass.
   milliseconds list_age{0};    ///< Since the list of workers was last heard of.
+  bool window_full = false;    ///< As many orders are on their way as may be.
   // The policy service.
   bool advised = false;  ///< The queue has one.
   bool question_open = false;
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -450,6 +450,17 @@
     set("oldest_question_seconds", open_questions.Oldest(now));
     metrics.SetGauge("overdue_holds", static_cast<double>(holds.workers));
     set("overdue_hold_seconds", holds.oldest);
+    const Scheduler::Pace pace = scheduler->CurrentPace();
+    metrics.SetGauge("orders_on_way", static_cast<double>(pace.on_way));
+    metrics.SetGauge("order_window", static_cast<double>(pace.window));
+    metrics.SetGauge("starts_per_second", pace.starts_per_s);
+    metrics.SetGauge("starts_limited", pace.is_limited ? 1.0 : 0.0);
+    set("worker_call_seconds", pace.call);
+    line->Field("on_way", pace.on_way)
+        .Field("window", pace.window)
+        .Field("call_ms", pace.call)
+        .Field("starts_per_s", static_cast<std::int64_t>(pace.starts_per_s))
+        .Field("limited", pace.is_limited);
     line->Field("loop_lag_ms", loop.lag_max)
         .Field("loop_lag_p90_ms", loop.lag_p90)
         .Field("processor_ms", loop.processor)
--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -256,6 +256,11 @@
   m_effects.push_back({m_tail, std::move(effect), m_hooks.now()});
 }
 
+Scheduler::Pace Scheduler::CurrentPace() const {
+  return {m_fleet.OrdersOnWay(), m_window.Size(), m_fleet.Calls().Mean(), m_intake.Rate(),
+          m_intake.IsLimited(m_hooks.now())};
+}
+
 Scheduler::Backlog Scheduler::StoreBacklog() const {
   Backlog backlog;
   backlog.effects = m_effects.size();
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -137,6 +137,16 @@
   };
   [[nodiscard]] const Load& LastLoad() const { return m_load; }
 
+  /// How fast it hands out work, for logs and metrics.
+  struct Pace {
+    std::size_t on_way = 0;  ///< Orders without an answer.
+    std::size_t window = 0;  ///< As many may be on their way.
+    milliseconds call{0};    ///< Mean time of calls to workers.
+    double starts_per_s = 0.0;
+    bool is_limited = false;  ///< Tasks wait for the scheduler: jobs may be refused.
+  };
+  [[nodiscard]] Pace CurrentPace() const;
+
   [[nodiscard]] std::size_t ActiveJobs() const { return m_jobs.size(); }
 
   /// What waits for the store.
--- a/cell/scheduler_held.cc
+++ b/cell/scheduler_held.cc
@@ -116,6 +116,7 @@
   if (task.retry_at > now) facts.retry_in = until(task.retry_at);
   facts.gang_ending = step.gang_ending;
   facts.yields = step.yields;
+  facts.window_full = m_window.Room(m_fleet.OrdersOnWay()) == 0;
   facts.advised = step.job->spec.queue().has_advice();
   if (!facts.advised) return facts;
   facts.question_open = step.questions > 0;
--- a/tests/cell/held_test.cc
+++ b/tests/cell/held_test.cc
@@ -302,6 +302,15 @@
   CHECK(HeldAge(held.reason, held.facts) == bench.context.plan_age);
 }
 
+// Guards against a scheduler that starts what it can and shows nothing but waiting tasks.
+TEST_CASE("held: as many orders are on their way as may be") {
+  HeldFacts facts;
+  facts.room.listed = facts.room.ready_room = 1;
+  CHECK(WhyHeld(facts) == HeldReason::kPassedOver);
+  facts.window_full = true;
+  CHECK(WhyHeld(facts) == HeldReason::kOrderWindow);
+}
+
 // Guards against a reason that is made up where none is known.
 TEST_CASE("held: passes are made and leave the task out") {
   Bench bench;
