--- a/cell/limits.h
+++ b/cell/limits.h
@@ -40,7 +40,7 @@
 // Time for a worker to answer a start, stop or look; healthy ones take a few milliseconds.
 inline constexpr std::chrono::milliseconds kWorkerCallTimeout{250};
 // The same when answers take long because the scheduler or its link is busy: this many times their
-// mean time, up to a sixth of the longest usual lease.
+// mean time, up to what leaves a lease of 5 s time for two more holds.
 inline constexpr int kCallTimeFactor = 4;
 inline constexpr std::chrono::milliseconds kWorkerCallTimeoutMost{1500};
 // Weight of a call in the mean time of calls: about the last 60 count, 0.1 s of starts at the peak.
