Log each attempt to read or follow a table, and where a configuration came from

Each attempt gets one line with its call, duration, number of failures and age of the local copy; the line of a new configuration names the peer and what was under way to the store; four gauges show the age of the configuration and how long the call under way has lasted.

Followers take their clock and delays as hooks, so that tests can use model time. No decision changes.

--- a/cell/follower.cc
+++ b/cell/follower.cc
@@ -36,31 +36,52 @@
   ReadMore(store, std::move(range), timeout, RowPage{}, std::move(done));
 }
 
+DelayHook DelayThrough(TimerService& timers) {
+  return [&timers](milliseconds delay, std::function<void()> action) {
+    timers.After(delay, [action = std::move(action)](SteadyTime) { action(); });
+  };
+}
+
 struct TableFollower::Impl : std::enable_shared_from_this<Impl> {
-  Impl(TimerService& service, RowStore* row_store, std::string table_name, std::string part_name,
+  Impl(RowStore* row_store, std::string table_name, std::string part_name,
        FollowerHooks follower_hooks)
-      : timers(service),
-        store(row_store),
+      : store(row_store),
         table(std::move(table_name)),
         part(std::move(part_name)),
         hooks(std::move(follower_hooks)),
         random(std::random_device{}()) {}
 
-  TimerService& timers;
   RowStore* store;
   std::string table;
   std::string part;
   FollowerHooks hooks;
   std::minstd_rand random;
   std::uint64_t version = 0;
-  SteadyTime heard = BootNow();
+  SteadyTime heard = hooks.now();
   milliseconds backoff{0};
   milliseconds read_timeout = kStoreReadTimeout;
+  const char* call = "none";
+  SteadyTime call_began = hooks.now();
+  std::uint32_t failures = 0;
   bool loaded = false;
   bool failing = false;
   bool stopped = false;
 
+  void BeginCall(const char* name) {
+    call = name;
+    call_began = hooks.now();
+  }
+
+  [[nodiscard]] milliseconds Since(SteadyTime time) const {
+    return std::chrono::duration_cast<milliseconds>(hooks.now() - time);
+  }
+
+  [[nodiscard]] FollowerStatus Status() const {
+    return {version, Since(heard), call, Since(call_began), failures};
+  }
+
   void Load() {
+    BeginCall("read");
     ReadAll(store, RowRange{table, part, "", "", kMaxRowsPerRead}, read_timeout,
             [self = shared_from_this()](const Result<RowPage>& page) {
               if (self->stopped) return;
@@ -69,15 +90,27 @@
                 return self->Fail(page.error());
               }
               self->read_timeout = kStoreReadTimeout;
-              self->loaded = true;
-              self->heard = BootNow();
-              self->version = page.value().version;
-              self->hooks.on_snapshot(page.value().rows);
-              if (!self->stopped) self->Follow();
+              self->OnRead(page.value());
             });
   }
 
+  void OnRead(const RowPage& page) {
+    Log(LogLevel::kInfo, "table-read")
+        .Field("table", table)
+        .Field("rows", page.rows.size())
+        .Field("version", page.version)
+        .Field("took_ms", Since(call_began))
+        .Field("age_ms", Since(heard))
+        .Field("failures", failures);
+    loaded = true;
+    heard = hooks.now();
+    version = page.version;
+    hooks.on_snapshot(page.rows);
+    if (!stopped) Follow();
+  }
+
   void Follow() {
+    BeginCall("feed");
     store->Follow(table, version, kFeedWait,
                   [self = shared_from_this()](const Result<RowPage>& page) {
                     if (self->stopped) return;
@@ -93,7 +126,7 @@
 
   void OnChanges(const RowPage& page) {
     Succeed();
-    heard = BootNow();
+    heard = hooks.now();
     version = std::max(version, page.version);
     for (const Row& row : page.rows) {
       if (row.key.part != part) continue;
@@ -106,34 +139,43 @@
   // The next attempt reads the table instead of following it: while the store refuses this
   // instance, reads are relayed through other instances, feeds are not.
   void Fail(const Error& error) {
-    if (!failing) {
-      failing = true;
-      Log(LogLevel::kWarn, "table-lost").Field("table", table).Field("reason", error);
-    }
+    ++failures;
+    Log(LogLevel::kWarn, failing ? "table-retry" : "table-lost")
+        .Field("table", table)
+        .Field("call", call)
+        .Field("took_ms", Since(call_began))
+        .Field("failures", failures)
+        .Field("version", version)
+        .Field("age_ms", Since(heard))
+        .Field("reason", error);
+    failing = true;
     backoff = std::clamp(backoff * 2, kFollowRetryMin, kFollowRetryMax);
     LoadLater(backoff / 2 + milliseconds(random() % (backoff.count() / 2 + 1)));
   }
 
   void Succeed() {
     backoff = milliseconds(0);
+    failures = 0;
     if (!failing) return;
     failing = false;
-    Log(LogLevel::kInfo, "table-regained").Field("table", table).Field("version", version);
+    Log(LogLevel::kInfo, "table-regained")
+        .Field("table", table)
+        .Field("version", version)
+        .Field("age_ms", Since(heard));
   }
 
   void LoadLater(milliseconds delay) {
-    timers.After(delay, [weak = weak_from_this()](SteadyTime) {
+    BeginCall("none");
+    hooks.after(delay, [weak = weak_from_this()] {
       const auto self = weak.lock();
       if (self && !self->stopped) self->Load();
     });
   }
 };
 
-std::unique_ptr<TableFollower> TableFollower::Create(TimerService& timers, RowStore* store,
-                                                     std::string table, std::string part,
-                                                     FollowerHooks hooks) {
-  auto impl =
-      std::make_shared<Impl>(timers, store, std::move(table), std::move(part), std::move(hooks));
+std::unique_ptr<TableFollower> TableFollower::Create(RowStore* store, std::string table,
+                                                     std::string part, FollowerHooks hooks) {
+  auto impl = std::make_shared<Impl>(store, std::move(table), std::move(part), std::move(hooks));
   impl->Load();
   return std::unique_ptr<TableFollower>(new TableFollower(std::move(impl)));
 }
@@ -146,4 +188,6 @@
 
 SteadyTime TableFollower::Heard() const { return m_impl->heard; }
 
+FollowerStatus TableFollower::Status() const { return m_impl->Status(); }
+
 }  // namespace citronsill
--- a/cell/follower.h
+++ b/cell/follower.h
@@ -14,16 +14,26 @@
 namespace citronsill {
 
 struct FollowerHooks {
+  Clock now = BootNow;
+  DelayHook after;
   /// All rows; replaces everything received before.
   std::function<void(const std::vector<Row>& rows)> on_snapshot;
   std::function<void(const Row& row)> on_change;
 };
 
+/// How current a local view is, and which call is to bring the next change.
+struct FollowerStatus {
+  std::uint64_t version = 0;   ///< Version of the store up to which changes are known.
+  milliseconds age{0};         ///< Since the store last answered without an error.
+  const char* call = "";       ///< "read", "feed" or, between two attempts, "none".
+  milliseconds call_age{0};    ///< How long this call or the pause has lasted.
+  std::uint32_t failures = 0;  ///< Calls that failed since the last one that was answered.
+};
+
 /// Follows the rows of one part of a table.
 class TableFollower {
  public:
-  static std::unique_ptr<TableFollower> Create(TimerService& timers, RowStore* store,
-                                               std::string table, std::string part,
+  static std::unique_ptr<TableFollower> Create(RowStore* store, std::string table, std::string part,
                                                FollowerHooks hooks);
   ~TableFollower();
 
@@ -32,6 +42,7 @@
   /// @returns when the store last answered without an error, by `BootNow`; before the first such
   /// answer, when the follower was created.
   [[nodiscard]] SteadyTime Heard() const;
+  [[nodiscard]] FollowerStatus Status() const;
 
  private:
   struct Impl;
@@ -39,6 +50,9 @@
   std::shared_ptr<Impl> m_impl;
 };
 
+/// @returns a hook that delays calls through `timers`, which must outlive it.
+DelayHook DelayThrough(TimerService& timers);
+
 /// Reads all rows of a range, page by page.
 /// @param timeout time-out of each page.
 /// @param done gets the rows and the version of the first page, or the error of the page that
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -279,7 +279,8 @@
     follower_hooks.on_change = [this](const Row& row) {
       if (row.removed || !ApplyWorkerRow(row)) UnlistWorker(row.key.key);
     };
-    worker_list = TableFollower::Create(timers, store, platform.worker_table.table,
+    follower_hooks.after = DelayThrough(timers);
+    worker_list = TableFollower::Create(store, platform.worker_table.table,
                                         platform.worker_table.part, std::move(follower_hooks));
   }
 
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -38,6 +38,7 @@
   std::vector<std::unique_ptr<Shard>> shards;
   std::unique_ptr<TableFollower> config_follower;
   CellConfigPtr config;
+  bool config_is_from_peer = false;
   std::function<void(const CellConfig&)> on_config;
   TimerId tick_timer;
   TimerId gauge_timer;
@@ -149,17 +150,19 @@
       for (const Row& row : rows) ApplyConfigRow(row);
     };
     follower_hooks.on_change = [this](const Row& row) { ApplyConfigRow(row); };
-    config_follower = TableFollower::Create(timers, store.get(), platform.config_row.table,
+    follower_hooks.after = DelayThrough(timers);
+    config_follower = TableFollower::Create(store.get(), platform.config_row.table,
                                             platform.config_row.part, std::move(follower_hooks));
   }
 
   void ApplyConfigRow(const Row& row) {
     if (row.key.key != platform.config_row.key || row.removed) return;
-    ApplyConfig(row.value, "store");
+    ApplyConfig(row.value, "store", "");
   }
 
   // Ignores configurations that are not newer than the current one.
-  void ApplyConfig(const std::string& text, const char* source) {
+  // @param source "store" or "peer"; `peer` names the latter.
+  void ApplyConfig(const std::string& text, const char* source, const std::string& peer) {
     if (config && config->text == text) return;
     auto read = platform.read_config(text);
     if (!read) {
@@ -169,14 +172,27 @@
       return;
     }
     if (config && read.value()->version <= config->version) return;
+    const std::uint64_t previous = config ? config->version : 0;
     config = std::move(read).value();
+    config_is_from_peer = !peer.empty();
+    const FollowerStatus status = ConfigStatus();
     Log(LogLevel::kInfo, "config")
         .Field("version", config->version)
         .Field("source", source)
-        .Field("queues", config->queues.size());
+        .Field("queues", config->queues.size())
+        .Field("previous", previous)
+        .Field("peer", peer)
+        .Field("store_call", status.call)
+        .Field("store_call_ms", status.call_age)
+        .Field("store_age_ms", status.age);
     if (on_config) on_config(*config);
   }
 
+  // The first snapshot arrives before `config_follower` is set if the store answers at once.
+  [[nodiscard]] FollowerStatus ConfigStatus() const {
+    return config_follower ? config_follower->Status() : FollowerStatus{};
+  }
+
   // ---- Links
 
   LinkHooks MakeHooks() {
@@ -228,7 +244,9 @@
   }
 
   void OnMessage(const LinkPtr& link, const schema::LinkMessage& message) {
-    if (message.has_config()) return ApplyConfig(message.config().text(), "peer");
+    if (message.has_config()) {
+      return ApplyConfig(message.config().text(), "peer", link->Peer().instance());
+    }
     if (message.has_advice()) return ServeAdvice(platform.ask_advice, link, message);
     if (message.has_store()) {
       return RelayedStore::Serve(platform.store.get(), link, message);
@@ -250,6 +268,12 @@
     links->ForEach([&open_links](const LinkPtr&) { ++open_links; });
     metrics.SetGauge("links", static_cast<double>(open_links));
     metrics.SetGauge("config_version", config ? static_cast<double>(config->version) : 0.0);
+    metrics.SetGauge("config_from_peer", config_is_from_peer ? 1.0 : 0.0);
+    const FollowerStatus status = ConfigStatus();
+    metrics.SetGauge("config_store_age_seconds", static_cast<double>(status.age.count()) / 1000);
+    metrics.SetGauge("config_store_call_seconds",
+                     static_cast<double>(status.call_age.count()) / 1000);
+    metrics.SetGauge("config_store_failures", status.failures);
     metrics.SetGauge("store_reachable", store->OwnPathWorks() ? 1.0 : 0.0);
     metrics.SetGauge("log_lines_dropped", static_cast<double>(DroppedLogLines()));
     std::size_t led_shards = 0;
--- a/cell/shard.cc
+++ b/cell/shard.cc
@@ -81,8 +81,8 @@
       for (const Row& row : rows) ApplyOwnerRow(row);
     };
     follower_hooks.on_change = [this](const Row& row) { ApplyOwnerRow(row); };
-    follower = TableFollower::Create(*deps.timers, deps.store, kOwnerTable, name,
-                                     std::move(follower_hooks));
+    follower_hooks.after = DelayThrough(*deps.timers);
+    follower = TableFollower::Create(deps.store, kOwnerTable, name, std::move(follower_hooks));
     tick_timer = deps.timers->Every(kShardTick, [weak = weak_from_this()](SteadyTime) {
       if (const auto self = weak.lock()) self->Tick();
     });
--- a/cell/types.h
+++ b/cell/types.h
@@ -45,4 +45,7 @@
 /// Source of the current time; a hook, so that tests can use model time.
 using Clock = std::function<SteadyTime()>;
 
+/// Calls a function after a delay; a hook, so that tests can use model time.
+using DelayHook = std::function<void(milliseconds delay, std::function<void()> action)>;
+
 }  // namespace citronsill
