--- a/cell/follower.cc
+++ b/cell/follower.cc
@@ -1,7 +1,6 @@
 #include "cell/follower.h"
 
 #include <algorithm>
-#include <random>
 
 #include "cell/limits.h"
 #include "cell/log.h"
@@ -48,14 +47,12 @@
       : store(row_store),
         table(std::move(table_name)),
         part(std::move(part_name)),
-        hooks(std::move(follower_hooks)),
-        random(std::random_device{}()) {}
+        hooks(std::move(follower_hooks)) {}
 
   RowStore* store;
   std::string table;
   std::string part;
   FollowerHooks hooks;
-  std::minstd_rand random;
   std::uint64_t version = 0;
   SteadyTime heard = hooks.now();
   milliseconds backoff{0};
@@ -119,8 +116,7 @@
                       return self->Fail(page.error());
                     }
                     // The store dropped its history, for all instances at once: spread their reads.
-                    const auto spread_ms = static_cast<int>(kReloadSpread.count());
-                    self->LoadLater(milliseconds(self->random() % spread_ms));
+                    self->LoadLater(milliseconds(self->hooks.random() % kReloadSpread.count()));
                   });
   }
 
@@ -150,7 +146,7 @@
         .Field("reason", error);
     failing = true;
     backoff = std::clamp(backoff * 2, kFollowRetryMin, kFollowRetryMax);
-    LoadLater(backoff / 2 + milliseconds(random() % (backoff.count() / 2 + 1)));
+    LoadLater(backoff / 2 + milliseconds(hooks.random() % (backoff.count() / 2 + 1)));
   }
 
   void Succeed() {
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -248,9 +248,7 @@
       return ApplyConfig(message.config().text(), "peer", link->Peer().instance());
     }
     if (message.has_advice()) return ServeAdvice(platform.ask_advice, link, message);
-    if (message.has_store()) {
-      return RelayedStore::Serve(platform.store.get(), link, message);
-    }
+    if (message.has_store()) return store->Serve(link, message);
     Shard* shard = nullptr;
     if (message.has_submit()) shard = &ShardOf(message.submit().spec().id());
     if (message.has_cancel()) shard = &ShardOf(message.cancel().id());
--- a/cell/relay.cc
+++ b/cell/relay.cc
@@ -201,22 +201,22 @@
                 });
 }
 
-void RelayedStore::Serve(RowStore* own, const LinkPtr& link, const schema::LinkMessage& message) {
+void RelayedStore::Serve(const LinkPtr& link, const schema::LinkMessage& message) {
   const schema::StoreCall& call = message.store();
   const milliseconds timeout(call.timeout_ms());
   schema::LinkMessage envelope;
   envelope.set_call(message.call());
   if (call.read()) {
-    own->Read(RowRange{call.table(), call.part(), call.from(), call.until(), call.limit()}, timeout,
-              [link, envelope](const Result<RowPage>& result) {
-                if (!result) return link->Answer(envelope, MakeErrorReply(result));
-                schema::LinkMessage reply;
-                schema::StoreReply* out = reply.mutable_store_reply();
-                out->set_version(result.value().version);
-                out->set_truncated(result.value().truncated);
-                for (const Row& row : result.value().rows) ToSchema(row, out->add_rows());
-                link->Answer(envelope, std::move(reply));
-              });
+    m_own->Read(RowRange{call.table(), call.part(), call.from(), call.until(), call.limit()},
+                timeout, [link, envelope](const Result<RowPage>& result) {
+                  if (!result) return link->Answer(envelope, MakeErrorReply(result));
+                  schema::LinkMessage reply;
+                  schema::StoreReply* out = reply.mutable_store_reply();
+                  out->set_version(result.value().version);
+                  out->set_truncated(result.value().truncated);
+                  for (const Row& row : result.value().rows) ToSchema(row, out->add_rows());
+                  link->Answer(envelope, std::move(reply));
+                });
     return;
   }
   RowTransaction transaction;
@@ -225,16 +225,16 @@
   }
   for (const auto& row : call.writes()) transaction.writes.push_back(FromSchema(row));
   for (const auto& row : call.removals()) transaction.removals.push_back(KeyOf(row));
-  own->Commit(std::move(transaction), timeout,
-              [link, envelope](const Result<CommitOutcome>& result) {
-                if (!result) return link->Answer(envelope, MakeErrorReply(result));
-                schema::LinkMessage reply;
-                schema::StoreReply* out = reply.mutable_store_reply();
-                out->set_committed(result.value().committed);
-                out->set_version(result.value().version);
-                for (const Row& row : result.value().current) ToSchema(row, out->add_rows());
-                link->Answer(envelope, std::move(reply));
-              });
+  m_own->Commit(std::move(transaction), timeout,
+                [link, envelope](const Result<CommitOutcome>& result) {
+                  if (!result) return link->Answer(envelope, MakeErrorReply(result));
+                  schema::LinkMessage reply;
+                  schema::StoreReply* out = reply.mutable_store_reply();
+                  out->set_committed(result.value().committed);
+                  out->set_version(result.value().version);
+                  for (const Row& row : result.value().current) ToSchema(row, out->add_rows());
+                  link->Answer(envelope, std::move(reply));
+                });
 }
 
 }  // namespace citronsill
--- a/cell/relay.h
+++ b/cell/relay.h
@@ -40,7 +40,7 @@
   [[nodiscard]] bool OwnPathWorks() const { return m_own_failures < kOwnPathFailures; }
 
   /// Carries out a relayed call of another instance through the own connection.
-  static void Serve(RowStore* own, const LinkPtr& link, const schema::LinkMessage& message);
+  void Serve(const LinkPtr& link, const schema::LinkMessage& message);
 
  private:
   using CommitDone = std::function<void(Result<CommitOutcome>)>;
--- /dev/null
+++ b/tests/cell/relay_test.cc
@@ -0,0 +1,108 @@
+// Tests the access to the store through other instances.
+#include "cell/relay.h"
+
+#include <doctest/doctest.h>
+
+#include "cell/limits.h"
+#include "follower_view.h"
+#include "outage_store.h"
+
+namespace citronsill {
+namespace {
+
+using namespace model;
+
+// A link to an instance that answers nothing in time.
+class SilentLink : public Link {
+ public:
+  explicit SilentLink(Loop& loop) : m_loop(loop) {}
+  void Send(schema::LinkMessage) override {}
+  void Call(schema::LinkMessage, milliseconds timeout, Reply done) override {
+    m_loop.After(timeout, [done] { done(Error{schema::CODE_TIMEOUT, "no reply"}); });
+  }
+  void Answer(const schema::LinkMessage&, schema::LinkMessage reply) override {
+    answers.push_back(std::move(reply));
+  }
+  void Close(const std::string&) override {}
+  [[nodiscard]] SteadyTime Heard() const override { return m_loop.Now(); }
+  [[nodiscard]] bool IsOpen() const override { return true; }
+  [[nodiscard]] const schema::Hello& Peer() const override { return m_peer; }
+  [[nodiscard]] const schema::Ping& LastPing() const override { return m_ping; }
+
+  std::vector<schema::LinkMessage> answers;
+
+ private:
+  Loop& m_loop;
+  schema::Hello m_peer;
+  schema::Ping m_ping;
+};
+
+struct Instance {
+  explicit Instance(bool is_linked) : peer(std::make_shared<SilentLink>(loop)) {
+    const auto links = [this, is_linked] {
+      return is_linked ? std::vector<LinkPtr>{peer} : std::vector<LinkPtr>{};
+    };
+    relayed = std::make_unique<RelayedStore>(
+        &store, [this] { return loop.Now(); }, RowRange{"op", "", "", "", 1}, links);
+    Tick();
+  }
+  void Tick() {
+    relayed->Tick();
+    loop.After(kNodeTick, [this] { Tick(); });
+  }
+
+  Loop loop{1};
+  OutageStore store{loop};
+  std::shared_ptr<SilentLink> peer;
+  std::unique_ptr<RelayedStore> relayed;
+};
+
+// Guards against relayed calls that wait at an instance which does not reach the store either, and
+// take the connections that its own calls need once the store is back.
+TEST_CASE("relay: an instance that does not reach the store refuses relayed calls at once") {
+  Instance instance(false);
+  instance.store.SetSilent(true);
+  for (std::uint32_t i = 0; i < kOwnPathFailures; ++i) {
+    instance.relayed->Read(RowRange{"op", "", "", "", 1}, milliseconds(100),
+                           [](const Result<RowPage>&) {});
+  }
+  instance.loop.RunFor(milliseconds(200));
+  REQUIRE_FALSE(instance.relayed->OwnPathWorks());
+  schema::LinkMessage read;
+  read.set_call(7);
+  read.mutable_store()->set_read(true);
+  read.mutable_store()->set_timeout_ms(8000);
+  instance.relayed->Serve(instance.peer, read);
+  schema::LinkMessage write = read;
+  write.mutable_store()->set_read(false);
+  instance.relayed->Serve(instance.peer, write);
+  instance.loop.RunFor(milliseconds(20));
+  REQUIRE(instance.peer->answers.size() == 2);
+  CHECK(instance.peer->answers[0].store_reply().code() == schema::CODE_TABLE_UNAVAILABLE);
+  // Nothing was sent, so that the transaction has no effect, now or later.
+  CHECK(instance.peer->answers[1].store_reply().code() == schema::CODE_TABLE_UNAVAILABLE);
+}
+
+// Guards against an instance that goes on relaying its reads to one that answers nothing, although
+// its own path to the store is back.
+TEST_CASE("relay: a change after a silent outage is in force in time at an instance that relays") {
+  for (int outage_ms = 500; outage_ms <= 30000; outage_ms += 250) {
+    for (const int acked_after_ms : {5, 500}) {
+      CAPTURE(outage_ms);
+      CAPTURE(acked_after_ms);
+      Instance instance(true);
+      REQUIRE(Write(instance.store.rows, "old"));
+      const View view(instance.loop, *instance.relayed);
+      instance.loop.RunFor(milliseconds(5300));
+      instance.store.SetSilent(true);
+      instance.loop.RunFor(milliseconds(outage_ms));
+      instance.store.SetSilent(false);
+      instance.loop.RunFor(milliseconds(acked_after_ms));
+      REQUIRE(Write(instance.store.rows, "new"));
+      CHECK(TimeUntil(instance.loop, view, "new", milliseconds(30000)) <= kChangeInForce);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace citronsill
