Request a table again while a read of it waits for the store

Cause: a read of a whole table that failed was repeated with twice the time-out, up to 8 s, and only one read was open at a time. A request that was sent to the silent store is never answered, so the one that began last kept its table from being read for the rest of its time-out after the store was back: the longer the outage, the later its end was noticed. All instances had begun at the same moment, so that none had a newer version to pass on. The same doubling delayed the load of a shard after a takeover.

The long time-out has a reason, slow stores and links, and stays. But a page that has not arrived is now requested again each second beside it; the first answer counts. How long one request may take and how soon the next one is made no longer depend on one another.

--- a/cell/follower.cc
+++ b/cell/follower.cc
@@ -4,37 +4,10 @@
 
 #include "cell/limits.h"
 #include "cell/log.h"
+#include "cell/table_reader.h"
 #include "schema/codes.pb.h"
 
 namespace citronsill {
-namespace {
-
-void ReadMore(RowStore* store, RowRange range, milliseconds timeout, RowPage so_far,
-              std::function<void(Result<RowPage>)> done) {
-  store->Read(range, timeout,
-              [store, range, timeout, so_far = std::move(so_far),
-               done = std::move(done)](Result<RowPage> result) mutable {
-                if (!result) return done(result.error());
-                RowPage& page = result.value();
-                // Keep the version of the first page: changes made while later pages are read then
-                // show up in the feed.
-                if (so_far.rows.empty()) so_far.version = page.version;
-                const bool has_more = page.truncated && !page.rows.empty();
-                if (has_more) range.from = page.rows.back().key.key + '\0';
-                so_far.rows.insert(so_far.rows.end(), std::make_move_iterator(page.rows.begin()),
-                                   std::make_move_iterator(page.rows.end()));
-                if (!has_more) return done(std::move(so_far));
-                ReadMore(store, range, timeout, std::move(so_far), std::move(done));
-              });
-}
-
-}  // namespace
-
-void ReadAll(RowStore* store, RowRange range, milliseconds timeout,
-             std::function<void(Result<RowPage>)> done) {
-  ReadMore(store, std::move(range), timeout, RowPage{}, std::move(done));
-}
-
 DelayHook DelayThrough(TimerService& timers) {
   return [&timers](milliseconds delay, std::function<void()> action) {
     timers.After(delay, [action = std::move(action)](SteadyTime) { action(); });
@@ -47,16 +20,17 @@
       : store(row_store),
         table(std::move(table_name)),
         part(std::move(part_name)),
-        hooks(std::move(follower_hooks)) {}
+        hooks(std::move(follower_hooks)),
+        reader(row_store, RowRange{table, part, "", "", kMaxRowsPerRead}, hooks.after) {}
 
   RowStore* store;
   std::string table;
   std::string part;
   FollowerHooks hooks;
+  TableReader reader;
   std::uint64_t version = 0;
   SteadyTime heard = hooks.now();
   milliseconds backoff{0};
-  milliseconds read_timeout = kStoreReadTimeout;
   const char* call = "none";
   SteadyTime call_began = hooks.now();
   std::uint32_t failures = 0;
@@ -79,16 +53,11 @@
 
   void Load() {
     BeginCall("read");
-    ReadAll(store, RowRange{table, part, "", "", kMaxRowsPerRead}, read_timeout,
-            [self = shared_from_this()](const Result<RowPage>& page) {
-              if (self->stopped) return;
-              if (!page) {
-                self->read_timeout = std::min(self->read_timeout * 2, kMaxTableReadTimeout);
-                return self->Fail(page.error());
-              }
-              self->read_timeout = kStoreReadTimeout;
-              self->OnRead(page.value());
-            });
+    reader.Read([weak = weak_from_this()](const Result<RowPage>& page) {
+      const auto self = weak.lock();
+      if (!self || self->stopped) return;
+      page ? self->OnRead(page.value()) : self->Fail(page.error());
+    });
   }
 
   void OnRead(const RowPage& page) {
--- a/cell/follower.h
+++ b/cell/follower.h
@@ -56,11 +56,4 @@
 /// @returns a hook that delays calls through `timers`, which must outlive it.
 DelayHook DelayThrough(TimerService& timers);
 
-/// Reads all rows of a range, page by page.
-/// @param timeout time-out of each page.
-/// @param done gets the rows and the version of the first page, or the error of the page that
-/// failed.
-void ReadAll(RowStore* store, RowRange range, milliseconds timeout,
-             std::function<void(Result<RowPage>)> done);
-
 }  // namespace citronsill
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -10,6 +10,7 @@
 #include "cell/log.h"
 #include "cell/metrics.h"
 #include "cell/reads.h"
+#include "cell/table_reader.h"
 
 namespace citronsill {
 namespace {
@@ -73,7 +74,7 @@
   RowPage progress;
   RowPage finished;
   int tables_to_load = 0;
-  milliseconds load_timeout = kStoreReadTimeout;
+  std::vector<std::unique_ptr<TableReader>> readers;
 
   void Begin() {
     MakeScheduler();
@@ -189,22 +190,24 @@
   }
 
   void LoadTable(const char* table, RowPage* into) {
-    ReadAll(store, RowRange{table, options.shard, "", "", kMaxRowsPerRead}, load_timeout,
-            [weak = weak_from_this(), table, into](Result<RowPage> page) {
-              const auto self = weak.lock();
-              if (!self || self->lost) return;
-              if (!page) {
-                self->load_timeout = std::min(self->load_timeout * 2, kMaxTableReadTimeout);
-                Log(LogLevel::kWarn, "load-delayed")
-                    .Field("table", table)
-                    .Field("reason", page.error());
-                return self->After(kFollowRetryMin, [raw = self.get(), table, into] {
-                  raw->LoadTable(table, into);
-                });
-              }
-              *into = std::move(page).value();
-              if (--self->tables_to_load == 0) self->FinishLoading();
-            });
+    readers.push_back(std::make_unique<TableReader>(
+        store, RowRange{table, options.shard, "", "", kMaxRowsPerRead}, DelayThrough(timers)));
+    ReadTable(readers.back().get(), table, into);
+  }
+
+  void ReadTable(TableReader* reader, const char* table, RowPage* into) {
+    reader->Read([weak = weak_from_this(), reader, table, into](Result<RowPage> page) {
+      const auto self = weak.lock();
+      if (!self || self->lost) return;
+      if (!page) {
+        Log(LogLevel::kWarn, "load-delayed").Field("table", table).Field("reason", page.error());
+        return self->After(kFollowRetryMin, [raw = self.get(), reader, table, into] {
+          raw->ReadTable(reader, table, into);
+        });
+      }
+      *into = std::move(page).value();
+      if (--self->tables_to_load == 0) self->FinishLoading();
+    });
   }
 
   void FinishLoading() {
@@ -243,6 +246,7 @@
     jobs = {};
     progress = {};
     finished = {};
+    readers.clear();
     FollowWorkers();
     std::vector<std::function<void()>> calls;
     calls.swap(calls_until_loaded);
--- a/cell/shard.cc
+++ b/cell/shard.cc
@@ -123,23 +123,24 @@
     // The two rows are in different tables and need two reads. The claim is conditional on the
     // versions of both.
     auto rows = std::make_shared<std::vector<Row>>();
-    ReadAll(deps.store, RowRange{kOwnerTable, name, "", "", 10}, kStoreReadTimeout,
-            [this, weak = weak_from_this(), rows](Result<RowPage> owner) {
-              const auto self = weak.lock();
-              if (!self) return;
-              if (!owner) return claimer.OnRows(owner.error());
-              *rows = std::move(owner.value().rows);
-              ReadAll(deps.store, RowRange{kHeadTable, name, "", "", 10}, kStoreReadTimeout,
-                      [this, weak, rows](Result<RowPage> head) {
-                        const auto alive = weak.lock();
-                        if (!alive) return;
-                        if (!head) return claimer.OnRows(head.error());
-                        for (Row& row : head.value().rows) rows->push_back(std::move(row));
-                        const std::uint64_t term = claimer.Owner().term();
-                        claimer.OnRows(std::move(*rows));
-                        OwnerMayHaveChanged(term);
-                      });
-            });
+    deps.store->Read(RowRange{kOwnerTable, name, "", "", 1}, kStoreReadTimeout,
+                     [this, weak = weak_from_this(), rows](Result<RowPage> owner) {
+                       const auto self = weak.lock();
+                       if (!self) return;
+                       if (!owner) return claimer.OnRows(owner.error());
+                       *rows = std::move(owner.value().rows);
+                       deps.store->Read(RowRange{kHeadTable, name, "", "", 1}, kStoreReadTimeout,
+                                        [this, weak, rows](Result<RowPage> head) {
+                                          const auto alive = weak.lock();
+                                          if (!alive) return;
+                                          if (!head) return claimer.OnRows(head.error());
+                                          for (Row& row : head.value().rows)
+                                            rows->push_back(std::move(row));
+                                          const std::uint64_t term = claimer.Owner().term();
+                                          claimer.OnRows(std::move(*rows));
+                                          OwnerMayHaveChanged(term);
+                                        });
+                     });
   }
 
   void WriteRows(const schema::OwnerRow& owner, const schema::HeadRow& head,
--- /dev/null
+++ b/cell/table_reader.cc
@@ -0,0 +1,101 @@
+#include "cell/table_reader.h"
+
+#include <iterator>
+#include <utility>
+
+#include "cell/limits.h"
+#include "cell/log.h"
+
+namespace citronsill {
+
+struct TableReader::Impl : std::enable_shared_from_this<Impl> {
+  Impl(RowStore* row_store, RowRange row_range, DelayHook delay)
+      : store(row_store), range(std::move(row_range)), after(std::move(delay)) {}
+
+  RowStore* store;
+  const RowRange range;
+  DelayHook after;
+  std::function<void(Result<RowPage>)> done;
+  RowPage rows;                     // Of the pages before the current one.
+  std::string from;                 // First key of the current page.
+  std::uint64_t page = 0;           // Number of the current page since the reader was created.
+  std::uint32_t requests = 0;       // Requests for the current page.
+  std::uint32_t open_requests = 0;  // Those without an answer.
+  bool has_long_request = false;    // One of them has the long time-out.
+
+  void Begin(std::function<void(Result<RowPage>)> callback) {
+    done = std::move(callback);
+    rows = {};
+    from = range.from;
+    BeginPage();
+  }
+
+  void BeginPage() {
+    ++page;
+    requests = 0;
+    open_requests = 0;
+    has_long_request = false;
+    RepeatLater();
+    Request();
+  }
+
+  void RepeatLater() {
+    after(kReadRepeatPeriod, [weak = weak_from_this(), number = page] {
+      const auto self = weak.lock();
+      if (!self || self->page != number) return;
+      Log(LogLevel::kWarn, "read-repeated")
+          .Field("table", self->range.table)
+          .Field("requests", self->requests)
+          .Field("waited_ms", kReadRepeatPeriod * self->requests);
+      self->RepeatLater();
+      self->Request();
+    });
+  }
+
+  void Request() {
+    const bool is_long = !std::exchange(has_long_request, true);
+    ++requests;
+    ++open_requests;
+    RowRange page_range = range;
+    page_range.from = from;
+    store->Read(std::move(page_range), is_long ? kMaxTableReadTimeout : kStoreReadTimeout,
+                [weak = weak_from_this(), number = page, is_long](Result<RowPage> result) {
+                  const auto self = weak.lock();
+                  if (!self || self->page != number) return;
+                  --self->open_requests;
+                  if (is_long) self->has_long_request = false;
+                  if (result) return self->OnPage(std::move(result).value());
+                  if (self->open_requests == 0) self->End(result.error());
+                });
+  }
+
+  void OnPage(RowPage answer) {
+    // Keep the version of the first page: changes made while later pages are read then show up in
+    // the feed.
+    if (rows.rows.empty()) rows.version = answer.version;
+    const bool has_more = answer.truncated && !answer.rows.empty();
+    if (has_more) from = answer.rows.back().key.key + '\0';
+    rows.rows.insert(rows.rows.end(), std::make_move_iterator(answer.rows.begin()),
+                     std::make_move_iterator(answer.rows.end()));
+    if (has_more) return BeginPage();
+    End(std::move(rows));
+  }
+
+  // `done` may begin the next read.
+  void End(Result<RowPage> result) {
+    ++page;
+    const auto callback = std::exchange(done, nullptr);
+    callback(std::move(result));
+  }
+};
+
+TableReader::TableReader(RowStore* store, RowRange range, DelayHook after)
+    : m_impl(std::make_shared<Impl>(store, std::move(range), std::move(after))) {}
+
+TableReader::~TableReader() = default;
+
+void TableReader::Read(std::function<void(Result<RowPage>)> done) {
+  m_impl->Begin(std::move(done));
+}
+
+}  // namespace citronsill
--- /dev/null
+++ b/cell/table_reader.h
@@ -0,0 +1,34 @@
+/// Reads tables of a store that may be slow, refuse calls or fall silent.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "cell/store.h"
+
+namespace citronsill {
+
+/// Reads all rows of a range, page by page. The request for a page may take up to
+/// `kMaxTableReadTimeout`, because the store or the network may be slow. Meanwhile the page is
+/// requested again each `kReadRepeatPeriod`, because the request may be lost: the first answer
+/// counts, and a store that answers again is noticed within that period.
+class TableReader {
+ public:
+  /// @param store must outlive the reader.
+  TableReader(RowStore* store, RowRange range, DelayHook after);
+  ~TableReader();
+  TableReader(const TableReader&) = delete;
+  TableReader& operator=(const TableReader&) = delete;
+
+  /// Begins a read; the one before must have ended. When the reader is destroyed, `done` is not
+  /// called any more.
+  /// @param done gets the rows and the version of the first page; when all requests for a page have
+  /// failed, the last error of `RowStore::Read`.
+  void Read(std::function<void(Result<RowPage>)> done);
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> m_impl;
+};
+
+}  // namespace citronsill
