Refuse relayed store calls while this instance does not reach the store

Each such call kept one of the 8 connections that the commits of the scheduler use, for up to 8 s, also after the store was back.

An instance whose own path is lost refuses relayed calls at once. The sender then makes the call over its own path for the rest of its time-out, so that instances which refuse one another still use a store that is only slow.

--- a/cell/relay.cc
+++ b/cell/relay.cc
@@ -35,6 +35,12 @@
   return message;
 }
 
+// @returns whether a relayed call has failed without effect: the store may serve the own path.
+template <class Outcome>
+bool IsRefused(const Result<Outcome>& result) {
+  return !result && result.error().code == schema::CODE_TABLE_UNAVAILABLE;
+}
+
 }  // namespace
 
 RelayedStore::RelayedStore(RowStore* own, Clock now, RowRange probe,
@@ -86,7 +92,19 @@
   const LinkPtr link = own_works && !is_own_path_suspect ? nullptr : PickLink();
   if (!link) return CommitOwn(std::move(transaction), timeout, std::move(finish));
   if (own_works) return CommitBoth(link, std::move(transaction), timeout, std::move(finish));
-  CommitRelayed(link, transaction, timeout, std::move(finish));
+  const SteadyTime began = m_now();
+  auto or_own = [this, alive = m_alive, transaction, timeout, began,
+                 finish = std::move(finish)](const Result<CommitOutcome>& result) {
+    if (!*alive) return;
+    const milliseconds remaining = RemainingAfter(began, timeout);
+    if (!IsRefused(result) || remaining <= milliseconds(0)) return finish(result);
+    CommitOwn(transaction, remaining, finish);
+  };
+  CommitRelayed(link, transaction, timeout, std::move(or_own));
+}
+
+milliseconds RelayedStore::RemainingAfter(SteadyTime began, milliseconds timeout) const {
+  return timeout - std::chrono::duration_cast<milliseconds>(m_now() - began);
 }
 
 void RelayedStore::CommitOwn(RowTransaction transaction, milliseconds timeout, CommitDone done) {
@@ -152,18 +170,31 @@
   CommitOwn(std::move(transaction), timeout, finish);
 }
 
-void RelayedStore::Read(RowRange range, milliseconds timeout,
-                        std::function<void(Result<RowPage>)> done) {
+void RelayedStore::Read(RowRange range, milliseconds timeout, ReadDone done) {
   const LinkPtr link = OwnPathWorks() ? nullptr : PickLink();
-  if (!link) {
-    m_own->Read(std::move(range), timeout,
-                [this, alive = m_alive, done = std::move(done)](const Result<RowPage>& result) {
-                  if (!*alive) return;
-                  RecordOwnPathResult(result.has_value());
-                  done(result);
-                });
-    return;
-  }
+  if (!link) return ReadOwn(std::move(range), timeout, std::move(done));
+  const SteadyTime began = m_now();
+  ReadRelayed(link, range, timeout,
+              [this, alive = m_alive, range, timeout, began,
+               done = std::move(done)](const Result<RowPage>& result) {
+                if (!*alive) return;
+                const milliseconds remaining = RemainingAfter(began, timeout);
+                if (!IsRefused(result) || remaining <= milliseconds(0)) return done(result);
+                ReadOwn(range, remaining, done);
+              });
+}
+
+void RelayedStore::ReadOwn(RowRange range, milliseconds timeout, ReadDone done) {
+  m_own->Read(std::move(range), timeout,
+              [this, alive = m_alive, done = std::move(done)](const Result<RowPage>& result) {
+                if (!*alive) return;
+                RecordOwnPathResult(result.has_value());
+                done(result);
+              });
+}
+
+void RelayedStore::ReadRelayed(const LinkPtr& link, const RowRange& range, milliseconds timeout,
+                               ReadDone done) {
   schema::LinkMessage message;
   schema::StoreCall* call = message.mutable_store();
   call->set_read(true);
@@ -206,6 +237,13 @@
   const milliseconds timeout(call.timeout_ms());
   schema::LinkMessage envelope;
   envelope.set_call(message.call());
+  // A call that waits here in vain would keep its connection from the calls of this instance.
+  if (!OwnPathWorks()) {
+    schema::LinkMessage refusal;
+    refusal.mutable_store_reply()->set_code(schema::CODE_TABLE_UNAVAILABLE);
+    refusal.mutable_store_reply()->set_message("this instance does not reach the store");
+    return link->Answer(envelope, std::move(refusal));
+  }
   if (call.read()) {
     m_own->Read(RowRange{call.table(), call.part(), call.from(), call.until(), call.limit()},
                 timeout, [link, envelope](const Result<RowPage>& result) {
--- a/cell/relay.h
+++ b/cell/relay.h
@@ -14,7 +14,8 @@
 namespace citronsill {
 
 /// A row store that uses the own connection (the "own path") or, while that fails, relays calls
-/// through the link to another instance.
+/// through the link to another instance. When the other instance refuses a call, it is made through
+/// the own connection all the same.
 class RelayedStore : public RowStore {
  public:
   /// @param own the store through the own connection of this instance.
@@ -39,11 +40,13 @@
 
   [[nodiscard]] bool OwnPathWorks() const { return m_own_failures < kOwnPathFailures; }
 
-  /// Carries out a relayed call of another instance through the own connection.
+  /// Carries out a relayed call of another instance through the own connection, or refuses it while
+  /// that does not work.
   void Serve(const LinkPtr& link, const schema::LinkMessage& message);
 
  private:
   using CommitDone = std::function<void(Result<CommitOutcome>)>;
+  using ReadDone = std::function<void(Result<RowPage>)>;
 
   LinkPtr PickLink();
   void RecordOwnPathResult(bool served);
@@ -52,6 +55,9 @@
                      CommitDone done);
   void CommitBoth(const LinkPtr& link, RowTransaction transaction, milliseconds timeout,
                   CommitDone done);
+  void ReadOwn(RowRange range, milliseconds timeout, ReadDone done);
+  void ReadRelayed(const LinkPtr& link, const RowRange& range, milliseconds timeout, ReadDone done);
+  [[nodiscard]] milliseconds RemainingAfter(SteadyTime began, milliseconds timeout) const;
 
   RowStore* m_own;
   Clock m_now;
--- a/tests/cell/relay_test.cc
+++ b/tests/cell/relay_test.cc
@@ -12,12 +12,17 @@
 
 using namespace model;
 
-// A link to an instance that answers nothing in time.
-class SilentLink : public Link {
+// A link to an instance that refuses all calls, or answers nothing in time.
+class PeerLink : public Link {
  public:
-  explicit SilentLink(Loop& loop) : m_loop(loop) {}
+  explicit PeerLink(Loop& loop) : m_loop(loop) {}
   void Send(schema::LinkMessage) override {}
   void Call(schema::LinkMessage, milliseconds timeout, Reply done) override {
+    if (refuses) {
+      schema::LinkMessage refusal;
+      refusal.mutable_store_reply()->set_code(schema::CODE_TABLE_UNAVAILABLE);
+      return m_loop.After(milliseconds(2), [done, refusal] { done(refusal); });
+    }
     m_loop.After(timeout, [done] { done(Error{schema::CODE_TIMEOUT, "no reply"}); });
   }
   void Answer(const schema::LinkMessage&, schema::LinkMessage reply) override {
@@ -29,6 +34,7 @@
   [[nodiscard]] const schema::Hello& Peer() const override { return m_peer; }
   [[nodiscard]] const schema::Ping& LastPing() const override { return m_ping; }
 
+  bool refuses = false;
   std::vector<schema::LinkMessage> answers;
 
  private:
@@ -38,7 +44,7 @@
 };
 
 struct Instance {
-  explicit Instance(bool is_linked) : peer(std::make_shared<SilentLink>(loop)) {
+  explicit Instance(bool is_linked) : peer(std::make_shared<PeerLink>(loop)) {
     const auto links = [this, is_linked] {
       return is_linked ? std::vector<LinkPtr>{peer} : std::vector<LinkPtr>{};
     };
@@ -53,7 +59,7 @@
 
   Loop loop{1};
   OutageStore store{loop};
-  std::shared_ptr<SilentLink> peer;
+  std::shared_ptr<PeerLink> peer;
   std::unique_ptr<RelayedStore> relayed;
 };
 
@@ -83,6 +89,38 @@
   CHECK(instance.peer->answers[1].store_reply().code() == schema::CODE_TABLE_UNAVAILABLE);
 }
 
+// Guards against instances that refuse one another's calls while a store that is only slow would
+// answer them.
+TEST_CASE(
+    "relay: calls are made over the own path when the other instance does not reach the store") {
+  Instance instance(true);
+  instance.peer->refuses = true;
+  instance.store.latency = kOwnPathRetry + milliseconds(300);
+  REQUIRE(Write(instance.store.rows, "old"));
+  for (std::uint32_t i = 0; i < kOwnPathFailures; ++i) {
+    instance.relayed->Read(RowRange{"op", "", "", "", 1}, milliseconds(100),
+                           [](const Result<RowPage>&) {});
+  }
+  instance.loop.RunFor(milliseconds(200));
+  REQUIRE_FALSE(instance.relayed->OwnPathWorks());
+  const View view(instance.loop, *instance.relayed);
+  CHECK(TimeUntil(instance.loop, view, "old", milliseconds(5000)) <= milliseconds(1000));
+  for (std::uint32_t i = 0; i < kOwnPathFailures; ++i) {
+    instance.relayed->Read(RowRange{"op", "", "", "", 1}, milliseconds(100),
+                           [](const Result<RowPage>&) {});
+  }
+  instance.loop.RunFor(milliseconds(200));
+  bool is_committed = false;
+  RowTransaction transaction;
+  transaction.writes = {Row{RowKey{"op", "", "config"}, "new"}};
+  instance.relayed->Commit(transaction, milliseconds(1500),
+                           [&](const Result<CommitOutcome>& outcome) {
+                             is_committed = outcome && outcome.value().committed;
+                           });
+  instance.loop.RunFor(milliseconds(1500));
+  CHECK(is_committed);
+}
+
 // Guards against an instance that goes on relaying its reads to one that answers nothing, although
 // its own path to the store is back.
 TEST_CASE("relay: a change after a silent outage is in force in time at an instance that relays") {
