Close idle connections that may have fallen silent with one that timed out

The pool of a client closed only the one whose call had timed out and sent the next call on another idle one, so that an instance paid a time-out for each: with four, the fifth call was the first to be answered.

A time-out now also closes the connections that have not been used since that call was made. Those that were used meanwhile are known to work and stay. All clients share this pool, those of src/ too.

--- a/include/citronsill/http.h
+++ b/include/citronsill/http.h
@@ -137,7 +137,8 @@
 };
 
 /// A pool of connections to one address. Every call has a deadline; a connection whose call missed
-/// it is closed and not reused.
+/// it is closed and not reused, and neither are those that have not been used since that call was
+/// made: they may have fallen silent together.
 class HttpClient {
  public:
   /// @returns CODE_INVALID_FIELD for an invalid address; CODE_SETTINGS_INVALID if TLS is not
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -26,6 +27,7 @@
 
 struct Call {
   HttpRequest request;
+  SteadyTime made;
   SteadyTime deadline;
   std::function<void(Result<HttpResponse>)> done;
 };
@@ -77,6 +79,7 @@
     std::optional<Call> call;
     bool fresh = true;  // No response was received on it yet.
     bool timed_out = false;
+    SteadyTime used;  // End of the last call.
   };
   using ConnectionPtr = std::shared_ptr<Connection>;
 
@@ -112,6 +115,15 @@
     StartCall(std::move(call));
   }
 
+  // Closes idle connections that were last used before `time`. They are sorted by that.
+  void CloseIdleBefore(SteadyTime time) {
+    const auto end = std::find_if(idle.begin(), idle.end(), [time](const auto& connection) {
+      return connection->used >= time;
+    });
+    std::for_each(idle.begin(), end, [](const auto& connection) { connection->stream->Close(); });
+    idle.erase(idle.begin(), end);
+  }
+
   void StartCall(Call call) {
     ScheduleTimer(call.deadline);
     ConnectionPtr connection;
@@ -219,7 +231,10 @@
     auto done = std::move(connection->call->done);
     connection->call.reset();
     busy.erase(connection);
-    if (connection->stream->Socket().is_open()) idle.push_back(connection);
+    if (connection->stream->Socket().is_open()) {
+      connection->used = std::chrono::steady_clock::now();
+      idle.push_back(connection);
+    }
     if (!waiting.empty()) {
       Call next = std::move(waiting.front());
       waiting.pop_front();
@@ -255,6 +270,7 @@
       // The pending operation then fails, which ends the call.
       connection->timed_out = true;
       connection->stream->Close();
+      CloseIdleBefore(connection->call->made);
     }
     std::vector<Call> expired;
     std::erase_if(waiting, [&](Call& call) {
@@ -304,7 +320,8 @@
 
 void HttpClient::Send(HttpRequest request, std::chrono::milliseconds timeout,
                       std::function<void(Result<HttpResponse>)> done) {
-  Call call{std::move(request), std::chrono::steady_clock::now() + timeout, std::move(done)};
+  const SteadyTime now = std::chrono::steady_clock::now();
+  Call call{std::move(request), now, now + timeout, std::move(done)};
   asio::dispatch(m_impl->strand, [impl = m_impl, call = std::move(call)]() mutable {
     impl->Send(std::move(call));
   });
