--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -21,6 +21,8 @@
 # (docs/incidents/2026-12-04-frozen-scheduler.md).
 run 104 15 17200 --plain
 run 202 15 17600 --plain
+# Configurations that were not in force after a silent outage (docs/incidents/2026-12-05-config-after-outage.md).
+run 940 20 18000 --faults store_silent
 wait
 cat "$work"/*.out
 ! grep -q '^not ok' "$work"/*.out
--- a/tests/soak/faults.cc
+++ b/tests/soak/faults.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace citronsill::soak {
 namespace {
@@ -14,6 +15,7 @@
 // Duration of faults: about the 1 to 6 s of the platform's specification.
 constexpr std::int64_t kMinDurationMs = 800;
 constexpr std::int64_t kMaxDurationMs = 6000;
+constexpr std::int64_t kMaxSilenceMs = 14000;
 // Longest time from the signal that ends a process to its restart, unless the process takes longer
 // to end.
 constexpr std::int64_t kMaxDowntimeMs = 2000;
@@ -58,7 +60,8 @@
       {"config", Disruption::kNone, &Faults::ChangeConfig},
       {"burst", Disruption::kNone, &Faults::Burst},
       {"cancel", Disruption::kNone, &Faults::CancelMany},
-      {"slow", Disruption::kUnplanned, &Faults::Slow}};
+      {"slow", Disruption::kUnplanned, &Faults::Slow},
+      {"store_silent", Disruption::kUnplanned, &Faults::StoreSilent}};
   return kinds;
 }
 
@@ -104,9 +107,10 @@
 
 bool Faults::IsEnabled(const Kind& kind) const {
   if (!m_only.empty() && !m_only.contains(kind.name)) return false;
-  // Schedules without periods reproduce seeds that failed before this fault was added. It is left
-  // out of them, as it would change which faults a seed draws.
-  if (!m_has_periods && m_only.empty() && kind.begin == &Faults::Slow) return false;
+  // Schedules without periods reproduce seeds that failed before these faults were added. They are
+  // left out of them, as they would change which faults a seed draws.
+  const bool is_newer = kind.begin == &Faults::Slow || kind.begin == &Faults::StoreSilent;
+  if (!m_has_periods && m_only.empty() && is_newer) return false;
   return IsFaultPeriod() || kind.disruption == Disruption::kNone ||
          (m_period == Period::kMaintenance && kind.disruption == Disruption::kPlanned);
 }
@@ -362,6 +366,27 @@
         [&services] { services.behavior = StoreBehavior::kAvailable; });
 }
 
+// Silent to all instances for up to longer than any time-out. A change just before lets all of them
+// wait for the next one from the same moment on; others follow soon after the silence.
+void Faults::StoreSilent() {
+  if (std::exchange(m_is_store_silent, true)) return;
+  const milliseconds begin = Random().Delay(20, 200);
+  const milliseconds end = begin + Random().Delay(kMinDurationMs, kMaxSilenceMs);
+  LogEvent(fmt::format("store silent from {} to {} ms from now", begin.count(), end.count()));
+  const auto set_all = [this](StoreBehavior behavior) {
+    for (const auto& services : m_platform->instance_services) services->behavior = behavior;
+  };
+  ChangeConfig();
+  After(begin, [set_all] { set_all(StoreBehavior::kSilent); });
+  After(end, [this, set_all] {
+    set_all(StoreBehavior::kAvailable);
+    m_is_store_silent = false;
+  });
+  for (const std::int64_t after_ms : {Random().Between(5, 100), Random().Between(200, 1500)}) {
+    m_platform->loop.After(end + milliseconds(after_ms), [this] { ChangeConfig(); });
+  }
+}
+
 // ---- Workers
 
 void Faults::KillWorker() {
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -80,6 +80,7 @@
   void StoreWritesLate();
   void StoreForgets();
   void StoreRefusesInstance();
+  void StoreSilent();
   void KillWorker();
   void DisconnectWorker();
   void DrainWorker();
@@ -100,6 +101,7 @@
   Period m_period = Period::kFaults;
   SteadyTime m_period_end{};
   Disruption m_disruption = Disruption::kUnplanned;  // Of the event whose code is running.
+  bool m_is_store_silent = false;                    // By `StoreSilent`.
   std::size_t m_fault_count = 0;
   std::vector<std::string> m_log;
   SteadyTime m_start;
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -10,6 +10,7 @@
 #include <iostream>
 
 #include "callers.h"
+#include "config_check.h"
 #include "faults.h"
 #include "processes.h"
 #include "waiting.h"
@@ -83,11 +84,13 @@
     return fmt::format(
         "{} faults, {} jobs, {} accepted, {} refused, {} cancelled, {} starts, {} calls without "
         "an answer, settled after {} ms; {} checks in calm periods, {} waits with free capacity, "
-        "longest {} ms; longest stall of this process {} ms",
+        "longest {} ms; {} times a new configuration was in force; longest stall of this process "
+        "{} ms",
         m_faults->FaultCount(), counts.jobs, counts.accepted, counts.refused, counts.cancelled,
         m_platform->history.starts, counts.unanswered_calls, m_settled.count(),
         m_waiting->Total().calm_checks, m_waiting->Total().waits,
-        m_waiting->Total().longest.count(), m_platform->disruptions.longest_stall.count());
+        m_waiting->Total().longest.count(), m_config_check->Served(),
+        m_platform->disruptions.longest_stall.count());
   }
 
  private:
@@ -103,6 +106,8 @@
     BOOST_OUTCOME_TRY(m_callers,
                       Callers::Create(*m_runtime, m_platform.get(), *m_processes,
                                       Callers::Options{m_options.callers, !m_options.plain}));
+    BOOST_OUTCOME_TRY(m_config_check,
+                      ConfigCheck::Create(*m_runtime, m_platform.get(), *m_processes));
     m_waiting = std::make_unique<WaitingCheck>(m_platform.get(), m_callers.get());
     m_faults = std::make_unique<Faults>(m_platform.get(), m_processes.get(), m_callers.get(),
                                         m_options.only, !m_options.plain, m_options.seed);
@@ -141,6 +146,7 @@
   // Checks waiting tasks periodically and adds new violations to the fault log.
   void RunChecks() {
     m_waiting->CheckAll();
+    m_config_check->CheckAll();
     const auto& violations = m_platform->history.violations;
     for (; m_logged_violations < violations.size(); ++m_logged_violations)
       m_faults->LogEvent("violation: " + violations[m_logged_violations]);
@@ -207,6 +213,7 @@
   std::unique_ptr<Callers> m_callers;
   std::unique_ptr<Faults> m_faults;
   std::unique_ptr<WaitingCheck> m_waiting;
+  std::unique_ptr<ConfigCheck> m_config_check;
   std::size_t m_logged_violations = 0;  // Number of violations that are in the fault log.
   SteadyTime m_end;                     // When submissions and new faults end.
   milliseconds m_settled{0};   // From `m_end` until every job was served or the wait ended.
--- a/tests/soak/platform.cc
+++ b/tests/soak/platform.cc
@@ -268,7 +268,10 @@
   }
 }
 
+std::string Platform::NewestQueue(std::uint64_t version) { return fmt::format("v{}", version); }
+
 void Platform::WriteConfig(int idle_queues) {
+  ++m_config_version;
   const auto queue = [](const char* name, int priority, double stretch, int target,
                         double decide_ms, double each_ms) {
     return fmt::format(
@@ -280,12 +283,13 @@
   std::string routes =
       queue("short", 0, 1.5, 250, 8.0, 0.2) + "," + queue("batch", 2, 4.0, 3000, 40.0, 1.0) + "," +
       queue("gang", 1, 2.2, 1000, 150.0, 2.0) + "," + queue("serving", 1, 4.0, 1000, 8.0, 0.2);
+  routes.append(",").append(queue(NewestQueue(m_config_version).c_str(), 2, 4.0, 1000, 1.0, 0.1));
   for (int i = 0; i < idle_queues; ++i) {
     routes.append(",").append(queue(fmt::format("idle{}", i).c_str(), 2, 4.0, 1000, 1.0, 0.1));
   }
   const std::string text = fmt::format(
       R"({{"version":{},"routes":[{}],"services":[{{"name":"pool","admissionCheck":false}}]}})",
-      ++m_config_version, routes);
+      m_config_version, routes);
   store.Apply(RowTransaction{{}, {Row{{"op", "", "config"}, text}}, {}});
   disruptions.configured_at = loop.Now();
 }
--- a/tests/soak/platform.h
+++ b/tests/soak/platform.h
@@ -85,6 +85,9 @@
   // Writes a new version of the configuration.
   // @param idle_queues number of additional queues that no caller uses.
   void WriteConfig(int idle_queues);
+  [[nodiscard]] std::uint64_t ConfigVersion() const { return m_config_version; }
+  // @returns the name of the queue that only this version of the configuration has.
+  static std::string NewestQueue(std::uint64_t version);
   // Writes or removes the row that describes a worker.
   void SetListed(const WorkerHost& worker, bool listed);
   void KillWorker(WorkerHost* worker);
