Repeat reads of a table at random times

A page is now requested again after 0.5 to 1 s. With n instances the first one notices within about 1/n of a second, and the others hear of a new version with its next ping, 100 ms later.

The test of eight followers failed before: their reads fell into fewer than four of ten slots of 100 ms. Another test bounds the requests to a silent store to two a second for each table.

--- a/cell/follower.cc
+++ b/cell/follower.cc
@@ -21,7 +21,8 @@
         table(std::move(table_name)),
         part(std::move(part_name)),
         hooks(std::move(follower_hooks)),
-        reader(row_store, RowRange{table, part, "", "", kMaxRowsPerRead}, hooks.after) {}
+        reader(row_store, RowRange{table, part, "", "", kMaxRowsPerRead}, hooks.after,
+               hooks.random) {}
 
   RowStore* store;
   std::string table;
--- a/cell/follower.h
+++ b/cell/follower.h
@@ -5,7 +5,6 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <random>
 #include <string>
 #include <vector>
 
@@ -17,8 +16,7 @@
 struct FollowerHooks {
   Clock now = BootNow;
   DelayHook after;
-  /// Source of random numbers that spread the calls of instances.
-  std::function<std::uint32_t()> random = std::minstd_rand(std::random_device{}());
+  RandomHook random = RandomlySeeded();
   /// All rows; replaces everything received before.
   std::function<void(const std::vector<Row>& rows)> on_snapshot;
   std::function<void(const Row& row)> on_change;
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -191,7 +191,8 @@
 
   void LoadTable(const char* table, RowPage* into) {
     readers.push_back(std::make_unique<TableReader>(
-        store, RowRange{table, options.shard, "", "", kMaxRowsPerRead}, DelayThrough(timers)));
+        store, RowRange{table, options.shard, "", "", kMaxRowsPerRead}, DelayThrough(timers),
+        RandomlySeeded()));
     ReadTable(readers.back().get(), table, into);
   }
 
--- a/cell/limits.h
+++ b/cell/limits.h
@@ -240,9 +240,11 @@
 inline constexpr std::chrono::milliseconds kStoreReadTimeout{1000};
 // A page of a table may take this long to arrive from a slow store or over a slow link.
 inline constexpr std::chrono::milliseconds kMaxTableReadTimeout{8000};
-// A page that has not arrived is requested again this often. Half of the time for a change of the
-// configuration, so that a change which follows an outage of any length is read in time.
-inline constexpr std::chrono::milliseconds kReadRepeatPeriod{1000};
+// A page that has not arrived is requested again after a random time between these. The longer one
+// is half of the time for a change of the configuration, so that a change which follows an outage
+// of any length is read in time.
+inline constexpr std::chrono::milliseconds kMinReadRepeat{500};
+inline constexpr std::chrono::milliseconds kMaxReadRepeat{1000};
 // Time that a call which follows the store's changes waits for the next one. The store allows up to
 // 30 s, but a connection that fell silent is only noticed after this time, so it stays within the
 // time for a change of the configuration.
--- a/cell/table_reader.cc
+++ b/cell/table_reader.cc
@@ -9,12 +9,16 @@
 namespace citronsill {
 
 struct TableReader::Impl : std::enable_shared_from_this<Impl> {
-  Impl(RowStore* row_store, RowRange row_range, DelayHook delay)
-      : store(row_store), range(std::move(row_range)), after(std::move(delay)) {}
+  Impl(RowStore* row_store, RowRange row_range, DelayHook delay_hook, RandomHook random_hook)
+      : store(row_store),
+        range(std::move(row_range)),
+        after(std::move(delay_hook)),
+        random(std::move(random_hook)) {}
 
   RowStore* store;
   const RowRange range;
   DelayHook after;
+  RandomHook random;
   std::function<void(Result<RowPage>)> done;
   RowPage rows;                     // Of the pages before the current one.
   std::string from;                 // First key of the current page.
@@ -39,14 +43,18 @@
     Request();
   }
 
+  // Instances that lost the store at the same moment notice its return at different times, and the
+  // first one tells the others about a new configuration.
   void RepeatLater() {
-    after(kReadRepeatPeriod, [weak = weak_from_this(), number = page] {
+    const milliseconds spread(random() %
+                              (kMaxReadRepeat - kMinReadRepeat + milliseconds(1)).count());
+    const milliseconds delay = kMinReadRepeat + spread;
+    after(delay, [weak = weak_from_this(), number = page] {
       const auto self = weak.lock();
       if (!self || self->page != number) return;
       Log(LogLevel::kWarn, "read-repeated")
           .Field("table", self->range.table)
-          .Field("requests", self->requests)
-          .Field("waited_ms", kReadRepeatPeriod * self->requests);
+          .Field("requests", self->requests);
       self->RepeatLater();
       self->Request();
     });
@@ -89,8 +97,9 @@
   }
 };
 
-TableReader::TableReader(RowStore* store, RowRange range, DelayHook after)
-    : m_impl(std::make_shared<Impl>(store, std::move(range), std::move(after))) {}
+TableReader::TableReader(RowStore* store, RowRange range, DelayHook after, RandomHook random)
+    : m_impl(std::make_shared<Impl>(store, std::move(range), std::move(after), std::move(random))) {
+}
 
 TableReader::~TableReader() = default;
 
--- a/cell/table_reader.h
+++ b/cell/table_reader.h
@@ -10,12 +10,12 @@
 
 /// Reads all rows of a range, page by page. The request for a page may take up to
 /// `kMaxTableReadTimeout`, because the store or the network may be slow. Meanwhile the page is
-/// requested again each `kReadRepeatPeriod`, because the request may be lost: the first answer
-/// counts, and a store that answers again is noticed within that period.
+/// requested again, at the latest after `kMaxReadRepeat`, because the request may be lost: the
+/// first answer counts, and a store that answers again is noticed within that time.
 class TableReader {
  public:
   /// @param store must outlive the reader.
-  TableReader(RowStore* store, RowRange range, DelayHook after);
+  TableReader(RowStore* store, RowRange range, DelayHook after, RandomHook random);
   ~TableReader();
   TableReader(const TableReader&) = delete;
   TableReader& operator=(const TableReader&) = delete;
--- a/cell/types.cc
+++ b/cell/types.cc
@@ -1,6 +1,7 @@
 #include "cell/types.h"
 
 #include <ctime>
+#include <random>
 
 namespace citronsill {
 
@@ -11,6 +12,8 @@
       std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec)));
 }
 
+RandomHook RandomlySeeded() { return std::minstd_rand(std::random_device{}()); }
+
 // 64-bit FNV-1a.
 std::uint64_t StableHash(std::string_view text) {
   std::uint64_t hash = 14695981039346656037ULL;
--- a/cell/types.h
+++ b/cell/types.h
@@ -39,6 +39,13 @@
 /// @returns the name for logs.
 const char* RunEndName(RunEnd end);
 
+/// Source of random numbers that spread calls of several instances over time; a hook, so that tests
+/// can repeat them.
+using RandomHook = std::function<std::uint32_t()>;
+
+/// @returns a source with a random seed.
+RandomHook RandomlySeeded();
+
 /// @returns a hash that is the same on every instance and in every version.
 std::uint64_t StableHash(std::string_view text);
 
--- a/tests/cell/follower_test.cc
+++ b/tests/cell/follower_test.cc
@@ -3,6 +3,9 @@
 
 #include <doctest/doctest.h>
 
+#include <set>
+
+#include "cell/limits.h"
 #include "follower_view.h"
 #include "outage_store.h"
 
@@ -33,6 +36,38 @@
   }
 }
 
+// Guards against instances that wait and read in step, so that none has a newer version to pass on.
+TEST_CASE("follower: instances that lost the store at the same moment read it at different times") {
+  constexpr std::size_t kInstances = 8;
+  Loop loop(1);
+  OutageStore store(loop);
+  std::vector<std::unique_ptr<View>> views;
+  for (std::size_t i = 0; i < kInstances; ++i) views.push_back(std::make_unique<View>(loop, store));
+  loop.RunFor(milliseconds(100));
+  // Answers all feeds in the same moment.
+  REQUIRE(Write(store.rows, "old"));
+  loop.RunFor(milliseconds(50));
+  store.SetSilent(true);
+  loop.RunFor(milliseconds(6000));
+  store.reads.clear();
+  loop.RunFor(kMaxReadRepeat);
+  std::set<std::int64_t> slots;
+  for (const SteadyTime sent : store.reads) {
+    slots.insert(sent.time_since_epoch() / milliseconds(100));
+  }
+  CHECK(slots.size() >= kInstances / 2);
+}
+
+// Guards against more and more open requests to a store that does not answer.
+TEST_CASE("follower: a table is requested at most twice a second while the store is silent") {
+  Loop loop(1);
+  OutageStore store(loop);
+  store.SetSilent(true);
+  const View view(loop, store);
+  loop.RunFor(std::chrono::seconds(60));
+  CHECK(store.reads.size() <= 2 * 60 + 1);
+}
+
 // Guards against giving up reads that a slow store would answer.
 TEST_CASE("follower: a table is read although each answer of the store takes seconds") {
   for (const int latency_ms : {900, 1500, 4000, 7500}) {
--- a/tests/cell/outage_store.h
+++ b/tests/cell/outage_store.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "cell/store.h"
 #include "loop.h"
@@ -17,12 +18,10 @@
   explicit OutageStore(Loop& loop) : rows(loop), m_loop(loop) {}
 
   Store rows;
-  milliseconds latency{8};       // Time until the answer to a read.
-  milliseconds feed_slack{700};  // Time beyond its wait after which a feed fails.
-  bool refuses = false;          // Answers all calls with an error.
-  std::size_t open_reads = 0;    // Reads without an answer that have not timed out.
-  std::size_t max_open_reads = 0;
-  std::size_t reads = 0;
+  milliseconds latency{8};        // Time until the answer to a read.
+  milliseconds feed_slack{700};   // Time beyond its wait after which a feed fails.
+  bool refuses = false;           // Answers all calls with an error.
+  std::vector<SteadyTime> reads;  // When reads were sent.
 
   void SetSilent(bool silent) {
     m_silent = silent;
@@ -37,15 +36,9 @@
 
   void Read(RowRange range, milliseconds timeout,
             std::function<void(Result<RowPage>)> done) override {
-    ++reads;
-    max_open_reads = std::max(max_open_reads, ++open_reads);
-    Answer<RowPage>(
-        latency, timeout, schema::CODE_TABLE_UNAVAILABLE,
-        [this, done = std::move(done)](const Result<RowPage>& page) {
-          --open_reads;
-          done(page);
-        },
-        [this, range] { return rows.Read(range.table, range.part); });
+    reads.push_back(m_loop.Now());
+    Answer<RowPage>(latency, timeout, schema::CODE_TABLE_UNAVAILABLE, std::move(done),
+                    [this, range] { return rows.Read(range.table, range.part); });
   }
 
   void Follow(std::string table, std::uint64_t after, milliseconds wait,
