--- a/cell/follower.cc
+++ b/cell/follower.cc
@@ -57,7 +57,8 @@
     reader.Read([weak = weak_from_this()](const Result<RowPage>& page) {
       const auto self = weak.lock();
       if (!self || self->stopped) return;
-      page ? self->OnRead(page.value()) : self->Fail(page.error());
+      if (!page) return self->Fail(page.error());
+      self->OnRead(page.value());
     });
   }
 
--- a/cell/follower.h
+++ b/cell/follower.h
@@ -16,7 +16,7 @@
 struct FollowerHooks {
   Clock now = BootNow;
   DelayHook after;
-  RandomHook random = RandomlySeeded();
+  RandomHook random = MakeRandomSource();
   /// All rows; replaces everything received before.
   std::function<void(const std::vector<Row>& rows)> on_snapshot;
   std::function<void(const Row& row)> on_change;
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -74,7 +74,7 @@
   RowPage progress;
   RowPage finished;
   int tables_to_load = 0;
-  std::vector<std::unique_ptr<TableReader>> readers;
+  std::vector<std::unique_ptr<TableReader>> readers;  // One for each table, while loading.
 
   void Begin() {
     MakeScheduler();
@@ -192,7 +192,7 @@
   void LoadTable(const char* table, RowPage* into) {
     readers.push_back(std::make_unique<TableReader>(
         store, RowRange{table, options.shard, "", "", kMaxRowsPerRead}, DelayThrough(timers),
-        RandomlySeeded()));
+        MakeRandomSource()));
     ReadTable(readers.back().get(), table, into);
   }
 
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -157,17 +157,19 @@
 
   void ApplyConfigRow(const Row& row) {
     if (row.key.key != platform.config_row.key || row.removed) return;
-    ApplyConfig(row.value, "store", "");
+    ApplyConfig(row.value, "");
   }
 
   // Ignores configurations that are not newer than the current one.
-  // @param source "store" or "peer"; `peer` names the latter.
-  void ApplyConfig(const std::string& text, const char* source, const std::string& peer) {
+  // @param peer instance that sent it, empty when it was read from the store.
+  void ApplyConfig(const std::string& text, const std::string& peer) {
+    const char* source = peer.empty() ? "store" : "peer";
     if (config && config->text == text) return;
     auto read = platform.read_config(text);
     if (!read) {
       Log(LogLevel::kError, "config-rejected")
           .Field("source", source)
+          .Field("peer", peer)
           .Field("reason", read.error());
       return;
     }
@@ -245,7 +247,7 @@
 
   void OnMessage(const LinkPtr& link, const schema::LinkMessage& message) {
     if (message.has_config()) {
-      return ApplyConfig(message.config().text(), "peer", link->Peer().instance());
+      return ApplyConfig(message.config().text(), link->Peer().instance());
     }
     if (message.has_advice()) return ServeAdvice(platform.ask_advice, link, message);
     if (message.has_store()) return store->Serve(link, message);
--- a/cell/types.cc
+++ b/cell/types.cc
@@ -12,7 +12,7 @@
       std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec)));
 }
 
-RandomHook RandomlySeeded() { return std::minstd_rand(std::random_device{}()); }
+RandomHook MakeRandomSource() { return std::minstd_rand(std::random_device{}()); }
 
 // 64-bit FNV-1a.
 std::uint64_t StableHash(std::string_view text) {
--- a/cell/types.h
+++ b/cell/types.h
@@ -44,7 +44,7 @@
 using RandomHook = std::function<std::uint32_t()>;
 
 /// @returns a source with a random seed.
-RandomHook RandomlySeeded();
+RandomHook MakeRandomSource();
 
 /// @returns a hash that is the same on every instance and in every version.
 std::uint64_t StableHash(std::string_view text);
