Derive the pauses of the connection tests from the bound they test

The pause was a figure of its own, 1.5 s; it is now half a second more than the time after which connections are not used again, so a change of that time cannot let the tests pass without meaning.

--- a/tests/cell/connections_test.cc
+++ b/tests/cell/connections_test.cc
@@ -81,7 +81,7 @@
   };
   REQUIRE(Call(kConnections, read) == kConnections);
   server.server->BlackholeOpenConnections();
-  std::this_thread::sleep_for(1500ms);
+  std::this_thread::sleep_for(platform::kMaxIdle + 500ms);
   CHECK(Call(1, read) == 1);
 }
 
@@ -97,7 +97,7 @@
   };
   REQUIRE(Call(1, request) == 1);
   server.server->BlackholeOpenConnections();
-  std::this_thread::sleep_for(1500ms);
+  std::this_thread::sleep_for(platform::kMaxIdle + 500ms);
   CHECK(Call(1, request) == 1);
 }
 
--- a/tests/cell/follower_test.cc
+++ b/tests/cell/follower_test.cc
@@ -36,7 +36,8 @@
   }
 }
 
-// Guards against instances that wait and read in step, so that none has a newer version to pass on.
+// Guards against instances that all read at the same time, so that none has a newer version to pass
+// on.
 TEST_CASE("follower: instances that lost the store at the same moment read it at different times") {
   constexpr std::size_t kInstances = 8;
   Loop loop(1);
