Make the cost of control at rest independent of the number of instances

Cause: a scheduler gathered, sorted and sent the names of all successors with each ping, 146 links ten times a second; each heartbeat row of a worker was parsed, asked for a planning pass and looked at all workers for those to attach; passes prepared all workers while nothing waited.

Change: the list of successors is gathered once in 100 ms, holds 16 names and is sent when it changes; instances that are not on it exchange a ping each 400 ms, and claim after those on it; a configuration is pushed to peers that do not reach the store, or have not read it after 200 ms. Rows of workers are compared by a digest without their heartbeat fields, and the list is read each 100 ms at most. Planning passes look at jobs that may have waiting tasks only.

--- a/cell/claim.cc
+++ b/cell/claim.cc
@@ -65,14 +65,24 @@
   }
 }
 
+bool Claimer::IsListed() const {
+  return std::find(m_successors.begin(), m_successors.end(), m_self.instance()) !=
+         m_successors.end();
+}
+
 // Successors wait for increasing times, so that in most cases only one of them claims the shard. An
-// instance that no scheduler has listed as a successor can only go by its own strength.
+// instance that got no list of successors can only go by its own strength; one that is not on the
+// list claims after those on it, in groups, so that the claims of many do not queue at the store.
 milliseconds Claimer::ClaimDelay() const {
+  if (m_successors.empty()) return m_default_delay;
   const auto found = std::find(m_successors.begin(), m_successors.end(), m_self.instance());
-  if (found == m_successors.end()) return m_default_delay;
   const auto position = static_cast<int>(found - m_successors.begin());
   const int staggered = std::min(position, kStaggeredSuccessors);
-  return kSuccessorStagger * staggered + kLateSuccessorStagger * (position - staggered);
+  const milliseconds delay =
+      kSuccessorStagger * staggered + kLateSuccessorStagger * (position - staggered);
+  if (found != m_successors.end()) return delay;
+  const auto group = static_cast<int>(StableHash(m_self.instance()) % kUnlistedClaimGroups);
+  return delay + m_default_delay + kLateSuccessorStagger * group;
 }
 
 void Claimer::Tick(const OwnerLinkState& link_state, bool may_claim) {
@@ -91,7 +101,7 @@
     return ReadOwnership();
   }
   m_vacant_since.reset();
-  const bool is_silent = now > link_state.heard + kOwnerLinkSilence ||
+  const bool is_silent = now > link_state.heard + link_state.silence_limit ||
                          (!link_state.is_linked && link_state.is_refused);
   if (!is_silent) {
     m_head_since.reset();
@@ -100,7 +110,8 @@
   // A silent scheduler that still writes its head row is alive: only the connection between it and
   // this instance has failed.
   if (now < m_next_read) return;
-  m_next_read = now + kOwnerProbePeriod;
+  m_next_read =
+      now + (m_successors.empty() || IsListed() ? kOwnerProbePeriod : kUnlistedOwnerProbePeriod);
   m_claim_after_read =
       m_head_since && now > *m_head_since + SilenceLimit(link_state) + ClaimDelay();
   ReadOwnership();
--- a/cell/claim.h
+++ b/cell/claim.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "cell/limits.h"
 #include "cell/store.h"
 #include "schema/cell.pb.h"
 
@@ -50,6 +51,8 @@
   bool has_denied = false;  ///< A different process answered at its address.
   bool is_refused = false;  ///< Connections to its address are refused immediately.
   SteadyTime heard{};       ///< When its last message arrived.
+  /// Silence that counts as a sign of its failure.
+  milliseconds silence_limit = kOwnerLinkSilence;
 };
 
 /// Claims one shard on behalf of this process.
@@ -81,6 +84,7 @@
 
  private:
   [[nodiscard]] milliseconds ClaimDelay() const;
+  [[nodiscard]] bool IsListed() const;
   [[nodiscard]] milliseconds SilenceLimit(const OwnerLinkState& link_state) const;
   void ReadOwnership();
   void Claim();
--- a/cell/fleet.cc
+++ b/cell/fleet.cc
@@ -81,12 +81,29 @@
     slot->description.id = id;
     slot->slot = m_next_slot++;
     slot->next_hold = m_hooks.now();
+    m_unattached.insert(slot.get());
+    ++m_unlisted;
   }
   return slot.get();
 }
 
+void Fleet::SetAttached(Worker* worker, bool attached) {
+  worker->attached = attached;
+  if (attached) {
+    m_unattached.erase(worker);
+  } else {
+    m_unattached.insert(worker);
+  }
+}
+
 void Fleet::Put(const WorkerDescription& description) {
   Worker* worker = FindOrAdd(description.id);
+  // Workers repeat their entries every second or two.
+  if (worker->listed && !worker->gone && worker->description.IsSameExceptTimes(description) &&
+      description.born_unix_ms <= worker->description.born_unix_ms) {
+    worker->description.drain_remaining = description.drain_remaining;
+    return;
+  }
   // The list may lag behind and still describe an earlier incarnation that is known to have ended.
   const std::int64_t known_born = worker->description.born_unix_ms;
   const bool is_new_incarnation = known_born != 0 && description.born_unix_ms > known_born;
@@ -97,7 +114,10 @@
   worker->rack = 0;
   worker->service = 0;
   worker->description.born_unix_ms = std::max(known_born, description.born_unix_ms);
-  if (!worker->listed) worker->next_hold = m_hooks.now();
+  if (!worker->listed) {
+    worker->next_hold = m_hooks.now();
+    --m_unlisted;
+  }
   worker->listed = true;
   worker->gone = false;
   TickWorker(worker, m_hooks.now());
@@ -107,8 +127,9 @@
 
 void Fleet::Unlist(const std::string& id) {
   Worker* worker = Find(id);
-  if (worker == nullptr) return;
+  if (worker == nullptr || !worker->listed) return;
   worker->listed = false;
+  ++m_unlisted;
   m_hooks.on_capacity_changed();
 }
 
@@ -327,7 +348,7 @@
   OnWorkerAnswered(worker, answer.clock);
   worker->hold_retry = milliseconds(0);
   const bool was_attached = worker->attached;
-  worker->attached = true;
+  if (!was_attached) SetAttached(worker, true);
   if (!was_attached) {
     BoundEarlierLeases(worker, answer.clock);
     Log(LogLevel::kInfo, "worker-attached")
@@ -482,7 +503,7 @@
       .Field("born", worker->description.born_unix_ms)
       .Field("orders", worker->orders.size());
   ++worker->incarnation;
-  worker->attached = false;
+  SetAttached(worker, false);
   worker->clock.reset();
   worker->lease_sent = {};
   worker->lease_end_without_clock = {};
@@ -536,19 +557,22 @@
 // handle the first replies only after the time-outs of the last calls. Workers that do not answer
 // must not delay the others.
 void Fleet::AttachNext() {
-  if (m_attaching >= kMaxConcurrentAttaches) return;
+  if (m_attaching >= kMaxConcurrentAttaches || m_unattached.empty()) return;
   const SteadyTime now = m_hooks.now();
   std::vector<Worker*> due;
-  for (const auto& [id, worker] : m_workers) {
-    if (!worker->attached && IsHoldDue(*worker, now)) due.push_back(worker.get());
+  for (Worker* worker : m_unattached) {
+    if (IsHoldDue(*worker, now)) due.push_back(worker);
   }
-  std::sort(due.begin(), due.end(), [](const Worker* a, const Worker* b) {
+  const auto first = due.begin();
+  const auto last = first + static_cast<std::ptrdiff_t>(
+                                std::min(due.size(), kMaxConcurrentAttaches - m_attaching));
+  std::partial_sort(first, last, due.end(), [](const Worker* a, const Worker* b) {
     return std::tuple(a->orders.empty(), a->next_hold, a->slot) <
            std::tuple(b->orders.empty(), b->next_hold, b->slot);
   });
-  for (Worker* worker : due) {
+  for (auto next = first; next != last; ++next) {
     if (m_attaching >= kMaxConcurrentAttaches) return;
-    SendHold(worker, false);
+    SendHold(*next, false);
   }
 }
 
@@ -608,15 +632,22 @@
 
 void Fleet::Tick() {
   const SteadyTime now = m_hooks.now();
-  std::vector<Worker*> workers;
-  workers.reserve(m_workers.size());
-  for (const auto& [id, worker] : m_workers) workers.push_back(worker.get());
-  for (Worker* worker : workers) TickWorker(worker, now);
+  // No event of a worker adds or removes workers.
+  for (const auto& [id, worker] : m_workers) TickWorker(worker.get(), now);
   AttachNext();
-  std::erase_if(m_workers, [](const auto& entry) {
-    const Worker& worker = *entry.second;
-    return !worker.listed && worker.orders.empty() && !worker.hold_in_flight &&
-           !worker.status_query_in_flight;
+  if (m_unlisted > 0) EraseUnlisted();
+}
+
+// Forgets workers that have left and have no orders.
+void Fleet::EraseUnlisted() {
+  std::erase_if(m_workers, [this](const auto& entry) {
+    Worker& worker = *entry.second;
+    const bool is_over = !worker.listed && worker.orders.empty() && !worker.hold_in_flight &&
+                         !worker.status_query_in_flight;
+    if (!is_over) return false;
+    m_unattached.erase(&worker);
+    --m_unlisted;
+    return true;
   });
 }
 
@@ -653,7 +684,8 @@
       return;
     }
   }
-  for (Order* order : std::vector<Order*>(worker->orders)) {
+  // Sending a stop or a query ends no order.
+  for (Order* order : worker->orders) {
     const bool is_sent =
         order->state == OrderState::kRunning || order->state == OrderState::kUnknown;
     if (is_sent && order->stop_wanted && !order->stop_in_flight && now >= order->stop_retry_at) {
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "cell/job.h"
@@ -180,6 +181,8 @@
   };
 
   Worker* FindOrAdd(const std::string& id);
+  void SetAttached(Worker* worker, bool attached);
+  void EraseUnlisted();
   Order* NewOrder(Task* task, Worker* worker, std::uint64_t run);
   std::unique_ptr<Order> Detach(Order* order);
   void VoidOrder(Order* order, VoidReason reason, StartVerdict verdict = StartVerdict::kStarted);
@@ -215,8 +218,10 @@
   std::uint64_t m_last_id = 0;
   std::uint32_t m_next_slot = 0;
   std::uint64_t m_starts_sent = 0;
-  std::size_t m_orders_in_flight = 0;  // Orders for which `IsInFlight` is true.
-  std::size_t m_attaching = 0;         // Workers whose first hold has no reply yet.
+  std::size_t m_orders_in_flight = 0;        // Orders for which `IsInFlight` is true.
+  std::size_t m_attaching = 0;               // Workers whose first hold has no reply yet.
+  std::unordered_set<Worker*> m_unattached;  // Those whose current incarnation is not attached.
+  std::size_t m_unlisted = 0;                // Workers that are not in the list of workers.
   CallTimes m_calls;
 };
 
--- a/cell/follower.cc
+++ b/cell/follower.cc
@@ -100,7 +100,12 @@
       hooks.on_change(row);
       if (stopped) return;
     }
-    Follow();
+    const milliseconds pause = hooks.min_period - Since(call_began);
+    if (pause <= milliseconds(0)) return Follow();
+    hooks.after(pause, [weak = weak_from_this()] {
+      const auto self = weak.lock();
+      if (self && !self->stopped) self->Follow();
+    });
   }
 
   // The next attempt reads the table instead of following it: while the store refuses this
--- a/cell/follower.h
+++ b/cell/follower.h
@@ -20,6 +20,8 @@
   /// All rows; replaces everything received before.
   std::function<void(const std::vector<Row>& rows)> on_snapshot;
   std::function<void(const Row& row)> on_change;
+  /// Minimum time between two calls for changes, so that one brings many.
+  milliseconds min_period{0};
 };
 
 /// How current a local view is, and which call is to bring the next change.
--- a/cell/job.cc
+++ b/cell/job.cc
@@ -128,6 +128,12 @@
 
 void BeginOccurrence(Job* job) { MakeSteps(job->occurrences_begun++, job); }
 
+bool HasUnassigned(const Step& step) {
+  return step.ready && !step.IsDone() &&
+         std::any_of(step.tasks.begin(), step.tasks.end(),
+                     [](const Task& task) { return !task.is_done && task.orders.empty(); });
+}
+
 void EndOccurrence(std::uint32_t occurrence, Job* job) {
   std::erase_if(job->steps, [occurrence](const std::unique_ptr<Step>& step) {
     return step->occurrence == occurrence;
--- a/cell/job.h
+++ b/cell/job.h
@@ -173,6 +173,7 @@
   std::uint32_t occurrences_begun = 0;
   std::uint32_t occurrences_done = 0;
   std::uint32_t live_orders = 0;  ///< Orders for its tasks that have not ended.
+  std::uint64_t number = 0;       ///< Sequence number of the job, counted by each scheduler.
   std::uint64_t submission = 0;   ///< Sequence number of the submission, counted by each scheduler.
   bool stored = false;            ///< Its job row is stored or part of the transaction in flight.
   bool ever_started = false;
@@ -215,6 +216,9 @@
 /// @returns the stored assignments; no orders are created for them.
 std::vector<StoredAssignment> RestoreProgress(const schema::ProgressRow& row, Job* job);
 
+/// @returns whether a task of the step has yet to be given to a worker: now, or after a pause.
+bool HasUnassigned(const Step& step);
+
 /// Removes the steps of an occurrence that is over.
 void EndOccurrence(std::uint32_t occurrence, Job* job);
 
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <unordered_map>
 #include <vector>
 
 #include "cell/follower.h"
@@ -51,6 +52,8 @@
   std::unique_ptr<TableFollower> worker_list;
   // By worker id: the worker's address, and the link to it, null until it is needed.
   std::map<std::string, std::pair<std::string, std::shared_ptr<WorkerLink>>> links;
+  // Digests of the rows of listed workers, by worker id.
+  std::unordered_map<std::string, std::uint64_t> worker_digests;
   TimerId tick_timer;
   TimerId report_timer;
   TimerId held_check_timer;
@@ -285,14 +288,23 @@
       if (row.removed || !ApplyWorkerRow(row)) UnlistWorker(row.key.key);
     };
     follower_hooks.after = DelayThrough(timers);
+    follower_hooks.min_period = kWorkerListPeriod;
     worker_list = TableFollower::Create(store, platform.worker_table.table,
                                         platform.worker_table.part, std::move(follower_hooks));
   }
 
+  // @returns whether the row names a worker to use.
   bool ApplyWorkerRow(const Row& row) {
+    const Worker* known = scheduler->Workers().Find(row.key.key);
+    const std::uint64_t digest = platform.worker_digest(row);
+    const auto seen = worker_digests.find(row.key.key);
+    if (seen != worker_digests.end() && seen->second == digest && known != nullptr &&
+        known->listed && !known->gone) {
+      return true;
+    }
     const std::optional<WorkerDescription> description = platform.read_worker(row);
     if (!description) return false;
-    const Worker* known = scheduler->Workers().Find(description->id);
+    worker_digests[row.key.key] = digest;
     const bool is_changed = known == nullptr || !known->listed ||
                             known->description.draining != description->draining ||
                             known->description.born_unix_ms < description->born_unix_ms;
@@ -316,6 +328,7 @@
   }
 
   void UnlistWorker(const std::string& id) {
+    worker_digests.erase(id);
     if (scheduler->Workers().Find(id) == nullptr) return;
     Log(LogLevel::kInfo, "worker-unlisted").Field("worker", id);
     scheduler->Workers().Unlist(id);
--- a/cell/limits.h
+++ b/cell/limits.h
@@ -88,6 +88,11 @@
 // Time without progress after which a run counts as stalled. Progress is reported with each hold,
 // at least every 1.5 s; three reports without progress are a stall.
 inline constexpr std::chrono::milliseconds kStalledAfter{4500};
+inline constexpr std::chrono::milliseconds kStallCheckPeriod{250};
+// Interval of the check that no job with waiting tasks is missing from planning passes.
+inline constexpr std::chrono::milliseconds kOpenJobCheckPeriod{500};
+// Interval at which free resources are counted for reports while no task waits.
+inline constexpr std::chrono::milliseconds kIdleLoadPeriod{500};
 // Time for which a task avoids a worker on which it failed, if there are others. Faults of workers
 // last 4 to 7 s, but the other workers may be full, and a task that could run may wait 3 s at most.
 inline constexpr std::chrono::milliseconds kTaskAvoidPeriod{2000};
@@ -123,6 +128,9 @@
 inline constexpr std::size_t kMaxTasksPerHeldCheck = 2000;
 inline constexpr std::size_t kMaxScansPerHeldCheck = 16;
 inline constexpr std::size_t kMaxLinesPerHeldCheck = 10;
+// Minimum time between calls for changes of the list of workers: hundreds of workers write their
+// heartbeats there, and what matters is known in seconds.
+inline constexpr std::chrono::milliseconds kWorkerListPeriod{100};
 // The list of workers counts as stale after three waits for its changes without news.
 inline constexpr std::chrono::milliseconds kWorkerListStaleAfter{3000};
 // Planning counts as late after ten ticks without a pass; each tick requests one.
@@ -211,8 +219,9 @@
 inline constexpr std::chrono::milliseconds kOwnerRefused{150};
 // Silence of a link to the scheduler that counts as a sign of its failure: two and a half pings.
 inline constexpr std::chrono::milliseconds kOwnerLinkSilence{250};
-// Interval at which the head row is read after this sign.
+// Interval at which the head row is read after this sign, by successors and by other instances.
 inline constexpr std::chrono::milliseconds kOwnerProbePeriod{50};
+inline constexpr std::chrono::milliseconds kUnlistedOwnerProbePeriod{250};
 // Additional wait of each successor (instance in line to claim the shard) after the previous one: a
 // claim takes 10 ms, and 250 to 300 ms while the store is slow; claims of several successors would
 // queue up there.
@@ -221,6 +230,8 @@
 // loss of several failure domains, the others follow quickly: the last one of 43 after 2.4 s.
 inline constexpr int kStaggeredSuccessors = 6;
 inline constexpr std::chrono::milliseconds kLateSuccessorStagger{25};
+// Instances that are not on the list claim after those on it, in this many groups.
+inline constexpr std::size_t kUnlistedClaimGroups = 32;
 // Processor share in thousandths of a core from which on an instance is as good a scheduler as any.
 // Weaker instances let others claim first, the weakest for `kMaxClaimDelay`: the time of a few
 // claims.
@@ -302,6 +313,20 @@
 // ---- Links between instances
 
 inline constexpr std::chrono::milliseconds kPingPeriod{100};
+// Pings between the scheduler and instances that are not among its successors: a link is closed
+// after three that are missing.
+inline constexpr std::chrono::milliseconds kUnlistedPingPeriod{400};
+// A scheduler gathers its successors this often, and repeats the list to a peer that has it this
+// often.
+inline constexpr std::chrono::milliseconds kSuccessionPeriod{100};
+inline constexpr std::chrono::milliseconds kSuccessionRepeat{2000};
+// Number of successors that a scheduler names. With all of them gone, the other instances claim by
+// themselves.
+inline constexpr std::size_t kMaxSuccessors = 16;
+// An instance that reaches the store gets a new configuration from a peer after this time, in which
+// it usually reads it itself, and again after the second time.
+inline constexpr std::chrono::milliseconds kConfigPushAfter{200};
+inline constexpr std::chrono::milliseconds kConfigPushRepeat{1000};
 inline constexpr std::chrono::milliseconds kLinkMaintenancePeriod{50};
 // A link without a message for this long is closed: fifteen pings.
 inline constexpr std::chrono::milliseconds kLinkSilence{1500};
--- a/cell/link.cc
+++ b/cell/link.cc
@@ -162,10 +162,11 @@
       done(Error{schema::CODE_TIMEOUT, "no reply from " + m_peer.instance() + " in time"});
     }
     const auto service = m_service.lock();
-    if (!service || m_closed || !IsOpen() || now < m_last_ping_sent + kPingPeriod) return;
+    if (!service || m_closed || !IsOpen() || now < m_last_ping_sent + m_ping_period) return;
     m_last_ping_sent = now;
     schema::LinkMessage message;
     *message.mutable_ping() = service->hooks.make_ping(shared_from_this());
+    m_ping_period = milliseconds(message.ping().period_ms());
     Send(std::move(message));
   }
 
@@ -258,6 +259,7 @@
   schema::Ping m_last_ping;
   SteadyTime m_heard;
   SteadyTime m_last_ping_sent{};
+  milliseconds m_ping_period{0};
   std::string m_in;
   std::string m_out;
   std::string m_sending;
--- a/cell/link.h
+++ b/cell/link.h
@@ -51,7 +51,7 @@
   std::function<void(const LinkPtr&, const std::string& reason)> on_closed;
   /// A ping of the peer arrived.
   std::function<void(const LinkPtr&, const schema::Ping&)> on_ping;
-  /// @returns the ping to send to a peer.
+  /// @returns the ping to send to a peer; the next one follows after its `period_ms`.
   std::function<schema::Ping(const LinkPtr&)> make_ping;
 };
 
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -11,6 +11,7 @@
 #include "cell/metrics.h"
 #include "cell/overload.h"
 #include "cell/relay.h"
+#include "cell/succession.h"
 #include "net.h"
 
 namespace citronsill {
@@ -46,6 +47,8 @@
   LoopMeter loop_meter{kLoopProbePeriod, BootNow(), ProcessorTime()};
   LoopLoad loop_load;
   OverloadDetector overload;
+  Succession succession{BootNow, [this] { return GatherSuccessors(); }};
+  ConfigPushes config_pushes{BootNow};
   bool draining = false;
   SteadyTime began = BootNow();
   SteadyTime last_seed_attempt{};
@@ -176,6 +179,7 @@
     if (config && read.value()->version <= config->version) return;
     const std::uint64_t previous = config ? config->version : 0;
     config = std::move(read).value();
+    config_pushes.OnChange();
     config_is_from_peer = !peer.empty();
     const FollowerStatus status = ConfigStatus();
     Log(LogLevel::kInfo, "config")
@@ -204,17 +208,19 @@
     };
     hooks.on_closed = [this](const LinkPtr& link, const std::string& reason) {
       std::erase(seed_links, link);
+      succession.Forget(link.get());
+      config_pushes.Forget(link.get());
       for (const auto& shard : shards) shard->OnLinkClosed(link, reason);
     };
     hooks.on_message = [this](const LinkPtr& link, const schema::LinkMessage& message) {
       OnMessage(link, message);
     };
     hooks.on_ping = [this](const LinkPtr& link, const schema::Ping& ping) { OnPing(link, ping); };
-    hooks.make_ping = [this](const LinkPtr&) { return MakePing(); };
+    hooks.make_ping = [this](const LinkPtr& link) { return MakePing(link); };
     return hooks;
   }
 
-  schema::Ping MakePing() {
+  schema::Ping MakePing(const LinkPtr& link) {
     schema::Ping ping;
     if (config) ping.set_config_version(config->version);
     ping.set_reaches_store(store->OwnPathWorks());
@@ -222,21 +228,32 @@
     for (const auto& shard : shards) {
       if (shard->IsLeader()) ping.add_shards(shard->Name());
     }
-    if (ping.shards().empty()) return ping;
-    std::vector<Successor> candidates;
+    if (ping.shards().empty()) {
+      // The other side decides: it knows whether this instance is one of its successors.
+      const std::uint32_t period_ms = link->LastPing().period_ms();
+      ping.set_period_ms(period_ms > 0 ? period_ms : kPingPeriod.count());
+      return ping;
+    }
+    ping.set_period_ms(succession.PingPeriod(link->Peer().instance()).count());
+    if (const std::vector<std::string>* const list = succession.ListFor(link.get()); list) {
+      for (const std::string& instance : *list) ping.add_heirs(instance);
+    }
+    return ping;
+  }
+
+  std::vector<Successor> GatherSuccessors() {
+    std::vector<Successor> successors;
     links->ForEach([&](const LinkPtr& link) {
       const schema::Hello& peer = link->Peer();
       if (!link->LastPing().may_lead()) return;
-      candidates.push_back({peer.instance(), peer.strength_milli(), peer.started_unix_ms()});
+      successors.push_back({peer.instance(), peer.strength_milli(), peer.started_unix_ms()});
     });
-    for (std::string& instance : OrderSuccessors(std::move(candidates))) {
-      ping.add_heirs(std::move(instance));
-    }
-    return ping;
+    return successors;
   }
 
   void OnPing(const LinkPtr& link, const schema::Ping& ping) {
-    if (config && ping.config_version() < config->version) {
+    if (config && ping.config_version() < config->version &&
+        config_pushes.IsDue(link.get(), config->version, ping.reaches_store())) {
       schema::LinkMessage message;
       message.mutable_config()->set_version(config->version);
       message.mutable_config()->set_text(config->text);
--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -88,11 +88,10 @@
       RestoreProgress(progress != nullptr ? *progress : schema::ProgressRow(), job.get());
   if (job->state == schema::JOB_STATE_NONE) job->state = schema::JOB_STATE_QUEUED;
   if (job->IsFinal()) job->stored_state = job->state;
-  Job* raw = job.get();
+  Job* raw = AddJob(std::move(job));
   for (const auto& step : raw->steps) {
     for (Task& task : step->tasks) task.last_run = m_run_base;
   }
-  m_jobs[raw->spec.id()] = std::move(job);
   for (const StoredAssignment& assignment : assignments) {
     Step* step = assignment.task->step;
     if (step->spec->gang()) step->gang_run = std::max(step->gang_run, assignment.row.run());
@@ -144,8 +143,7 @@
   job->accepted_unix_ms =
       std::chrono::duration_cast<milliseconds>(m_hooks.wall().time_since_epoch()).count();
   job->arrived = m_hooks.now() - waited;
-  Job* raw = job.get();
-  m_jobs[spec.id()] = std::move(job);
+  Job* raw = AddJob(std::move(job));
   m_submitters[spec.id()].push_back(std::move(done));
   if (spec.occurrences() == 0) BeginOccurrence(raw);
   for (const auto& step : raw->steps) {
@@ -190,7 +188,7 @@
     std::erase(m_dirty, job);
     if (job->dirty_position != 0) m_withdrawn.insert(job->dirty_position);
     auto submitters = m_submitters.extract(job->spec.id());
-    m_jobs.erase(job->spec.id());
+    EraseJob(job->spec.id());
     if (submitters.empty()) continue;
     for (const JobStateCallback& submitter : submitters.mapped()) submitter(error);
   }
@@ -245,6 +243,49 @@
       }));
 }
 
+// ---- Jobs
+
+Job* Scheduler::AddJob(std::unique_ptr<Job> job) {
+  Job* raw = job.get();
+  raw->number = ++m_last_job_number;
+  m_jobs[raw->spec.id()] = std::move(job);
+  Reopen(raw);
+  return raw;
+}
+
+void Scheduler::EraseJob(const std::string& id) {
+  const auto found = m_jobs.find(id);
+  if (found == m_jobs.end()) return;
+  m_open_jobs.erase(found->second->number);
+  m_jobs.erase(found);
+}
+
+// Makes the next planning passes look at a job again: a step has become ready, or a task has lost
+// its order.
+void Scheduler::Reopen(Job* job) {
+  if (job->IsFinal()) return;
+  m_open_jobs.emplace(job->number, job);
+  if (!m_min_waiting_size) return;
+  for (const auto& step : job->steps) {
+    if (step->ready && !step->IsDone()) LowerMinWaitingSize(*step);
+  }
+}
+
+// Guards against a job that is never looked at again because an event did not reopen it.
+void Scheduler::ReopenMissing(SteadyTime now) {
+  if (now < m_next_open_check) return;
+  m_next_open_check = now + kOpenJobCheckPeriod;
+  for (const auto& [id, job] : m_jobs) {
+    if (job->IsFinal() || m_open_jobs.contains(job->number)) continue;
+    const bool has_waiting = std::any_of(job->steps.begin(), job->steps.end(),
+                                         [](const auto& step) { return HasUnassigned(*step); });
+    if (!has_waiting) continue;
+    Log(LogLevel::kError, "job-reopened").Field("job", id);
+    Reopen(job.get());
+    m_hooks.plan_soon();
+  }
+}
+
 // ---- Store
 
 void Scheduler::MarkDirty(Job* job) {
@@ -358,7 +399,7 @@
     row.set_finished_unix_ms(
         std::chrono::duration_cast<milliseconds>(m_hooks.wall().time_since_epoch()).count());
     AddFinished(id, row);
-    m_jobs.erase(found);
+    EraseJob(id);
   }
 }
 
@@ -393,6 +434,7 @@
   Job* job = step->job;
   job->ever_started = true;
   task->last_run_over_at = m_hooks.now();
+  Reopen(job);
   MarkDirty(job);
   if (!checkpoint.empty()) task->checkpoint = checkpoint;
   if (job->IsFinal() || task->is_done) return ArchiveIfFinished(job);
@@ -527,6 +569,7 @@
   Task* task = order.task;
   Step* step = task->step;
   Job* job = step->job;
+  Reopen(job);
   MarkDirty(job);
   if (order.state == OrderState::kRunning) task->last_run_over_at = m_hooks.now();
   if (reason == VoidReason::kLeaseExpired) task->expired_runs.push_back(order.run);
@@ -643,6 +686,7 @@
     if (step->ready || !PredecessorsDone(*step)) continue;
     step->ready = true;
     step->ready_since = m_hooks.now();
+    Reopen(job);
     if (m_min_waiting_size) LowerMinWaitingSize(*step);
     CountWaiting(*step, step->tasks.size());
   }
@@ -725,6 +769,7 @@
     }
   }
   CheckStalled(now);
+  ReopenMissing(now);
 }
 
 void Scheduler::BeginDueOccurrences(Job* job) {
@@ -777,9 +822,12 @@
 // workers that accept tasks and answer calls, but whose tasks make no progress. Such a worker is
 // avoided by all tasks for some time; after a stalled member of a gang, only by that member.
 void Scheduler::CheckStalled(SteadyTime now) {
+  if (now < m_next_stall_check) return;
+  m_next_stall_check = now + kStallCheckPeriod;
   for (const auto& [id, worker] : m_fleet.Workers()) {
     if (worker->silent || !worker->attached) continue;
-    for (Order* order : std::vector<Order*>(worker->orders)) {
+    // A stop is only sent here; it ends no order before its answer.
+    for (Order* order : worker->orders) {
       const Step& step = *order->task->step;
       if (order->state != OrderState::kRunning || order->stop_wanted) continue;
       if (step.spec->long_running() || order->percent_changed + kStalledAfter > now) continue;
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -192,6 +192,10 @@
 
   FleetHooks MakeFleetHooks();
   [[nodiscard]] milliseconds Since(SteadyTime time) const;
+  Job* AddJob(std::unique_ptr<Job> job);
+  void EraseJob(const std::string& id);
+  void Reopen(Job* job);
+  void ReopenMissing(SteadyTime now);
   void MarkDirty(Job* job);
   void AfterStored(std::function<void()> effect);
   void RunEffects();
@@ -233,7 +237,7 @@
   [[nodiscard]] milliseconds SendDelay() const;
   std::uint32_t PreferredRack(const Step& step);
   std::vector<PlanWorker> MakePlanWorkers();
-  void AddUnits(Job* job, std::vector<PlanUnit>* units, std::vector<PlanWorker>* workers);
+  bool AddUnits(Job* job, std::vector<PlanUnit>* units, std::vector<PlanWorker>* workers);
   void FillStepFields(Step* step, PlanUnit* unit);
   void FillWorkerFields(PlanUnit* unit);
   void LowerMinWaitingSize(const Step& step);
@@ -274,7 +278,12 @@
   std::multimap<std::int64_t, std::string> m_finished_by_time;
   // Callbacks of submissions that wait for the store, by job id.
   std::unordered_map<std::string, std::vector<JobStateCallback>> m_submitters;
-  std::deque<Job*> m_dirty;  // Jobs with changes to store, in the order of their positions.
+  // Jobs of which a task may wait for a worker, by number: those that planning passes look at.
+  std::map<std::uint64_t, Job*> m_open_jobs;
+  std::uint64_t m_last_job_number = 0;
+  SteadyTime m_next_open_check{};
+  SteadyTime m_load_counted_at{};  // When `m_load` was last computed for idle workers.
+  std::deque<Job*> m_dirty;        // Jobs with changes to store, in the order of their positions.
   std::uint64_t m_submissions = 0;
   std::uint64_t m_last_position = 0;    // Last position that was assigned.
   std::uint64_t m_stored_position = 0;  // Everything up to this position is stored.
@@ -286,6 +295,7 @@
   Load m_load;
   // Room reserved or set aside for gangs by the last pass, by worker slot.
   std::unordered_map<std::uint32_t, Resources> m_set_aside;
+  SteadyTime m_next_stall_check{};
   std::size_t m_held_skip = 0;  // Number of jobs that the next check for held tasks skips.
 
   NameIds m_racks;
--- a/cell/scheduler_plan.cc
+++ b/cell/scheduler_plan.cc
@@ -139,8 +139,10 @@
   return workers;
 }
 
-void Scheduler::AddUnits(Job* job, std::vector<PlanUnit>* units, std::vector<PlanWorker>* workers) {
-  if (job->IsFinal()) return;
+// @returns whether a task of the job waits, or will after a pause.
+bool Scheduler::AddUnits(Job* job, std::vector<PlanUnit>* units, std::vector<PlanWorker>* workers) {
+  if (job->IsFinal()) return false;
+  bool has_unassigned = false;
   const SteadyTime now = m_hooks.now();
   if (job->objective == SteadyTime{}) {
     milliseconds critical_path{0};
@@ -151,7 +153,8 @@
                      std::chrono::duration_cast<milliseconds>(critical_path * queue.stretch());
   }
   for (const auto& step : job->steps) {
-    if (!step->ready || step->IsDone()) continue;
+    if (!HasUnassigned(*step)) continue;
+    has_unassigned = true;
     LowerMinWaitingSize(*step);
     const auto waiting = static_cast<std::uint32_t>(
         std::count_if(step->tasks.begin(), step->tasks.end(),
@@ -198,6 +201,7 @@
     }
     add(std::move(unit));
   }
+  return has_unassigned;
 }
 
 // Applies the stored answers of an earlier scheduler about the current incarnations of workers.
@@ -327,7 +331,15 @@
 
 void Scheduler::Plan() {
   if (!m_hooks.may_lead()) return;
+  // A tenth of a second after a burst nothing waits, and hundreds of workers are still reporting
+  // ends, each of which requests a pass.
+  if (m_open_jobs.empty()) {
+    m_load.ClearWaiting();
+    if (m_hooks.now() < m_load_counted_at + kIdleLoadPeriod) return;
+    m_load_counted_at = m_hooks.now();
+  }
   std::vector<PlanWorker> workers = MakePlanWorkers();
+  if (m_open_jobs.empty()) return;
   PlanLimits limits;
   limits.now = m_hooks.now();
   limits.advice_capacity = m_hooks.advice_capacity();
@@ -337,7 +349,8 @@
   m_plan_steps.clear();
   m_min_waiting_size.reset();
   std::vector<PlanUnit> units;
-  for (const auto& [id, job] : m_jobs) AddUnits(job.get(), &units, &workers);
+  std::erase_if(m_open_jobs,
+                [&](const auto& entry) { return !AddUnits(entry.second, &units, &workers); });
   if (units.empty()) return;
   const bool has_gangs =
       std::any_of(units.begin(), units.end(), [](const PlanUnit& unit) { return unit.gang; });
--- a/cell/settings.h
+++ b/cell/settings.h
@@ -58,6 +58,8 @@
   /// row does not describe a usable worker.
   RowKey worker_table;
   std::function<std::optional<WorkerDescription>(const Row&)> read_worker;
+  /// @returns a hash of a row of the list without the fields that change with each heartbeat.
+  std::function<std::uint64_t(const Row&)> worker_digest;
   /// Row of the configuration and the function that parses it.
   RowKey config_row;
   std::function<Result<CellConfigPtr>(const std::string& text)> read_config;
--- a/cell/shard.cc
+++ b/cell/shard.cc
@@ -217,6 +217,8 @@
     link_state.is_linked = owner_link && owner_link->IsOpen();
     if (link_state.is_linked) {
       link_state.heard = owner_link->Heard();
+      link_state.silence_limit =
+          std::max(kOwnerLinkSilence, milliseconds(owner_link->LastPing().period_ms()) * 5 / 2);
       last_served = link_state.heard;
     }
     previous_owner_released = claimer.Owner().released();
--- /dev/null
+++ b/cell/succession.cc
@@ -0,0 +1,49 @@
+#include "cell/succession.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cell/limits.h"
+
+namespace citronsill {
+
+Succession::Succession(Clock now, std::function<std::vector<Successor>()> gather)
+    : m_now(std::move(now)), m_gather(std::move(gather)) {}
+
+void Succession::Refresh() {
+  const SteadyTime now = m_now();
+  if (now < m_refresh_at) return;
+  m_refresh_at = now + kSuccessionPeriod;
+  std::vector<std::string> list = OrderSuccessors(m_gather());
+  if (list.size() > kMaxSuccessors) list.resize(kMaxSuccessors);
+  if (list == m_list) return;
+  m_list = std::move(list);
+  ++m_version;
+}
+
+const std::vector<std::string>* Succession::ListFor(const void* peer) {
+  Refresh();
+  if (m_list.empty()) return nullptr;
+  const SteadyTime now = m_now();
+  Sent& sent = m_sent[peer];
+  if (sent.version == m_version && now < sent.at + kSuccessionRepeat) return nullptr;
+  sent = {m_version, now};
+  return &m_list;
+}
+
+milliseconds Succession::PingPeriod(const std::string& instance) {
+  Refresh();
+  const bool is_successor = std::find(m_list.begin(), m_list.end(), instance) != m_list.end();
+  return is_successor ? kPingPeriod : kUnlistedPingPeriod;
+}
+
+bool ConfigPushes::IsDue(const void* peer, std::uint64_t version, bool peer_reaches_store) {
+  const SteadyTime now = m_now();
+  if (peer_reaches_store && now < m_changed_at + kConfigPushAfter) return false;
+  Push& push = m_pushed[peer];
+  if (push.version == version && now < push.at + kConfigPushRepeat) return false;
+  push = {version, now};
+  return true;
+}
+
+}  // namespace citronsill
--- a/cell/worker.h
+++ b/cell/worker.h
@@ -26,6 +26,14 @@
   bool draining = false;
   milliseconds drain_remaining{0};  ///< Minimum time until a draining worker leaves.
   std::int64_t born_unix_ms = 0;    ///< When this incarnation of the worker was started.
+
+  /// @returns whether only `drain_remaining` and `born_unix_ms` may differ.
+  [[nodiscard]] bool IsSameExceptTimes(const WorkerDescription& other) const {
+    return id == other.id && machine == other.machine && service == other.service &&
+           address == other.address && failure_domain == other.failure_domain &&
+           rack == other.rack && labels == other.labels && capacity == other.capacity &&
+           draining == other.draining;
+  }
 };
 
 /// Identifies a task. All runs of the task share it.
--- a/tests/cell/claim_test.cc
+++ b/tests/cell/claim_test.cc
@@ -98,6 +98,32 @@
   CHECK(fixture.claims == 1);
 }
 
+// Guards against claims of more than a hundred instances at once when the scheduler of a large cell
+// fails: those that it has not named as successors leave the named ones time.
+TEST_CASE("claim: an instance that is not on the list claims after all that are on it") {
+  ClaimFixture fixture;
+  fixture.claimer->SetSuccessors({"first", "second"});
+  fixture.owner.set_released(true);
+  fixture.claimer->OnOwner(fixture.owner, ++fixture.version);
+  fixture.Run(2 * kSuccessorStagger - kShardTick, Heard(fixture.now));
+  CHECK(fixture.claims == 0);
+  fixture.Run(kMaxClaimDelay + kLateSuccessorStagger * static_cast<int>(kUnlistedClaimGroups) +
+                  2 * kShardTick,
+              Heard(fixture.now));
+  CHECK(fixture.claims == 1);
+}
+
+// The scheduler sends pings to such an instance less often.
+TEST_CASE("claim: silence counts from the interval of the scheduler's pings") {
+  ClaimFixture fixture;
+  OwnerLinkState link_state = Heard(fixture.now);
+  link_state.silence_limit = milliseconds(1000);
+  fixture.Run(milliseconds(950), link_state);
+  CHECK(fixture.reads == 0);
+  fixture.Run(milliseconds(1000), link_state);
+  CHECK(fixture.claims == 1);
+}
+
 // Guards against replacing a live scheduler: an instance that had only lost its own link claimed
 // the shard, and the two took it from each other in turn.
 TEST_CASE("claim: a silent scheduler is replaced only when it has stopped writing") {
