Keep the process alive when a handler throws

After the process had been kept alive by a catch around the loop alone, a periodic timer that threw would not have been called again, which leaves a scheduler that renews and plans nothing.

Change: events, timers, HTTP requests and answers, and messages between instances run under a guard that reports the failure (line handler-failed, counter handler_failures_total). A request that failed gets no answer, since its effect is unknown; a link whose message failed is closed.

--- a/cell/link.cc
+++ b/cell/link.cc
@@ -11,6 +11,7 @@
 
 #include "cell/limits.h"
 #include "cell/log.h"
+#include "citronsill/guard.h"
 #include "net.h"
 
 namespace citronsill {
@@ -227,7 +228,9 @@
         return false;
       }
       offset += kFrameHeaderBytes + length;
-      HandleMessage(message);
+      if (!RunGuarded("link-message", [&] { HandleMessage(message); })) {
+        Close("a message could not be handled");
+      }
       if (m_closed) return false;
     }
     m_in.erase(0, offset);
--- a/cell/metrics.cc
+++ b/cell/metrics.cc
@@ -97,6 +97,10 @@
                                           .Name("citronsill_advice_seconds")
                                           .Help("Time until the policy service answered.")
                                           .Register(registry);
+  Family<Counter>& handler_failures = prometheus::BuildCounter()
+                                          .Name("citronsill_handler_failures_total")
+                                          .Help("Exceptions that escaped from a handler.")
+                                          .Register(registry);
   Family<Counter>& takeovers = prometheus::BuildCounter()
                                    .Name("citronsill_takeovers_total")
                                    .Help("Shards that this process has taken over.")
@@ -177,6 +181,10 @@
   m_impl->finals.Add({{"state", state}}).Increment();
 }
 
+void NodeMetrics::CountHandlerFailure(const std::string& handler) {
+  m_impl->handler_failures.Add({{"handler", handler}}).Increment();
+}
+
 void NodeMetrics::CountAbort(const char* reason) {
   m_impl->cuts.Add({{"reason", reason}}).Increment();
 }
--- a/cell/metrics.h
+++ b/cell/metrics.h
@@ -40,6 +40,8 @@
   void CountFinal(const char* state);
   /// A periodic timer fired late by this much.
   void ObserveLoopLag(milliseconds lag);
+  /// An exception escaped from a handler of the event loop. @param handler one of a fixed set.
+  void CountHandlerFailure(const std::string& handler);
   /// A caller's connection ended without a complete response. @param reason one of a fixed set.
   void CountAbort(const char* reason);
   /// Sets the number of held tasks (ready but not running for `kHeldAfter`) that one check found
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -11,6 +11,7 @@
 #include <optional>
 #include <unordered_set>
 
+#include "citronsill/guard.h"
 #include "citronsill/http.h"
 #include "http_stream.h"
 
@@ -241,7 +242,7 @@
       waiting.pop_front();
       StartCall(std::move(next));
     }
-    done(std::move(result));
+    RunGuarded("http-answer", [&] { done(std::move(result)); });
   }
 
   // Ensures that missed deadlines are checked for at `time`. The timer is not reset when a call
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -10,6 +10,7 @@
 #include <optional>
 #include <unordered_set>
 
+#include "citronsill/guard.h"
 #include "citronsill/http.h"
 #include "http_stream.h"
 
@@ -225,12 +226,16 @@
     }
     request.body = std::move(message.body());
     session->parser.reset();
-    handler(std::move(request), [self = shared_from_this(), session](HttpResponse response) {
+    auto reply = [self = shared_from_this(), session](HttpResponse response) {
       // A handler that replies synchronously is still on the strand of the connection.
       asio::dispatch(
           session->stream->Socket().get_executor(),
           [self, session, response = std::move(response)] { self->Reply(session, response); });
-    });
+    };
+    // Whether a request that failed has had an effect is not known, so it gets no response.
+    const bool is_handled =
+        RunGuarded("http-request", [&] { handler(std::move(request), std::move(reply)); });
+    if (!is_handled && session->phase == Phase::kHandling) EndSession(session);
   }
 
   void Reply(const SessionPtr& session, const HttpResponse& response) {
--- a/src/runtime.cc
+++ b/src/runtime.cc
@@ -13,6 +13,7 @@
 #include <thread>
 #include <vector>
 
+#include "citronsill/guard.h"
 #include "net.h"
 
 namespace citronsill {
@@ -31,6 +32,12 @@
   asio::signal_set reload_signals;
   std::vector<std::thread> threads;
 
+  // An exception that escapes from an event ends `run`; the other events are still to be handled.
+  void Run() {
+    while (!RunGuarded("event", [this] { context.run(); })) {
+    }
+  }
+
   void WaitForSignal(const std::shared_ptr<std::function<void(int)>>& handler) {
     signals.async_wait([this, handler](boost::system::error_code error, int number) {
       if (error) return;
@@ -62,11 +69,11 @@
 
 void Runtime::Start() {
   for (unsigned i = 0; i < m_impl->thread_count; ++i) {
-    m_impl->threads.emplace_back([this] { m_impl->context.run(); });
+    m_impl->threads.emplace_back([this] { m_impl->Run(); });
   }
 }
 
-void Runtime::Run() { m_impl->context.run(); }
+void Runtime::Run() { m_impl->Run(); }
 
 void Runtime::Stop() {
   m_impl->work.reset();
--- a/src/timer.cc
+++ b/src/timer.cc
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "citronsill/guard.h"
 #include "net.h"
 
 namespace citronsill {
@@ -68,7 +69,7 @@
         if (!subscriptions.contains(subscription->id)) continue;
         if (subscription->period.count() == 0) subscriptions.erase(subscription->id);
       }
-      subscription->handler(now);
+      RunGuarded("timer", [&] { subscription->handler(now); });
       if (subscription->period.count() == 0) continue;
       std::lock_guard lock(mutex);
       if (!subscriptions.contains(subscription->id)) continue;
--- a/tools/citronsill_node.cc
+++ b/tools/citronsill_node.cc
@@ -1,4 +1,6 @@
 // Main program of a node of a cell on the users' platform.
+#include <google/protobuf/stubs/logging.h>
+
 #include <boost/program_options.hpp>
 #include <cstdlib>
 #include <filesystem>
@@ -9,6 +11,7 @@
 #include "cell/metrics.h"
 #include "cell/node.h"
 #include "cell/node_settings.h"
+#include "citronsill/guard.h"
 #include "platform/platform.h"
 
 namespace options = boost::program_options;
@@ -147,6 +150,16 @@
   if (auto log = StartNodeLog(file.value().node.instance, file.value().node.log_level); !log) {
     return Fail(log.error());
   }
+  SetFailureHandler([](std::string_view handler, std::string_view reason) {
+    Log(LogLevel::kError, "handler-failed")
+        .Field("handler", std::string(handler))
+        .Field("reason", std::string(reason));
+    NodeMetrics::Get().CountHandlerFailure(std::string(handler));
+  });
+  google::protobuf::SetLogHandler(
+      [](google::protobuf::LogLevel, const char*, int, const std::string& text) {
+        Log(LogLevel::kWarn, "message-invalid").Field("reason", text);
+      });
   auto runtime = Runtime::Create(1);
   if (!runtime) return Fail(runtime.error());
   auto timers = TimerService::Create(*runtime.value());
