Start nothing on the ground of an old list of workers; an unknown outcome outranks no effect

The view of a table now knows as of when it is current: when the answered call was sent, or its wait ended. Older than worker_drain_ms (the platform's drainMs) less 300 ms, nothing is planned or sent (starts-paused, worker_list_age_seconds); that is checked again before each send, so that a pause of the process in between counts.

Callers of commits treat both alike today: the commit log repeats the transaction, a claim reads the rows.

Tests that fail without the change: follower 'a view is as old as the call that brought it', scheduler 'nothing is planned or started while the list is too old', relay 'of the two errors ...'.

--- a/cell/fleet.cc
+++ b/cell/fleet.cc
@@ -210,6 +210,10 @@
       worker->description.draining || !m_hooks.may_lead()) {
     return VoidOrder(order, VoidReason::kNeverSent);
   }
+  // The worker may have been draining for long, and this process may have been frozen meanwhile.
+  if (m_hooks.worker_list_is_current && !m_hooks.worker_list_is_current()) {
+    return VoidOrder(order, VoidReason::kNeverSent);
+  }
   // The ticket expired while the assignment was being stored, so the worker would refuse the start.
   if (m_hooks.now() > order->ticket_until) return VoidOrder(order, VoidReason::kNeverSent);
   SetState(order, OrderState::kSending);
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -78,6 +78,8 @@
   Clock now;
   /// Whether this instance may still act as the scheduler.
   std::function<bool()> may_lead;
+  /// Whether the list of workers is recent enough to start tasks. May be empty.
+  std::function<bool()> worker_list_is_current = nullptr;
   /// Calls to workers. Results are passed to `OnStart`, `OnStop` and `OnHold` with the id
   /// that is the last argument of the hook. A stop of a run without an order has the id 0; its
   /// result is ignored.
--- a/cell/follower.cc
+++ b/cell/follower.cc
@@ -31,6 +31,7 @@
   TableReader reader;
   std::uint64_t version = 0;
   SteadyTime heard = hooks.now();
+  SteadyTime current_as_of = hooks.now();
   milliseconds backoff{0};
   const char* call = "none";
   SteadyTime call_began = hooks.now();
@@ -72,6 +73,7 @@
         .Field("failures", failures);
     loaded = true;
     heard = hooks.now();
+    current_as_of = call_began;
     version = page.version;
     hooks.on_snapshot(page.rows);
     if (!stopped) Follow();
@@ -79,7 +81,7 @@
 
   void Follow() {
     BeginCall("feed");
-    store->Follow(table, version, kFeedWait,
+    store->Follow(table, version, hooks.wait,
                   [self = shared_from_this()](const Result<RowPage>& page) {
                     if (self->stopped) return;
                     if (page) return self->OnChanges(page.value());
@@ -94,6 +96,9 @@
   void OnChanges(const RowPage& page) {
     Succeed();
     heard = hooks.now();
+    // Without a change, the store has answered only after the wait.
+    const bool has_waited = page.rows.empty() && Since(call_began) >= hooks.wait;
+    current_as_of = call_began + (has_waited ? hooks.wait : milliseconds(0));
     version = std::max(version, page.version);
     for (const Row& row : page.rows) {
       if (row.key.part != part) continue;
@@ -160,6 +165,8 @@
 
 SteadyTime TableFollower::Heard() const { return m_impl->heard; }
 
+SteadyTime TableFollower::CurrentAsOf() const { return m_impl->current_as_of; }
+
 FollowerStatus TableFollower::Status() const { return m_impl->Status(); }
 
 }  // namespace citronsill
--- a/cell/follower.h
+++ b/cell/follower.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "cell/limits.h"
 #include "cell/store.h"
 #include "citronsill/timer.h"
 
@@ -22,6 +23,8 @@
   std::function<void(const Row& row)> on_change;
   /// Minimum time between two calls for changes, so that one brings many.
   milliseconds min_period{0};
+  /// How long the store may wait with its answer while nothing changes.
+  milliseconds wait = kFeedWait;
 };
 
 /// How current a local view is, and which call is to bring the next change.
@@ -45,6 +48,10 @@
   /// @returns when the store last answered without an error, by `BootNow`; before the first such
   /// answer, when the follower was created.
   [[nodiscard]] SteadyTime Heard() const;
+  /// @returns a time before which nothing has changed that the view does not show: when the last
+  /// answered call was sent, or its wait ended. An answer that this process handled late is not
+  /// newer for that.
+  [[nodiscard]] SteadyTime CurrentAsOf() const;
   [[nodiscard]] FollowerStatus Status() const;
 
  private:
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -61,7 +61,8 @@
   ReadGate read_gate{BootNow};
   bool loaded = false;
   bool lost = false;
-  bool releasing = false;  // The transaction that releases the shard was built.
+  bool releasing = false;      // The transaction that releases the shard was built.
+  bool starts_paused = false;  // The list of workers is too old.
   bool plan_pending = false;
   SteadyTime plan_due{};  // When the pending planning pass is due.
   PassMeter pass_meter;
@@ -136,6 +137,7 @@
     scheduler_hooks.now = BootNow;
     scheduler_hooks.wall = [] { return std::chrono::system_clock::now(); };
     scheduler_hooks.may_lead = [this] { return MayLead(); };
+    scheduler_hooks.worker_list_is_current = [this] { return IsWorkerListCurrent(); };
     scheduler_hooks.start = [this](const Worker& worker, StartOrder order, std::uint64_t id) {
       SendStart(worker, std::move(order), id);
     };
@@ -289,10 +291,32 @@
     };
     follower_hooks.after = DelayThrough(timers);
     follower_hooks.min_period = kWorkerListPeriod;
+    follower_hooks.wait = kWorkerListWait;
     worker_list = TableFollower::Create(store, platform.worker_table.table,
                                         platform.worker_table.part, std::move(follower_hooks));
   }
 
+  [[nodiscard]] milliseconds WorkerListAge() const {
+    const SteadyTime as_of = worker_list ? worker_list->CurrentAsOf() : began;
+    return std::chrono::duration_cast<milliseconds>(BootNow() - as_of);
+  }
+
+  // Draining workers are only told apart by the list. While it is too old, nothing is started.
+  bool IsWorkerListCurrent() {
+    const milliseconds age = WorkerListAge();
+    const bool is_current = age < settings.worker_drain - kWorkerListMargin;
+    if (is_current == starts_paused) {
+      starts_paused = !is_current;
+      Log(is_current ? LogLevel::kInfo : LogLevel::kWarn,
+          is_current ? "starts-resumed" : "starts-paused")
+          .Field("shard", options.shard)
+          .Field("reason", "worker-list-stale")
+          .Field("list_age_ms", age)
+          .Field("limit_ms", settings.worker_drain - kWorkerListMargin);
+    }
+    return is_current;
+  }
+
   // @returns whether the row names a worker to use.
   bool ApplyWorkerRow(const Row& row) {
     const Worker* known = scheduler->Workers().Find(row.key.key);
@@ -475,6 +499,8 @@
     metrics.SetGauge("plan_passes", plans.passes);
     metrics.SetGauge("plan_max_seconds", static_cast<double>(plans.max_duration.count()) / 1e6);
     set_seconds("plan_late_seconds", plan_late);
+    set_seconds("worker_list_age_seconds", WorkerListAge());
+    metrics.SetGauge("starts_paused", starts_paused ? 1.0 : 0.0);
     set_seconds("oldest_effect_seconds", backlog.oldest_effect);
     set_seconds("oldest_change_seconds", backlog.oldest_change);
     set_seconds("oldest_call_seconds", open_calls.Oldest(now));
@@ -500,6 +526,7 @@
         .Field("plan_last_us", static_cast<std::int64_t>(plans.last_duration.count()))
         .Field("plan_max_us", static_cast<std::int64_t>(plans.max_duration.count()))
         .Field("plan_late_ms", plan_late)
+        .Field("list_age_ms", WorkerListAge())
         .Field("effects", backlog.effects)
         .Field("oldest_effect_ms", backlog.oldest_effect)
         .Field("changes", backlog.changes)
--- a/cell/limits.h
+++ b/cell/limits.h
@@ -131,6 +131,11 @@
 // Minimum time between calls for changes of the list of workers: hundreds of workers write their
 // heartbeats there, and what matters is known in seconds.
 inline constexpr std::chrono::milliseconds kWorkerListPeriod{100};
+// Longest wait of a call for changes of that list, so that its age tells of a failure soon.
+inline constexpr std::chrono::milliseconds kWorkerListWait{250};
+// Starts stop this long before the time in which a draining worker has to be left alone: the time
+// for a start to arrive.
+inline constexpr std::chrono::milliseconds kWorkerListMargin{300};
 // The list of workers counts as stale after three waits for its changes without news.
 inline constexpr std::chrono::milliseconds kWorkerListStaleAfter{3000};
 // Planning counts as late after ten ticks without a pass; each tick requests one.
--- a/cell/node_settings.cc
+++ b/cell/node_settings.cc
@@ -167,6 +167,7 @@
   fields.Bandwidth("link_mbps", &node.link_mbps);
   fields.OneOf("log_level", {"debug", "info", "warn", "error"}, &node.log_level);
   fields.Duration("max_lease_ms", milliseconds(1), kMinLease, &node.max_lease);
+  fields.Duration("worker_drain_ms", milliseconds(1), milliseconds(1000), &node.worker_drain);
   fields.Duration("gang_time_ms", milliseconds(1), milliseconds(1), &node.gang_time);
   fields.Duration("keep_finished_s", milliseconds(1000), milliseconds(0), &node.keep_finished);
   fields.Duration("drain_time_s", milliseconds(1000), milliseconds(0), &node.drain_time);
--- a/cell/relay.cc
+++ b/cell/relay.cc
@@ -1,5 +1,7 @@
 #include "cell/relay.h"
 
+#include <optional>
+
 #include "cell/limits.h"
 #include "cell/log.h"
 
@@ -145,21 +147,27 @@
 }
 
 // Sends a transaction over both paths. One of the two may fail on its conditions because the other
-// has already taken effect; the caller recognizes that by the rows that are returned.
+// has already taken effect; the caller recognizes that by the rows that are returned. If both fail,
+// an unknown outcome of either outranks that the other has had no effect.
 void RelayedStore::CommitBoth(const LinkPtr& link, RowTransaction transaction, milliseconds timeout,
                               CommitDone done) {
   struct Race {
     CommitDone done;
     int pending = 2;
+    std::optional<Error> unknown;  // Of the path that failed first.
   };
   auto race = std::make_shared<Race>();
   race->done = std::move(done);
   auto finish = [race](const Result<CommitOutcome>& result) {
     --race->pending;
-    if (!race->done || (!result && race->pending > 0)) return;
+    if (!race->done) return;
+    if (!result && race->pending > 0) {
+      if (result.error().code != schema::CODE_TABLE_UNAVAILABLE) race->unknown = result.error();
+      return;
+    }
     const CommitDone first_done = std::move(race->done);
     race->done = nullptr;
-    first_done(result);
+    first_done(!result && race->unknown ? Result<CommitOutcome>(*race->unknown) : result);
   };
   // A faster relayed call counts as a failure of the own path, which may not be answering at all.
   auto relayed = [this, race, finish](const Result<CommitOutcome>& result) {
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -43,6 +43,9 @@
   std::function<WallTime()> wall;
   /// Whether this instance may still act as the scheduler.
   std::function<bool()> may_lead;
+  /// @returns whether the list of workers is so recent that every worker in it which has been
+  /// draining for the time allowed shows it. Without it, nothing is started. May be empty.
+  std::function<bool()> worker_list_is_current = nullptr;
   /// Calls to workers. Results are passed to `Workers()`.
   std::function<void(const Worker&, StartOrder, std::uint64_t order)> start;
   std::function<void(const Worker&, const TaskRef&, std::uint64_t run, std::uint64_t order)> stop;
--- a/cell/settings.h
+++ b/cell/settings.h
@@ -32,7 +32,9 @@
   milliseconds max_lease{5000};        ///< Longest lease that workers grant.
   milliseconds gang_time{3000};        ///< How long members of a gang wait for the others.
   milliseconds keep_finished{120000};  ///< How long the state of an ended job can be queried.
-  milliseconds drain_time{4000};       ///< Time from SIGTERM until the process must have ended.
+  /// A worker gets no new task from this long after it announced that it drains.
+  milliseconds worker_drain{4000};
+  milliseconds drain_time{4000};  ///< Time from SIGTERM until the process must have ended.
 };
 
 /// One version of the configuration. Immutable.
--- a/tests/cell/follower_test.cc
+++ b/tests/cell/follower_test.cc
@@ -83,5 +83,53 @@
   }
 }
 
+// Guards against DRAIN on the large site: a scheduler that lagged by seconds took the list of
+// workers for current because it had just handled an answer, and started tasks on workers that
+// drained.
+TEST_CASE("follower: a view is as old as the call that brought it, however late it was handled") {
+  Loop loop(1);
+  OutageStore store(loop);
+  REQUIRE(Write(store.rows, "old"));
+  const View view(loop, store);
+  loop.RunFor(milliseconds(5000));
+  const auto age = [&] { return loop.Now() - view.follower->CurrentAsOf(); };
+  CHECK(age() <= kFeedWait + 2 * store.latency);
+  store.SetSilent(true);
+  loop.RunFor(milliseconds(3000));
+  CHECK(age() >= milliseconds(3000));
+  store.SetSilent(false);
+  // The answer to a read that takes 4 s is 4 s old when it arrives.
+  store.latency = milliseconds(4000);
+  const SteadyTime returned = loop.Now();
+  loop.RunFor(milliseconds(5500));
+  CHECK(view.follower->CurrentAsOf() <= returned + kMaxReadRepeat);
+}
+
+// Guards against a call for each heartbeat of a worker.
+TEST_CASE("follower: calls for changes keep their minimum distance") {
+  Loop loop(1);
+  OutageStore store(loop);
+  FollowerHooks hooks;
+  hooks.now = [&loop] { return loop.Now(); };
+  hooks.after = [&loop](milliseconds delay, std::function<void()> action) {
+    loop.After(delay, std::move(action));
+  };
+  hooks.min_period = milliseconds(100);
+  int changes = 0;
+  hooks.on_snapshot = [](const std::vector<Row>&) {};
+  hooks.on_change = [&changes](const Row&) { ++changes; };
+  const auto follower = TableFollower::Create(&store, "op", "", std::move(hooks));
+  loop.RunFor(milliseconds(50));
+  std::set<std::uint64_t> versions;
+  for (int i = 0; i < 200; ++i) {
+    REQUIRE(Write(store.rows, std::to_string(i)));
+    loop.RunFor(milliseconds(5));
+    versions.insert(follower->Status().version);
+  }
+  loop.RunFor(milliseconds(200));
+  CHECK(changes > 0);
+  CHECK(versions.size() <= 12);
+}
+
 }  // namespace
 }  // namespace citronsill
--- a/tests/cell/relay_test.cc
+++ b/tests/cell/relay_test.cc
@@ -18,6 +18,11 @@
   explicit PeerLink(Loop& loop) : m_loop(loop) {}
   void Send(schema::LinkMessage) override {}
   void Call(schema::LinkMessage, milliseconds timeout, Reply done) override {
+    if (breaks) {
+      return m_loop.After(milliseconds(2), [done] {
+        done(Error{schema::CODE_CONNECTION_CLOSED, "the link was closed"});
+      });
+    }
     if (refuses) {
       schema::LinkMessage refusal;
       refusal.mutable_store_reply()->set_code(schema::CODE_TABLE_UNAVAILABLE);
@@ -35,6 +40,7 @@
   [[nodiscard]] const schema::Ping& LastPing() const override { return m_ping; }
 
   bool refuses = false;
+  bool breaks = false;  // Is closed while a call waits, which may still be carried out.
   std::vector<schema::LinkMessage> answers;
 
  private:
@@ -121,6 +127,32 @@
   CHECK(is_committed);
 }
 
+// Guards against "no effect" as the outcome of a transaction that another instance may have carried
+// out: its answer was lost, and the own path was refused after that (issue 23).
+TEST_CASE("relay: of the two errors of a transaction sent both ways, an unknown outcome counts") {
+  for (const int own_latency_ms : {1, 50}) {  // The own path fails before or after the other one.
+    CAPTURE(own_latency_ms);
+    Instance instance(true);
+    instance.peer->breaks = true;
+    instance.store.refuses = true;
+    RowTransaction transaction;
+    transaction.writes = {Row{RowKey{"op", "", "config"}, "new"}};
+    const auto commit = [&] {
+      schema::Code code{};
+      instance.relayed->Commit(
+          transaction, milliseconds(1000),
+          [&](const Result<CommitOutcome>& outcome) { code = outcome.error().code; });
+      instance.loop.RunFor(milliseconds(200));
+      return code;
+    };
+    // A failed commit makes the own path suspect: the next one is sent both ways.
+    CHECK(commit() == schema::CODE_TABLE_UNAVAILABLE);
+    REQUIRE(instance.relayed->OwnPathWorks());
+    instance.store.latency = milliseconds(own_latency_ms);
+    CHECK(commit() == schema::CODE_COMMIT_UNKNOWN);
+  }
+}
+
 // Guards against an instance that goes on relaying its reads to one that answers nothing, although
 // its own path to the store is back.
 TEST_CASE("relay: a change after a silent outage is in force in time at an instance that relays") {
--- a/tests/cell/scheduler_test.cc
+++ b/tests/cell/scheduler_test.cc
@@ -29,7 +29,8 @@
     hooks.now = [this] { return now; };
     hooks.wall = [this] { return WallTime(now.time_since_epoch()); };
     hooks.may_lead = [] { return true; };
-    hooks.start = [](const Worker&, const StartOrder&, std::uint64_t) {};
+    hooks.worker_list_is_current = [this] { return list_is_current; };
+    hooks.start = [this](const Worker&, const StartOrder&, std::uint64_t) { ++starts; };
     hooks.stop = [](const Worker&, const TaskRef&, std::uint64_t, std::uint64_t) {};
     hooks.hold = [this](const Worker& worker, const HoldOrder&, std::uint64_t id) {
       if (worker.attached) return;
@@ -99,6 +100,8 @@
   std::vector<std::uint64_t> holds;    // Unanswered first holds of workers.
   std::vector<FirstHold> first_holds;  // The same, for tests that answer only some of them.
   std::vector<AdviceRequest> open_requests;
+  bool list_is_current = true;
+  int starts = 0;
   std::unique_ptr<Scheduler> scheduler;
 };
 
@@ -281,5 +284,40 @@
   }));
 }
 
+// Guards against DRAIN on the large site, and against a process that was paused between the
+// decision and the start: a task starts only on the ground of a list of workers that is current
+// when it starts.
+TEST_CASE("scheduler: nothing is planned or started while the list of workers is too old") {
+  Fixture fixture(1);
+  fixture.AddWorkers();
+  for (const auto& [id, worker] : fixture.scheduler->Workers().Workers()) {
+    HoldAnswer answer;
+    answer.born_unix_ms = 1000;
+    answer.clock = WorkerTime{milliseconds(1000)};
+    worker->clock = answer.clock;
+    worker->clock_at = fixture.now;
+  }
+  schema::JobSpec spec = MakeGangJob();
+  spec.mutable_queue()->clear_advice();
+  spec.mutable_steps(0)->set_gang(false);
+  fixture.scheduler->Submit(spec, milliseconds(0), [](const auto&) {});
+  fixture.Store();
+  fixture.list_is_current = false;
+  fixture.scheduler->Plan();
+  CHECK(fixture.scheduler->Workers().OrderCount() == 0);
+  fixture.list_is_current = true;
+  fixture.scheduler->Plan();
+  REQUIRE(fixture.scheduler->Workers().OrderCount() == 11);
+  // The process is paused while the assignments are stored.
+  fixture.list_is_current = false;
+  fixture.Store();
+  CHECK(fixture.starts == 0);
+  CHECK(fixture.scheduler->Workers().OrderCount() == 0);
+  fixture.list_is_current = true;
+  fixture.scheduler->Plan();
+  fixture.Store();
+  CHECK(fixture.starts == 11);
+}
+
 }  // namespace
 }  // namespace citronsill
