Give a worker whose answers are late more time instead of giving its runs up

A worker that answered after 300 ms or more counted as silent for good; its leases were not renewed any more, and its runs lapsed after 5 s and were started elsewhere. Each failed hold now gives the next one four times the time, up to 1.5 s, and a silent worker is asked for an answer at once instead of at the next end.

Found by reading for the same hazard: an entry with the id of a worker and another address ended all its runs at once, although it may come from another writer. Only a later start of the worker, in the list or in an answer, does so now.

--- a/cell/fleet.cc
+++ b/cell/fleet.cc
@@ -110,9 +110,9 @@
   // The list may lag behind and still describe an earlier incarnation that is known to have ended.
   const std::int64_t known_born = worker->description.born_unix_ms;
   const bool is_new_incarnation = known_born != 0 && description.born_unix_ms > known_born;
-  const bool moved =
-      !worker->description.address.empty() && worker->description.address != description.address;
-  if (is_new_incarnation || moved) EndIncarnation(worker);
+  // Another address alone does not prove that the incarnation has ended: the entry may come from
+  // another writer. What answers there tells its own start.
+  if (is_new_incarnation) EndIncarnation(worker);
   worker->description = description;
   ++m_change_number;
   worker->rack = 0;
@@ -326,6 +326,7 @@
   Worker* worker = Find(hold.worker);
   if (worker == nullptr || worker->incarnation != hold.incarnation) return;
   if (!hold.waits) RecordCallTime(*worker, hold.sent, result.has_value());
+  AdaptHoldTimeout(worker, hold, result.has_value());
   (hold.is_status_query ? worker->status_query_in_flight : worker->hold_in_flight) = false;
   const bool was_attaching = !hold.is_status_query && std::exchange(worker->attaching, false);
   if (was_attaching) --m_attaching;
@@ -519,6 +520,7 @@
   worker->last_end = 0;
   worker->acknowledged = 0;
   worker->hold_in_flight = false;
+  worker->hold_timeout = milliseconds(0);
   worker->status_query_in_flight = false;
   if (std::exchange(worker->attaching, false)) --m_attaching;
   worker->stray_runs.clear();
@@ -550,6 +552,19 @@
   m_calls.Add(std::chrono::duration_cast<milliseconds>(m_hooks.now() - sent));
 }
 
+// A worker that answers, but later than the others, is not given up: each hold that fails gives the
+// next one more time. With the time-out of the others its leases would never be renewed again.
+void Fleet::AdaptHoldTimeout(Worker* worker, const Hold& hold, bool answered) {
+  if (!answered) {
+    worker->hold_timeout =
+        std::min(std::max(m_calls.Timeout(), worker->hold_timeout) * kHoldTimeoutFactor,
+                 kMaxWorkerCallTimeout);
+    return;
+  }
+  const auto took = std::chrono::duration_cast<milliseconds>(m_hooks.now() - hold.sent);
+  if (!hold.waits && took * kCallTimeFactor < worker->hold_timeout) worker->hold_timeout /= 2;
+}
+
 void Fleet::OnWorkerCallFailed(Worker* worker) {
   if (worker->silent) return;
   worker->silent = true;
@@ -605,9 +620,11 @@
     order.lease_until = EstimateClock(*worker) + m_lease;
     worker->lease_sent = std::max(worker->lease_sent, order.lease_until);
   }
-  const bool waits =
-      !is_status_query && worker->attached && worker->last_end == worker->acknowledged;
+  // A worker that was late is asked for an answer at once: its leases are running out.
+  const bool waits = !is_status_query && worker->attached && !worker->silent &&
+                     worker->last_end == worker->acknowledged;
   order.wait = waits ? kHoldWait : milliseconds(0);
+  order.timeout = std::max(m_calls.Timeout(), worker->hold_timeout);
   if (!is_status_query && !worker->attached) {
     worker->attaching = true;
     ++m_attaching;
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -51,7 +51,9 @@
   std::uint64_t acknowledged = 0;        ///< Highest number of an end that the worker may drop.
   SteadyTime next_hold{};                ///< When the next hold is due.
   SteadyTime heard{};                    ///< When it last answered.
-  milliseconds hold_retry{0};            ///< Current delay before a failed hold is repeated.
+  /// Least time-out of its holds: longer than usual for a worker that was late with an answer.
+  milliseconds hold_timeout{0};
+  milliseconds hold_retry{0};  ///< Current delay before a failed hold is repeated.
   bool hold_in_flight = false;
   bool status_query_in_flight = false;
   bool status_query_wanted = false;  ///< Another status query is needed after the one in flight.
@@ -198,6 +200,7 @@
   void OnWorkerAnswered(Worker* worker, const std::optional<WorkerTime>& clock);
   void OnWorkerCallFailed(Worker* worker);
   void RecordCallTime(const Worker& worker, SteadyTime sent, bool answered);
+  void AdaptHoldTimeout(Worker* worker, const Hold& hold, bool answered);
   void SendHold(Worker* worker, bool is_status_query);
   void AttachNext();
   void BoundEarlierLeases(Worker* worker, const std::optional<WorkerTime>& clock);
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -395,7 +395,7 @@
   void SendHold(const Worker& worker, const HoldOrder& order, std::uint64_t id) {
     const auto link = GetOrCreateLink(worker);
     if (!link) return ReportUnreachable(&Fleet::OnHold, id);
-    link->Hold(order, order.wait + CallTimeout(), ForwardResult(&Fleet::OnHold, id));
+    link->Hold(order, order.wait + order.timeout, ForwardResult(&Fleet::OnHold, id));
   }
 
   // ---- Planning
--- a/cell/limits.h
+++ b/cell/limits.h
@@ -65,6 +65,9 @@
 // Minimum and maximum pause between holds to a worker that does not answer.
 inline constexpr std::chrono::milliseconds kHoldRetryMin{100};
 inline constexpr std::chrono::milliseconds kHoldRetryMax{500};
+// Each hold of a worker that fails gives the next one this many times the time, so that a worker
+// that is late by up to `kMaxWorkerCallTimeout` is heard before its lease of 5 s ends.
+inline constexpr int kHoldTimeoutFactor = 4;
 // Pause before a stop without effect is repeated.
 inline constexpr std::chrono::milliseconds kStopRetry{300};
 
--- a/cell/worker.h
+++ b/cell/worker.h
@@ -105,6 +105,7 @@
   std::uint64_t acknowledged = 0;  ///< The worker may drop ends up to this number.
   WorkerTime lease_until;          ///< New end of the lease of all runs; 0 for no renewal.
   milliseconds wait{0};            ///< The worker answers after this time or at the next end.
+  milliseconds timeout{0};         ///< The call is given up this long after `wait`.
 };
 
 struct HoldAnswer {
--- a/tests/cell/cell.h
+++ b/tests/cell/cell.h
@@ -33,6 +33,7 @@
 struct WorkerNode {
   std::string id;
   bool listed = true;
+  milliseconds hold_delay{0};  // Added to the answer to each hold.
   std::shared_ptr<WorkerProcess> process;
   std::set<int> cut_from;  // Numbers of the instances that cannot reach it.
 };
@@ -652,7 +653,7 @@
   const auto deliver = [this, at = epoch, complete](const Result<HoldAnswer>& result) {
     Deliver(at, [complete, result] { complete(result); });
   };
-  DeliverAfter(order.wait + scheduler->Workers().Calls().Timeout(), [complete] {
+  DeliverAfter(order.wait + order.timeout, [complete] {
     complete(Error{schema::CODE_WORKER_UNREACHABLE, "no answer"});
   });
   if (process->dead || m_cell.nodes[worker].cut_from.contains(number)) return;
@@ -661,14 +662,16 @@
     if (process->dead) return;
     const std::optional<HoldAnswer> answer = process->Hold(order);
     if (answer) {
-      loop.After(latency, [deliver, answer] { deliver(*answer); });
+      loop.After(latency + m_cell.nodes[worker].hold_delay,
+                 [deliver, answer] { deliver(*answer); });
       return;
     }
     auto woken = std::make_shared<bool>(false);
     const auto wake = [this, &loop, worker, process, deliver, latency, woken] {
       if (std::exchange(*woken, true) || process->dead) return;
       if (m_cell.nodes[worker].cut_from.contains(number)) return;
-      loop.After(latency, [deliver, status = process->Status()] { deliver(status); });
+      loop.After(latency + m_cell.nodes[worker].hold_delay,
+                 [deliver, status = process->Status()] { deliver(status); });
     };
     process->on_end = wake;
     loop.After(order.wait, wake);
--- a/tests/cell/model_test.cc
+++ b/tests/cell/model_test.cc
@@ -47,6 +47,25 @@
   CheckAllEnd(cell, {"job"});
 }
 
+// A worker that is only late with its answers keeps its work (the operators' first hazard): with a
+// time-out that follows the other workers, it counted as silent, its leases were not renewed, and
+// its runs were given up after 5 s.
+TEST_CASE("cell: the runs of a worker whose answers are late go on") {
+  for (const int late_ms : {300, 600, 1200}) {
+    CAPTURE(late_ms);
+    Cell cell(12, 1, 6, Resources{8000, 8000, 0});
+    TaskBehavior behavior;
+    behavior.duration = milliseconds(15000);
+    cell.loop.After(milliseconds(1000), [&] { cell.Submit(cell.MakeJob("job", 24, behavior)); });
+    cell.loop.After(milliseconds(2500),
+                    [&] { cell.nodes["w0"].hold_delay = milliseconds(late_ms); });
+    cell.loop.RunFor(seconds(30));
+    CheckHistory(cell.history);
+    CheckAllEnd(cell, {"job"});
+    CHECK(cell.history.starts == 24);
+  }
+}
+
 // Guards against the violation TWICE: a worker is unreachable until its lease is considered
 // expired, and then reports that the run had succeeded before. The end was acknowledged but
 // ignored, and the task ran again.
--- a/tests/cell/scheduler_test.cc
+++ b/tests/cell/scheduler_test.cc
@@ -319,5 +319,38 @@
   CHECK(fixture.starts == 11);
 }
 
+// Guards against runs that are taken as over, and started again elsewhere, because an entry with
+// the worker's id names another address: only another incarnation that answers proves that.
+TEST_CASE("scheduler: another address in the list does not end the runs of a worker") {
+  Fixture fixture(1);
+  fixture.AddWorkers();
+  for (const auto& [id, worker] : fixture.scheduler->Workers().Workers()) {
+    worker->clock = WorkerTime{milliseconds(1000)};
+    worker->clock_at = fixture.now;
+  }
+  schema::JobSpec spec = MakeGangJob();
+  spec.mutable_queue()->clear_advice();
+  spec.mutable_steps(0)->set_gang(false);
+  fixture.scheduler->Submit(spec, milliseconds(0), [](const auto&) {});
+  fixture.Store();
+  fixture.scheduler->Plan();
+  fixture.Store();
+  REQUIRE(fixture.starts == 11);
+  const std::size_t orders = fixture.scheduler->Workers().OrderCount();
+  std::vector<WorkerDescription> moved;
+  for (const auto& [id, worker] : fixture.scheduler->Workers().Workers()) {
+    moved.push_back(worker->description);
+    moved.back().address = "elsewhere";
+    moved.back().born_unix_ms = 0;
+  }
+  for (const WorkerDescription& worker : moved) fixture.scheduler->Workers().Put(worker);
+  CHECK(fixture.scheduler->Workers().OrderCount() == orders);
+  // A later incarnation in the list does.
+  moved[0].born_unix_ms = 5000;
+  const std::size_t on_first = fixture.scheduler->Workers().Find(moved[0].id)->orders.size();
+  fixture.scheduler->Workers().Put(moved[0]);
+  CHECK(fixture.scheduler->Workers().OrderCount() == orders - on_first);
+}
+
 }  // namespace
 }  // namespace citronsill
