--- a/cell/follower.cc
+++ b/cell/follower.cc
@@ -1,6 +1,7 @@
 #include "cell/follower.h"
 
 #include <algorithm>
+#include <string_view>
 
 #include "cell/limits.h"
 #include "cell/log.h"
@@ -32,10 +33,12 @@
   std::uint64_t version = 0;
   SteadyTime heard = hooks.now();
   SteadyTime current_as_of = hooks.now();
+  milliseconds feed_wait{0};  // Wait of the last call for changes.
   milliseconds backoff{0};
   const char* call = "none";
   SteadyTime call_began = hooks.now();
   std::uint32_t failures = 0;
+  std::uint64_t pauses = 0;  // Number of the last pause before a read.
   bool loaded = false;
   bool failing = false;
   bool stopped = false;
@@ -76,29 +79,32 @@
     current_as_of = call_began;
     version = page.version;
     hooks.on_snapshot(page.rows);
-    if (!stopped) Follow();
+    if (stopped) return;
+    // The read may have begun long before the store answered. Changes are asked for without a wait,
+    // which tells that the rows are current.
+    Follow(Since(call_began) > hooks.wait ? kFirstFeedWait : hooks.wait);
   }
 
-  void Follow() {
+  void Follow(milliseconds wait) {
     BeginCall("feed");
-    store->Follow(table, version, hooks.wait,
-                  [self = shared_from_this()](const Result<RowPage>& page) {
-                    if (self->stopped) return;
-                    if (page) return self->OnChanges(page.value());
-                    if (page.error().code != schema::CODE_NOT_FOUND) {
-                      return self->Fail(page.error());
-                    }
-                    // The store dropped its history, for all instances at once: spread their reads.
-                    self->LoadLater(milliseconds(self->hooks.random() % kReloadSpread.count()));
-                  });
+    feed_wait = wait;
+    store->Follow(table, version, wait, [self = shared_from_this()](const Result<RowPage>& page) {
+      if (self->stopped) return;
+      if (page) return self->OnChanges(page.value());
+      if (page.error().code != schema::CODE_NOT_FOUND) {
+        return self->Fail(page.error());
+      }
+      // The store dropped its history, for all instances at once: spread their reads.
+      self->LoadLater(milliseconds(self->hooks.random() % kReloadSpread.count()));
+    });
   }
 
   void OnChanges(const RowPage& page) {
     Succeed();
     heard = hooks.now();
     // Without a change, the store has answered only after the wait.
-    const bool has_waited = page.rows.empty() && Since(call_began) >= hooks.wait;
-    current_as_of = call_began + (has_waited ? hooks.wait : milliseconds(0));
+    const bool has_waited = page.rows.empty() && Since(call_began) >= feed_wait;
+    current_as_of = call_began + (has_waited ? feed_wait : milliseconds(0));
     version = std::max(version, page.version);
     for (const Row& row : page.rows) {
       if (row.key.part != part) continue;
@@ -106,10 +112,10 @@
       if (stopped) return;
     }
     const milliseconds pause = hooks.min_period - Since(call_began);
-    if (pause <= milliseconds(0)) return Follow();
+    if (pause <= milliseconds(0)) return Follow(hooks.wait);
     hooks.after(pause, [weak = weak_from_this()] {
       const auto self = weak.lock();
-      if (self && !self->stopped) self->Follow();
+      if (self && !self->stopped) self->Follow(self->hooks.wait);
     });
   }
 
@@ -143,11 +149,18 @@
 
   void LoadLater(milliseconds delay) {
     BeginCall("none");
-    hooks.after(delay, [weak = weak_from_this()] {
+    hooks.after(delay, [weak = weak_from_this(), pause = ++pauses] {
       const auto self = weak.lock();
-      if (self && !self->stopped) self->Load();
+      if (self && !self->stopped && self->pauses == pause) self->Load();
     });
   }
+
+  void OnStoreAnswers() {
+    if (call == std::string_view("read")) reader.RepeatNow();
+    if (call != std::string_view("none")) return;
+    ++pauses;
+    Load();
+  }
 };
 
 std::unique_ptr<TableFollower> TableFollower::Create(RowStore* store, std::string table,
@@ -167,6 +180,8 @@
 
 SteadyTime TableFollower::CurrentAsOf() const { return m_impl->current_as_of; }
 
+void TableFollower::OnStoreAnswers() { m_impl->OnStoreAnswers(); }
+
 FollowerStatus TableFollower::Status() const { return m_impl->Status(); }
 
 }  // namespace citronsill
--- a/cell/follower.h
+++ b/cell/follower.h
@@ -54,6 +54,9 @@
   [[nodiscard]] SteadyTime CurrentAsOf() const;
   [[nodiscard]] FollowerStatus Status() const;
 
+  /// The store is known to answer again: a view that waits for it is read now.
+  void OnStoreAnswers();
+
  private:
   struct Impl;
   explicit TableFollower(std::shared_ptr<Impl> impl);
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -178,6 +178,10 @@
       return scheduler->TakeBatch(kMaxTransactionEntries - 3, kMaxTransactionBytes);
     };
     commit_hooks.on_stored = [this](std::uint64_t position) {
+      // After an outage starts wait for the list of workers, too.
+      if (worker_list && commits->FailingFor() > kRefuseAfterStoreSilence) {
+        worker_list->OnStoreAnswers();
+      }
       scheduler->OnStored(position);
       read_gate.OnConfirmed(commits->Confirmed());
     };
--- a/cell/limits.h
+++ b/cell/limits.h
@@ -277,6 +277,8 @@
 // 30 s, but a connection that fell silent is only noticed after this time, so it stays within the
 // time for a change of the configuration.
 inline constexpr std::chrono::milliseconds kFeedWait{1000};
+// The same right after a read that took longer than the wait.
+inline constexpr std::chrono::milliseconds kFirstFeedWait{1};
 inline constexpr std::chrono::milliseconds kFollowRetryMin{100};
 inline constexpr std::chrono::milliseconds kFollowRetryMax{500};
 // Instances that lost the history of changes read it anew at random times within this period, not
--- a/cell/table_reader.cc
+++ b/cell/table_reader.cc
@@ -103,6 +103,10 @@
 
 TableReader::~TableReader() = default;
 
+void TableReader::RepeatNow() {
+  if (m_impl->done) m_impl->Request();
+}
+
 void TableReader::Read(std::function<void(Result<RowPage>)> done) {
   m_impl->Begin(std::move(done));
 }
--- a/cell/table_reader.h
+++ b/cell/table_reader.h
@@ -26,6 +26,9 @@
   /// failed, the last error of `RowStore::Read`.
   void Read(std::function<void(Result<RowPage>)> done);
 
+  /// Requests the current page of a read in progress again at once: the store is known to answer.
+  void RepeatNow();
+
  private:
   struct Impl;
   std::shared_ptr<Impl> m_impl;
--- a/tests/cell/follower_test.cc
+++ b/tests/cell/follower_test.cc
@@ -105,6 +105,32 @@
   CHECK(view.follower->CurrentAsOf() <= returned + kMaxReadRepeat);
 }
 
+// Guards against starts that pause for another 0.4 to 1 s after an outage, until the list of
+// workers is requested again, although a transaction has shown that the store answers (large
+// trouble-3, 22.2 s).
+TEST_CASE("follower: a view is current at once when the store is known to answer again") {
+  for (int outage_ms = 2000; outage_ms <= 9000; outage_ms += 50) {
+    CAPTURE(outage_ms);
+    Loop loop(1);
+    OutageStore store(loop);
+    REQUIRE(Write(store.rows, "old"));
+    const View view(loop, store);
+    loop.RunFor(milliseconds(3000));
+    store.SetSilent(true);
+    loop.RunFor(milliseconds(outage_ms));
+    store.SetSilent(false);
+    loop.RunFor(milliseconds(5));
+    view.follower->OnStoreAnswers();
+    const SteadyTime returned = loop.Now();
+    const std::size_t reads = store.reads.size();
+    loop.RunFor(4 * store.latency);
+    CHECK(view.follower->CurrentAsOf() >= returned);
+    // The pause that was cut short does not lead to another read.
+    loop.RunFor(milliseconds(1500));
+    CHECK(store.reads.size() <= reads + 1);
+  }
+}
+
 // Guards against a call for each heartbeat of a worker.
 TEST_CASE("follower: calls for changes keep their minimum distance") {
   Loop loop(1);
