Notice a lost answer of a slow store within one and a half times its latency

The time-out of three times the latency, which follows a slow store since, let two transactions take 1.8 and 1.5 s before they were looked up; 504 answers and late work followed. The time-out is one and a half times the latency now, and latencies count as 500 ms at most.

Test: commit 'a lost answer of a slow store is noticed within twice its latency'.

--- a/cell/commit.cc
+++ b/cell/commit.cc
@@ -87,7 +87,8 @@
 // Time-out of one attempt. Adapts to the usual latency: a slow store gets enough time, and a lost
 // reply is detected early.
 milliseconds CommitLog::Timeout() const {
-  const milliseconds base_timeout = std::max(kCommitTimeoutMin, m_latency * kCommitLatencyFactor);
+  const milliseconds base_timeout =
+      std::max(kCommitTimeoutMin, m_latency * kCommitLatencyPercent / 100);
   return std::min(base_timeout * (1 << std::min(m_failures, kMaxTimeoutDoublings)),
                   kCommitTimeoutMax);
 }
@@ -137,7 +138,8 @@
   }
   // A transaction takes no less than a read. How long this one took is not known: its answer may
   // have been lost.
-  m_latency = std::max(m_latency, std::chrono::duration_cast<milliseconds>(m_hooks.now() - sent));
+  const auto read_took = std::chrono::duration_cast<milliseconds>(m_hooks.now() - sent);
+  m_latency = std::max(m_latency, std::min(read_took, kMaxCommitLatency));
   if (page.value().rows.empty() || page.value().rows[0].version != m_head_version) {
     return OnConflict({false, 0, page.value().rows});
   }
@@ -153,7 +155,7 @@
 // The average follows an increase at once, so that a store that has become slow gets more time. It
 // is bounded, since an answer may have waited here while this process was frozen.
 void CommitLog::RecordLatency(milliseconds took) {
-  took = std::min(took, kCommitTimeoutMax / kCommitLatencyFactor);
+  took = std::min(took, kMaxCommitLatency);
   m_latency = std::max(took, m_latency + (took - m_latency) / kLatencyWindow);
 }
 
--- a/cell/limits.h
+++ b/cell/limits.h
@@ -210,8 +210,11 @@
 // answers within 10 ms, and the read that precedes a repetition costs little.
 inline constexpr std::chrono::milliseconds kCommitTimeoutMin{60};
 inline constexpr std::chrono::milliseconds kCommitTimeoutMax{1500};
-// The time-out of a transaction is this multiple of the store's mean latency.
-inline constexpr int kCommitLatencyFactor = 3;
+// The time-out of a transaction is this percentage of the store's mean latency: a slow store
+// answers steadily, and a lost answer is to be noticed soon. Latencies above the second figure
+// count as that.
+inline constexpr int kCommitLatencyPercent = 150;
+inline constexpr std::chrono::milliseconds kMaxCommitLatency{500};
 // The mean latency is averaged over about this many transactions.
 inline constexpr int kLatencyWindow = 4;
 inline constexpr std::uint32_t kMaxTimeoutDoublings = 4;
--- a/tests/cell/commit_outage_test.cc
+++ b/tests/cell/commit_outage_test.cc
@@ -78,10 +78,11 @@
   void Commit(RowTransaction transaction, milliseconds,
               std::function<void(Result<CommitOutcome>)> done) override {
     ++commits;
+    const bool is_lost = loses_every > 0 && commits % loses_every == 0;
     const auto outcome = std::make_shared<CommitOutcome>();
     m_loop.After(milliseconds(100),
                  [this, transaction, outcome] { *outcome = rows.Apply(transaction); });
-    m_loop.After(milliseconds(200), [done, outcome] { done(*outcome); });
+    if (!is_lost) m_loop.After(kSlow, [done, outcome] { done(*outcome); });
   }
   void Read(RowRange range, milliseconds, std::function<void(Result<RowPage>)> done) override {
     m_loop.After(milliseconds(65), [this, range, done] {
@@ -92,8 +93,10 @@
   void Follow(std::string, std::uint64_t, milliseconds,
               std::function<void(Result<RowPage>)>) override {}
 
+  static constexpr milliseconds kSlow{200};
   Store rows;
   int commits = 0;
+  int loses_every = 0;  // The answer to every commit of this number is lost; 0 for none.
 
  private:
   Loop& m_loop;
@@ -113,5 +116,25 @@
   CHECK(store.commits <= transactions + 1);
 }
 
+// Guards against the loss in the incident of dpfc-grid (inc-4bf8), seconds 6.9 to 10.3: while the
+// store was slow, each lost answer was noticed only after three times its latency.
+TEST_CASE("commit: a lost answer of a slow store is noticed within twice its latency") {
+  Loop loop(1);
+  SlowStore store(loop);
+  Writer writer(loop, store);
+  loop.RunFor(milliseconds(2000));
+  store.loses_every = 3;
+  SteadyTime last = writer.stored_at;
+  for (const SteadyTime end = loop.Now() + milliseconds(12000); loop.Now() < end;) {
+    loop.RunFor(milliseconds(5));
+    if (writer.stored_at == last) {
+      // Twice the latency, the read that shows the effect, and one step.
+      REQUIRE(loop.Now() - last <= 2 * SlowStore::kSlow + milliseconds(130 + 30));
+    }
+    last = writer.stored_at;
+  }
+  CHECK_FALSE(writer.is_lost);
+}
+
 }  // namespace
 }  // namespace citronsill
--- a/tests/cell/decoder_fuzz_test.cc
+++ b/tests/cell/decoder_fuzz_test.cc
@@ -28,21 +28,21 @@
 
 // Replaces, removes, repeats or inserts a few pieces of a text.
 std::string Damage(std::string text, std::mt19937* random) {
-  static const std::string kPieces[] = {"{",     "}",
-                                        "[",     "]",
-                                        "\"",    ":",
-                                        ",",     "null",
-                                        "true",  "-1",
-                                        "1e9",   "\\u0",
-                                        "\xff",  "9223372036854775808",
-                                        "1e400", std::string(1, '\0')};
+  static const std::string pieces[] = {"{",     "}",
+                                       "[",     "]",
+                                       "\"",    ":",
+                                       ",",     "null",
+                                       "true",  "-1",
+                                       "1e9",   "\\u0",
+                                       "\xff",  "9223372036854775808",
+                                       "1e400", std::string(1, '\0')};
   const auto below = [random](std::size_t limit) { return (*random)() % limit; };
   for (std::size_t changes = 1 + below(4); changes > 0 && !text.empty(); --changes) {
     const std::size_t at = below(text.size());
     const std::size_t length = std::min(text.size() - at, below(12));
     switch (below(4)) {
       case 0:
-        text.replace(at, length, kPieces[below(std::size(kPieces))]);
+        text.replace(at, length, pieces[below(std::size(pieces))]);
         break;
       case 1:
         text.erase(at, length);
@@ -51,7 +51,7 @@
         text.insert(at, text.substr(at, length));
         break;
       default:
-        text.insert(at, kPieces[below(std::size(kPieces))]);
+        text.insert(at, pieces[below(std::size(pieces))]);
         break;
     }
   }
