Let workers reject starts that rest on an old list, and read all pages of changes

The view continued at the version of the store instead of after the rows of a full page.

Tests that fail without the change: scheduler 'a worker rejects a start that arrives when the list it rests on is too old', follower 'after a full page of changes the next ones follow'.

--- a/cell/fleet.cc
+++ b/cell/fleet.cc
@@ -211,15 +211,15 @@
     return VoidOrder(order, VoidReason::kNeverSent);
   }
   // The worker may have been draining for long, and this process may have been frozen meanwhile.
-  if (m_hooks.worker_list_is_current && !m_hooks.worker_list_is_current()) {
-    return VoidOrder(order, VoidReason::kNeverSent);
-  }
+  const milliseconds time_left = m_hooks.start_time_left ? m_hooks.start_time_left() : kStartWindow;
+  if (time_left <= milliseconds(0)) return VoidOrder(order, VoidReason::kNeverSent);
   // The ticket expired while the assignment was being stored, so the worker would refuse the start.
   if (m_hooks.now() > order->ticket_until) return VoidOrder(order, VoidReason::kNeverSent);
   SetState(order, OrderState::kSending);
   order->sent = m_hooks.now();
   ++m_starts_sent;
-  order->start_until = EstimateClock(*worker) + kStartWindow;
+  // A start that arrives later is rejected by the worker itself.
+  order->start_until = EstimateClock(*worker) + std::min(kStartWindow, time_left);
   worker->lease_sent = std::max(worker->lease_sent, order->start_until);
   StartOrder start;
   start.task = order->task->step->Ref(order->task->index);
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -80,8 +80,9 @@
   Clock now;
   /// Whether this instance may still act as the scheduler.
   std::function<bool()> may_lead;
-  /// Whether the list of workers is recent enough to start tasks. May be empty.
-  std::function<bool()> worker_list_is_current = nullptr;
+  /// @returns the time in which a task may still begin on the ground of the list of workers. May be
+  /// empty.
+  std::function<milliseconds()> start_time_left = nullptr;
   /// Calls to workers. Results are passed to `OnStart`, `OnStop` and `OnHold` with the id
   /// that is the last argument of the hook. A stop of a run without an order has the id 0; its
   /// result is ignored.
--- a/cell/follower.cc
+++ b/cell/follower.cc
@@ -104,15 +104,19 @@
     heard = hooks.now();
     // Without a change, the store has answered only after the wait.
     const bool has_waited = page.rows.empty() && Since(call_began) >= feed_wait;
-    current_as_of = call_began + (has_waited ? feed_wait : milliseconds(0));
-    version = std::max(version, page.version);
+    // A full page may not hold all changes up to its version: the next call continues after its
+    // rows.
+    const bool is_full = page.truncated || page.rows.size() >= kMaxRowsPerRead;
+    if (!is_full) current_as_of = call_began + (has_waited ? feed_wait : milliseconds(0));
+    version =
+        std::max(version, is_full && !page.rows.empty() ? page.rows.back().version : page.version);
     for (const Row& row : page.rows) {
       if (row.key.part != part) continue;
       hooks.on_change(row);
       if (stopped) return;
     }
     const milliseconds pause = hooks.min_period - Since(call_began);
-    if (pause <= milliseconds(0)) return Follow(hooks.wait);
+    if (pause <= milliseconds(0) || is_full) return Follow(hooks.wait);
     hooks.after(pause, [weak = weak_from_this()] {
       const auto self = weak.lock();
       if (self && !self->stopped) self->Follow(self->hooks.wait);
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -138,7 +138,7 @@
     scheduler_hooks.now = BootNow;
     scheduler_hooks.wall = [] { return std::chrono::system_clock::now(); };
     scheduler_hooks.may_lead = [this] { return MayLead(); };
-    scheduler_hooks.worker_list_is_current = [this] { return IsWorkerListCurrent(); };
+    scheduler_hooks.start_time_left = [this] { return StartTimeLeft(); };
     scheduler_hooks.start = [this](const Worker& worker, StartOrder order, std::uint64_t id) {
       SendStart(worker, std::move(order), id);
     };
@@ -290,9 +290,10 @@
   }
 
   // Draining workers are only told apart by the list. While it is too old, nothing is started.
-  bool IsWorkerListCurrent() {
+  milliseconds StartTimeLeft() {
     const milliseconds age = WorkerListAge();
-    const bool is_current = age < settings.worker_drain - kWorkerListMargin;
+    const milliseconds limit = settings.worker_drain - kWorkerListMargin;
+    const bool is_current = age < limit;
     if (is_current == starts_paused) {
       starts_paused = !is_current;
       Log(is_current ? LogLevel::kInfo : LogLevel::kWarn,
@@ -300,9 +301,9 @@
           .Field("shard", options.shard)
           .Field("reason", "worker-list-stale")
           .Field("list_age_ms", age)
-          .Field("limit_ms", settings.worker_drain - kWorkerListMargin);
+          .Field("limit_ms", limit);
     }
-    return is_current;
+    return limit - age;
   }
 
   // @returns whether the row names a worker to use.
--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -52,7 +52,7 @@
   FleetHooks hooks;
   hooks.now = m_hooks.now;
   hooks.may_lead = m_hooks.may_lead;
-  hooks.worker_list_is_current = m_hooks.worker_list_is_current;
+  hooks.start_time_left = m_hooks.start_time_left;
   hooks.start = m_hooks.start;
   hooks.stop = m_hooks.stop;
   hooks.hold = m_hooks.hold;
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -39,9 +39,10 @@
   std::function<WallTime()> wall;
   /// Whether this instance may still act as the scheduler.
   std::function<bool()> may_lead;
-  /// @returns whether the list of workers is so recent that every worker in it which has been
-  /// draining for the time allowed shows it. Without it, nothing is started. May be empty.
-  std::function<bool()> worker_list_is_current = nullptr;
+  /// @returns the time for which the list of workers is recent enough to start tasks on its ground:
+  /// until then, every worker that has been draining for the time allowed shows it. At 0, nothing
+  /// is started. May be empty.
+  std::function<milliseconds()> start_time_left = nullptr;
   /// Calls to workers. Results are passed to `Workers()`.
   std::function<void(const Worker&, StartOrder, std::uint64_t order)> start;
   std::function<void(const Worker&, const TaskRef&, std::uint64_t run, std::uint64_t order)> stop;
--- a/cell/scheduler_plan.cc
+++ b/cell/scheduler_plan.cc
@@ -362,7 +362,7 @@
 
 void Scheduler::Plan() {
   if (!m_hooks.may_lead()) return;
-  if (m_hooks.worker_list_is_current && !m_hooks.worker_list_is_current()) return;
+  if (m_hooks.start_time_left && m_hooks.start_time_left() <= milliseconds(0)) return;
   // A tenth of a second after a burst nothing waits, and hundreds of workers are still reporting
   // ends, each of which requests a pass.
   if (m_open_jobs.empty()) {
--- a/tests/cell/follower_test.cc
+++ b/tests/cell/follower_test.cc
@@ -131,6 +131,51 @@
   }
 }
 
+// Answers each call for changes with one full page of many.
+class PagedStore : public RowStore {
+ public:
+  explicit PagedStore(Loop& loop) : m_loop(loop) {}
+  void Commit(RowTransaction, milliseconds, std::function<void(Result<CommitOutcome>)>) override {}
+  void Read(RowRange, milliseconds, std::function<void(Result<RowPage>)> done) override {
+    m_loop.After(milliseconds(4), [done] { done(RowPage{}); });
+  }
+  void Follow(std::string, std::uint64_t after, milliseconds wait,
+              std::function<void(Result<RowPage>)> done) override {
+    RowPage page;
+    page.version = kNewest;
+    for (std::uint64_t version = after + 1; version <= kNewest; ++version) {
+      if (page.rows.size() == kMaxRowsPerRead) break;
+      page.rows.push_back(Row{{"servers", "", std::to_string(version)}, "", version});
+    }
+    const milliseconds latency = page.rows.empty() ? wait : milliseconds(4);
+    m_loop.After(latency, [done, page] { done(page); });
+  }
+
+  static constexpr std::uint64_t kNewest = 1800;
+
+ private:
+  Loop& m_loop;
+};
+
+// Guards against changes that are skipped when more have gathered than a page holds, as at a
+// scheduler that lags with thousands of workers: one that drains would go on getting work.
+TEST_CASE("follower: after a full page of changes the next ones follow") {
+  Loop loop(1);
+  PagedStore store(loop);
+  FollowerHooks hooks;
+  hooks.now = [&loop] { return loop.Now(); };
+  hooks.after = [&loop](milliseconds delay, std::function<void()> action) {
+    loop.After(delay, std::move(action));
+  };
+  std::set<std::uint64_t> seen;
+  hooks.on_snapshot = [](const std::vector<Row>&) {};
+  hooks.on_change = [&seen](const Row& row) { seen.insert(row.version); };
+  const auto follower = TableFollower::Create(&store, "servers", "", std::move(hooks));
+  loop.RunFor(milliseconds(200));
+  CHECK(seen.size() == PagedStore::kNewest);
+  CHECK(follower->Status().version == PagedStore::kNewest);
+}
+
 // Guards against a call for each heartbeat of a worker.
 TEST_CASE("follower: calls for changes keep their minimum distance") {
   Loop loop(1);
--- a/tests/cell/scheduler_test.cc
+++ b/tests/cell/scheduler_test.cc
@@ -29,8 +29,11 @@
     hooks.now = [this] { return now; };
     hooks.wall = [this] { return WallTime(now.time_since_epoch()); };
     hooks.may_lead = [] { return true; };
-    hooks.worker_list_is_current = [this] { return list_is_current; };
-    hooks.start = [this](const Worker&, const StartOrder&, std::uint64_t) { ++starts; };
+    hooks.start_time_left = [this] { return start_time_left; };
+    hooks.start = [this](const Worker&, const StartOrder& order, std::uint64_t) {
+      ++starts;
+      last_start = order;
+    };
     hooks.stop = [](const Worker&, const TaskRef&, std::uint64_t, std::uint64_t) {};
     hooks.hold = [this](const Worker& worker, const HoldOrder&, std::uint64_t id) {
       if (worker.attached) return;
@@ -100,8 +103,9 @@
   std::vector<std::uint64_t> holds;    // Unanswered first holds of workers.
   std::vector<FirstHold> first_holds;  // The same, for tests that answer only some of them.
   std::vector<AdviceRequest> open_requests;
-  bool list_is_current = true;
+  milliseconds start_time_left{3000};
   int starts = 0;
+  StartOrder last_start;
   std::unique_ptr<Scheduler> scheduler;
 };
 
@@ -302,21 +306,42 @@
   spec.mutable_steps(0)->set_gang(false);
   fixture.scheduler->Submit(spec, milliseconds(0), [](const auto&) {});
   fixture.Store();
-  fixture.list_is_current = false;
+  fixture.start_time_left = milliseconds(0);
   fixture.scheduler->Plan();
   CHECK(fixture.scheduler->Workers().OrderCount() == 0);
-  fixture.list_is_current = true;
+  fixture.start_time_left = milliseconds(3000);
   fixture.scheduler->Plan();
   REQUIRE(fixture.scheduler->Workers().OrderCount() == 11);
   // The process is paused while the assignments are stored.
-  fixture.list_is_current = false;
+  fixture.start_time_left = milliseconds(0);
   fixture.Store();
   CHECK(fixture.starts == 0);
   CHECK(fixture.scheduler->Workers().OrderCount() == 0);
-  fixture.list_is_current = true;
+  fixture.start_time_left = milliseconds(3000);
   fixture.scheduler->Plan();
   fixture.Store();
   CHECK(fixture.starts == 11);
+  CHECK(fixture.last_start.lease_until == WorkerTime{milliseconds(1000)} + kStartWindow);
+}
+
+// Guards against DRAIN on the sweep of the large site at 300 machines: a weak scheduler sent starts
+// on the ground of a list that was 3.5 s old, and they arrived 1.5 s later.
+TEST_CASE("scheduler: a worker rejects a start that arrives when the list it rests on is too old") {
+  Fixture fixture(1);
+  fixture.AddWorkers();
+  for (const auto& [id, worker] : fixture.scheduler->Workers().Workers()) {
+    worker->clock = WorkerTime{milliseconds(1000)};
+    worker->clock_at = fixture.now;
+  }
+  schema::JobSpec spec = MakeGangJob();
+  spec.mutable_queue()->clear_advice();
+  fixture.scheduler->Submit(spec, milliseconds(0), [](const auto&) {});
+  fixture.Store();
+  fixture.scheduler->Plan();
+  fixture.start_time_left = milliseconds(200);
+  fixture.Store();
+  REQUIRE(fixture.starts == 11);
+  CHECK(fixture.last_start.lease_until == WorkerTime{milliseconds(1200)});
 }
 
 // Guards against runs that are taken as over, and started again elsewhere, because an entry with
