--- a/review/standin/platform.h
+++ b/review/standin/platform.h
@@ -403,8 +403,7 @@
 
   Worker(asio::io_context& io, Store& store, Runs& runs, std::string service, std::string id,
          Kind kind)
-      : m_io(io),
-        m_store(store),
+      : m_store(store),
         m_runs(runs),
         m_service(std::move(service)),
         m_id(std::move(id)),
@@ -746,7 +745,6 @@
   static constexpr milliseconds kMaxLease{10000};
   static constexpr milliseconds kClockAtStart{1000};
 
-  asio::io_context& m_io;
   Store& m_store;
   Runs& m_runs;
   std::string m_service;
