--- a/review/standin/case_kind.cc
+++ b/review/standin/case_kind.cc
@@ -17,14 +17,14 @@
     cell.AddWorker("i-7f3a91c" + std::to_string(i), i % 2 == 0 ? KindA() : KindB());
   }
   cell.StartAll();
-  const TaskModel need_a{8000, 1000, milliseconds(1500), false, "a"};
-  const TaskModel need_b{8000, 1000, milliseconds(1500), false, "b"};
+  const TaskModel need_a{8000, 1000, milliseconds(2000), false, "a"};
+  const TaskModel need_b{8000, 1000, milliseconds(2000), false, "b"};
   int submitted = 0;
   const auto submit_some = [&] {
     for (const TaskModel* task : {&need_a, &need_b}) {
       char id[17];
       std::snprintf(id, sizeof(id), "%016x", ++submitted);
-      cell.Submit(id, "batch", OneStep(4, *task), *task, 4);
+      cell.Submit(id, "batch", OneStep(6, *task), *task, 6);
     }
   };
   constexpr milliseconds kStep{500};
--- a/review/standin/platform.h
+++ b/review/standin/platform.h
@@ -738,7 +738,7 @@
   }
 
   static constexpr milliseconds kHeartbeat{1500};
-  static constexpr milliseconds kRegisterTime{30};
+  static constexpr milliseconds kRegisterTime{60};
   static constexpr milliseconds kTick{10};
   static constexpr milliseconds kSavePeriod{1000};
   static constexpr milliseconds kStopTime{200};
