--- a/cell/fleet.cc
+++ b/cell/fleet.cc
@@ -39,6 +39,25 @@
   return "unknown";
 }
 
+const char* IncarnationEndName(IncarnationEnd end) {
+  switch (end) {
+    case IncarnationEnd::kListEntry:
+      return "list";
+    case IncarnationEnd::kHoldAnswer:
+      return "hold";
+    case IncarnationEnd::kOtherId:
+      return "other-id";
+  }
+  return "unknown";
+}
+
+const char* StartEvidenceName(const Order& order) {
+  if (order.state == OrderState::kStoring) return "unsent";
+  if (order.listed) return "listed";
+  if (order.state == OrderState::kRunning) return "answered";
+  return order.earlier_term ? "earlier-term" : "unanswered";
+}
+
 const char* StartVerdictName(StartVerdict verdict) {
   switch (verdict) {
     case StartVerdict::kStarted:
@@ -112,7 +131,9 @@
   const bool is_new_incarnation = known_born != 0 && description.born_unix_ms > known_born;
   // Another address alone does not prove that the incarnation has ended: the entry may come from
   // another writer. What answers there tells its own start.
-  if (is_new_incarnation) EndIncarnation(worker);
+  if (is_new_incarnation) {
+    EndIncarnation(worker, IncarnationEnd::kListEntry, description.born_unix_ms);
+  }
   worker->description = description;
   ++m_change_number;
   worker->rack = 0;
@@ -267,6 +288,7 @@
         .Field("task", order->task->step->Ref(order->task->index))
         .Field("run", order->run)
         .Field("worker", worker->description.id)
+        .Field("born", worker->description.born_unix_ms)
         .Field("reason", result.error().message);
     SendHold(worker, true);
     return;
@@ -288,7 +310,7 @@
       return m_hooks.on_superseded();
     case StartVerdict::kGone:
       worker->gone = true;
-      return EndIncarnation(worker);
+      return EndIncarnation(worker, IncarnationEnd::kOtherId, 0);
     default:
       if (order->state == OrderState::kSending) {
         VoidOrder(order, VoidReason::kRefused, answer.verdict);
@@ -310,7 +332,7 @@
   if (answer.stale_fence) return m_hooks.on_superseded();
   if (answer.gone) {
     worker->gone = true;
-    return EndIncarnation(worker);
+    return EndIncarnation(worker, IncarnationEnd::kOtherId, 0);
   }
   if (!answer.acknowledged) return;
   if (!order->stopped_at) order->stopped_at = m_hooks.now();
@@ -347,12 +369,14 @@
   if (answer.stale_fence) return m_hooks.on_superseded();
   if (answer.gone) {
     worker->gone = true;
-    return EndIncarnation(worker);
+    return EndIncarnation(worker, IncarnationEnd::kOtherId, 0);
   }
   const std::int64_t born = worker->description.born_unix_ms;
   // A reply of an earlier incarnation.
   if (answer.born_unix_ms != 0 && answer.born_unix_ms < born) return;
-  if (born != 0 && answer.born_unix_ms > born) EndIncarnation(worker);
+  if (born != 0 && answer.born_unix_ms > born) {
+    EndIncarnation(worker, IncarnationEnd::kHoldAnswer, answer.born_unix_ms);
+  }
   if (answer.born_unix_ms != 0) worker->description.born_unix_ms = answer.born_unix_ms;
   OnWorkerAnswered(worker, answer.clock);
   worker->hold_retry = milliseconds(0);
@@ -400,6 +424,7 @@
         .Field("task", ended.task)
         .Field("run", ended.run)
         .Field("worker", worker->description.id)
+        .Field("born", worker->description.born_unix_ms)
         .Field("how", RunEndName(ended.end))
         .Field("number", ended.number)
         .Field("known", order != nullptr);
@@ -425,6 +450,7 @@
       continue;
     }
     listed.push_back(order);
+    order->listed = true;
     if (order->state == OrderState::kSending || order->state == OrderState::kUnknown) {
       SetState(order, OrderState::kRunning);
       order->running_since = now;
@@ -478,7 +504,8 @@
     Log(LogLevel::kWarn, "stray-run")
         .Field("task", task)
         .Field("run", run)
-        .Field("worker", worker->description.id);
+        .Field("worker", worker->description.id)
+        .Field("born", worker->description.born_unix_ms);
     m_hooks.stop(*worker, task, run, 0);
   }
 }
@@ -497,7 +524,10 @@
       .Field("task", order->task->step->Ref(order->task->index))
       .Field("run", order->run)
       .Field("worker", order->worker->description.id)
+      .Field("born", order->worker->description.born_unix_ms)
       .Field("reason", VoidReasonName(reason))
+      .Field("start", StartEvidenceName(*order))
+      .Field("age_ms", std::chrono::duration_cast<milliseconds>(m_hooks.now() - order->created))
       .Field("verdict", reason == VoidReason::kRefused ? StartVerdictName(verdict) : "-")
       .Field("heard_ms_ago",
              std::chrono::duration_cast<milliseconds>(m_hooks.now() - order->worker->heard));
@@ -506,10 +536,14 @@
   m_hooks.on_void(*ended_order, reason, verdict);
 }
 
-void Fleet::EndIncarnation(Worker* worker) {
+void Fleet::EndIncarnation(Worker* worker, IncarnationEnd how, std::int64_t next_born_unix_ms) {
   Log(LogLevel::kInfo, "worker-life-over")
       .Field("worker", worker->description.id)
       .Field("born", worker->description.born_unix_ms)
+      .Field("next_born", next_born_unix_ms)
+      .Field("shown_by", IncarnationEndName(how))
+      .Field("heard_ms_ago",
+             std::chrono::duration_cast<milliseconds>(m_hooks.now() - worker->heard))
       .Field("orders", worker->orders.size());
   ++worker->incarnation;
   ++m_change_number;
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -28,8 +28,19 @@
   kWorkerGone,    ///< This incarnation of the worker has ended.
 };
 
+/// What showed that an incarnation of a worker has ended.
+enum class IncarnationEnd {
+  kListEntry,   ///< The list of workers names a later one.
+  kHoldAnswer,  ///< A later one answered a hold.
+  kOtherId,     ///< A worker with another id answers at the address.
+};
+
 /// @returns the name used in logs and metrics.
 const char* VoidReasonName(VoidReason reason);
+const char* IncarnationEndName(IncarnationEnd end);
+/// @returns what is known about the start of an order: "unsent", "unanswered", "answered", "listed"
+/// (by the worker, as running), or "earlier-term" when an earlier scheduler may have sent it.
+const char* StartEvidenceName(const Order& order);
 const char* StartVerdictName(StartVerdict verdict);
 
 /// State of one worker as the scheduler knows it.
@@ -197,7 +208,7 @@
   Order* NewOrder(Task* task, Worker* worker, std::uint64_t run);
   std::unique_ptr<Order> Detach(Order* order);
   void VoidOrder(Order* order, VoidReason reason, StartVerdict verdict = StartVerdict::kStarted);
-  void EndIncarnation(Worker* worker);
+  void EndIncarnation(Worker* worker, IncarnationEnd how, std::int64_t next_born_unix_ms);
   void OnWorkerAnswered(Worker* worker, const std::optional<WorkerTime>& clock);
   void OnWorkerCallFailed(Worker* worker);
   void RecordCallTime(const Worker& worker, SteadyTime sent, bool answered);
--- a/cell/job.h
+++ b/cell/job.h
@@ -38,7 +38,7 @@
   bool stop_wanted = false;
   bool stop_in_flight = false;
   bool earlier_term = false;  ///< Given by the scheduler of an earlier term.
-  bool at_work = false;       ///< The worker has reported progress since the start.
+  bool listed = false;        ///< The worker has listed the run in the answer to a hold.
   std::string ticket;         ///< Permit of the policy service; empty if none is needed.
   SteadyTime ticket_until = SteadyTime::max();
   WorkerTime start_until;  ///< The worker rejects the start after this time on its own clock.
--- a/cell/scheduler_plan.cc
+++ b/cell/scheduler_plan.cc
@@ -496,6 +496,8 @@
       .Field("task", step->Ref(task->index))
       .Field("run", run)
       .Field("worker", worker->description.id)
+      .Field("born", worker->description.born_unix_ms)
+      .Field("fence", m_options.term)
       .Field("gang", step->spec->gang())
       .Field("free_milli", worker->Free().processors_milli)
       .Field("free_mb", worker->Free().memory_mb)
