--- a/tests/cell/cell.h
+++ b/tests/cell/cell.h
@@ -33,9 +33,10 @@
 struct WorkerNode {
   std::string id;
   bool listed = true;
-  milliseconds hold_delay{0};  // Added to the answer to each hold.
-  std::shared_ptr<WorkerProcess> process;
-  std::set<int> cut_from;  // Numbers of the instances that cannot reach it.
+  milliseconds hold_delay{0};              // Added to the answer to each hold.
+  milliseconds call_delay{0};              // Added to the way of each start and stop.
+  std::shared_ptr<WorkerProcess> process;  // Current incarnation.
+  std::set<int> cut_from;                  // Numbers of the instances that cannot reach it.
 };
 
 class Cell;
@@ -151,9 +152,13 @@
 
   void KillWorker(const std::string& id) { nodes[id].process->Die(); }
   void RestartWorker(const std::string& id) {
+    RestartUnlisted(id);
+    ListWorkers();
+  }
+  // The list of workers shows the restart only with the next `ListWorkers`.
+  void RestartUnlisted(const std::string& id) {
     nodes[id].process->Die();
     nodes[id].process = StartWorkerProcess(id);
-    ListWorkers();
   }
 
   // Delivers the list of workers to the scheduler.
@@ -599,6 +604,7 @@
   if (m_connected.emplace(worker, is_hold).second) Charge(costs.connection);
 }
 
+// A call is executed by the incarnation that runs when it arrives, whichever it was sent to.
 template <class Answer>
 void Instance::CallWorker(const std::string& worker, std::function<Answer(WorkerProcess&)> call,
                           std::function<void(const Result<Answer>&)> done) {
@@ -619,22 +625,22 @@
       complete(Error{schema::CODE_WORKER_UNREACHABLE, "no answer"});
     });
   };
-  const std::shared_ptr<WorkerProcess> process = node.process;
-  if (process->dead || node.cut_from.contains(number)) return unanswered();
+  if (node.process->dead || node.cut_from.contains(number)) return unanswered();
   if (loop.Chance(m_cell.network.late)) {
-    loop.After(loop.Delay(2000, 12000), [process, call] {
-      if (!process->dead) call(*process);
+    loop.After(loop.Delay(2000, 12000), [&node, call] {
+      if (!node.process->dead) call(*node.process);
     });
     return unanswered();
   }
   const bool is_lost = loop.Chance(m_cell.network.lost);
-  loop.At(SendTime() + m_cell.network.latency, [&loop, process, call, deliver, is_lost, this] {
-    if (process->dead) return;
-    const Answer answer = call(*process);
-    if (is_lost) return;
-    loop.After(m_cell.network.latency, [deliver, answer] { deliver(answer); });
-  });
-  if (is_lost || processor) unanswered();
+  loop.At(SendTime() + m_cell.network.latency + node.call_delay,
+          [&loop, &node, call, deliver, is_lost, this] {
+            if (node.process->dead) return;
+            const Answer answer = call(*node.process);
+            if (is_lost) return;
+            loop.After(m_cell.network.latency, [deliver, answer] { deliver(answer); });
+          });
+  unanswered();
 }
 
 inline void Instance::SendHold(const std::string& worker, const HoldOrder& order,
--- /dev/null
+++ b/tests/cell/restart_test.cc
@@ -0,0 +1,69 @@
+// Tests of workers that start again under their id while calls to them are on their way.
+#include <doctest/doctest.h>
+
+#include "cell.h"
+#include "cell_checks.h"
+
+namespace citronsill::model {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr std::uint32_t kTasks = 12;
+
+// A cell with 12 equal tasks that are submitted 2 s after its start; w0 gets some of them.
+struct RestartCell : Cell {
+  RestartCell(int instances, milliseconds duration) : Cell(1, instances, 4, {8000, 8000, 0}) {
+    TaskBehavior behavior;
+    behavior.duration = duration;
+    behavior.size.processors_milli = 2000;
+    loop.After(seconds(2), [this, behavior] { Submit(MakeJob("job", kTasks, behavior)); });
+  }
+
+  void At(milliseconds time, std::function<void()> action) { loop.After(time, std::move(action)); }
+  void Run(milliseconds time) {
+    loop.RunFor(time);
+    CheckHistory(history);
+    CheckAllEnd(*this, {"job"});
+  }
+};
+
+// Guards against TWICE (issue 35): a start was taken as void because its worker had started again,
+// and the next incarnation executed it beside the task's new run.
+TEST_CASE("restart: a start that arrives after the restart of its worker is no second run") {
+  for (const int restart_ms : {2100, 2300, 2500, 2690}) {
+    CAPTURE(restart_ms);
+    RestartCell cell(1, seconds(3));
+    cell.nodes["w0"].call_delay = milliseconds(700);
+    cell.At(milliseconds(restart_ms), [&] { cell.RestartWorker("w0"); });
+    cell.Run(seconds(30));
+  }
+}
+
+// Guards against TWICE (issue 35): a start was answered by the next incarnation before the
+// scheduler knew of the restart, and its run was taken as over with the earlier incarnation.
+TEST_CASE("restart: a run that the next incarnation began goes on") {
+  for (const int shown_after_ms : {0, 50, 500}) {
+    CAPTURE(shown_after_ms);
+    RestartCell cell(1, seconds(3));
+    cell.nodes["w0"].call_delay = milliseconds(100);
+    cell.At(milliseconds(2060), [&] { cell.RestartUnlisted("w0"); });
+    cell.At(milliseconds(2150 + shown_after_ms), [&] { cell.ListWorkers(); });
+    cell.Run(seconds(30));
+    CHECK(cell.history.starts == kTasks);
+  }
+}
+
+// Guards against TWICE (issue 35) after a takeover: the stored assignment names the incarnation to
+// which the start was sent, not the one that executed it.
+TEST_CASE("restart: the next scheduler keeps a run that a later incarnation began") {
+  RestartCell cell(2, seconds(15));
+  cell.nodes["w0"].call_delay = milliseconds(100);
+  cell.At(milliseconds(2060), [&] { cell.RestartUnlisted("w0"); });
+  cell.At(milliseconds(2200), [&] { cell.Leader()->Kill(); });
+  cell.Run(seconds(60));
+  CHECK(cell.history.starts == kTasks);
+}
+
+}  // namespace
+}  // namespace citronsill::model
