Keep an order whose start may reach the next incarnation of its worker

Cause: when a worker started again under its id, the scheduler took all orders of the earlier incarnation as void, also those whose start was on its way or answered without being listed. The task was planned again at once. A start is not bound to an incarnation: both share id and address, and the new one has seen no fencing token and has a clock on which the start's deadline is far away. So the next incarnation ran the task beside its new run; short runs even ended before the next hold was answered, without a stop. The same conclusion was drawn after a takeover, from the incarnation in the stored assignment.

Change: calls to each further incarnation of a worker carry a higher fencing token (terms are 2^20 apart). Runs that a worker has listed end with it; any other sent order is kept until the next incarnation has answered a hold with its own token: a run that it lists goes on, anything else can no longer begin there and is void. The answer that shows the restart settles nothing, as it may precede the start. A refusal by our own newer token does not end the term. Fleet::Adopt draws no conclusion from the incarnation any more.

Class: the end of one incarnation was taken as the end of a message that was sent to it.

New: 'a start that the next incarnation rejects does not end the scheduler's term' (fails without the comparison of tokens). The last lines of 'another address in the list ...' expected the fault: a later incarnation in the list voided starts without an answer. They now expect that nothing is void until that incarnation has answered, and that all of its orders are void then.

--- a/cell/fleet.cc
+++ b/cell/fleet.cc
@@ -98,6 +98,7 @@
   if (!slot) {
     slot = std::make_unique<Worker>();
     slot->description.id = id;
+    slot->fence = m_fence;
     slot->slot = static_cast<std::uint32_t>(m_by_slot.size());
     m_by_slot.push_back(slot.get());
     ++m_change_number;
@@ -217,11 +218,6 @@
   SetState(order, OrderState::kUnknown);
   order->earlier_term = true;
   order->unknown_since = m_hooks.now();
-  const std::int64_t born = worker->description.born_unix_ms;
-  if (born != 0 && row.worker_born_unix_ms() != 0 && born != row.worker_born_unix_ms()) {
-    VoidOrder(order, VoidReason::kWorkerGone);
-    return nullptr;
-  }
   return order;
 }
 
@@ -238,6 +234,7 @@
   if (m_hooks.now() > order->ticket_until) return VoidOrder(order, VoidReason::kNeverSent);
   SetState(order, OrderState::kSending);
   order->sent = m_hooks.now();
+  order->fence = worker->fence;
   ++m_starts_sent;
   // A start that arrives later is rejected by the worker itself.
   order->start_until = EstimateClock(*worker) + std::min(kStartWindow, time_left);
@@ -248,7 +245,7 @@
   start.payload = payload;
   start.checkpoint = checkpoint;
   start.ticket = order->ticket;
-  start.fence = m_fence;
+  start.fence = order->fence;
   start.lease_until = order->start_until;
   m_hooks.start(*worker, std::move(start), order->id);
 }
@@ -270,6 +267,7 @@
   const bool is_reachable = !order->worker->description.address.empty();
   if (order->stop_in_flight || !is_reachable || !m_hooks.may_lead()) return;
   order->stop_in_flight = true;
+  order->stop_fence = order->worker->fence;
   m_hooks.stop(*order->worker, order->task->step->Ref(order->task->index), order->run, order->id);
 }
 
@@ -306,13 +304,14 @@
       }
       if (order->stop_wanted) SendStop(order);
       return;
-    case StartVerdict::kStaleFence:
-      return m_hooks.on_superseded();
     case StartVerdict::kGone:
       worker->gone = true;
       return EndIncarnation(worker, IncarnationEnd::kOtherId, 0);
+    case StartVerdict::kStaleFence:
+      if (order->fence == worker->fence) return m_hooks.on_superseded();
+      [[fallthrough]];
     default:
-      if (order->state == OrderState::kSending) {
+      if (order->state == OrderState::kSending || order->carried_over) {
         VoidOrder(order, VoidReason::kRefused, answer.verdict);
       }
       return;
@@ -329,7 +328,7 @@
   if (!result) return OnWorkerCallFailed(worker);
   const StopAnswer& answer = result.value();
   OnWorkerAnswered(worker, answer.clock);
-  if (answer.stale_fence) return m_hooks.on_superseded();
+  if (answer.stale_fence && order->stop_fence == worker->fence) return m_hooks.on_superseded();
   if (answer.gone) {
     worker->gone = true;
     return EndIncarnation(worker, IncarnationEnd::kOtherId, 0);
@@ -375,7 +374,10 @@
   // A reply of an earlier incarnation.
   if (answer.born_unix_ms != 0 && answer.born_unix_ms < born) return;
   if (born != 0 && answer.born_unix_ms > born) {
+    // What this answer lists is not final: starts that were sent before may still be executed.
     EndIncarnation(worker, IncarnationEnd::kHoldAnswer, answer.born_unix_ms);
+    worker->description.born_unix_ms = answer.born_unix_ms;
+    return AttachNext();
   }
   if (answer.born_unix_ms != 0) worker->description.born_unix_ms = answer.born_unix_ms;
   OnWorkerAnswered(worker, answer.clock);
@@ -387,7 +389,7 @@
     Log(LogLevel::kInfo, "worker-attached")
         .Field("worker", worker->description.id)
         .Field("born", worker->description.born_unix_ms)
-        .Field("fence", m_fence)
+        .Field("fence", worker->fence)
         .Field("running", answer.running.size())
         .Field("ended", answer.ended.size());
     m_hooks.on_capacity_changed();
@@ -451,6 +453,7 @@
     }
     listed.push_back(order);
     order->listed = true;
+    order->carried_over = false;
     if (order->state == OrderState::kSending || order->state == OrderState::kUnknown) {
       SetState(order, OrderState::kRunning);
       order->running_since = now;
@@ -486,12 +489,14 @@
     case OrderState::kUnknown:
       break;
   }
-  // The worker has now seen the fence of this term and rejects late starts of earlier terms.
-  const bool is_fenced = order->earlier_term;
+  // The worker has now seen its current fence, and rejects late starts with a lower one.
+  const bool is_fenced = order->fence < order->worker->fence;
   const bool is_stopped = order->stopped_at && *order->stopped_at < hold.sent;
-  const bool is_start_expired = !order->earlier_term && answer.clock > order->start_until;
-  if (is_fenced || is_stopped || is_start_expired)
-    return VoidOrder(order, VoidReason::kNotOnWorker);
+  const bool is_start_expired = !is_fenced && answer.clock > order->start_until;
+  if (is_fenced || is_stopped || is_start_expired) {
+    return VoidOrder(order,
+                     order->carried_over ? VoidReason::kWorkerGone : VoidReason::kNotOnWorker);
+  }
   if (!order->stopped_at && order->unknown_since <= hold.sent) {
     order->stop_wanted = true;
     SendStop(order);
@@ -536,6 +541,9 @@
   m_hooks.on_void(*ended_order, reason, verdict);
 }
 
+// Runs that the worker has listed ended with it. Another start may have been executed by the next
+// incarnation, or may still be: it shares the id and has seen no fence. Such orders are kept until
+// it lists its runs in the answer to a hold with a higher fence.
 void Fleet::EndIncarnation(Worker* worker, IncarnationEnd how, std::int64_t next_born_unix_ms) {
   Log(LogLevel::kInfo, "worker-life-over")
       .Field("worker", worker->description.id)
@@ -546,11 +554,12 @@
              std::chrono::duration_cast<milliseconds>(m_hooks.now() - worker->heard))
       .Field("orders", worker->orders.size());
   ++worker->incarnation;
+  worker->fence = ++m_fence;
   ++m_change_number;
   SetAttached(worker, false);
   worker->clock.reset();
   worker->lease_sent = {};
-  worker->lease_end_without_clock = {};
+  worker->lease_end_without_clock = m_hooks.now() + LongestLocalTime(m_lease);
   worker->last_end = 0;
   worker->acknowledged = 0;
   worker->hold_in_flight = false;
@@ -561,10 +570,28 @@
   worker->failures_in_row = 0;
   worker->next_hold = m_hooks.now();
   for (Order* order : std::vector<Order*>(worker->orders)) {
-    VoidOrder(order, VoidReason::kWorkerGone);
+    const bool was_sent = order->state != OrderState::kStoring;
+    if (was_sent && !order->listed && how != IncarnationEnd::kOtherId) {
+      CarryOver(order);
+    } else {
+      VoidOrder(order, VoidReason::kWorkerGone);
+    }
   }
 }
 
+void Fleet::CarryOver(Order* order) {
+  SetState(order, OrderState::kUnknown);
+  order->carried_over = true;
+  order->unknown_since = m_hooks.now();
+  order->stop_in_flight = false;
+  order->stopped_at.reset();
+  Log(LogLevel::kInfo, "order-carried-over")
+      .Field("task", order->task->step->Ref(order->task->index))
+      .Field("run", order->run)
+      .Field("worker", order->worker->description.id)
+      .Field("fence", order->worker->fence);
+}
+
 void Fleet::OnWorkerAnswered(Worker* worker, const std::optional<WorkerTime>& clock) {
   worker->heard = m_hooks.now();
   if (worker->silent) {
@@ -647,7 +674,7 @@
   (is_status_query ? worker->status_query_in_flight : worker->hold_in_flight) = true;
   if (is_status_query) worker->status_query_wanted = false;
   HoldOrder order;
-  order.fence = m_fence;
+  order.fence = worker->fence;
   order.acknowledged = worker->acknowledged;
   // The lease of an unreachable worker is not extended, so that its runs end at a known time.
   if (worker->clock && !worker->silent) {
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -54,6 +54,7 @@
   std::uint32_t rack = 0;  ///< Indexes of its rack and service in planning passes.
   std::uint32_t service = 0;
   std::uint32_t incarnation = 0;         ///< Number of earlier incarnations of this record.
+  std::uint64_t fence = 0;               ///< Fencing token of the calls to this incarnation.
   std::optional<WorkerTime> clock;       ///< Its clock showed at least this...
   SteadyTime clock_at{};                 ///< ...at this time.
   WorkerTime lease_sent;                 ///< Latest lease end sent to this incarnation.
@@ -120,7 +121,9 @@
 /// Workers and orders of one scheduler.
 class Fleet {
  public:
-  /// @param fence fencing token of this scheduler: its term.
+  /// @param fence lowest fencing token of this scheduler. The calls to each further incarnation of
+  /// a worker carry a higher one, so that it rejects those that were sent to the incarnations
+  /// before.
   /// @param lease duration of leases; at most what workers grant.
   Fleet(FleetHooks hooks, std::uint64_t fence, milliseconds lease);
   ~Fleet();
@@ -150,7 +153,6 @@
 
   /// Takes over an assignment of an earlier scheduler. Whether its run exists is unknown.
   /// @param leases_end when every lease granted by earlier schedulers has expired.
-  /// @returns null when the assignment belongs to an earlier incarnation of the worker.
   Order* Adopt(Task* task, const schema::AssignmentRow& row, SteadyTime leases_end);
 
   /// Sends the start of an order. Its assignment must be in the store.
@@ -209,6 +211,7 @@
   std::unique_ptr<Order> Detach(Order* order);
   void VoidOrder(Order* order, VoidReason reason, StartVerdict verdict = StartVerdict::kStarted);
   void EndIncarnation(Worker* worker, IncarnationEnd how, std::int64_t next_born_unix_ms);
+  void CarryOver(Order* order);
   void OnWorkerAnswered(Worker* worker, const std::optional<WorkerTime>& clock);
   void OnWorkerCallFailed(Worker* worker);
   void RecordCallTime(const Worker& worker, SteadyTime sent, bool answered);
@@ -233,7 +236,7 @@
   static Order* FindOrder(const Worker& worker, const TaskRef& task, std::uint64_t run);
 
   FleetHooks m_hooks;
-  std::uint64_t m_fence;
+  std::uint64_t m_fence;  // Highest fencing token in use.
   milliseconds m_lease;
   std::map<std::string, std::unique_ptr<Worker>> m_workers;
   std::unordered_map<std::uint64_t, std::unique_ptr<Order>> m_orders;
--- a/cell/job.h
+++ b/cell/job.h
@@ -39,9 +39,13 @@
   bool stop_in_flight = false;
   bool earlier_term = false;  ///< Given by the scheduler of an earlier term.
   bool listed = false;        ///< The worker has listed the run in the answer to a hold.
-  std::string ticket;         ///< Permit of the policy service; empty if none is needed.
+  /// Its worker has started again since, and the next incarnation may execute the start.
+  bool carried_over = false;
+  std::string ticket;  ///< Permit of the policy service; empty if none is needed.
   SteadyTime ticket_until = SteadyTime::max();
-  WorkerTime start_until;  ///< The worker rejects the start after this time on its own clock.
+  std::uint64_t fence = 0;       ///< Fencing token of its start; 0 for one of an earlier term.
+  std::uint64_t stop_fence = 0;  ///< Fencing token of the last stop.
+  WorkerTime start_until;        ///< The worker rejects the start after this time on its own clock.
   SteadyTime created;
   SteadyTime sent;           ///< When its start was sent.
   SteadyTime running_since;  ///< When the task was first known to run.
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -394,7 +394,7 @@
   void SendStop(const Worker& worker, const TaskRef& task, std::uint64_t run, std::uint64_t id) {
     const auto link = GetOrCreateLink(worker);
     if (!link) return ReportUnreachable(&Fleet::OnStop, id);
-    link->Stop(task, run, options.owner.term(), CallTimeout(), ForwardResult(&Fleet::OnStop, id));
+    link->Stop(task, run, worker.fence, CallTimeout(), ForwardResult(&Fleet::OnStop, id));
   }
 
   void SendHold(const Worker& worker, const HoldOrder& order, std::uint64_t id) {
--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -13,6 +13,8 @@
 // Run numbers of a term start at (term - 1) times this value, so that they rise across terms
 // without being stored.
 constexpr std::uint64_t kRunNumbersPerTerm = 1U << 20;
+// Fencing tokens of a term start at the term times this value. Each restart of a worker uses one.
+constexpr std::uint64_t kFencesPerTerm = 1U << 20;
 // The number of a pack has the term in its upper bits, so that no two terms use the same one.
 constexpr unsigned kPackTermBits = 32;
 // Weight of the newest answer in the moving average of the share of allowed workers: about the last
@@ -41,7 +43,7 @@
 Scheduler::Scheduler(SchedulerOptions options, SchedulerHooks hooks)
     : m_options(std::move(options)),
       m_hooks(std::move(hooks)),
-      m_fleet(MakeFleetHooks(), m_options.term, m_options.lease),
+      m_fleet(MakeFleetHooks(), m_options.term * kFencesPerTerm, m_options.lease),
       m_packs(m_options.shard, m_hooks.now),
       m_last_pack(m_options.term << kPackTermBits),
       m_run_base((m_options.term - 1) * kRunNumbersPerTerm) {}
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -28,7 +28,7 @@
 
 struct SchedulerOptions {
   std::string shard;              ///< Name of the shard: the `part` of its row keys.
-  std::uint64_t term = 0;         ///< Number of this term: the fencing token of all orders.
+  std::uint64_t term = 0;         ///< Number of this term.
   milliseconds lease{0};          ///< Length of the leases of runs; at most what workers allow.
   milliseconds gang_time{0};      ///< Time in which all members of a gang have to start.
   milliseconds keep_finished{0};  ///< How long the state of a finished job can be queried.
--- a/cell/scheduler_plan.cc
+++ b/cell/scheduler_plan.cc
@@ -497,7 +497,7 @@
       .Field("run", run)
       .Field("worker", worker->description.id)
       .Field("born", worker->description.born_unix_ms)
-      .Field("fence", m_options.term)
+      .Field("fence", worker->fence)
       .Field("gang", step->spec->gang())
       .Field("free_milli", worker->Free().processors_milli)
       .Field("free_mb", worker->Free().memory_mb)
--- a/cell/worker.h
+++ b/cell/worker.h
@@ -52,7 +52,7 @@
   std::string payload;
   std::string checkpoint;   ///< Checkpoint to resume from; may be empty.
   std::string ticket;       ///< Permission of the policy service; may be empty.
-  std::uint64_t fence = 0;  ///< Fencing token: term of the scheduler.
+  std::uint64_t fence = 0;  ///< Fencing token. Rises with each term and restart of the worker.
   /// New end of the lease of all runs on the worker. It rejects the start after this time.
   WorkerTime lease_until;
 };
--- a/tests/cell/cell.h
+++ b/tests/cell/cell.h
@@ -95,7 +95,7 @@
                      AdviceRequestKind kind);
   void ChargeCall(const std::string& worker, bool is_hold);
   void Plan();
-  SchedulerHooks MakeSchedulerHooks(std::uint64_t term);
+  SchedulerHooks MakeSchedulerHooks();
   void PlanSoon();
   template <class Answer>
   void CallWorker(const std::string& worker, std::function<Answer(WorkerProcess&)> call,
@@ -467,7 +467,7 @@
   options.lease = std::min(kLease, kMaxLease);
   options.gang_time = milliseconds(3000);
   options.keep_finished = milliseconds(120000);
-  scheduler = std::make_unique<Scheduler>(options, MakeSchedulerHooks(owner.term()));
+  scheduler = std::make_unique<Scheduler>(options, MakeSchedulerHooks());
   CommitHooks hooks;
   hooks.now = [this] { return m_cell.loop.Now(); };
   hooks.after = [this](milliseconds delay, std::function<void()> action) {
@@ -709,7 +709,7 @@
   });
 }
 
-inline SchedulerHooks Instance::MakeSchedulerHooks(std::uint64_t term) {
+inline SchedulerHooks Instance::MakeSchedulerHooks() {
   SchedulerHooks hooks;
   hooks.now = [this] { return m_cell.loop.Now(); };
   hooks.wall = [this] {
@@ -723,11 +723,13 @@
           scheduler->Workers().OnStart(id, result);
         });
   };
-  hooks.stop = [this, term](const Worker& worker, const TaskRef& task, std::uint64_t run,
-                            std::uint64_t id) {
+  hooks.stop = [this](const Worker& worker, const TaskRef& task, std::uint64_t run,
+                      std::uint64_t id) {
     CallWorker<StopAnswer>(
         worker.description.id,
-        [task, run, term](WorkerProcess& process) { return process.Stop(task, run, term); },
+        [task, run, fence = worker.fence](WorkerProcess& process) {
+          return process.Stop(task, run, fence);
+        },
         [this, id](const Result<StopAnswer>& result) { scheduler->Workers().OnStop(id, result); });
   };
   hooks.hold = [this](const Worker& worker, const HoldOrder& order, std::uint64_t id) {
--- a/tests/cell/restart_test.cc
+++ b/tests/cell/restart_test.cc
@@ -36,6 +36,7 @@
     RestartCell cell(1, seconds(3));
     cell.nodes["w0"].call_delay = milliseconds(700);
     cell.At(milliseconds(restart_ms), [&] { cell.RestartWorker("w0"); });
+    cell.At(milliseconds(3000), [&] { cell.nodes["w0"].call_delay = milliseconds(0); });
     cell.Run(seconds(30));
   }
 }
@@ -65,5 +66,19 @@
   CHECK(cell.history.starts == kTasks);
 }
 
+// Guards against a scheduler that gives up its shard because a worker rejects a start by the fence
+// that the same scheduler has set since.
+TEST_CASE("restart: a start that the next incarnation rejects does not end the scheduler's term") {
+  RestartCell cell(2, seconds(3));
+  cell.nodes["w0"].call_delay = milliseconds(200);
+  cell.nodes["w0"].hold_delay = milliseconds(150);
+  cell.At(milliseconds(2100), [&] { cell.RestartWorker("w0"); });
+  SteadyTime leader_since;
+  cell.At(milliseconds(2000), [&] { leader_since = cell.Leader()->leader_since; });
+  cell.At(milliseconds(3000), [&] { cell.nodes["w0"].call_delay = milliseconds(0); });
+  cell.Run(seconds(30));
+  CHECK(cell.Leader()->leader_since == leader_since);
+}
+
 }  // namespace
 }  // namespace citronsill::model
--- a/tests/cell/scheduler_test.cc
+++ b/tests/cell/scheduler_test.cc
@@ -370,10 +370,19 @@
   }
   for (const WorkerDescription& worker : moved) fixture.scheduler->Workers().Put(worker);
   CHECK(fixture.scheduler->Workers().OrderCount() == orders);
-  // A later incarnation in the list does.
+  // Nor does a later incarnation in the list end orders whose starts are without an answer: it may
+  // still execute them.
   moved[0].born_unix_ms = 5000;
   const std::size_t on_first = fixture.scheduler->Workers().Find(moved[0].id)->orders.size();
+  REQUIRE(on_first > 0);
   fixture.scheduler->Workers().Put(moved[0]);
+  fixture.scheduler->Plan();
+  CHECK(fixture.scheduler->Workers().OrderCount() == orders);
+  // Once it has accepted a higher fence and does not list them, they have ended.
+  REQUIRE(fixture.holds.size() == 1);
+  HoldAnswer answer;
+  answer.born_unix_ms = 5000;
+  fixture.scheduler->Workers().OnHold(fixture.holds[0], answer);
   CHECK(fixture.scheduler->Workers().OrderCount() == orders - on_first);
 }
 
