Wait for the longest lease after a worker has started again

The scheduler counted 5 s from its own last hold: when the worker was then cut off, it gave the runs up and started them elsewhere while they still ran (TWICE).

After a restart that this scheduler has seen, and on a worker younger than 15 s that it attaches after a takeover, leases now count as over only after the longest lease that workers grant. Workers without a restart are not affected.

--- a/cell/fleet.cc
+++ b/cell/fleet.cc
@@ -88,8 +88,11 @@
   return free;
 }
 
-Fleet::Fleet(FleetHooks hooks, std::uint64_t fence, milliseconds lease)
-    : m_hooks(std::move(hooks)), m_fence(fence), m_lease(lease) {}
+Fleet::Fleet(FleetHooks hooks, std::uint64_t fence, milliseconds lease, milliseconds max_lease)
+    : m_hooks(std::move(hooks)),
+      m_fence(fence),
+      m_lease(lease),
+      m_max_lease(std::max(lease, max_lease)) {}
 
 Fleet::~Fleet() = default;
 
@@ -404,12 +407,18 @@
   }
 }
 
-// A worker that has seen the fence of this term rejects calls of earlier schedulers. Therefore no
-// lease that they granted ends later than one of full length granted at that moment.
+// A worker that has seen its current fence rejects calls with lower ones. Therefore no lease that
+// they granted ends later than one of full length granted at that moment.
+//
+// The end of the lease in a call to an earlier incarnation lies far in the future on the clock of
+// the next one, which then grants the longest lease.
 void Fleet::BoundEarlierLeases(Worker* worker, const std::optional<WorkerTime>& clock) {
   if (!clock || worker->lease_end_without_clock == SteadyTime{}) return;
+  const bool may_follow_restart = worker->incarnation > 0 || clock->since_start < kMaxLateCallAge;
   const auto longest =
-      std::chrono::ceil<milliseconds>(m_lease * (1.0 + kWorkerClockDrift)) + kLeaseMargin;
+      std::chrono::ceil<milliseconds>((may_follow_restart ? m_max_lease : m_lease) *
+                                      (1.0 + kWorkerClockDrift)) +
+      kLeaseMargin;
   worker->lease_sent = std::max(worker->lease_sent, *clock + longest);
   worker->lease_end_without_clock = {};
 }
@@ -559,7 +568,8 @@
   SetAttached(worker, false);
   worker->clock.reset();
   worker->lease_sent = {};
-  worker->lease_end_without_clock = m_hooks.now() + LongestLocalTime(m_lease);
+  worker->lease_end_without_clock =
+      std::max(worker->lease_end_without_clock, m_hooks.now() + LongestLocalTime(m_max_lease));
   worker->last_end = 0;
   worker->acknowledged = 0;
   worker->hold_in_flight = false;
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -125,7 +125,8 @@
   /// a worker carry a higher one, so that it rejects those that were sent to the incarnations
   /// before.
   /// @param lease duration of leases; at most what workers grant.
-  Fleet(FleetHooks hooks, std::uint64_t fence, milliseconds lease);
+  /// @param max_lease longest lease that workers grant.
+  Fleet(FleetHooks hooks, std::uint64_t fence, milliseconds lease, milliseconds max_lease);
   ~Fleet();
 
   /// Adds a worker or updates its description.
@@ -238,6 +239,7 @@
   FleetHooks m_hooks;
   std::uint64_t m_fence;  // Highest fencing token in use.
   milliseconds m_lease;
+  milliseconds m_max_lease;
   std::map<std::string, std::unique_ptr<Worker>> m_workers;
   std::unordered_map<std::uint64_t, std::unique_ptr<Order>> m_orders;
   std::unordered_map<std::uint64_t, Hold> m_holds;
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -132,6 +132,7 @@
     scheduler_options.shard = options.shard;
     scheduler_options.term = options.owner.term();
     scheduler_options.lease = std::min(kLease, settings.max_lease);
+    scheduler_options.max_lease = settings.max_lease;
     scheduler_options.gang_time = settings.gang_time;
     scheduler_options.keep_finished = settings.keep_finished;
     SchedulerHooks scheduler_hooks;
--- a/cell/limits.h
+++ b/cell/limits.h
@@ -39,6 +39,8 @@
 inline constexpr double kWorkerClockDrift = 0.02;
 // Margin added to the end of a lease for reading clocks and delivering messages.
 inline constexpr std::chrono::milliseconds kLeaseMargin{150};
+// Longest time after which a worker may still execute a call that got no answer.
+inline constexpr std::chrono::milliseconds kMaxLateCallAge{15000};
 // Length of a lease. It outlasts a change of the scheduler: about 2 s to detect a silent scheduler,
 // 1 s to attach, and the age of the last renewal.
 inline constexpr std::chrono::milliseconds kLease{5000};
--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -43,7 +43,8 @@
 Scheduler::Scheduler(SchedulerOptions options, SchedulerHooks hooks)
     : m_options(std::move(options)),
       m_hooks(std::move(hooks)),
-      m_fleet(MakeFleetHooks(), m_options.term * kFencesPerTerm, m_options.lease),
+      m_fleet(MakeFleetHooks(), m_options.term * kFencesPerTerm, m_options.lease,
+              m_options.max_lease),
       m_packs(m_options.shard, m_hooks.now),
       m_last_pack(m_options.term << kPackTermBits),
       m_run_base((m_options.term - 1) * kRunNumbersPerTerm) {}
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -30,6 +30,7 @@
   std::string shard;              ///< Name of the shard: the `part` of its row keys.
   std::uint64_t term = 0;         ///< Number of this term.
   milliseconds lease{0};          ///< Length of the leases of runs; at most what workers allow.
+  milliseconds max_lease{0};      ///< Longest lease that workers grant; at least `lease`.
   milliseconds gang_time{0};      ///< Time in which all members of a gang have to start.
   milliseconds keep_finished{0};  ///< How long the state of a finished job can be queried.
 };
--- a/tests/cell/cell.h
+++ b/tests/cell/cell.h
@@ -135,6 +135,7 @@
   History history;
   NetworkFaults network;
   std::map<std::string, WorkerNode> nodes;
+  milliseconds max_lease = kMaxLease;  // Longest lease that workers started from now on grant.
   std::size_t max_entries = 97;  // Of a transaction. With more changed jobs, packs are written.
   std::uint32_t links = 0;  // Number of other instances that exchange pings with the scheduler.
   std::vector<std::unique_ptr<Instance>> instances;
@@ -146,6 +147,7 @@
   std::shared_ptr<WorkerProcess> StartWorkerProcess(const std::string& id) {
     const double rate = 0.98 + 0.02 * static_cast<double>(loop.Between(0, 100)) / 100.0;
     auto process = std::make_shared<WorkerProcess>(loop, history, id, m_capacity, rate);
+    process->max_lease = max_lease;
     m_worker_processes.push_back(process);
     return process;
   }
@@ -465,6 +467,7 @@
   options.shard = "s0";
   options.term = owner.term();
   options.lease = std::min(kLease, kMaxLease);
+  options.max_lease = m_cell.max_lease;
   options.gang_time = milliseconds(3000);
   options.keep_finished = milliseconds(120000);
   scheduler = std::make_unique<Scheduler>(options, MakeSchedulerHooks());
--- a/tests/cell/restart_test.cc
+++ b/tests/cell/restart_test.cc
@@ -13,11 +13,12 @@
 
 // A cell with 12 equal tasks that are submitted 2 s after its start; w0 gets some of them.
 struct RestartCell : Cell {
-  RestartCell(int instances, milliseconds duration) : Cell(1, instances, 4, {8000, 8000, 0}) {
+  RestartCell(int instances, milliseconds duration, milliseconds submitted_at = seconds(2))
+      : Cell(1, instances, 4, {8000, 8000, 0}) {
     TaskBehavior behavior;
     behavior.duration = duration;
     behavior.size.processors_milli = 2000;
-    loop.After(seconds(2), [this, behavior] { Submit(MakeJob("job", kTasks, behavior)); });
+    loop.After(submitted_at, [this, behavior] { Submit(MakeJob("job", kTasks, behavior)); });
   }
 
   void At(milliseconds time, std::function<void()> action) { loop.After(time, std::move(action)); }
@@ -80,5 +81,30 @@
   CHECK(cell.Leader()->leader_since == leader_since);
 }
 
+// Guards against TWICE: a call that was sent to the earlier incarnation gave the next one the
+// longest lease that workers grant, and its runs counted as over after the shorter one of holds.
+TEST_CASE("restart: runs of the next incarnation are given up only after the longest lease") {
+  for (const int killed_after_ms : {-1, 200}) {
+    CAPTURE(killed_after_ms);
+    RestartCell cell(2, seconds(9), seconds(20));
+    cell.max_lease = seconds(10);
+    cell.nodes["w0"].call_delay = milliseconds(100);
+    cell.At(milliseconds(20060), [&] { cell.RestartUnlisted("w0"); });
+    cell.At(milliseconds(20150), [&] { cell.ListWorkers(); });
+    if (killed_after_ms >= 0) {
+      cell.At(milliseconds(20150 + killed_after_ms), [&] { cell.Leader()->Kill(); });
+    }
+    // The worker is out of reach as soon as a scheduler has attached it.
+    std::function<void()> cut = [&] {
+      Instance* leader = cell.Leader();
+      if (leader == nullptr) return cell.loop.After(milliseconds(10), cut);
+      cell.loop.After(milliseconds(50), [&] { cell.nodes["w0"].cut_from = {0, 1}; });
+    };
+    cell.At(milliseconds(20400), cut);
+    cell.At(seconds(45), [&] { cell.nodes["w0"].cut_from.clear(); });
+    cell.Run(seconds(70));
+  }
+}
+
 }  // namespace
 }  // namespace citronsill::model
--- a/tests/cell/worker.h
+++ b/tests/cell/worker.h
@@ -95,7 +95,8 @@
         m_born(loop.Now()) {}
 
   bool dead = false;
-  bool hangs = false;  // Tasks make no progress.
+  bool hangs = false;            // Tasks make no progress.
+  milliseconds max_lease{6000};  // On its own clock; longer leases are shortened.
 
   [[nodiscard]] WorkerTime ClockNow() const {
     const auto since = std::chrono::duration<double, std::milli>(m_loop.Now() - m_born).count();
@@ -260,6 +261,7 @@
   }
 
   void Renew(WorkerTime until) {
+    until = std::min(until, ClockNow() + max_lease);
     if (until <= m_lease) return;
     m_lease = until;
     const auto left = std::chrono::duration<double, std::milli>(until - ClockNow()) / m_rate;
