Acknowledge no ends to a worker that may have started again

The next incarnation counts its ends anew, so it dropped ends that nobody had seen, and the task ran again after it was done (TWICE, 'a start after a run has ended done').

A hold to a worker whose last call failed now acknowledges nothing. Such a worker is taken as reached again only by the answer to a hold: answers to starts and stops do not tell which incarnation gave them. After a failed stop it is asked at once.

--- a/cell/fleet.cc
+++ b/cell/fleet.cc
@@ -328,7 +328,12 @@
   Worker* worker = order->worker;
   order->stop_in_flight = false;
   order->stop_retry_at = m_hooks.now() + kStopRetry;
-  if (!result) return OnWorkerCallFailed(worker);
+  if (!result) {
+    const bool was_silent = worker->silent;
+    OnWorkerCallFailed(worker);
+    if (!was_silent) SendHold(worker, true);
+    return;
+  }
   const StopAnswer& answer = result.value();
   OnWorkerAnswered(worker, answer.clock);
   if (answer.stale_fence && order->stop_fence == worker->fence) return m_hooks.on_superseded();
@@ -384,6 +389,12 @@
   }
   if (answer.born_unix_ms != 0) worker->description.born_unix_ms = answer.born_unix_ms;
   OnWorkerAnswered(worker, answer.clock);
+  // Only the answer to a hold tells that it comes from the same incarnation as before.
+  if (worker->silent) {
+    worker->silent = false;
+    Log(LogLevel::kInfo, "worker-regained").Field("worker", worker->description.id);
+    m_hooks.on_capacity_changed();
+  }
   worker->hold_retry = milliseconds(0);
   const bool was_attached = worker->attached;
   if (!was_attached) SetAttached(worker, true);
@@ -604,11 +615,6 @@
 
 void Fleet::OnWorkerAnswered(Worker* worker, const std::optional<WorkerTime>& clock) {
   worker->heard = m_hooks.now();
-  if (worker->silent) {
-    worker->silent = false;
-    Log(LogLevel::kInfo, "worker-regained").Field("worker", worker->description.id);
-    m_hooks.on_capacity_changed();
-  }
   if (!clock) return;
   // Replies may arrive out of order: an older clock value is ignored.
   if (worker->clock && *clock < *worker->clock) return;
@@ -685,8 +691,9 @@
   if (is_status_query) worker->status_query_wanted = false;
   HoldOrder order;
   order.fence = worker->fence;
-  order.acknowledged = worker->acknowledged;
-  // The lease of an unreachable worker is not extended, so that its runs end at a known time.
+  // After a failed call, another incarnation may answer: it counts its ends anew. Nor is the lease
+  // of an unreachable worker extended, so that its runs end at a known time.
+  if (!worker->silent) order.acknowledged = worker->acknowledged;
   if (worker->clock && !worker->silent) {
     order.lease_until = EstimateClock(*worker) + m_lease;
     worker->lease_sent = std::max(worker->lease_sent, order.lease_until);
--- a/tests/cell/restart_test.cc
+++ b/tests/cell/restart_test.cc
@@ -106,5 +106,22 @@
   }
 }
 
+// Guards against TWICE: a hold for the earlier incarnation acknowledged the end of a run that the
+// next one had begun, and the end was never reported.
+TEST_CASE("restart: an end that nobody has seen is not acknowledged") {
+  RestartCell cell(1, milliseconds(600));
+  cell.At(seconds(4), [&] {
+    TaskBehavior behavior;
+    behavior.duration = milliseconds(300);
+    behavior.size.processors_milli = 2000;
+    cell.nodes["w0"].call_delay = milliseconds(100);
+    cell.Submit(cell.MakeJob("next", kTasks, behavior));
+  });
+  cell.At(milliseconds(4060), [&] { cell.RestartUnlisted("w0"); });
+  cell.Run(seconds(30));
+  CheckAllEnd(cell, {"next"});
+  CHECK(cell.history.starts == 2 * kTasks);
+}
+
 }  // namespace
 }  // namespace citronsill::model
