Ignore answers to calls that were made before a restart of their worker

A late 421 from the old address ended the new incarnation.

A kept order now gets a new id, so that such answers find nothing, as it was before. The comparison of tokens that kept a rejection by our own newer token from ending the term is no longer needed for that.

Cell tests 'restart', 'scheduler' and 'cell': pass.

--- a/cell/fleet.cc
+++ b/cell/fleet.cc
@@ -270,7 +270,6 @@
   const bool is_reachable = !order->worker->description.address.empty();
   if (order->stop_in_flight || !is_reachable || !m_hooks.may_lead()) return;
   order->stop_in_flight = true;
-  order->stop_fence = order->worker->fence;
   m_hooks.stop(*order->worker, order->task->step->Ref(order->task->index), order->run, order->id);
 }
 
@@ -307,14 +306,13 @@
       }
       if (order->stop_wanted) SendStop(order);
       return;
+    case StartVerdict::kStaleFence:
+      return m_hooks.on_superseded();
     case StartVerdict::kGone:
       worker->gone = true;
       return EndIncarnation(worker, IncarnationEnd::kOtherId, 0);
-    case StartVerdict::kStaleFence:
-      if (order->fence == worker->fence) return m_hooks.on_superseded();
-      [[fallthrough]];
     default:
-      if (order->state == OrderState::kSending || order->carried_over) {
+      if (order->state == OrderState::kSending) {
         VoidOrder(order, VoidReason::kRefused, answer.verdict);
       }
       return;
@@ -336,7 +334,7 @@
   }
   const StopAnswer& answer = result.value();
   OnWorkerAnswered(worker, answer.clock);
-  if (answer.stale_fence && order->stop_fence == worker->fence) return m_hooks.on_superseded();
+  if (answer.stale_fence) return m_hooks.on_superseded();
   if (answer.gone) {
     worker->gone = true;
     return EndIncarnation(worker, IncarnationEnd::kOtherId, 0);
@@ -600,7 +598,12 @@
   }
 }
 
+// The order gets a new id: what earlier calls for it still return comes from another incarnation,
+// or was rejected by the new fence, and says nothing about this one.
 void Fleet::CarryOver(Order* order) {
+  auto node = m_orders.extract(order->id);
+  order->id = node.key() = ++m_last_id;
+  m_orders.insert(std::move(node));
   SetState(order, OrderState::kUnknown);
   order->carried_over = true;
   order->unknown_since = m_hooks.now();
--- a/tests/cell/scheduler_test.cc
+++ b/tests/cell/scheduler_test.cc
@@ -386,5 +386,51 @@
   CHECK(fixture.scheduler->Workers().OrderCount() == orders - on_first);
 }
 
+// Guards against answers to calls that were made before a restart of their worker: its clock was
+// taken from the earlier incarnation, or another worker at the old address ended the new one.
+TEST_CASE("scheduler: a late answer from before a restart says nothing about the worker") {
+  for (const bool is_other_id : {false, true}) {
+    CAPTURE(is_other_id);
+    Fixture fixture(1);
+    fixture.AddWorkers();
+    for (const auto& [id, worker] : fixture.scheduler->Workers().Workers()) {
+      worker->clock = WorkerTime{milliseconds(481000)};
+      worker->clock_at = fixture.now;
+    }
+    schema::JobSpec spec = MakeGangJob();
+    spec.mutable_queue()->clear_advice();
+    spec.mutable_steps(0)->set_gang(false);
+    fixture.scheduler->Submit(spec, milliseconds(0), [](const auto&) {});
+    fixture.Store();
+    fixture.scheduler->Plan();
+    fixture.Store();
+    const auto& workers = fixture.scheduler->Workers().Workers();
+    const auto found = std::find_if(workers.begin(), workers.end(), [](const auto& entry) {
+      return !entry.second->orders.empty();
+    });
+    REQUIRE(found != workers.end());
+    const Worker* worker = found->second.get();
+    const std::uint64_t order = worker->orders[0]->id;
+    WorkerDescription restarted = worker->description;
+    restarted.born_unix_ms = 5000;
+    if (is_other_id) restarted.address = "elsewhere";
+    fixture.scheduler->Workers().Put(restarted);
+    REQUIRE(fixture.holds.size() == 1);
+    const std::uint32_t incarnation = worker->incarnation;
+    StartAnswer late;
+    late.verdict = is_other_id ? StartVerdict::kGone : StartVerdict::kStarted;
+    late.clock = WorkerTime{milliseconds(481020)};
+    fixture.scheduler->Workers().OnStart(order, late);
+    CHECK(worker->incarnation == incarnation);
+    CHECK_FALSE(worker->gone);
+    HoldAnswer answer;
+    answer.born_unix_ms = 5000;
+    answer.clock = WorkerTime{milliseconds(500)};
+    fixture.scheduler->Workers().OnHold(fixture.holds[0], answer);
+    REQUIRE(worker->clock.has_value());
+    CHECK(worker->clock->since_start == milliseconds(500));
+  }
+}
+
 }  // namespace
 }  // namespace citronsill
