--- a/tests/cell/cell.h
+++ b/tests/cell/cell.h
@@ -136,6 +136,7 @@
   NetworkFaults network;
   std::map<std::string, WorkerNode> nodes;
   milliseconds max_lease = kMaxLease;  // Longest lease that workers started from now on grant.
+  bool checks_tickets = false;         // Of workers started from now on.
   std::size_t max_entries = 97;  // Of a transaction. With more changed jobs, packs are written.
   std::uint32_t links = 0;  // Number of other instances that exchange pings with the scheduler.
   std::vector<std::unique_ptr<Instance>> instances;
@@ -148,6 +149,7 @@
     const double rate = 0.98 + 0.02 * static_cast<double>(loop.Between(0, 100)) / 100.0;
     auto process = std::make_shared<WorkerProcess>(loop, history, id, m_capacity, rate);
     process->max_lease = max_lease;
+    process->checks_tickets = checks_tickets;
     m_worker_processes.push_back(process);
     return process;
   }
--- a/tests/cell/policy.h
+++ b/tests/cell/policy.h
@@ -35,6 +35,8 @@
   PolicyService(Loop& loop, std::uint32_t slots) : m_loop(loop), m_slots(slots) {}
 
   std::function<PolicyTerms(const TaskRef&)> terms;
+  // @returns the ticket for the current incarnation of a worker. May be empty.
+  std::function<std::string(const std::string& worker)> make_ticket;
 
   // Request slot state of one scheduler. As in `AdviceClient`, some request slots are reserved for
   // short advice requests.
@@ -78,7 +80,8 @@
     AdviceAnswer answer;
     answer.valid = job_terms.valid;
     for (const std::string& worker : workers) {
-      if (IsAllowed(job_terms, step, worker)) answer.tickets.push_back({worker, "ticket"});
+      if (!IsAllowed(job_terms, step, worker)) continue;
+      answer.tickets.push_back({worker, make_ticket ? make_ticket(worker) : "ticket"});
     }
     const auto decision_time =
         job_terms.decide + job_terms.each * static_cast<std::int64_t>(workers.size());
--- a/tests/cell/restart_test.cc
+++ b/tests/cell/restart_test.cc
@@ -106,6 +106,36 @@
   }
 }
 
+// Guards against TWICE as on jkanu (issue 35), where tickets are bound to an incarnation: tickets
+// for the next one came, and starts were sent with them, before the scheduler knew of the restart.
+TEST_CASE("restart: a ticket for the next incarnation does not make a second run") {
+  for (int shown_ms = 2000; shown_ms < 2200; shown_ms += 2) {
+    CAPTURE(shown_ms);
+    RestartCell cell(1, milliseconds(680), seconds(60));
+    cell.checks_tickets = true;
+    cell.policy = std::make_unique<PolicyService>(cell.loop, 4);
+    cell.policy->make_ticket = [&](const auto& id) { return cell.nodes[id].process->Ticket(); };
+    cell.policy->terms = [](const auto&) { return PolicyTerms{true}; };
+    cell.nodes["w0"].call_delay = milliseconds(20);
+    cell.At(milliseconds(1200), [&] {
+      for (const auto& [id, node] : cell.nodes) cell.RestartUnlisted(id);
+      cell.ListWorkers();
+    });
+    cell.At(milliseconds(1990), [&] { cell.RestartUnlisted("w0"); });
+    cell.At(seconds(2), [&] {
+      TaskBehavior behavior;
+      behavior.duration = milliseconds(680);
+      behavior.size.processors_milli = 2000;
+      schema::JobSpec spec = cell.MakeJob("advised", kTasks, behavior);
+      spec.mutable_queue()->mutable_advice()->set_decide_us(8000);
+      cell.Submit(spec);
+    });
+    cell.At(milliseconds(shown_ms), [&] { cell.ListWorkers(); });
+    cell.Run(seconds(90));
+    CheckAllEnd(cell, {"advised"});
+  }
+}
+
 // Guards against TWICE: a hold for the earlier incarnation acknowledged the end of a run that the
 // next one had begun, and the end was never reported.
 TEST_CASE("restart: an end that nobody has seen is not acknowledged") {
--- a/tests/cell/worker.h
+++ b/tests/cell/worker.h
@@ -96,6 +96,7 @@
 
   bool dead = false;
   bool hangs = false;            // Tasks make no progress.
+  bool checks_tickets = false;   // Tickets are for one incarnation.
   milliseconds max_lease{6000};  // On its own clock; longer leases are shortened.
 
   [[nodiscard]] WorkerTime ClockNow() const {
@@ -106,6 +107,8 @@
     return std::chrono::duration_cast<milliseconds>(m_born.time_since_epoch()).count();
   }
 
+  [[nodiscard]] std::string Ticket() const { return m_id + "@" + std::to_string(Born()); }
+
   StartAnswer Start(const StartOrder& order) {
     StartAnswer answer;
     answer.clock = ClockNow();
@@ -128,6 +131,10 @@
       answer.verdict = StartVerdict::kOldRun;
       return answer;
     }
+    if (checks_tickets && !order.ticket.empty() && order.ticket != Ticket()) {
+      answer.verdict = StartVerdict::kBadTicket;
+      return answer;
+    }
     answer.verdict = StartVerdict::kStarted;
     Begin(order);
     return answer;
