Start nothing on a restarted worker before the list describes it

When the answer to a hold showed that a worker had started again, its labels and capacity were still those of the incarnation before, and tasks were started by them until the list showed the restart. An entry that lagged behind even overwrote a newer one.

Such a worker takes no work until the list has an entry of the same start, and entries of an earlier start than the known one are ignored. What remains: a start that is sent before anything has shown the restart.

--- a/cell/fleet.cc
+++ b/cell/fleet.cc
@@ -124,14 +124,16 @@
 
 void Fleet::Put(const WorkerDescription& description) {
   Worker* worker = FindOrAdd(description.id);
+  const std::int64_t known_born = worker->description.born_unix_ms;
+  // The list lags behind: the entry is of an earlier incarnation that is known to have ended.
+  if (description.born_unix_ms != 0 && description.born_unix_ms < known_born) return;
+  worker->described_born_unix_ms = description.born_unix_ms;
   // Workers repeat their entries every second or two.
   if (worker->listed && !worker->gone && worker->description.IsSameExceptTimes(description) &&
-      description.born_unix_ms <= worker->description.born_unix_ms) {
+      description.born_unix_ms <= known_born) {
     worker->description.drain_remaining = description.drain_remaining;
     return;
   }
-  // The list may lag behind and still describe an earlier incarnation that is known to have ended.
-  const std::int64_t known_born = worker->description.born_unix_ms;
   const bool is_new_incarnation = known_born != 0 && description.born_unix_ms > known_born;
   // Another address alone does not prove that the incarnation has ended: the entry may come from
   // another writer. What answers there tells its own start.
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -46,7 +46,10 @@
 /// State of one worker as the scheduler knows it.
 struct Worker {
   WorkerDescription description;
-  bool listed = false;     ///< In the list of workers.
+  bool listed = false;  ///< In the list of workers.
+  /// Start of the incarnation that the description is of, apart from its `born_unix_ms`; 0 if the
+  /// list does not tell.
+  std::int64_t described_born_unix_ms = 0;
   bool attached = false;   ///< This incarnation has accepted a hold with the fence of this term.
   bool silent = false;     ///< The last call to it failed.
   bool gone = false;       ///< Another incarnation answers at its address.
@@ -84,9 +87,15 @@
   SteadyTime avoided_until{};
 
   [[nodiscard]] Resources Free() const;
+  /// @returns whether the list describes the current incarnation, which may be of another kind than
+  /// the one before.
+  [[nodiscard]] bool IsDescribed() const {
+    return described_born_unix_ms == 0 || described_born_unix_ms == description.born_unix_ms;
+  }
   /// @returns whether new tasks may be started on the worker.
   [[nodiscard]] bool TakesWork() const {
-    return listed && attached && !silent && !gone && !description.draining && stray_runs.empty();
+    return listed && attached && !silent && !gone && !description.draining && IsDescribed() &&
+           stray_runs.empty();
   }
 };
 
--- a/cell/scheduler_held.cc
+++ b/cell/scheduler_held.cc
@@ -43,7 +43,7 @@
 std::uint32_t* Scheduler::RoomCounterFor(const Task& task, const Worker& worker,
                                          HeldRoomCounts* room) {
   const Step& step = *task.step;
-  if (!worker.attached) return &room->unattached_room;
+  if (!worker.attached || !worker.IsDescribed()) return &room->unattached_room;
   if (worker.silent) return &room->silent_room;
   if (!worker.stray_runs.empty()) return &room->stray_room;
   if (IsAvoided(task, worker, m_hooks.now())) return &room->avoided_room;
--- a/tests/cell/scheduler_test.cc
+++ b/tests/cell/scheduler_test.cc
@@ -432,5 +432,52 @@
   }
 }
 
+// Guards against ROUTE (review/5): a worker that had started again as another kind got tasks by the
+// labels that it had before, until the list showed the restart.
+TEST_CASE("scheduler: a restarted worker gets no task before the list describes it") {
+  Fixture fixture(1);
+  WorkerDescription description;
+  description.id = "w0";
+  description.service = "pool";
+  description.address = "w0";
+  description.capacity = {8000, 8000, 0};
+  description.labels = {"old-kind"};
+  description.born_unix_ms = 1000;
+  Fleet& fleet = fixture.scheduler->Workers();
+  const auto attach = [&](std::int64_t born_unix_ms) {
+    REQUIRE(!fixture.holds.empty());
+    const std::uint64_t id = fixture.holds.back();
+    fixture.holds.clear();
+    HoldAnswer answer;
+    answer.born_unix_ms = born_unix_ms;
+    fleet.OnHold(id, answer);
+  };
+  fleet.Put(description);
+  attach(5000);  // The entry is of the incarnation before.
+  attach(5000);
+  schema::JobSpec spec = MakeGangJob();
+  spec.mutable_queue()->clear_advice();
+  spec.mutable_steps(0)->set_gang(false);
+  spec.mutable_steps(0)->set_task_count(1);
+  spec.mutable_steps(0)->set_required_label("old-kind");
+  fixture.scheduler->Submit(spec, milliseconds(0), [](const auto&) {});
+  fixture.Store();
+  fixture.scheduler->Plan();
+  CHECK(fleet.OrderCount() == 0);
+  // An entry that lags behind does not change that.
+  fleet.Put(description);
+  fixture.scheduler->Plan();
+  CHECK(fleet.OrderCount() == 0);
+  description.born_unix_ms = 5000;
+  description.labels = {"new-kind"};
+  fleet.Put(description);
+  fixture.scheduler->Plan();
+  CHECK(fleet.OrderCount() == 0);
+  description.labels = {"old-kind"};
+  fleet.Put(description);
+  fixture.scheduler->Plan();
+  CHECK(fleet.OrderCount() == 1);
+}
+
 }  // namespace
 }  // namespace citronsill
