Tests: holds may be lost, late, or reach the next incarnation

The stand-in bound each hold to the process that it was sent to, answered all of them and executed none late.

--- a/tests/cell/cell.h
+++ b/tests/cell/cell.h
@@ -101,6 +101,8 @@
   void CallWorker(const std::string& worker, std::function<Answer(WorkerProcess&)> call,
                   std::function<void(const Result<Answer>&)> done);
   void SendHold(const std::string& worker, const HoldOrder& order, std::uint64_t id);
+  // @returns whether a call gets no answer and is executed seconds later.
+  [[nodiscard]] bool IsLate() const;
 
   Cell& m_cell;
   std::vector<std::function<void()>> m_while_paused;
@@ -607,6 +609,10 @@
   if (m_connected.emplace(worker, is_hold).second) Charge(costs.connection);
 }
 
+inline bool Instance::IsLate() const {
+  return m_cell.network.late > 0 && m_cell.loop.Chance(m_cell.network.late);
+}
+
 // A call is executed by the incarnation that runs when it arrives, whichever it was sent to.
 template <class Answer>
 void Instance::CallWorker(const std::string& worker, std::function<Answer(WorkerProcess&)> call,
@@ -628,14 +634,14 @@
       complete(Error{schema::CODE_WORKER_UNREACHABLE, "no answer"});
     });
   };
-  if (node.process->dead || node.cut_from.contains(number)) return unanswered();
-  if (loop.Chance(m_cell.network.late)) {
+  if (IsLate()) {
     loop.After(loop.Delay(2000, 12000), [&node, call] {
       if (!node.process->dead) call(*node.process);
     });
     return unanswered();
   }
-  const bool is_lost = loop.Chance(m_cell.network.lost);
+  if (node.process->dead || node.cut_from.contains(number)) return unanswered();
+  const bool is_lost = m_cell.network.lost > 0 && loop.Chance(m_cell.network.lost);
   loop.At(SendTime() + m_cell.network.latency + node.call_delay,
           [&loop, &node, call, deliver, is_lost, this] {
             if (node.process->dead) return;
@@ -649,7 +655,7 @@
 inline void Instance::SendHold(const std::string& worker, const HoldOrder& order,
                                std::uint64_t id) {
   Loop& loop = m_cell.loop;
-  const std::shared_ptr<WorkerProcess> process = m_cell.nodes[worker].process;
+  const WorkerNode& node = m_cell.nodes[worker];
   auto answered = std::make_shared<bool>(false);
   ChargeCall(worker, true);
   const auto complete = [this, answered, id](const Result<HoldAnswer>& result) {
@@ -665,21 +671,29 @@
   DeliverAfter(order.wait + order.timeout, [complete] {
     complete(Error{schema::CODE_WORKER_UNREACHABLE, "no answer"});
   });
-  if (process->dead || m_cell.nodes[worker].cut_from.contains(number)) return;
+  if (IsLate()) {
+    loop.After(loop.Delay(2000, 12000), [&node, order] {
+      if (!node.process->dead) node.process->Hold(order);
+    });
+    return;
+  }
+  if (node.process->dead || node.cut_from.contains(number)) return;
+  const bool is_lost = m_cell.network.lost > 0 && loop.Chance(m_cell.network.lost);
   const milliseconds latency = m_cell.network.latency;
-  loop.At(SendTime() + latency, [this, &loop, worker, process, order, deliver, latency] {
+  loop.At(SendTime() + latency, [this, &loop, &node, order, deliver, latency, is_lost] {
+    const std::shared_ptr<WorkerProcess> process = node.process;
     if (process->dead) return;
     const std::optional<HoldAnswer> answer = process->Hold(order);
+    if (is_lost) return;
     if (answer) {
-      loop.After(latency + m_cell.nodes[worker].hold_delay,
-                 [deliver, answer] { deliver(*answer); });
+      loop.After(latency + node.hold_delay, [deliver, answer] { deliver(*answer); });
       return;
     }
     auto woken = std::make_shared<bool>(false);
-    const auto wake = [this, &loop, worker, process, deliver, latency, woken] {
+    const auto wake = [this, &loop, &node, process, deliver, latency, woken] {
       if (std::exchange(*woken, true) || process->dead) return;
-      if (m_cell.nodes[worker].cut_from.contains(number)) return;
-      loop.After(latency + m_cell.nodes[worker].hold_delay,
+      if (node.cut_from.contains(number)) return;
+      loop.After(latency + node.hold_delay,
                  [deliver, status = process->Status()] { deliver(status); });
     };
     process->on_end = wake;
