Tests: calls overtake each other, workers start again several times within seconds

In the stand-in of the network, calls and answers took the same time each, so that none overtook another; and the schedules of faults had no restart within seconds, nor one that the list of workers shows late. Violations now tell whether they come from a late call that another incarnation executed.

--- a/tests/cell/cell.h
+++ b/tests/cell/cell.h
@@ -28,6 +28,7 @@
   double lost = 0.0;        // Share of calls to workers that are executed without a reply.
   double late = 0.0;        // Share of calls that are executed 2 to 12 s later, without a reply.
   milliseconds latency{2};  // One way.
+  milliseconds jitter{0};   // Added to it at random: calls and answers overtake each other.
 };
 
 struct WorkerNode {
@@ -35,6 +36,7 @@
   bool listed = true;
   milliseconds hold_delay{0};              // Added to the answer to each hold.
   milliseconds call_delay{0};              // Added to the way of each start and stop.
+  milliseconds answer_delay{0};            // Added to the way of their answers.
   std::shared_ptr<WorkerProcess> process;  // Current incarnation.
   std::set<int> cut_from;                  // Numbers of the instances that cannot reach it.
 };
@@ -103,6 +105,8 @@
   void SendHold(const std::string& worker, const HoldOrder& order, std::uint64_t id);
   // @returns whether a call gets no answer and is executed seconds later.
   [[nodiscard]] bool IsLate() const;
+  // @returns the time of a call or an answer on its way.
+  [[nodiscard]] milliseconds Latency() const;
 
   Cell& m_cell;
   std::vector<std::function<void()>> m_while_paused;
@@ -613,6 +617,12 @@
   return m_cell.network.late > 0 && m_cell.loop.Chance(m_cell.network.late);
 }
 
+inline milliseconds Instance::Latency() const {
+  const NetworkFaults& network = m_cell.network;
+  if (network.jitter.count() == 0) return network.latency;
+  return network.latency + m_cell.loop.Delay(0, network.jitter.count());
+}
+
 // A call is executed by the incarnation that runs when it arrives, whichever it was sent to.
 template <class Answer>
 void Instance::CallWorker(const std::string& worker, std::function<Answer(WorkerProcess&)> call,
@@ -635,19 +645,22 @@
     });
   };
   if (IsLate()) {
-    loop.After(loop.Delay(2000, 12000), [&node, call] {
-      if (!node.process->dead) call(*node.process);
+    loop.After(loop.Delay(2000, 12000), [this, &node, call, sent_to = node.process] {
+      if (node.process->dead) return;
+      m_cell.history.late_on_next_incarnation = node.process != sent_to;
+      call(*node.process);
+      m_cell.history.late_on_next_incarnation = false;
     });
     return unanswered();
   }
   if (node.process->dead || node.cut_from.contains(number)) return unanswered();
   const bool is_lost = m_cell.network.lost > 0 && loop.Chance(m_cell.network.lost);
-  loop.At(SendTime() + m_cell.network.latency + node.call_delay,
+  loop.At(SendTime() + Latency() + node.call_delay,
           [&loop, &node, call, deliver, is_lost, this] {
             if (node.process->dead) return;
             const Answer answer = call(*node.process);
             if (is_lost) return;
-            loop.After(m_cell.network.latency, [deliver, answer] { deliver(answer); });
+            loop.After(Latency() + node.answer_delay, [deliver, answer] { deliver(answer); });
           });
   unanswered();
 }
@@ -679,21 +692,20 @@
   }
   if (node.process->dead || node.cut_from.contains(number)) return;
   const bool is_lost = m_cell.network.lost > 0 && loop.Chance(m_cell.network.lost);
-  const milliseconds latency = m_cell.network.latency;
-  loop.At(SendTime() + latency, [this, &loop, &node, order, deliver, latency, is_lost] {
+  loop.At(SendTime() + Latency(), [this, &loop, &node, order, deliver, is_lost] {
     const std::shared_ptr<WorkerProcess> process = node.process;
     if (process->dead) return;
     const std::optional<HoldAnswer> answer = process->Hold(order);
     if (is_lost) return;
     if (answer) {
-      loop.After(latency + node.hold_delay, [deliver, answer] { deliver(*answer); });
+      loop.After(Latency() + node.hold_delay, [deliver, answer] { deliver(*answer); });
       return;
     }
     auto woken = std::make_shared<bool>(false);
-    const auto wake = [this, &loop, &node, process, deliver, latency, woken] {
+    const auto wake = [this, &loop, &node, process, deliver, woken] {
       if (std::exchange(*woken, true) || process->dead) return;
       if (node.cut_from.contains(number)) return;
-      loop.After(latency + node.hold_delay,
+      loop.After(Latency() + node.hold_delay,
                  [deliver, status = process->Status()] { deliver(status); });
     };
     process->on_end = wake;
--- a/tests/cell/model_test.cc
+++ b/tests/cell/model_test.cc
@@ -352,8 +352,14 @@
   CheckHistory(cell.history);
 }
 
+// Kinds of faults in a schedule, besides those that each one may have.
+struct FaultKinds {
+  bool late_calls = false;      // Calls without an answer that are executed seconds later.
+  bool quick_restarts = false;  // Several restarts of a worker within seconds, listed late.
+};
+
 // Runs one schedule with random faults at random times.
-void RunSchedule(std::uint64_t seed) {
+void RunSchedule(std::uint64_t seed, const FaultKinds& kinds) {
   Cell cell(seed, 3, 5, Resources{8000, 8000, 0});
   // In half of the schedules transactions are so small that changes are stored in packs.
   if (seed % 2 == 0) cell.max_entries = 4 + seed % 5;
@@ -384,7 +390,7 @@
     loop.After(at + loop.Delay(200, 7000), std::move(end));
   };
   for (std::int64_t faults = loop.Between(2, 7); faults > 0; --faults) {
-    switch (loop.Between(0, 9)) {
+    switch (loop.Between(0, 11)) {
       case 0: {
         Instance* victim = pick();
         during([victim] { victim->Kill(); },
@@ -411,6 +417,7 @@
         during([&cell] { cell.store.faults.late = 0.3; }, [&cell] { cell.store.faults.late = 0; });
         break;
       case 5:
+        if (!kinds.late_calls) break;
         during([&cell] { cell.network.late = 0.1; }, [&cell] { cell.network.late = 0; });
         break;
       case 6:
@@ -436,6 +443,22 @@
                [&cell, worker] { cell.RestartWorker(worker); });
         break;
       }
+      case 9: {
+        const milliseconds jitter = loop.Delay(10, 1200);
+        during([&cell, jitter] { cell.network.jitter = jitter; },
+               [&cell] { cell.network.jitter = milliseconds(0); });
+        break;
+      }
+      case 10: {
+        if (!kinds.quick_restarts) break;
+        const std::string worker = pick_worker();
+        const milliseconds at = loop.Delay(1500, 22000);
+        for (std::int64_t restarts = loop.Between(1, 3); restarts > 0; --restarts) {
+          loop.After(at + loop.Delay(0, 3000), [&cell, worker] { cell.RestartUnlisted(worker); });
+        }
+        loop.After(at + loop.Delay(0, 6000), [&cell] { cell.ListWorkers(); });
+        break;
+      }
       default: {
         Instance* victim = pick();
         during([victim] { victim->cut_from_store = true; },
@@ -449,16 +472,27 @@
   CheckAllEnd(cell, jobs);
 }
 
-// Guards against overlapping faults that make a task run twice, get lost, or have too many
-// attempts. CITRONSILL_SEED and CITRONSILL_SCHEDULES select other schedules.
-TEST_CASE("cell: invariants hold under schedules of faults") {
+// CITRONSILL_SEED and CITRONSILL_SCHEDULES select other schedules.
+void RunSchedules(const FaultKinds& kinds) {
   const std::uint64_t first = FromEnvironment("CITRONSILL_SEED", 1);
   const std::uint64_t count = FromEnvironment("CITRONSILL_SCHEDULES", 300);
   for (std::uint64_t seed = first; seed < first + count; ++seed) {
     INFO("seed ", seed);
-    RunSchedule(seed);
+    RunSchedule(seed, kinds);
   }
 }
 
+// Guards against overlapping faults that make a task run twice, get lost, or have too many
+// attempts.
+TEST_CASE("cell: invariants hold under schedules of faults") { RunSchedules({true, false}); }
+
+// Guards against the same where workers start again under their id within seconds.
+TEST_CASE("cell: invariants hold under quick restarts") { RunSchedules({false, true}); }
+
+// Guards against late calls that a later incarnation executes.
+TEST_CASE("cell: invariants hold under quick restarts and late calls") {
+  RunSchedules({true, true});
+}
+
 }  // namespace
 }  // namespace citronsill::model
--- a/tests/cell/worker.h
+++ b/tests/cell/worker.h
@@ -51,6 +51,7 @@
   std::set<std::string> started;    // Jobs with at least one started task.
   std::uint64_t starts = 0;
   int max_attempts = 3;
+  bool late_on_next_incarnation = false;  // The call being executed; named in violations.
 
   void OnStart(const Run& run) {
     ++starts;
@@ -58,7 +59,8 @@
     const auto note = [&](const std::string& what) {
       violations.push_back(what + ": " + run.task.job + "." + std::to_string(run.task.step) + "." +
                            std::to_string(run.task.index) + " run " + std::to_string(run.run) +
-                           " on " + run.worker);
+                           " on " + run.worker +
+                           (late_on_next_incarnation ? " (late call, next incarnation)" : ""));
     };
     if (running.contains(run.task)) note("two runs at once");
     if (acknowledged_successes.contains(run.task)) note("started after done");
