Take no clock from answers that an earlier incarnation may have given

Cause: after a restart was known (from the list or a hold), the answer to a start or stop of the earlier incarnation could still arrive, late or queued while the scheduler was frozen. Its clock, which is far ahead, became the clock of the next incarnation, whose own clock then counted as older and was ignored from then on. Each hold granted the longest lease that the worker allows, and the scheduler, counting 5 s, gave the runs up and started them elsewhere while they still ran (TWICE). Starts were never 'late' either.

Change: the clock in an answer to a start or stop counts only if the call carried the current fencing token of the worker.

--- a/cell/fleet.cc
+++ b/cell/fleet.cc
@@ -296,7 +296,9 @@
   }
   const StartAnswer& answer = result.value();
   NodeMetrics::Get().CountStart(answer.verdict);
-  OnWorkerAnswered(worker, answer.clock);
+  // The answer to a start with a lower fence may come from an earlier incarnation, whose clock says
+  // nothing about the current one.
+  if (order->fence == worker->fence) OnWorkerAnswered(worker, answer.clock);
   switch (answer.verdict) {
     case StartVerdict::kStarted:
       if (order->state == OrderState::kSending) {
@@ -335,7 +337,7 @@
     return;
   }
   const StopAnswer& answer = result.value();
-  OnWorkerAnswered(worker, answer.clock);
+  if (order->stop_fence == worker->fence) OnWorkerAnswered(worker, answer.clock);
   if (answer.stale_fence && order->stop_fence == worker->fence) return m_hooks.on_superseded();
   if (answer.gone) {
     worker->gone = true;
--- a/tests/cell/restart_test.cc
+++ b/tests/cell/restart_test.cc
@@ -123,5 +123,19 @@
   CHECK(cell.history.starts == 2 * kTasks);
 }
 
+// Guards against TWICE: the answer to a start of the earlier incarnation arrived after the restart
+// was known. Its clock was taken for that of the next one, whose own clock was then ignored: each
+// hold granted the longest lease, and the scheduler gave the runs up after the shorter one.
+TEST_CASE("restart: the clock of the earlier incarnation is not taken for the next one's") {
+  RestartCell cell(1, seconds(40), seconds(20));
+  cell.max_lease = seconds(10);
+  cell.nodes["w0"].answer_delay = milliseconds(200);
+  cell.nodes["w0"].hold_delay = milliseconds(200);
+  cell.At(milliseconds(20060), [&] { cell.RestartWorker("w0"); });
+  cell.At(seconds(40), [&] { cell.nodes["w0"].cut_from = {0}; });
+  cell.At(seconds(60), [&] { cell.nodes["w0"].cut_from.clear(); });
+  cell.Run(seconds(180));
+}
+
 }  // namespace
 }  // namespace citronsill::model
