Tests: unhealthy workers, room, 500 ends an answer, two runs of a task on one worker; a failing test

The stand-in of workers took every start (no 'room', no 429 or 503), listed all ends at once, and replaced an older run of a task when another one began on the same worker.

--- a/tests/cell/cell.h
+++ b/tests/cell/cell.h
@@ -35,6 +35,7 @@
   std::string id;
   bool listed = true;
   milliseconds hold_delay{0};              // Added to the answer to each hold.
+  milliseconds hold_call_delay{0};         // Added to the way of each hold.
   milliseconds call_delay{0};              // Added to the way of each start and stop.
   milliseconds answer_delay{0};            // Added to the way of their answers.
   std::shared_ptr<WorkerProcess> process;  // Current incarnation.
@@ -686,15 +687,21 @@
   });
   if (IsLate()) {
     loop.After(loop.Delay(2000, 12000), [&node, order] {
-      if (!node.process->dead) node.process->Hold(order);
+      if (!node.process->dead && !node.process->is_unhealthy) node.process->Hold(order);
     });
     return;
   }
   if (node.process->dead || node.cut_from.contains(number)) return;
   const bool is_lost = m_cell.network.lost > 0 && loop.Chance(m_cell.network.lost);
-  loop.At(SendTime() + Latency(), [this, &loop, &node, order, deliver, is_lost] {
+  const SteadyTime arrival = SendTime() + Latency() + node.hold_call_delay;
+  loop.At(arrival, [this, &loop, &node, order, deliver, is_lost] {
     const std::shared_ptr<WorkerProcess> process = node.process;
     if (process->dead) return;
+    if (process->is_unhealthy) {
+      return loop.After(Latency(), [deliver] {
+        deliver(Error{schema::CODE_WORKER_UNREACHABLE, "status 503"});
+      });
+    }
     const std::optional<HoldAnswer> answer = process->Hold(order);
     if (is_lost) return;
     if (answer) {
--- a/tests/cell/model_test.cc
+++ b/tests/cell/model_test.cc
@@ -358,12 +358,31 @@
   bool quick_restarts = false;  // Several restarts of a worker within seconds, listed late.
 };
 
+// Guards against runs that count as missing while a worker has more ends than one answer holds.
+TEST_CASE("cell: ends beyond those of one answer are not lost") {
+  Cell cell(13, 1, 1, Resources{7'000'000, 7'000'000, 0});
+  TaskBehavior behavior;
+  behavior.duration = milliseconds(1500);
+  cell.loop.After(milliseconds(1000), [&] { cell.Submit(cell.MakeJob("job", 900, behavior)); });
+  std::function<void()> poll = [&] {
+    if (cell.history.starts < 900) return cell.loop.After(milliseconds(10), poll);
+    cell.store.faults.down = true;
+    cell.loop.After(seconds(4), [&] { cell.store.faults.down = false; });
+  };
+  cell.loop.After(milliseconds(1010), poll);
+  cell.loop.RunFor(seconds(40));
+  CheckHistory(cell.history);
+  CheckAllEnd(cell, {"job"});
+  CHECK(cell.history.starts == 900);
+}
+
 // Runs one schedule with random faults at random times.
 void RunSchedule(std::uint64_t seed, const FaultKinds& kinds) {
   Cell cell(seed, 3, 5, Resources{8000, 8000, 0});
   // In half of the schedules transactions are so small that changes are stored in packs.
   if (seed % 2 == 0) cell.max_entries = 4 + seed % 5;
   Loop& loop = cell.loop;
+  for (const auto& [id, node] : cell.nodes) node.process->checks_room = loop.Chance(0.3);
   std::vector<std::string> jobs;
   for (int i = 0; i < 25; ++i) {
     jobs.push_back("job" + std::to_string(i));
@@ -390,7 +409,7 @@
     loop.After(at + loop.Delay(200, 7000), std::move(end));
   };
   for (std::int64_t faults = loop.Between(2, 7); faults > 0; --faults) {
-    switch (loop.Between(0, 11)) {
+    switch (loop.Between(0, 12)) {
       case 0: {
         Instance* victim = pick();
         during([victim] { victim->Kill(); },
@@ -450,6 +469,12 @@
         break;
       }
       case 10: {
+        const std::string worker = pick_worker();
+        during([&cell, worker] { cell.nodes[worker].process->is_unhealthy = true; },
+               [&cell, worker] { cell.nodes[worker].process->is_unhealthy = false; });
+        break;
+      }
+      case 11: {
         if (!kinds.quick_restarts) break;
         const std::string worker = pick_worker();
         const milliseconds at = loop.Delay(1500, 22000);
--- a/tests/cell/restart_test.cc
+++ b/tests/cell/restart_test.cc
@@ -137,5 +137,29 @@
   cell.Run(seconds(180));
 }
 
+// Guards against TWICE: a hold that was sent before the restart, while no call had failed, carried
+// the number of the last end of the earlier incarnation. The next one dropped its own first ends.
+TEST_CASE("restart: a hold on its way acknowledges no end of the next incarnation") {
+  for (int submitted_ms = 4000; submitted_ms < 5600; submitted_ms += 50) {
+    CAPTURE(submitted_ms);
+    RestartCell cell(1, milliseconds(600));
+    cell.At(milliseconds(submitted_ms), [&] {
+      TaskBehavior behavior;
+      behavior.duration = milliseconds(100);
+      behavior.size.processors_milli = 2000;
+      cell.nodes["w0"].call_delay = milliseconds(150);
+      cell.nodes["w0"].hold_call_delay = milliseconds(400);
+      cell.Submit(cell.MakeJob("next", kTasks, behavior));
+    });
+    cell.At(milliseconds(submitted_ms + 80), [&] { cell.RestartUnlisted("w0"); });
+    cell.At(milliseconds(submitted_ms + 1000), [&] {
+      cell.nodes["w0"].call_delay = milliseconds(0);
+      cell.nodes["w0"].hold_call_delay = milliseconds(0);
+    });
+    cell.Run(seconds(30));
+    CheckAllEnd(cell, {"next"});
+  }
+}
+
 }  // namespace
 }  // namespace citronsill::model
--- a/tests/cell/worker.h
+++ b/tests/cell/worker.h
@@ -2,6 +2,7 @@
 // each violation of an invariant.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <set>
@@ -13,6 +14,8 @@
 
 namespace citronsill::model {
 
+constexpr std::size_t kMaxEndsPerAnswer = 500;
+
 // Actual behavior of a task, which the scheduler does not know.
 struct TaskBehavior {
   milliseconds duration{500};
@@ -98,6 +101,8 @@
 
   bool dead = false;
   bool hangs = false;            // Tasks make no progress.
+  bool is_unhealthy = false;     // Refuses all calls and does nothing.
+  bool checks_room = false;      // Rejects what does not fit.
   milliseconds max_lease{6000};  // On its own clock; longer leases are shortened.
 
   [[nodiscard]] WorkerTime ClockNow() const {
@@ -110,6 +115,10 @@
 
   StartAnswer Start(const StartOrder& order) {
     StartAnswer answer;
+    if (is_unhealthy) {
+      answer.verdict = StartVerdict::kUnavailable;
+      return answer;
+    }
     answer.clock = ClockNow();
     if (order.fence < m_fence) {
       answer.verdict = StartVerdict::kStaleFence;
@@ -121,8 +130,7 @@
       return answer;
     }
     Renew(order.lease_until);
-    if (const auto found = m_running.find(order.task);
-        found != m_running.end() && found->second.run == order.run) {
+    if (m_running.contains({order.task, order.run})) {
       answer.verdict = StartVerdict::kStarted;
       return answer;
     }
@@ -130,6 +138,10 @@
       answer.verdict = StartVerdict::kOldRun;
       return answer;
     }
+    if (checks_room && !Free().Covers(m_history.behavior_of(order.task).size)) {
+      answer.verdict = StartVerdict::kNoRoom;
+      return answer;
+    }
     answer.verdict = StartVerdict::kStarted;
     Begin(order);
     return answer;
@@ -137,6 +149,7 @@
 
   StopAnswer Stop(const TaskRef& task, std::uint64_t run, std::uint64_t fence) {
     StopAnswer answer;
+    if (is_unhealthy) return answer;
     answer.clock = ClockNow();
     if (fence < m_fence) {
       answer.stale_fence = true;
@@ -145,8 +158,8 @@
     m_fence = fence;
     answer.acknowledged = true;
     m_highest[task] = std::max(m_highest[task], run);
-    const auto found = m_running.find(task);
-    if (found != m_running.end() && found->second.run == run && !found->second.stopping) {
+    const auto found = m_running.find({task, run});
+    if (found != m_running.end() && !found->second.stopping) {
       found->second.stopping = true;
       m_loop.After(m_loop.Delay(1, 400), [this, task, run] { End(task, run, RunEnd::kStopped); });
     }
@@ -173,23 +186,24 @@
     HoldAnswer answer;
     answer.clock = ClockNow();
     answer.born_unix_ms = Born();
-    for (const auto& [task, run] : m_running) {
+    for (const auto& [key, run] : m_running) {
       RunningTask out;
-      out.task = task;
-      out.run = run.run;
+      out.task = key.first;
+      out.run = key.second;
       out.percent = Percent(run);
       answer.running.push_back(out);
     }
-    answer.ended = m_ended;
+    const std::size_t listed = std::min(m_ended.size(), kMaxEndsPerAnswer);
+    answer.ended.assign(m_ended.begin(), m_ended.begin() + static_cast<std::ptrdiff_t>(listed));
     return answer;
   }
 
   void Die() {
     if (dead) return;
     dead = true;
-    for (const auto& [task, run] : m_running) {
-      m_history.OnEnd({task, run.run, m_id});
-      m_history.ReportPhase(task, TaskPhase::kNotRunning);
+    for (const auto& [key, run] : m_running) {
+      m_history.OnEnd({key.first, key.second, m_id});
+      m_history.ReportPhase(key.first, TaskPhase::kNotRunning);
     }
     m_running.clear();
   }
@@ -197,15 +211,16 @@
   // @returns the resources not used by running tasks.
   [[nodiscard]] Resources Free() const {
     Resources free = m_capacity;
-    for (const auto& [task, run] : m_running) free -= run.size;
+    for (const auto& [key, run] : m_running) free -= run.size;
     return free;
   }
 
   std::function<void()> on_end;  // Completes a waiting hold.
 
  private:
+  using RunKey = std::pair<TaskRef, std::uint64_t>;  // Task and run number.
+
   struct Running {
-    std::uint64_t run = 0;
     SteadyTime began;
     milliseconds duration{0};
     Resources size;
@@ -220,10 +235,10 @@
 
   void Begin(const StartOrder& order) {
     const TaskBehavior behavior = m_history.behavior_of(order.task);
-    m_running[order.task] = {order.run, m_loop.Now(), behavior.duration, behavior.size, false};
+    m_running[{order.task, order.run}] = {m_loop.Now(), behavior.duration, behavior.size, false};
     m_history.OnStart({order.task, order.run, m_id});
     Resources used;
-    for (const auto& [task, run] : m_running) used += run.size;
+    for (const auto& [key, run] : m_running) used += run.size;
     if (!m_capacity.Covers(used)) m_history.violations.push_back("over capacity: " + m_id);
     if (hangs) return;
     m_loop.After(behavior.duration,
@@ -234,8 +249,8 @@
 
   void End(const TaskRef& task, std::uint64_t run, RunEnd end) {
     if (dead) return;
-    const auto found = m_running.find(task);
-    if (found == m_running.end() || found->second.run != run) return;
+    const auto found = m_running.find({task, run});
+    if (found == m_running.end()) return;
     m_highest[task] = std::max(m_highest[task], run);
     m_running.erase(found);
     m_history.OnEnd({task, run, m_id});
@@ -270,8 +285,8 @@
     m_loop.After(std::chrono::ceil<milliseconds>(left) + milliseconds(1), [this, until] {
       if (dead || m_lease != until) return;
       for (const EndedTask& ended : m_ended) m_lapsed.insert(ended.number);
-      const std::map<TaskRef, Running> running = m_running;
-      for (const auto& [task, run] : running) End(task, run.run, RunEnd::kLeaseExpired);
+      const std::map<RunKey, Running> running = m_running;
+      for (const auto& [key, run] : running) End(key.first, key.second, RunEnd::kLeaseExpired);
     });
   }
 
@@ -283,7 +298,7 @@
   SteadyTime m_born;
   std::uint64_t m_fence = 0;
   WorkerTime m_lease;
-  std::map<TaskRef, Running> m_running;
+  std::map<RunKey, Running> m_running;
   std::map<TaskRef, std::uint64_t> m_highest;
   std::vector<EndedTask> m_ended;
   std::set<std::uint64_t> m_lapsed;  // Ends that were not acknowledged before the lease expired.
