Take the answer to a stop for that stop only

Cause: answers to stops were matched by the order alone. After a restart of the worker a second stop with a higher fencing token was sent; the next incarnation rejected the first one by its lower token, and this answer was taken for that of the second one, as if the shard had a newer scheduler. The scheduler gave up its term; in the model no instance claimed the shard again and no job ended (LOST). The clock of such an answer could also still be taken for that of the next incarnation.

Change: each stop has an id and keeps its fencing token. Answers to stops that were sent to an earlier incarnation are ignored; the order is stopped anew or void with that incarnation.

--- a/cell/fleet.cc
+++ b/cell/fleet.cc
@@ -270,8 +270,9 @@
   const bool is_reachable = !order->worker->description.address.empty();
   if (order->stop_in_flight || !is_reachable || !m_hooks.may_lead()) return;
   order->stop_in_flight = true;
-  order->stop_fence = order->worker->fence;
-  m_hooks.stop(*order->worker, order->task->step->Ref(order->task->index), order->run, order->id);
+  const std::uint64_t id = ++m_last_id;
+  m_stops.emplace(id, StopCall{order->id, order->worker->fence});
+  m_hooks.stop(*order->worker, order->task->step->Ref(order->task->index), order->run, id);
 }
 
 void Fleet::OnStart(std::uint64_t id, const Result<StartAnswer>& result) {
@@ -324,10 +325,15 @@
 }
 
 void Fleet::OnStop(std::uint64_t id, const Result<StopAnswer>& result) {
-  const auto found = m_orders.find(id);
-  if (found == m_orders.end()) return;
-  Order* order = found->second.get();
+  const auto found = m_stops.find(id);
+  if (found == m_stops.end()) return;
+  const StopCall stop = found->second;
+  m_stops.erase(found);
+  Order* order = FindOrder(stop.order);
+  if (order == nullptr) return;
   Worker* worker = order->worker;
+  // The worker has started again since: another stop takes its place.
+  if (stop.fence != worker->fence) return;
   order->stop_in_flight = false;
   order->stop_retry_at = m_hooks.now() + kStopRetry;
   if (!result) {
@@ -337,8 +343,8 @@
     return;
   }
   const StopAnswer& answer = result.value();
-  if (order->stop_fence == worker->fence) OnWorkerAnswered(worker, answer.clock);
-  if (answer.stale_fence && order->stop_fence == worker->fence) return m_hooks.on_superseded();
+  OnWorkerAnswered(worker, answer.clock);
+  if (answer.stale_fence) return m_hooks.on_superseded();
   if (answer.gone) {
     worker->gone = true;
     return EndIncarnation(worker, IncarnationEnd::kOtherId, 0);
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -99,7 +99,7 @@
   /// that is the last argument of the hook. A stop of a run without an order has the id 0; its
   /// result is ignored.
   std::function<void(const Worker&, StartOrder, std::uint64_t order)> start;
-  std::function<void(const Worker&, const TaskRef&, std::uint64_t run, std::uint64_t order)> stop;
+  std::function<void(const Worker&, const TaskRef&, std::uint64_t run, std::uint64_t stop)> stop;
   std::function<void(const Worker&, HoldOrder, std::uint64_t hold)> hold;
   /// Events. In `on_ended` and `on_void`, the order is already detached from its task and worker.
   std::function<void(Order&)> on_running;
@@ -169,7 +169,7 @@
   void Acknowledge(const std::string& worker, std::uint32_t incarnation, std::uint64_t number);
 
   void OnStart(std::uint64_t order, const Result<StartAnswer>& result);
-  void OnStop(std::uint64_t order, const Result<StopAnswer>& result);
+  void OnStop(std::uint64_t stop, const Result<StopAnswer>& result);
   void OnHold(std::uint64_t hold, const Result<HoldAnswer>& result);
 
   /// Sends holds and stops that are due, and voids orders whose leases have expired. To be called
@@ -205,6 +205,12 @@
     SteadyTime sent;
   };
 
+  // A stop in flight.
+  struct StopCall {
+    std::uint64_t order = 0;
+    std::uint64_t fence = 0;
+  };
+
   Worker* FindOrAdd(const std::string& id);
   void SetAttached(Worker* worker, bool attached);
   void EraseUnlisted();
@@ -243,6 +249,7 @@
   std::map<std::string, std::unique_ptr<Worker>> m_workers;
   std::unordered_map<std::uint64_t, std::unique_ptr<Order>> m_orders;
   std::unordered_map<std::uint64_t, Hold> m_holds;
+  std::unordered_map<std::uint64_t, StopCall> m_stops;
   std::uint64_t m_last_id = 0;
   std::vector<Worker*> m_by_slot;
   std::uint64_t m_change_number = 1;
--- a/tests/cell/cell.h
+++ b/tests/cell/cell.h
@@ -656,13 +656,12 @@
   }
   if (node.process->dead || node.cut_from.contains(number)) return unanswered();
   const bool is_lost = m_cell.network.lost > 0 && loop.Chance(m_cell.network.lost);
-  loop.At(SendTime() + Latency() + node.call_delay,
-          [&loop, &node, call, deliver, is_lost, this] {
-            if (node.process->dead) return;
-            const Answer answer = call(*node.process);
-            if (is_lost) return;
-            loop.After(Latency() + node.answer_delay, [deliver, answer] { deliver(answer); });
-          });
+  loop.At(SendTime() + Latency() + node.call_delay, [&loop, &node, call, deliver, is_lost, this] {
+    if (node.process->dead) return;
+    const Answer answer = call(*node.process);
+    if (is_lost) return;
+    loop.After(Latency() + node.answer_delay, [deliver, answer] { deliver(answer); });
+  });
   unanswered();
 }
 
--- a/tests/cell/restart_test.cc
+++ b/tests/cell/restart_test.cc
@@ -137,6 +137,20 @@
   cell.Run(seconds(180));
 }
 
+// Guards against a scheduler that gives up its shard for good: the next incarnation rejects a stop
+// by its lower fence, and the answer was taken for that of the stop that was sent since.
+TEST_CASE("restart: a stop that the next incarnation rejects does not end the scheduler's term") {
+  RestartCell cell(2, seconds(3));
+  cell.nodes["w0"].hold_delay = milliseconds(220);
+  cell.At(milliseconds(2060), [&] {
+    cell.nodes["w0"].call_delay = milliseconds(150);
+    cell.Cancel("job");
+  });
+  cell.At(milliseconds(2080), [&] { cell.RestartWorker("w0"); });
+  cell.At(milliseconds(3000), [&] { cell.nodes["w0"].call_delay = milliseconds(0); });
+  cell.Run(seconds(30));
+}
+
 // Guards against TWICE: a hold that was sent before the restart, while no call had failed, carried
 // the number of the last end of the earlier incarnation. The next one dropped its own first ends.
 TEST_CASE("restart: a hold on its way acknowledges no end of the next incarnation") {
