--- a/tests/cell/model_test.cc
+++ b/tests/cell/model_test.cc
@@ -352,12 +352,41 @@
   CheckHistory(cell.history);
 }
 
+// Kinds of faults in a schedule, besides those that each one may have.
+struct FaultKinds {
+  bool late_calls = false;  // Calls without an answer that are executed seconds later.
+  // Several restarts of a worker within seconds, listed late; calls that overtake each other;
+  // workers that refuse all calls, or what does not fit.
+  bool quick_restarts = false;
+};
+
+// Guards against runs that count as missing while a worker has more ends than one answer holds.
+TEST_CASE("cell: ends beyond those of one answer are not lost") {
+  Cell cell(13, 1, 1, Resources{7'000'000, 7'000'000, 0});
+  TaskBehavior behavior;
+  behavior.duration = milliseconds(1500);
+  cell.loop.After(milliseconds(1000), [&] { cell.Submit(cell.MakeJob("job", 900, behavior)); });
+  std::function<void()> poll = [&] {
+    if (cell.history.starts < 900) return cell.loop.After(milliseconds(10), poll);
+    cell.store.faults.down = true;
+    cell.loop.After(seconds(4), [&] { cell.store.faults.down = false; });
+  };
+  cell.loop.After(milliseconds(1010), poll);
+  cell.loop.RunFor(seconds(40));
+  CheckHistory(cell.history);
+  CheckAllEnd(cell, {"job"});
+  CHECK(cell.history.starts == 900);
+}
+
 // Runs one schedule with random faults at random times.
-void RunSchedule(std::uint64_t seed) {
+void RunSchedule(std::uint64_t seed, const FaultKinds& kinds) {
   Cell cell(seed, 3, 5, Resources{8000, 8000, 0});
   // In half of the schedules transactions are so small that changes are stored in packs.
   if (seed % 2 == 0) cell.max_entries = 4 + seed % 5;
   Loop& loop = cell.loop;
+  if (kinds.quick_restarts) {
+    for (const auto& [id, node] : cell.nodes) node.process->checks_room = loop.Chance(0.3);
+  }
   std::vector<std::string> jobs;
   for (int i = 0; i < 25; ++i) {
     jobs.push_back("job" + std::to_string(i));
@@ -384,7 +413,7 @@
     loop.After(at + loop.Delay(200, 7000), std::move(end));
   };
   for (std::int64_t faults = loop.Between(2, 7); faults > 0; --faults) {
-    switch (loop.Between(0, 9)) {
+    switch (loop.Between(0, kinds.quick_restarts ? 12 : 9)) {
       case 0: {
         Instance* victim = pick();
         during([victim] { victim->Kill(); },
@@ -411,6 +440,7 @@
         during([&cell] { cell.store.faults.late = 0.3; }, [&cell] { cell.store.faults.late = 0; });
         break;
       case 5:
+        if (!kinds.late_calls) break;
         during([&cell] { cell.network.late = 0.1; }, [&cell] { cell.network.late = 0; });
         break;
       case 6:
@@ -436,12 +466,33 @@
                [&cell, worker] { cell.RestartWorker(worker); });
         break;
       }
-      default: {
+      case 9: {
         Instance* victim = pick();
         during([victim] { victim->cut_from_store = true; },
                [victim] { victim->cut_from_store = false; });
         break;
       }
+      case 10: {
+        const milliseconds jitter = loop.Delay(10, 1200);
+        during([&cell, jitter] { cell.network.jitter = jitter; },
+               [&cell] { cell.network.jitter = milliseconds(0); });
+        break;
+      }
+      case 11: {
+        const std::string worker = pick_worker();
+        during([&cell, worker] { cell.nodes[worker].process->is_unhealthy = true; },
+               [&cell, worker] { cell.nodes[worker].process->is_unhealthy = false; });
+        break;
+      }
+      default: {
+        const std::string worker = pick_worker();
+        const milliseconds at = loop.Delay(1500, 22000);
+        for (std::int64_t restarts = loop.Between(1, 3); restarts > 0; --restarts) {
+          loop.After(at + loop.Delay(0, 3000), [&cell, worker] { cell.RestartUnlisted(worker); });
+        }
+        loop.After(at + loop.Delay(0, 6000), [&cell] { cell.ListWorkers(); });
+        break;
+      }
     }
   }
   loop.RunFor(seconds(90));
@@ -449,16 +500,27 @@
   CheckAllEnd(cell, jobs);
 }
 
-// Guards against overlapping faults that make a task run twice, get lost, or have too many
-// attempts. CITRONSILL_SEED and CITRONSILL_SCHEDULES select other schedules.
-TEST_CASE("cell: invariants hold under schedules of faults") {
+// CITRONSILL_SEED and CITRONSILL_SCHEDULES select other schedules.
+void RunSchedules(const FaultKinds& kinds) {
   const std::uint64_t first = FromEnvironment("CITRONSILL_SEED", 1);
   const std::uint64_t count = FromEnvironment("CITRONSILL_SCHEDULES", 300);
   for (std::uint64_t seed = first; seed < first + count; ++seed) {
     INFO("seed ", seed);
-    RunSchedule(seed);
+    RunSchedule(seed, kinds);
   }
 }
 
+// Guards against overlapping faults that make a task run twice, get lost, or have too many
+// attempts.
+TEST_CASE("cell: invariants hold under schedules of faults") { RunSchedules({true, false}); }
+
+// Guards against the same where workers start again under their id within seconds.
+TEST_CASE("cell: invariants hold under quick restarts") { RunSchedules({false, true}); }
+
+// Guards against late calls that a later incarnation executes.
+TEST_CASE("cell: invariants hold under quick restarts and late calls") {
+  RunSchedules({true, true});
+}
+
 }  // namespace
 }  // namespace citronsill::model
--- a/tests/cell/restart_test.cc
+++ b/tests/cell/restart_test.cc
@@ -173,5 +173,57 @@
   }
 }
 
+// Guards against TWICE: the answer to a start of the earlier incarnation arrived after the restart
+// was known. Its clock was taken for that of the next one, whose own clock was then ignored: each
+// hold granted the longest lease, and the scheduler gave the runs up after the shorter one.
+TEST_CASE("restart: the clock of the earlier incarnation is not taken for the next one's") {
+  RestartCell cell(1, seconds(40), seconds(20));
+  cell.max_lease = seconds(10);
+  cell.nodes["w0"].answer_delay = milliseconds(200);
+  cell.nodes["w0"].hold_delay = milliseconds(200);
+  cell.At(milliseconds(20060), [&] { cell.RestartWorker("w0"); });
+  cell.At(seconds(40), [&] { cell.nodes["w0"].cut_from = {0}; });
+  cell.At(seconds(60), [&] { cell.nodes["w0"].cut_from.clear(); });
+  cell.Run(seconds(180));
+}
+
+// Guards against a scheduler that gives up its shard for good: the next incarnation rejects a stop
+// by its lower fence, and the answer was taken for that of the stop that was sent since.
+TEST_CASE("restart: a stop that the next incarnation rejects does not end the scheduler's term") {
+  RestartCell cell(2, seconds(3));
+  cell.nodes["w0"].hold_delay = milliseconds(220);
+  cell.At(milliseconds(2060), [&] {
+    cell.nodes["w0"].call_delay = milliseconds(150);
+    cell.Cancel("job");
+  });
+  cell.At(milliseconds(2080), [&] { cell.RestartWorker("w0"); });
+  cell.At(milliseconds(3000), [&] { cell.nodes["w0"].call_delay = milliseconds(0); });
+  cell.Run(seconds(30));
+}
+
+// Guards against TWICE: a hold that was sent before the restart, while no call had failed, carried
+// the number of the last end of the earlier incarnation. The next one dropped its own first ends.
+TEST_CASE("restart: a hold on its way acknowledges no end of the next incarnation") {
+  for (int submitted_ms = 4000; submitted_ms < 5600; submitted_ms += 50) {
+    CAPTURE(submitted_ms);
+    RestartCell cell(1, milliseconds(600));
+    cell.At(milliseconds(submitted_ms), [&] {
+      TaskBehavior behavior;
+      behavior.duration = milliseconds(100);
+      behavior.size.processors_milli = 2000;
+      cell.nodes["w0"].call_delay = milliseconds(150);
+      cell.nodes["w0"].hold_call_delay = milliseconds(400);
+      cell.Submit(cell.MakeJob("next", kTasks, behavior));
+    });
+    cell.At(milliseconds(submitted_ms + 80), [&] { cell.RestartUnlisted("w0"); });
+    cell.At(milliseconds(submitted_ms + 1000), [&] {
+      cell.nodes["w0"].call_delay = milliseconds(0);
+      cell.nodes["w0"].hold_call_delay = milliseconds(0);
+    });
+    cell.Run(seconds(30));
+    CheckAllEnd(cell, {"next"});
+  }
+}
+
 }  // namespace
 }  // namespace citronsill::model
--- a/tests/cell/worker.h
+++ b/tests/cell/worker.h
@@ -2,6 +2,7 @@
 // each violation of an invariant.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <set>
@@ -13,6 +14,8 @@
 
 namespace citronsill::model {
 
+constexpr std::size_t kMaxEndsPerAnswer = 500;
+
 // Actual behavior of a task, which the scheduler does not know.
 struct TaskBehavior {
   milliseconds duration{500};
@@ -51,6 +54,7 @@
   std::set<std::string> started;    // Jobs with at least one started task.
   std::uint64_t starts = 0;
   int max_attempts = 3;
+  bool late_on_next_incarnation = false;  // The call being executed; named in violations.
 
   void OnStart(const Run& run) {
     ++starts;
@@ -58,7 +62,8 @@
     const auto note = [&](const std::string& what) {
       violations.push_back(what + ": " + run.task.job + "." + std::to_string(run.task.step) + "." +
                            std::to_string(run.task.index) + " run " + std::to_string(run.run) +
-                           " on " + run.worker);
+                           " on " + run.worker +
+                           (late_on_next_incarnation ? " (late call, next incarnation)" : ""));
     };
     if (running.contains(run.task)) note("two runs at once");
     if (acknowledged_successes.contains(run.task)) note("started after done");
@@ -97,6 +102,8 @@
   bool dead = false;
   bool hangs = false;            // Tasks make no progress.
   bool checks_tickets = false;   // Tickets are for one incarnation.
+  bool is_unhealthy = false;     // Refuses all calls and does nothing.
+  bool checks_room = false;      // Rejects what does not fit.
   milliseconds max_lease{6000};  // On its own clock; longer leases are shortened.
 
   [[nodiscard]] WorkerTime ClockNow() const {
@@ -111,6 +118,10 @@
 
   StartAnswer Start(const StartOrder& order) {
     StartAnswer answer;
+    if (is_unhealthy) {
+      answer.verdict = StartVerdict::kUnavailable;
+      return answer;
+    }
     answer.clock = ClockNow();
     if (order.fence < m_fence) {
       answer.verdict = StartVerdict::kStaleFence;
@@ -122,8 +133,7 @@
       return answer;
     }
     Renew(order.lease_until);
-    if (const auto found = m_running.find(order.task);
-        found != m_running.end() && found->second.run == order.run) {
+    if (m_running.contains({order.task, order.run})) {
       answer.verdict = StartVerdict::kStarted;
       return answer;
     }
@@ -135,6 +145,10 @@
       answer.verdict = StartVerdict::kBadTicket;
       return answer;
     }
+    if (checks_room && !Free().Covers(m_history.behavior_of(order.task).size)) {
+      answer.verdict = StartVerdict::kNoRoom;
+      return answer;
+    }
     answer.verdict = StartVerdict::kStarted;
     Begin(order);
     return answer;
@@ -142,6 +156,7 @@
 
   StopAnswer Stop(const TaskRef& task, std::uint64_t run, std::uint64_t fence) {
     StopAnswer answer;
+    if (is_unhealthy) return answer;
     answer.clock = ClockNow();
     if (fence < m_fence) {
       answer.stale_fence = true;
@@ -150,8 +165,8 @@
     m_fence = fence;
     answer.acknowledged = true;
     m_highest[task] = std::max(m_highest[task], run);
-    const auto found = m_running.find(task);
-    if (found != m_running.end() && found->second.run == run && !found->second.stopping) {
+    const auto found = m_running.find({task, run});
+    if (found != m_running.end() && !found->second.stopping) {
       found->second.stopping = true;
       m_loop.After(m_loop.Delay(1, 400), [this, task, run] { End(task, run, RunEnd::kStopped); });
     }
@@ -178,23 +193,24 @@
     HoldAnswer answer;
     answer.clock = ClockNow();
     answer.born_unix_ms = Born();
-    for (const auto& [task, run] : m_running) {
+    for (const auto& [key, run] : m_running) {
       RunningTask out;
-      out.task = task;
-      out.run = run.run;
+      out.task = key.first;
+      out.run = key.second;
       out.percent = Percent(run);
       answer.running.push_back(out);
     }
-    answer.ended = m_ended;
+    const std::size_t listed = std::min(m_ended.size(), kMaxEndsPerAnswer);
+    answer.ended.assign(m_ended.begin(), m_ended.begin() + static_cast<std::ptrdiff_t>(listed));
     return answer;
   }
 
   void Die() {
     if (dead) return;
     dead = true;
-    for (const auto& [task, run] : m_running) {
-      m_history.OnEnd({task, run.run, m_id});
-      m_history.ReportPhase(task, TaskPhase::kNotRunning);
+    for (const auto& [key, run] : m_running) {
+      m_history.OnEnd({key.first, key.second, m_id});
+      m_history.ReportPhase(key.first, TaskPhase::kNotRunning);
     }
     m_running.clear();
   }
@@ -202,15 +218,16 @@
   // @returns the resources not used by running tasks.
   [[nodiscard]] Resources Free() const {
     Resources free = m_capacity;
-    for (const auto& [task, run] : m_running) free -= run.size;
+    for (const auto& [key, run] : m_running) free -= run.size;
     return free;
   }
 
   std::function<void()> on_end;  // Completes a waiting hold.
 
  private:
+  using RunKey = std::pair<TaskRef, std::uint64_t>;  // Task and run number.
+
   struct Running {
-    std::uint64_t run = 0;
     SteadyTime began;
     milliseconds duration{0};
     Resources size;
@@ -225,10 +242,10 @@
 
   void Begin(const StartOrder& order) {
     const TaskBehavior behavior = m_history.behavior_of(order.task);
-    m_running[order.task] = {order.run, m_loop.Now(), behavior.duration, behavior.size, false};
+    m_running[{order.task, order.run}] = {m_loop.Now(), behavior.duration, behavior.size, false};
     m_history.OnStart({order.task, order.run, m_id});
     Resources used;
-    for (const auto& [task, run] : m_running) used += run.size;
+    for (const auto& [key, run] : m_running) used += run.size;
     if (!m_capacity.Covers(used)) m_history.violations.push_back("over capacity: " + m_id);
     if (hangs) return;
     m_loop.After(behavior.duration,
@@ -239,8 +256,8 @@
 
   void End(const TaskRef& task, std::uint64_t run, RunEnd end) {
     if (dead) return;
-    const auto found = m_running.find(task);
-    if (found == m_running.end() || found->second.run != run) return;
+    const auto found = m_running.find({task, run});
+    if (found == m_running.end()) return;
     m_highest[task] = std::max(m_highest[task], run);
     m_running.erase(found);
     m_history.OnEnd({task, run, m_id});
@@ -275,8 +292,8 @@
     m_loop.After(std::chrono::ceil<milliseconds>(left) + milliseconds(1), [this, until] {
       if (dead || m_lease != until) return;
       for (const EndedTask& ended : m_ended) m_lapsed.insert(ended.number);
-      const std::map<TaskRef, Running> running = m_running;
-      for (const auto& [task, run] : running) End(task, run.run, RunEnd::kLeaseExpired);
+      const std::map<RunKey, Running> running = m_running;
+      for (const auto& [key, run] : running) End(key.first, key.second, RunEnd::kLeaseExpired);
     });
   }
 
@@ -288,7 +305,7 @@
   SteadyTime m_born;
   std::uint64_t m_fence = 0;
   WorkerTime m_lease;
-  std::map<TaskRef, Running> m_running;
+  std::map<RunKey, Running> m_running;
   std::map<TaskRef, std::uint64_t> m_highest;
   std::vector<EndedTask> m_ended;
   std::set<std::uint64_t> m_lapsed;  // Ends that were not acknowledged before the lease expired.
