Soak: late and held calls reach the incarnation that then runs; queues without advice

Cause: the stand-in executed a late order only while the incarnation that received it ran, and every queue had advice, whose tickets are bound to an incarnation.

Change: a late start or stop is executed by the incarnation of its id that runs when it is due. The network can hold calls to a worker back for 300 to 900 ms; they reach the process that listens then. A successful end that is acknowledged after a further start of its task counts as a violation (TWICE, "taken note of then or later"); before, only a start after the acknowledgement did.

--- a/tests/cell/worker.h
+++ b/tests/cell/worker.h
@@ -35,6 +35,9 @@
  public:
   std::function<TaskBehavior(const TaskRef&)> behavior_of;
   std::function<void(const TaskRef&, TaskPhase)> on_phase;  // May be empty.
+  // Called when a successful end is acknowledged after the task has been started again. May be
+  // empty.
+  std::function<void(const TaskRef&, std::uint64_t run)> on_started_since_done;
 
   struct Run {
     TaskRef task;
@@ -50,10 +53,12 @@
   std::set<std::string> refused;    // Jobs whose callers were told that they will never run.
   std::set<std::string> started;    // Jobs with at least one started task.
   std::uint64_t starts = 0;
+  std::map<TaskRef, std::uint64_t> starts_of;  // Number of starts of each task.
   int max_attempts = 3;
 
   void OnStart(const Run& run) {
     ++starts;
+    ++starts_of[run.task];
     started.insert(run.task.job);
     const auto note = [&](const std::string& what) {
       violations.push_back(what + ": " + run.task.job + "." + std::to_string(run.task.step) + "." +
@@ -240,6 +245,7 @@
     m_history.ends[{task, run}] = end;
     m_history.ReportPhase(task, end == RunEnd::kDone ? TaskPhase::kEnded : TaskPhase::kNotRunning);
     m_ended.push_back({++m_last_end, task, run, end, ""});
+    m_starts_at_end[m_last_end] = m_history.starts_of[task];
     if (on_end) on_end();
   }
 
@@ -251,6 +257,10 @@
         if (ended.end == RunEnd::kDone) {
           m_history.acknowledged_successes.insert(ended.task);
           m_history.ReportPhase(ended.task, TaskPhase::kAcknowledged);
+          const bool was_started = m_history.starts_of[ended.task] > m_starts_at_end[ended.number];
+          if (was_started && m_history.on_started_since_done) {
+            m_history.on_started_since_done(ended.task, ended.run);
+          }
         }
         if (ended.end == RunEnd::kFailed) ++m_history.acknowledged_failures[ended.task];
       } else if (ended.end == RunEnd::kDone) {
@@ -284,6 +294,7 @@
   std::map<TaskRef, Running> m_running;
   std::map<TaskRef, std::uint64_t> m_highest;
   std::vector<EndedTask> m_ended;
+  std::map<std::uint64_t, std::uint64_t> m_starts_at_end;  // Starts of the task, by end number.
   std::set<std::uint64_t> m_lapsed;  // Ends that were not acknowledged before the lease expired.
   std::uint64_t m_last_end = 0;
 };
--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -18,6 +18,8 @@
 // Retries of a caller whose submission is refused, from the platform's specification.
 constexpr int kRetries = 4;
 constexpr milliseconds kPollPeriod{400};
+// Share of jobs on queues without advice.
+constexpr double kShareWithoutAdvice = 0.5;
 // Probability that an ended job is polled once more, applied after each poll.
 constexpr double kRepeatedPollShare = 0.7;
 constexpr milliseconds kEndedPollPeriod{3000};
@@ -77,6 +79,10 @@
     const auto found = raw->m_jobs.find(task.job);
     return found != raw->m_jobs.end() && found->second->is_long_running;
   };
+  platform->has_advice = [raw = created.get()](const TaskRef& task) {
+    const auto found = raw->m_jobs.find(task.job);
+    return found == raw->m_jobs.end() || found->second->has_advice;
+  };
   platform->on_start = [raw = created.get()](const TaskRef& task) { raw->OnStart(task); };
   return created;
 }
@@ -116,6 +122,11 @@
   } else {
     FillFiniteJob(job.get());
   }
+  // Without long-running jobs, random numbers are drawn as before queues without advice were added.
+  if (m_options.has_long_running && m_platform->loop.Chance(kShareWithoutAdvice)) {
+    job->has_advice = false;
+    job->queue = Platform::WithoutAdvice(job->queue);
+  }
   m_jobs[job->id] = job;
   m_platform->history.submitted.insert(job->id);
   ++m_counts.jobs;
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -55,6 +55,7 @@
     std::string body;                        // JSON of the submission.
     std::vector<model::TaskBehavior> steps;  // Actual behavior of the tasks of each step.
     bool is_long_running = false;
+    bool has_advice = true;  // Whether the queue has advice.
     std::uint32_t occurrences = 1;
     std::optional<std::int64_t> first_start_unix_ms;  // Set for scheduled jobs.
     std::int64_t interval_ms = 0;
--- a/tests/soak/platform.cc
+++ b/tests/soak/platform.cc
@@ -27,6 +27,11 @@
 constexpr milliseconds kUnansweredTime{20000};
 // Time in which a start on a worker may use the policy service's ticket.
 constexpr milliseconds kTicketLifetime{2000};
+// Time for which the network holds calls to a worker back.
+constexpr std::int64_t kMinHeldMs = 300;
+constexpr std::int64_t kMaxHeldMs = 900;
+// Period in which a call that was held back is delivered again while no process listens.
+constexpr milliseconds kRedeliveryPeriod{20};
 // Share of the workers that the policy service allows to run a step, in percent.
 constexpr std::size_t kAllowedPercent = 70;
 constexpr Resources kCapacity{8000, 8000, 0};
@@ -123,6 +128,11 @@
     found.fails = found.fails || m_starts_fail;
     return found;
   };
+  history.on_started_since_done = [this](const TaskRef& task, std::uint64_t run) {
+    if (is_long_running && is_long_running(task)) return;
+    history.violations.push_back(fmt::format(
+        "started after run {} was done, acknowledged later: {}", run, platform::TaskName(task)));
+  };
   for (int i = 0; i < instances; ++i) {
     instance_services.push_back(std::make_unique<InstanceServices>());
     InstanceServices* services = instance_services.back().get();
@@ -272,20 +282,29 @@
 
 void Platform::WriteConfig(int idle_queues) {
   ++m_config_version;
-  const auto queue = [](const char* name, int priority, double stretch, int target,
-                        double decide_ms, double each_ms) {
+  const auto route = [](const std::string& name, int priority, double stretch, int target,
+                        const std::string& advice) {
     return fmt::format(
         R"({{"name":"{0}","host":"cell.example","prefix":"/{0}/","timeoutMs":3000,)"
-        R"("service":"pool","attempts":3,"priority":{1},"stretch":{2},"targetDurationMs":{3},)"
-        R"("advice":{{"decideMs":{4},"eachMs":{5},"validMs":{6}}}}})",
-        name, priority, stretch, target, decide_ms, each_ms, kTicketLifetime.count());
+        R"("service":"pool","attempts":3,"priority":{1},"stretch":{2},"targetDurationMs":{3}{4}}})",
+        name, priority, stretch, target, advice);
+  };
+  const auto queue = [&route](const std::string& name, int priority, double stretch, int target,
+                              double decide_ms, double each_ms) {
+    return route(name, priority, stretch, target,
+                 fmt::format(R"(,"advice":{{"decideMs":{},"eachMs":{},"validMs":{}}})", decide_ms,
+                             each_ms, kTicketLifetime.count()));
   };
   std::string routes =
       queue("short", 0, 1.5, 250, 8.0, 0.2) + "," + queue("batch", 2, 4.0, 3000, 40.0, 1.0) + "," +
       queue("gang", 1, 2.2, 1000, 150.0, 2.0) + "," + queue("serving", 1, 4.0, 1000, 8.0, 0.2);
-  routes.append(",").append(queue(NewestQueue(m_config_version).c_str(), 2, 4.0, 1000, 1.0, 0.1));
+  routes.append(",").append(route(WithoutAdvice("short"), 0, 1.5, 250, ""));
+  routes.append(",").append(route(WithoutAdvice("batch"), 2, 4.0, 3000, ""));
+  routes.append(",").append(route(WithoutAdvice("gang"), 1, 2.2, 1000, ""));
+  routes.append(",").append(route(WithoutAdvice("serving"), 1, 4.0, 1000, ""));
+  routes.append(",").append(queue(NewestQueue(m_config_version), 2, 4.0, 1000, 1.0, 0.1));
   for (int i = 0; i < idle_queues; ++i) {
-    routes.append(",").append(queue(fmt::format("idle{}", i).c_str(), 2, 4.0, 1000, 1.0, 0.1));
+    routes.append(",").append(queue(fmt::format("idle{}", i), 2, 4.0, 1000, 1.0, 0.1));
   }
   const std::string text = fmt::format(
       R"({{"version":{},"routes":[{}],"services":[{{"name":"pool","admissionCheck":false}}]}})",
@@ -315,7 +334,6 @@
   worker->endpoint.relay->Reset();
 }
 
-// The worker gets its previous id or, in half of the cases, a new one.
 void Platform::StartWorker(WorkerHost* worker) {
   KillWorker(worker);
   if (worker->id.empty() || loop.Chance(0.5)) {
@@ -324,6 +342,19 @@
     worker->id = "w" + std::to_string(++m_last_id);
     m_by_id[worker->id] = worker;
   }
+  StartIncarnation(worker);
+  SetListed(*worker, true);
+}
+
+void Platform::RestartWorker(WorkerHost* worker, milliseconds list_delay) {
+  KillWorker(worker);
+  StartIncarnation(worker);
+  loop.After(list_delay, [this, worker, incarnation = worker->incarnation] {
+    if (worker->incarnation == incarnation && !incarnation->dead) SetListed(*worker, true);
+  });
+}
+
+void Platform::StartIncarnation(WorkerHost* worker) {
   worker->draining = false;
   worker->holds.clear();
   worker->incarnation = std::make_shared<WorkerProcess>(
@@ -336,17 +367,22 @@
     for (const auto& wake : holds) wake();
   };
   m_incarnations.push_back(worker->incarnation);
-  SetListed(*worker, true);
 }
 
 void Platform::HandleWorker(WorkerHost& worker, const HttpRequest& request,
                             const HttpReply& reply) {
   if (worker.incarnation->dead) return LeaveUnanswered(reply);
   if (request.Header("X-Expect-Instance") != worker.id) return reply(Answer(421));
-  if (request.target == "/api/hold") return HandleHold(worker, request, reply);
+  const bool is_hold = request.target == "/api/hold";
+  if (worker.faults.holds_orders && (worker.faults.holds_all || !is_hold)) {
+    return HoldBack(worker, request, reply, loop.Delay(kMinHeldMs, kMaxHeldMs));
+  }
+  if (is_hold) return HandleHold(worker, request, reply);
   if (loop.Chance(worker.faults.late)) {
-    loop.After(loop.Delay(2000, 12000), [this, &worker, request, incarnation = worker.incarnation] {
-      if (!incarnation->dead && worker.incarnation == incarnation) Execute(worker, request, true);
+    // Executed by the incarnation that runs then, which need not be the one that received it.
+    loop.After(loop.Delay(2000, 12000), [this, &worker, request] {
+      if (worker.incarnation->dead || request.Header("X-Expect-Instance") != worker.id) return;
+      Execute(worker, request, true);
     });
     return LeaveUnanswered(reply);
   }
@@ -355,6 +391,17 @@
   reply(std::move(response));
 }
 
+// Delivers a call after a delay to the process that listens then, or to the next one.
+void Platform::HoldBack(WorkerHost& worker, const HttpRequest& request, const HttpReply& reply,
+                        milliseconds delay) {
+  loop.After(delay, [this, &worker, request, reply] {
+    if (request.Header("X-Expect-Instance") != worker.id) return reply(Answer(421));
+    if (worker.incarnation->dead) return HoldBack(worker, request, reply, kRedeliveryPeriod);
+    if (request.target == "/api/hold") return HandleHold(worker, request, reply);
+    reply(Execute(worker, request, true));
+  });
+}
+
 HttpResponse Platform::Execute(WorkerHost& worker, const HttpRequest& request, bool is_late) {
   WorkerProcess& incarnation = *worker.incarnation;
   const auto document = Document::Parse(request.body);
@@ -370,9 +417,11 @@
   }
   if (request.target != "/api/run-start") return Answer(404);
   const auto ticket = m_tickets.find(Text(root, "token"));
-  if (ticket == m_tickets.end() || ticket->second.step != platform::StepName(*task) ||
-      ticket->second.worker != worker.id || ticket->second.born_unix_ms != worker.born_unix_ms ||
-      loop.Now() > ticket->second.until) {
+  const bool needs_ticket = !has_advice || has_advice(*task);
+  if (needs_ticket &&
+      (ticket == m_tickets.end() || ticket->second.step != platform::StepName(*task) ||
+       ticket->second.worker != worker.id || ticket->second.born_unix_ms != worker.born_unix_ms ||
+       loop.Now() > ticket->second.until)) {
     return Rejected(incarnation, "ticket");
   }
   StartOrder order;
@@ -428,7 +477,11 @@
 
 // ---- The policy service
 
-bool Platform::IsAllowed(const std::string& step, const WorkerHost& worker) const {
+bool Platform::IsAllowed(const TaskRef& task, const WorkerHost& worker) const {
+  return !has_advice(task) || IsStepAllowed(platform::StepName(task), worker);
+}
+
+bool Platform::IsStepAllowed(const std::string& step, const WorkerHost& worker) const {
   // One worker may always run the step, so that no job waits forever.
   const bool is_guaranteed = std::hash<std::string>{}(step) % workers.size() == worker.number;
   return is_guaranteed || std::hash<std::string>{}(step + worker.id) % 100 < kAllowedPercent;
@@ -450,7 +503,7 @@
   for (const json::value& value : *requested_workers) {
     const std::string id(value.as_string());
     const auto worker = m_by_id.find(id);
-    if (worker == m_by_id.end() || !IsAllowed(step, *worker->second)) continue;
+    if (worker == m_by_id.end() || !IsStepAllowed(step, *worker->second)) continue;
     const std::string ticket = "ticket-" + std::to_string(++m_last_ticket);
     m_tickets[ticket] = {step, id, worker->second->born_unix_ms,
                          services.advice_free_at + kTicketLifetime};
--- a/tests/soak/platform.h
+++ b/tests/soak/platform.h
@@ -26,7 +26,9 @@
 struct WorkerFaults {
   double late = 0.0;  // Share of orders that are executed 2 to 12 s later, without an answer.
   double lost = 0.0;  // Share of orders whose answer is lost.
-  bool fails_tasks = false;  // All tasks that the worker starts fail.
+  bool holds_orders = false;  // The network delivers orders only 300 to 900 ms later.
+  bool holds_all = false;     // With `holds_orders`: hold calls as well.
+  bool fails_tasks = false;   // All tasks that the worker starts fail.
 };
 
 // A server in this process and the relay through which the instances connect to it.
@@ -70,6 +72,8 @@
   std::function<model::TaskBehavior(const TaskRef&)> actual_behavior;  // Actual behavior of a task.
   // Whether a task runs until its job is cancelled.
   std::function<bool(const TaskRef&)> is_long_running;
+  // Whether a task's queue has advice, so that its starts need a ticket.
+  std::function<bool(const TaskRef&)> has_advice;
 
   struct DisruptionTimes {
     SteadyTime any_until{};         // End of the last disruption, planned ones included.
@@ -88,13 +92,18 @@
   [[nodiscard]] std::uint64_t ConfigVersion() const { return m_config_version; }
   // @returns the name of the queue that only this version of the configuration has.
   static std::string NewestQueue(std::uint64_t version);
+  // @returns the name of the queue with the same terms as another one, but without advice.
+  static std::string WithoutAdvice(const std::string& queue) { return queue + "-open"; }
   // Writes or removes the row that describes a worker.
   void SetListed(const WorkerHost& worker, bool listed);
   void KillWorker(WorkerHost* worker);
+  // Starts a new incarnation under the previous id or, in half of the cases, a new one.
   void StartWorker(WorkerHost* worker);
-  // @param step name of the step as in orders.
-  // @returns whether the policy service allows a worker to run the step.
-  [[nodiscard]] bool IsAllowed(const std::string& step, const WorkerHost& worker) const;
+  // Starts a new incarnation under the previous id.
+  // @param list_delay time until the worker's row in the store shows it.
+  void RestartWorker(WorkerHost* worker, milliseconds list_delay);
+  // @returns whether a worker may run the task: the policy service decides on queues with advice.
+  [[nodiscard]] bool IsAllowed(const TaskRef& task, const WorkerHost& worker) const;
   static Resources Capacity();
 
   // Called when a worker starts a run of the task, except for orders that a fault delayed.
@@ -112,7 +121,11 @@
   void HandleFeed(const HttpRequest& request, const HttpReply& reply);
   void AnswerFeeds();
   void HandleAdvice(InstanceServices& services, const HttpRequest& request, const HttpReply& reply);
+  void StartIncarnation(WorkerHost* worker);
+  [[nodiscard]] bool IsStepAllowed(const std::string& step, const WorkerHost& worker) const;
   void HandleWorker(WorkerHost& worker, const HttpRequest& request, const HttpReply& reply);
+  void HoldBack(WorkerHost& worker, const HttpRequest& request, const HttpReply& reply,
+                milliseconds delay);
   HttpResponse Execute(WorkerHost& worker, const HttpRequest& request, bool is_late);
   void HandleHold(WorkerHost& worker, const HttpRequest& request, const HttpReply& reply);
 
--- a/tests/soak/waiting.cc
+++ b/tests/soak/waiting.cc
@@ -56,10 +56,9 @@
 
 // Whether the workers that may run a task have free capacity for twice what has to start together.
 bool WaitingCheck::HasDoubleCapacity(const TaskRef& task, const model::TaskBehavior& step) const {
-  const std::string name = platform::StepName(task);
   std::uint32_t missing = 2 * (step.gang ? step.members : 1);
   for (const auto& worker : m_platform->workers) {
-    if (worker->incarnation->dead || worker->draining || !m_platform->IsAllowed(name, *worker))
+    if (worker->incarnation->dead || worker->draining || !m_platform->IsAllowed(task, *worker))
       continue;
     Resources free_capacity = Platform::Capacity();
     if (const auto used = m_used.find(worker->id); used != m_used.end())
