Soak: fault held_restart, calls held back while a worker starts again under its id

Change: held_restart holds orders to one worker back (in half of the cases hold calls too), kills it after 150 to 600 ms and starts it again under its id 100 to 400 ms later, up to four times in a series; its row in the store follows up to 500 ms later. Seeds with periods draw other faults than before.

--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -23,6 +23,8 @@
 run 202 15 17600 --plain
 # Configurations that were not in force after a silent outage (docs/incidents/2026-12-05-config-after-outage.md).
 run 940 20 18000 --faults store_silent
+# Workers that start again under their id while the network holds calls to them back (issue 35).
+run 9301 20 18400 --rate 10 --faults held_restart
 wait
 cat "$work"/*.out
 ! grep -q '^not ok' "$work"/*.out
--- a/tests/soak/faults.cc
+++ b/tests/soak/faults.cc
@@ -61,7 +61,8 @@
       {"burst", Disruption::kNone, &Faults::Burst},
       {"cancel", Disruption::kNone, &Faults::CancelMany},
       {"slow", Disruption::kUnplanned, &Faults::Slow},
-      {"store_silent", Disruption::kUnplanned, &Faults::StoreSilent}};
+      {"store_silent", Disruption::kUnplanned, &Faults::StoreSilent},
+      {"held_restart", Disruption::kUnplanned, &Faults::HeldRestart}};
   return kinds;
 }
 
@@ -109,7 +110,8 @@
   if (!m_only.empty() && !m_only.contains(kind.name)) return false;
   // Schedules without periods reproduce seeds that failed before these faults were added. They are
   // left out of them, as they would change which faults a seed draws.
-  const bool is_newer = kind.begin == &Faults::Slow || kind.begin == &Faults::StoreSilent;
+  const bool is_newer = kind.begin == &Faults::Slow || kind.begin == &Faults::StoreSilent ||
+                        kind.begin == &Faults::HeldRestart;
   if (!m_has_periods && m_only.empty() && is_newer) return false;
   return IsFaultPeriod() || kind.disruption == Disruption::kNone ||
          (m_period == Period::kMaintenance && kind.disruption == Disruption::kPlanned);
@@ -454,6 +456,37 @@
   });
 }
 
+// Calls to a worker are held back by the network while it starts again under its id, several times.
+void Faults::HeldRestart() {
+  Platform::WorkerHost* worker = RandomWorker();
+  const std::int64_t restarts = Random().Between(1, 4);
+  if (worker->faults.holds_orders || worker->draining) return;
+  LogEvent(
+      fmt::format("hold calls to worker {} back and restart it, {} times", worker->id, restarts));
+  RestartWhileHeld(worker, restarts);
+}
+
+void Faults::RestartWhileHeld(Platform::WorkerHost* worker, std::int64_t restarts) {
+  worker->faults.holds_orders = true;
+  worker->faults.holds_all = Random().Chance(0.5);
+  const milliseconds kill_at = Random().Delay(150, 600);
+  const milliseconds start_at = kill_at + Random().Delay(100, 400);
+  const milliseconds list_delay = Random().Delay(0, 500);
+  const milliseconds next_at = start_at + Random().Delay(200, 1500);
+  After(kill_at, [this, worker] {
+    worker->faults.holds_orders = false;
+    LogEvent("kill worker " + worker->id);
+    m_platform->KillWorker(worker);
+  });
+  After(start_at, [this, worker, list_delay] {
+    if (!worker->incarnation->dead) return;
+    LogEvent("start worker " + worker->id + " again under its id");
+    m_platform->RestartWorker(worker, list_delay);
+  });
+  if (restarts == 1) return;
+  After(next_at, [this, worker, restarts] { RestartWhileHeld(worker, restarts - 1); });
+}
+
 // ---- Operators and callers
 
 void Faults::ChangeConfig() {
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -86,6 +86,8 @@
   void DrainWorker();
   void WorkerFails();
   void LateOrders();
+  void HeldRestart();
+  void RestartWhileHeld(Platform::WorkerHost* worker, std::int64_t restarts);
   void ChangeConfig();
   void Burst();
   void CancelMany();
