--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -16,6 +16,8 @@
 run 1 20 16400 --rate 7
 # Every instance gets the smallest share of a processor that the platform assigns.
 run 2 20 16800 --rate 20 --workers 60 --share 0.12
+# Workers that start again under their id while the network holds calls to them back (issue 35).
+run 9301 20 18400 --rate 10 --faults held_restart
 wait
 # Seeds that failed before: a scheduler that had been frozen denied jobs of its successor
 # (docs/incidents/2026-12-04-frozen-scheduler.md).
@@ -23,8 +25,6 @@
 run 202 15 17600 --plain
 # Configurations that were not in force after a silent outage (docs/incidents/2026-12-05-config-after-outage.md).
 run 940 20 18000 --faults store_silent
-# Workers that start again under their id while the network holds calls to them back (issue 35).
-run 9301 20 18400 --rate 10 --faults held_restart
 wait
 cat "$work"/*.out
 ! grep -q '^not ok' "$work"/*.out
