Let each scheduler pass on for how long earlier ones may renew leases

A scheduler was cut off together with a worker and went on renewing its leases; the next one released the shard or was restarted; the third started the worker's tasks elsewhere about 5 s after it had loaded the shard.

Cause: a scheduler that followed an owner that is gone (released, or another process at its address) took all earlier ones as gone and left out `kLeadWithoutStore`. That the owner right before had to wait for others was known to nobody else.

Both runs can be started by one instance: it starts the run, is restarted, the scheduler that took over from it is cut off with the worker, the instance takes over, is restarted again and claims the shard once more.

Change: owner and head row carry for how long schedulers before the writer may still renew leases (`earlier_may_lead_ms`). No earlier one can write after a claim, so `kLeadWithoutStore` from the claim is always enough. Each scheduler counts the time down by its own clock in each transaction; after a release the next one takes the time in the owner row, after a restart of the owner the one in the head row, both in full; after any other claim, and if the rows do not tell, `kLeadWithoutStore`. `Claimer` decides that for the program and for the model, whose schedulers always waited for the full time before. Restarts in turn pass on 0 and are as quick as before.

Second cause, found on the way: a scheduler counted its time without the store from when it learned of its claim, not from when it had sent it. Frozen in between, it led beside its successor for longer than that one waits. `CommitLog` now counts from the first sending of the claim.

The model also takes the links of a cut instance as cut from both ends (before, others heard it), knows releases, and counts the wait from the claim, as the program now does.

--- a/cell/claim.cc
+++ b/cell/claim.cc
@@ -51,6 +51,7 @@
   m_head_since.reset();
   m_claim_after_read = false;
   m_claim_failed = false;
+  m_owner_denied = false;
   if (version == 0) return;
   if (is_new_term) {
     Log(LogLevel::kInfo, "owner-changed")
@@ -88,6 +89,7 @@
 void Claimer::Tick(const OwnerLinkState& link_state, bool may_claim) {
   if (!m_owner_known || m_busy || !may_claim || IsOwn()) return;
   const SteadyTime now = m_hooks.now();
+  m_owner_denied = link_state.has_denied;
   const bool is_vacant = m_owner_version == 0 || m_owner.released() || link_state.has_denied;
   if (is_vacant) {
     if (!m_vacant_since) m_vacant_since = now;
@@ -166,10 +168,27 @@
   if (m_claim_after_read) Claim();
 }
 
+// Returns for how long earlier schedulers may still renew leases, counted from this claim. None of
+// them can write after it, so that is `kLeadWithoutStore` at most. An owner that has released the
+// shard or whose process has ended renews none, but schedulers before it may be cut off: its rows
+// tell for how long they count.
+milliseconds Claimer::EarlierMayLead() const {
+  if (m_owner_version == 0) return milliseconds(0);
+  if (m_owner.released()) return TimePassedOn(m_owner);
+  return m_owner_denied ? TimePassedOn(m_head) : kLeadWithoutStore;
+}
+
 void Claimer::Claim() {
   m_busy = true;
+  // A claim of the same rows that was not answered may be the one that takes effect.
+  if (!m_claim_unanswered || m_claimed_head_version != m_head_version) m_claim_sent = m_hooks.now();
+  m_claimed_head_version = m_head_version;
+  m_claim_unanswered = true;
+  const auto earlier_may_lead_ms = static_cast<std::uint32_t>(EarlierMayLead().count());
   m_claimed_owner = m_self;
   m_claimed_owner.set_term(m_owner.term() + 1);
+  m_claimed_owner.set_earlier_may_lead_ms(earlier_may_lead_ms);
+  m_claimed_head.set_earlier_may_lead_ms(earlier_may_lead_ms);
   m_claimed_head.set_term(m_claimed_owner.term());
   m_claimed_head.set_incarnation(m_self.incarnation());
   m_claimed_head.set_sequence(m_head.sequence() + 1);
@@ -178,7 +197,10 @@
       .Field("term", m_claimed_owner.term())
       .Field("owner", m_owner.instance())
       .Field("owner_version", m_owner_version)
-      .Field("head_version", m_head_version);
+      .Field("head_version", m_head_version)
+      .Field("released", m_owner.released())
+      .Field("denied", m_owner_denied)
+      .Field("earlier_may_lead_ms", earlier_may_lead_ms);
   m_hooks.write_rows(m_claimed_owner, m_claimed_head, m_owner_version, m_head_version);
 }
 
@@ -187,6 +209,7 @@
   m_vacant_since.reset();
   m_head_since.reset();
   m_claim_failed = true;
+  m_claim_unanswered = !result;
   if (!result) {
     Log(LogLevel::kWarn, "claim-unanswered")
         .Field("shard", m_shard)
--- a/cell/claim.h
+++ b/cell/claim.h
@@ -55,6 +55,14 @@
   milliseconds silence_limit = kOwnerLinkSilence;
 };
 
+/// @returns for how long schedulers before the one that wrote this row may still renew leases: an
+/// `OwnerRow` or a `HeadRow`. Counts from the time at which the row was written, or a later one.
+template <class Row>
+milliseconds TimePassedOn(const Row& row) {
+  return row.has_earlier_may_lead_ms() ? milliseconds(row.earlier_may_lead_ms())
+                                       : kLeadWithoutStore;
+}
+
 /// Claims one shard on behalf of this process.
 class Claimer {
  public:
@@ -77,6 +85,8 @@
   void OnClaimed(const Result<CommitOutcome>& result);
 
   [[nodiscard]] const schema::OwnerRow& Owner() const { return m_owner; }
+  /// @returns when the latest claim was sent first. Others may have claimed the shard since.
+  [[nodiscard]] SteadyTime ClaimSent() const { return m_claim_sent; }
   [[nodiscard]] bool IsOwn() const {
     return m_owner_version != 0 && m_owner.incarnation() == m_self.incarnation() &&
            !m_owner.released();
@@ -86,6 +96,7 @@
   [[nodiscard]] milliseconds ClaimDelay() const;
   [[nodiscard]] bool IsListed() const;
   [[nodiscard]] milliseconds SilenceLimit(const OwnerLinkState& link_state) const;
+  [[nodiscard]] milliseconds EarlierMayLead() const;
   void ReadOwnership();
   void Claim();
 
@@ -103,6 +114,10 @@
   std::optional<SteadyTime> m_vacant_since;  // Since when the shard is known to have no owner.
   schema::OwnerRow m_claimed_owner;
   schema::HeadRow m_claimed_head;
+  std::uint64_t m_claimed_head_version = 0;
+  bool m_claim_unanswered = false;
+  SteadyTime m_claim_sent{};
+  bool m_owner_denied = false;      // The process that wrote the owner row has ended.
   bool m_busy = false;              // A read or a claim has no reply yet.
   bool m_claim_after_read = false;  // Claim when the current read shows no change of the rows.
   bool m_claim_failed = false;      // The last claim failed, with the owner row still unchanged.
--- a/cell/commit.cc
+++ b/cell/commit.cc
@@ -9,14 +9,21 @@
 
 namespace citronsill {
 
+SteadyTime EarlierLeasesEnd(SteadyTime now, SteadyTime earlier_may_lead_until, milliseconds lease) {
+  return std::max(now, earlier_may_lead_until) +
+         std::chrono::ceil<milliseconds>(lease * (1.0 + kWorkerClockDrift)) + kLeaseMargin;
+}
+
 CommitLog::CommitLog(std::string shard, schema::HeadRow head, std::uint64_t head_version,
-                     RowStore* store, CommitHooks hooks)
+                     RowStore* store, SteadyTime claim_sent, SteadyTime earlier_may_lead_until,
+                     CommitHooks hooks)
     : m_shard(std::move(shard)),
       m_head(std::move(head)),
       m_head_version(head_version),
       m_store(store),
+      m_earlier_may_lead_until(earlier_may_lead_until),
       m_hooks(std::move(hooks)),
-      m_confirmed(m_hooks.now()),
+      m_confirmed(claim_sent),
       m_last_write(m_hooks.now()) {}
 
 CommitLog::~CommitLog() { *m_alive = false; }
@@ -66,12 +73,16 @@
   m_position = batch.position;
   const RowKey head_key{kHeadTable, m_shard, kShardRowKey};
   m_head.set_sequence(m_head.sequence() + 1);
+  const auto earlier_may_lead = std::max(
+      milliseconds(0), std::chrono::ceil<milliseconds>(m_earlier_may_lead_until - m_hooks.now()));
+  m_head.set_earlier_may_lead_ms(static_cast<std::uint32_t>(earlier_may_lead.count()));
   m_transaction.conditions.push_back({head_key, m_head_version});
   m_transaction.writes = std::move(batch.writes);
   m_transaction.removals = std::move(batch.removals);
   m_transaction.writes.push_back(Row{head_key, m_head.SerializeAsString()});
   if (m_release_wanted) {
     m_releasing = true;
+    m_released_owner.set_earlier_may_lead_ms(m_head.earlier_may_lead_ms());
     m_transaction.writes.push_back(
         Row{{kOwnerTable, m_shard, kShardRowKey}, m_released_owner.SerializeAsString()});
     m_on_release_begin();
--- a/cell/commit.h
+++ b/cell/commit.h
@@ -32,13 +32,21 @@
   std::function<void()> on_lost;
 };
 
+/// @returns when all leases have expired that earlier schedulers of a shard may have granted.
+/// @param earlier_may_lead_until until when they may still renew leases.
+/// @param lease length of a lease.
+SteadyTime EarlierLeasesEnd(SteadyTime now, SteadyTime earlier_may_lead_until, milliseconds lease);
+
 /// Writes the changes of one scheduler to the store in order.
 class CommitLog {
  public:
   /// @param head head row as written by the claim of this scheduler.
   /// @param head_version version of the head row.
+  /// @param claim_sent when the claim was sent.
+  /// @param earlier_may_lead_until until when earlier schedulers may still renew leases; told to
+  /// the next one with each transaction.
   CommitLog(std::string shard, schema::HeadRow head, std::uint64_t head_version, RowStore* store,
-            CommitHooks hooks);
+            SteadyTime claim_sent, SteadyTime earlier_may_lead_until, CommitHooks hooks);
   ~CommitLog();
 
   /// To be called when there are changes to store. They are taken after the current event, which
@@ -51,7 +59,8 @@
   /// @returns time since the transaction in flight was first sent if an attempt has failed; else 0.
   [[nodiscard]] milliseconds FailingFor() const;
 
-  /// @returns when the last transaction that is known to be in the store was first sent.
+  /// @returns when the last transaction that is known to be in the store was first sent; at first,
+  /// the claim.
   [[nodiscard]] SteadyTime Confirmed() const { return m_confirmed; }
 
   /// @returns whether the scheduler may still send orders to workers. A scheduler that cannot write
@@ -84,6 +93,7 @@
   schema::HeadRow m_head;
   std::uint64_t m_head_version;
   RowStore* m_store;
+  SteadyTime m_earlier_may_lead_until;
   CommitHooks m_hooks;
   RowTransaction m_transaction;    // In flight, or to be sent again.
   std::uint64_t m_position = 0;    // Position up to which the transaction stores changes.
@@ -103,7 +113,7 @@
   std::function<void()> m_on_released;
   SteadyTime m_sent{};        // First attempt of the transaction.
   milliseconds m_latency{0};  // Moving average of the time until a reply.
-  SteadyTime m_confirmed{};
+  SteadyTime m_confirmed;
   SteadyTime m_last_write{};
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "cell/claim.h"
 #include "cell/follower.h"
 #include "cell/limits.h"
 #include "cell/log.h"
@@ -58,6 +59,7 @@
   TimerId report_timer;
   TimerId held_check_timer;
   SteadyTime began = BootNow();
+  SteadyTime earlier_may_lead_until{};
   ReadGate read_gate{BootNow};
   bool loaded = false;
   bool lost = false;
@@ -187,7 +189,10 @@
       read_gate.OnConfirmed(commits->Confirmed());
     };
     commit_hooks.on_lost = [this] { Lose(); };
+    // The claim was stored before `began`.
+    earlier_may_lead_until = began + TimePassedOn(options.owner);
     commits = std::make_unique<CommitLog>(options.shard, options.head, options.version, store,
+                                          options.claim_sent, earlier_may_lead_until,
                                           std::move(commit_hooks));
   }
 
@@ -225,19 +230,14 @@
 
   void FinishLoading() {
     const SteadyTime now = BootNow();
-    // Time until all leases granted by the previous scheduler have expired. If it may still be
-    // running, it can grant leases for another `kLeadWithoutStore`.
-    milliseconds lease_expiry_delay =
-        std::chrono::ceil<milliseconds>(std::min(kLease, settings.max_lease) *
-                                        (1.0 + kWorkerClockDrift)) +
-        kLeaseMargin;
-    if (!options.earlier_is_gone) lease_expiry_delay += kLeadWithoutStore;
+    const SteadyTime leases_end =
+        EarlierLeasesEnd(now, earlier_may_lead_until, std::min(kLease, settings.max_lease));
     const StoredShard shard = ResolveRows({std::move(jobs.rows), std::move(progress.rows),
                                            std::move(finished.rows), std::move(packs.rows)});
     const std::size_t job_count = shard.jobs.size();
     const std::size_t finished_count = shard.finished.size();
     const std::size_t pack_count = shard.packs.size();
-    scheduler->Restore(shard, now + lease_expiry_delay);
+    scheduler->Restore(shard, leases_end);
     loaded = true;
     Log(LogLevel::kInfo, "shard-loaded")
         .Field("shard", options.shard)
@@ -245,7 +245,10 @@
         .Field("jobs", job_count)
         .Field("finished", finished_count)
         .Field("packs", pack_count)
-        .Field("earlier_is_gone", options.earlier_is_gone)
+        .Field("earlier_may_lead_ms",
+               std::max(milliseconds(0),
+                        std::chrono::duration_cast<milliseconds>(earlier_may_lead_until - now)))
+        .Field("leases_end_in_ms", std::chrono::duration_cast<milliseconds>(leases_end - now))
         .Field("took_ms", std::chrono::duration_cast<milliseconds>(now - began));
     jobs = {};
     progress = {};
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -18,10 +18,10 @@
 
 struct LeaderOptions {
   std::string shard;
-  schema::OwnerRow owner;        ///< As written by the claim.
-  schema::HeadRow head;          ///< As written by the claim.
-  std::uint64_t version = 0;     ///< Version of both rows.
-  bool earlier_is_gone = false;  ///< The scheduler that owned the shard before has stopped.
+  schema::OwnerRow owner;     ///< As written by the claim.
+  schema::HeadRow head;       ///< As written by the claim.
+  std::uint64_t version = 0;  ///< Version of both rows.
+  SteadyTime claim_sent{};    ///< When the claim was sent.
 };
 
 struct LeaderHooks {
--- a/cell/shard.cc
+++ b/cell/shard.cc
@@ -168,14 +168,15 @@
     Log(LogLevel::kInfo, "shard-gained")
         .Field("shard", name)
         .Field("term", owner.term())
-        .Field("earlier_denied", link_state.has_denied);
+        .Field("earlier_denied", link_state.has_denied)
+        .Field("earlier_may_lead_ms", TimePassedOn(owner));
     NodeMetrics::Get().CountTakeover();
     LeaderOptions options;
     options.shard = name;
     options.owner = owner;
     options.head = head;
     options.version = version;
-    options.earlier_is_gone = link_state.has_denied || previous_owner_released || owner.term() == 1;
+    options.claim_sent = claimer.ClaimSent();
     LeaderHooks hooks;
     hooks.on_lost = [this] { StopLeader(); };
     hooks.loop_load = deps.loop_load;
@@ -195,8 +196,6 @@
     WriteRows(owner, head, version, version);
   }
 
-  bool previous_owner_released = false;
-
   void StopLeader() {
     if (!leader) return;
     Log(LogLevel::kWarn, "scheduler-stopped").Field("shard", name);
@@ -221,7 +220,6 @@
           std::max(kOwnerLinkSilence, milliseconds(owner_link->LastPing().period_ms()) * 5 / 2);
       last_served = link_state.heard;
     }
-    previous_owner_released = claimer.Owner().released();
     claimer.Tick(link_state, !releasing && deps.may_claim() && BootNow() >= claim_after);
     const bool has_owner = !claimer.Owner().address().empty() && !claimer.IsOwn();
     if (has_owner && !owner_link && BootNow() >= next_connect) {
--- a/tests/cell/cell.h
+++ b/tests/cell/cell.h
@@ -52,6 +52,7 @@
   bool alive = true;
   bool cut_from_store = false;
   bool has_peer_links = true;  // Whether its links to other instances work.
+  bool releasing = false;      // The transaction that releases the shard was built.
   std::unique_ptr<Claimer> claimer;
   std::unique_ptr<CommitLog> commits;
   std::unique_ptr<Scheduler> scheduler;
@@ -60,6 +61,7 @@
   // Increases with each start and each scheduler. Events of earlier epochs are dropped.
   std::uint64_t epoch = 0;
   OwnerLinkState link_state;
+  SteadyTime earlier_may_lead_until{};   // As of the owner row that its claim wrote.
   std::unique_ptr<Processor> processor;  // Null: events take no processor time and do not queue.
   EventCosts costs;
   SteadyTime leader_since{};  // When it became the scheduler.
@@ -68,6 +70,8 @@
 
   void Restart();
   void Kill();
+  // Releases the shard, ends, and starts again after a while, as in a rolling restart.
+  void Roll(milliseconds down);
   void Pause(milliseconds time);
   void Tick();
   void TickSoon();
@@ -365,6 +369,23 @@
   commits.reset();
 }
 
+inline void Instance::Roll(milliseconds down) {
+  if (!scheduler) return;
+  schema::OwnerRow owner = claimer->Owner();
+  owner.set_released(true);
+  commits->Release(
+      owner, [this] { releasing = true; },
+      [this, down] {
+        m_cell.loop.After(milliseconds(0), [this, down, at = epoch] {
+          if (epoch != at) return;
+          Kill();
+          m_cell.loop.After(down, [this] {
+            if (!alive) Restart();
+          });
+        });
+      });
+}
+
 inline void Instance::Pause(milliseconds time) {
   if (!alive || paused) return;
   paused = true;
@@ -414,9 +435,10 @@
   for (const auto& other : m_cell.instances) {
     if ("i" + std::to_string(other->number) != claimer->Owner().instance()) continue;
     const bool is_same = other->incarnation == claimer->Owner().incarnation();
-    link_state.has_denied = other->alive && !other->paused && !is_same && has_peer_links;
-    link_state.is_refused = !other->alive;
-    link_state.is_linked = other->alive && !other->paused && is_same && has_peer_links;
+    const bool has_link = has_peer_links && other->has_peer_links;
+    link_state.has_denied = other->alive && !other->paused && !is_same && has_link;
+    link_state.is_refused = !other->alive && has_link;
+    link_state.is_linked = other->alive && !other->paused && is_same && has_link;
     if (other->processor && m_cell.loop.Now() > other->last_ping + kLinkSilence) {
       link_state.is_linked = false;
     }
@@ -459,6 +481,8 @@
   if (scheduler) return;
   ++epoch;
   plan_pending = false;
+  releasing = false;
+  earlier_may_lead_until = m_cell.loop.Now() + TimePassedOn(owner);
   leader_since = m_cell.loop.Now();
   m_connected.clear();
   if (m_cell.policy)
@@ -536,8 +560,9 @@
   instance_stores.push_back(std::make_unique<InstanceStore>());
   instance_stores.back()->self = this;
   instance_stores.back()->cell = &m_cell;
-  commits = std::make_unique<CommitLog>("s0", head, version, instance_stores.back().get(),
-                                        std::move(hooks));
+  commits =
+      std::make_unique<CommitLog>("s0", head, version, instance_stores.back().get(),
+                                  claimer->ClaimSent(), earlier_may_lead_until, std::move(hooks));
   Load();
 }
 
@@ -578,13 +603,10 @@
 
 inline void Instance::LoadRows() {
   if (m_cell.store.faults.down || cut_from_store) return Load();
-  const milliseconds lease_expiry_delay =
-      std::chrono::duration_cast<milliseconds>(kMaxLease * (1.0 + kWorkerClockDrift)) +
-      kLeaseMargin + kLeadWithoutStore;
   const auto rows = [this](const char* table) { return m_cell.store.Read(table, "s0").rows; };
   scheduler->Restore(
       ResolveRows({rows(kJobTable), rows(kProgressTable), rows(kFinishedTable), rows(kPackTable)}),
-      m_cell.loop.Now() + lease_expiry_delay);
+      EarlierLeasesEnd(m_cell.loop.Now(), earlier_may_lead_until, std::min(kLease, kMaxLease)));
   loaded = true;
   if (processor) {
     ReadWorkerList();
@@ -718,7 +740,7 @@
   hooks.wall = [this] {
     return WallTime(std::chrono::duration_cast<milliseconds>(m_cell.loop.Now().time_since_epoch()));
   };
-  hooks.may_lead = [this] { return commits->MayLead(); };
+  hooks.may_lead = [this] { return !releasing && commits->MayLead(); };
   hooks.start = [this](const Worker& worker, const StartOrder& order, std::uint64_t id) {
     CallWorker<StartAnswer>(
         worker.description.id, [order](WorkerProcess& process) { return process.Start(order); },
--- a/tests/cell/claim_test.cc
+++ b/tests/cell/claim_test.cc
@@ -18,10 +18,11 @@
     ClaimHooks hooks;
     hooks.now = [this] { return now; };
     hooks.read_rows = [this] { ++reads; };
-    hooks.write_rows = [this](const schema::OwnerRow& owner, const schema::HeadRow&,
+    hooks.write_rows = [this](const schema::OwnerRow& owner, const schema::HeadRow& claim_head,
                               std::uint64_t owner_version, std::uint64_t head_version) {
       ++claims;
       claimed = owner;
+      CHECK(claim_head.earlier_may_lead_ms() == owner.earlier_may_lead_ms());
       CHECK(owner_version == version);
       CHECK(head_version == version);
     };
@@ -45,7 +46,6 @@
   }
 
   void AnswerRead() {
-    schema::HeadRow head;
     head.set_term(owner.term());
     std::vector<Row> rows{
         Row{{kHeadTable, "s0", kShardRowKey}, head.SerializeAsString(), head_version},
@@ -59,6 +59,7 @@
   std::uint64_t version = 20;
   std::uint64_t head_version = 20;
   schema::OwnerRow owner;
+  schema::HeadRow head;
   schema::OwnerRow claimed;
   int reads = 0;
   int claims = 0;
@@ -194,6 +195,98 @@
   CHECK(fixture.reads == 0);
 }
 
+// Guards against TWICE (issues 28 and 35): an owner that is gone was taken as proof that all
+// earlier ones are.
+TEST_CASE("claim: an owner that released the shard tells for how long earlier ones count") {
+  for (const int passed_on_ms : {-1, 0, 7000}) {
+    CAPTURE(passed_on_ms);
+    ClaimFixture fixture;
+    fixture.head.set_earlier_may_lead_ms(1);  // Out of date: a release is claimed without reading.
+    if (passed_on_ms >= 0) {
+      fixture.owner.set_earlier_may_lead_ms(static_cast<std::uint32_t>(passed_on_ms));
+    }
+    fixture.owner.set_released(true);
+    fixture.claimer->OnOwner(fixture.owner, ++fixture.version);
+    fixture.claimer->Tick(Heard(fixture.now), true);
+    CHECK(fixture.claims == 1);
+    CHECK(TimePassedOn(fixture.claimed) ==
+          (passed_on_ms < 0 ? kLeadWithoutStore : milliseconds(passed_on_ms)));
+  }
+}
+
+TEST_CASE("claim: an owner whose process was restarted tells by its last transaction") {
+  for (const int passed_on_ms : {-1, 0, 3000}) {
+    CAPTURE(passed_on_ms);
+    ClaimFixture fixture;
+    fixture.owner.set_earlier_may_lead_ms(10000);  // As of its claim.
+    fixture.claimer->OnOwner(fixture.owner, ++fixture.version);
+    fixture.head_version = fixture.version;
+    if (passed_on_ms >= 0) {
+      fixture.head.set_earlier_may_lead_ms(static_cast<std::uint32_t>(passed_on_ms));
+    }
+    OwnerLinkState link_state = Heard(fixture.now);
+    link_state.has_denied = true;
+    fixture.Run(2 * kShardTick, link_state);
+    CHECK(fixture.claims == 1);
+    CHECK(TimePassedOn(fixture.claimed) ==
+          (passed_on_ms < 0 ? kLeadWithoutStore : milliseconds(passed_on_ms)));
+  }
+}
+
+TEST_CASE(
+    "claim: a silent owner may renew leases for as long as a scheduler may without the store") {
+  ClaimFixture fixture;
+  fixture.owner.set_earlier_may_lead_ms(0);
+  fixture.head.set_earlier_may_lead_ms(0);
+  fixture.claimer->OnOwner(fixture.owner, ++fixture.version);
+  fixture.head_version = fixture.version;
+  fixture.Run(milliseconds(600), Heard(fixture.now));
+  CHECK(fixture.claims == 1);
+  CHECK(TimePassedOn(fixture.claimed) == kLeadWithoutStore);
+}
+
+TEST_CASE("claim: a shard that never had an owner has no earlier schedulers") {
+  schema::OwnerRow self;
+  self.set_instance("self");
+  schema::OwnerRow claimed;
+  Claimer* reader = nullptr;
+  ClaimHooks hooks;
+  hooks.now = [] { return SteadyTime{std::chrono::seconds(100)}; };
+  hooks.read_rows = [&reader] { reader->OnRows(std::vector<Row>{}); };
+  hooks.write_rows = [&claimed](const schema::OwnerRow& owner, const schema::HeadRow&,
+                                std::uint64_t, std::uint64_t) { claimed = owner; };
+  Claimer claimer("s0", self, milliseconds(0), std::move(hooks));
+  reader = &claimer;
+  claimer.OnOwner({}, 0);
+  claimer.Tick({}, true);
+  CHECK(claimed.term() == 1);
+  CHECK(TimePassedOn(claimed) == milliseconds(0));
+}
+
+// Guards against TWICE: an instance that learned late of its claim counted its time as a scheduler
+// without the store from then, although its successor counts from a claim before.
+TEST_CASE("claim: an owner counts from when its claim was sent, also if it was sent again") {
+  ClaimFixture fixture;
+  fixture.owner.set_released(true);
+  fixture.claimer->OnOwner(fixture.owner, ++fixture.version);
+  fixture.head_version = fixture.version;
+  fixture.claimer->Tick(Heard(fixture.now), true);
+  const SteadyTime sent = fixture.now;
+  CHECK(fixture.claimer->ClaimSent() == sent);
+  fixture.now += milliseconds(1000);
+  fixture.claimer->OnClaimed(Error{schema::CODE_COMMIT_UNKNOWN, "no answer"});
+  fixture.Run(milliseconds(1000), Heard(fixture.now));
+  CHECK(fixture.claims == 2);
+  CHECK(fixture.claimer->ClaimSent() == sent);
+  // The rows have changed: the first claim can no longer take effect.
+  fixture.claimer->OnClaimed(Error{schema::CODE_COMMIT_UNKNOWN, "no answer"});
+  fixture.claimer->OnOwner(fixture.owner, ++fixture.version);
+  fixture.head_version = fixture.version;
+  fixture.Run(milliseconds(1000), Heard(fixture.now));
+  CHECK(fixture.claims == 3);
+  CHECK(fixture.claimer->ClaimSent() > sent);
+}
+
 // A rolling restart of all instances. Guards against a shard that repeatedly moves to the instance
 // that is restarted next.
 TEST_CASE("claim: of equally strong successors the one that was started last goes first") {
--- a/tests/cell/commit_outage_test.cc
+++ b/tests/cell/commit_outage_test.cc
@@ -38,7 +38,8 @@
       commits->Wake();
     };
     hooks.on_lost = [this] { is_lost = true; };
-    commits = std::make_unique<CommitLog>("s0", head, version, &store, std::move(hooks));
+    commits = std::make_unique<CommitLog>("s0", head, version, &store, loop.Now(), loop.Now(),
+                                          std::move(hooks));
     commits->Wake();
   }
 
--- a/tests/cell/leader_test.cc
+++ b/tests/cell/leader_test.cc
@@ -70,6 +70,7 @@
   options.shard = "s0";
   options.owner.set_term(2);
   options.head.set_term(2);
+  options.claim_sent = BootNow();
   RowTransaction claim;
   claim.writes = {Row{{kOwnerTable, "s0", kShardRowKey}, options.owner.SerializeAsString()},
                   Row{{kHeadTable, "s0", kShardRowKey}, options.head.SerializeAsString()}};
