--- a/cell/fleet.cc
+++ b/cell/fleet.cc
@@ -390,6 +390,7 @@
   if (answer.born_unix_ms != 0) worker->description.born_unix_ms = answer.born_unix_ms;
   OnWorkerAnswered(worker, answer.clock);
   worker->hold_answered = m_hooks.now();
+  worker->acknowledged_to_worker = std::max(worker->acknowledged_to_worker, hold.acknowledged);
   // Only the answer to a hold tells that it comes from the same incarnation as before.
   if (worker->silent && hold.sent >= worker->call_failed) {
     worker->silent = false;
@@ -584,6 +585,7 @@
       std::max(worker->lease_end_without_clock, m_hooks.now() + LongestLocalTime(m_max_lease));
   worker->last_end = 0;
   worker->acknowledged = 0;
+  worker->acknowledged_to_worker = 0;
   worker->hold_in_flight = false;
   worker->hold_timeout = milliseconds(0);
   worker->status_query_in_flight = false;
@@ -698,18 +700,21 @@
   if (is_status_query) worker->status_query_wanted = false;
   HoldOrder order;
   order.fence = worker->fence;
-  // Another incarnation counts its ends anew. While it may have run a task of ours, ends are
-  // acknowledged only right after an answer of the one that reported them.
+  // Another incarnation counts its ends anew, so each number is acknowledged once only. While it
+  // may have run a task of ours, that is done right after an answer of the one that reported the
+  // ends.
   const bool is_recent = m_hooks.now() <= worker->hold_answered + kMaxAcknowledgeDelay;
   const bool may_acknowledge = !worker->silent && (is_recent || !HasUnlistedOrder(*worker));
-  if (may_acknowledge) order.acknowledged = worker->acknowledged;
+  const bool has_unacknowledged = worker->acknowledged > worker->acknowledged_to_worker;
+  if (may_acknowledge && has_unacknowledged) order.acknowledged = worker->acknowledged;
   // The lease of an unreachable worker is not extended, so that its runs end at a known time.
   if (worker->clock && !worker->silent) {
     order.lease_until = EstimateClock(*worker) + m_lease;
     worker->lease_sent = std::max(worker->lease_sent, order.lease_until);
   }
   // A worker that was late is asked for an answer at once: its leases are running out.
-  const bool waits = !is_status_query && worker->attached && may_acknowledge &&
+  const bool waits = !is_status_query && worker->attached && !worker->silent &&
+                     (may_acknowledge || !has_unacknowledged) &&
                      worker->last_end == worker->acknowledged;
   order.wait = waits ? kHoldWait : milliseconds(0);
   order.timeout = std::max(m_calls.Timeout(), worker->hold_timeout);
@@ -718,8 +723,8 @@
     ++m_attaching;
   }
   const std::uint64_t id = ++m_last_id;
-  m_holds.emplace(
-      id, Hold{worker->description.id, worker->incarnation, is_status_query, waits, m_hooks.now()});
+  m_holds.emplace(id, Hold{worker->description.id, worker->incarnation, is_status_query, waits,
+                           m_hooks.now(), order.acknowledged});
   m_hooks.hold(*worker, order, id);
 }
 
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -64,10 +64,11 @@
   SteadyTime lease_end_without_clock{};  ///< End of all leases on it while its clock is unknown.
   std::uint64_t last_end = 0;            ///< Highest number (`EndedTask`) of a processed end.
   std::uint64_t acknowledged = 0;        ///< Highest number of an end that the worker may drop.
-  SteadyTime next_hold{};                ///< When the next hold is due.
-  SteadyTime heard{};                    ///< When it last answered.
-  SteadyTime hold_answered{};            ///< When it last answered a hold.
-  SteadyTime call_failed{};              ///< When a call to it last failed.
+  std::uint64_t acknowledged_to_worker = 0;  ///< The same, as told by a hold that it has answered.
+  SteadyTime next_hold{};                    ///< When the next hold is due.
+  SteadyTime heard{};                        ///< When it last answered.
+  SteadyTime hold_answered{};                ///< When it last answered a hold.
+  SteadyTime call_failed{};                  ///< When a call to it last failed.
   /// Least time-out of its holds: longer than usual for a worker that was late with an answer.
   milliseconds hold_timeout{0};
   milliseconds hold_retry{0};  ///< Current delay before a failed hold is repeated.
@@ -214,6 +215,7 @@
     bool is_status_query = false;  // Answered at once; independent of the periodic hold.
     bool waits = false;            // The worker answers at the next end or after `kHoldWait`.
     SteadyTime sent;
+    std::uint64_t acknowledged = 0;
   };
 
   Worker* FindOrAdd(const std::string& id);
