Compute the expected time of a job's steps once for each step

One job of 32 steps that name all earlier steps in 'after' has 2^30 paths; it kept the scheduler busy for good, then every instance that took over, and nothing answered.

The time after each step is now computed once, from the last step to the first.

'scheduler: a job whose steps follow all earlier steps is planned' did not end in 15 s before (64 steps) and passes.

--- a/cell/scheduler_plan.cc
+++ b/cell/scheduler_plan.cc
@@ -60,18 +60,22 @@
 }
 
 milliseconds Scheduler::ExpectedCriticalPath(const Step& step) const {
-  milliseconds longest_after{0};
-  for (const auto& other : step.job->steps) {
-    if (other->occurrence != step.occurrence || other->number <= step.number) continue;
-    const auto& after = other->spec->after();
-    if (std::find(after.begin(), after.end(), step.number) == after.end()) continue;
-    longest_after = std::max(longest_after, ExpectedCriticalPath(*other));
-  }
-  milliseconds own = ExpectedRun(step) + kStepOverhead;
-  if (step.job->spec.queue().has_advice()) {
-    own += AdviceRequestTime(step.job->spec.queue().advice(), kTypicalNamedWorkers);
+  // Steps follow earlier ones only, so the paths through the last steps are known first.
+  const auto& steps = step.job->steps;
+  std::vector<milliseconds> longest_after(step.number + 1);
+  milliseconds path{0};
+  for (auto next = steps.rbegin(); next != steps.rend(); ++next) {
+    const Step& other = **next;
+    if (other.occurrence != step.occurrence || other.number < step.number) continue;
+    if (longest_after.size() <= other.number) longest_after.resize(other.number + 1);
+    path = ExpectedRun(other) + kStepOverhead + longest_after[other.number];
+    const schema::QueueSpec& queue = step.job->spec.queue();
+    if (queue.has_advice()) path += AdviceRequestTime(queue.advice(), kTypicalNamedWorkers);
+    for (const std::uint32_t before : other.spec->after()) {
+      longest_after[before] = std::max(longest_after[before], path);
+    }
   }
-  return own + longest_after;
+  return path;  // That of `step`, which comes last.
 }
 
 SteadyTime Scheduler::ExpectedEndOf(const Order& order) const {
--- a/tests/cell/scheduler_test.cc
+++ b/tests/cell/scheduler_test.cc
@@ -479,5 +479,26 @@
   CHECK(fleet.OrderCount() == 1);
 }
 
+// Guards against LOST (review/1): the time of each path through the steps of a job was added up by
+// itself, and a job of 64 steps that name all earlier ones kept every scheduler busy for good.
+TEST_CASE("scheduler: a job whose steps follow all earlier steps is planned") {
+  Fixture fixture(1);
+  fixture.AddWorkers();
+  schema::JobSpec spec = MakeGangJob();
+  spec.mutable_queue()->clear_advice();
+  spec.clear_steps();
+  for (std::uint32_t number = 0; number < 64; ++number) {
+    schema::StepSpec* step = spec.add_steps();
+    step->set_task_count(1);
+    step->mutable_size()->set_processors_milli(100);
+    step->set_estimate_ms(1000);
+    for (std::uint32_t before = 0; before < number; ++before) step->add_after(before);
+  }
+  fixture.scheduler->Submit(spec, milliseconds(0), [](const auto&) {});
+  fixture.Store();
+  fixture.scheduler->Plan();
+  CHECK(fixture.scheduler->Workers().OrderCount() == 1);
+}
+
 }  // namespace
 }  // namespace citronsill
