--- a/tests/cell/restart_test.cc
+++ b/tests/cell/restart_test.cc
@@ -136,6 +136,24 @@
   }
 }
 
+// Guards against TWICE: the next incarnation executed a start and granted the longest lease, and
+// was out of reach before anything showed the restart.
+TEST_CASE("restart: a run is not given up early after a restart that nothing has shown") {
+  for (const int cut_ms : {20140, 20152, 20160, 20170}) {
+    CAPTURE(cut_ms);
+    RestartCell cell(1, seconds(9), seconds(20));
+    cell.max_lease = seconds(10);
+    cell.nodes["w0"].call_delay = milliseconds(100);
+    cell.At(milliseconds(20060), [&] { cell.RestartUnlisted("w0"); });
+    cell.At(milliseconds(cut_ms), [&] { cell.nodes["w0"].cut_from = {0, 1}; });
+    cell.At(seconds(45), [&] {
+      cell.nodes["w0"].cut_from.clear();
+      cell.ListWorkers();
+    });
+    cell.Run(seconds(70));
+  }
+}
+
 // Guards against TWICE: a hold for the earlier incarnation acknowledged the end of a run that the
 // next one had begun, and the end was never reported.
 TEST_CASE("restart: an end that nobody has seen is not acknowledged") {
