Bound what one scheduled job takes at a time, and refuse what cannot be served

Cause: BeginDueOccurrences made the steps of all due occurrences in one go (86,400 of them), and then compared each step with each other to find those that were over. ValidateJob bounded the tasks of one occurrence only. The submission had no answer, so it was handed on to the next scheduler.

Change: an occurrence begins only while fewer than 64 tasks of the job wait for their first worker and at most 4,096 exist. Steps are found by occurrence with a binary search; ended occurrences are removed in one pass, with their counted failures, which piled up before.

--- a/cell/job.cc
+++ b/cell/job.cc
@@ -30,8 +30,11 @@
     return Invalid(name + ".count", "must be between 1 and " + std::to_string(kMaxTasksPerStep));
   }
   const schema::TaskSize& size = step.size();
-  if (size.processors_milli() < 0 || size.memory_mb() < 0 || size.accelerators() < 0) {
-    return Invalid(name, "has a negative size");
+  for (const std::int64_t amount :
+       {size.processors_milli(), size.memory_mb(), size.accelerators()}) {
+    if (amount < 0 || amount > kMaxTaskResource) {
+      return Invalid(name, "has a size that is negative or larger than any worker");
+    }
   }
   for (const std::uint32_t after : step.after()) {
     if (after >= static_cast<std::uint32_t>(number)) {
@@ -41,6 +44,15 @@
   return Success();
 }
 
+struct OccurrenceOrder {
+  bool operator()(const std::unique_ptr<Step>& step, std::uint32_t occurrence) const {
+    return step->occurrence < occurrence;
+  }
+  bool operator()(std::uint32_t occurrence, const std::unique_ptr<Step>& step) const {
+    return occurrence < step->occurrence;
+  }
+};
+
 void MakeSteps(std::uint32_t occurrence, Job* job) {
   for (int number = 0; number < job->spec.steps_size(); ++number) {
     auto step = std::make_unique<Step>();
@@ -58,6 +70,20 @@
   }
 }
 
+// @returns whether all steps are done and no task has an order.
+bool IsOver(std::span<const std::unique_ptr<Step>> steps) {
+  return std::all_of(steps.begin(), steps.end(), [](const auto& step) {
+    return step->IsDone() && std::all_of(step->tasks.begin(), step->tasks.end(),
+                                         [](const Task& task) { return task.orders.empty(); });
+  });
+}
+
+std::uint64_t TasksPerOccurrence(const schema::JobSpec& spec) {
+  std::uint64_t tasks = 0;
+  for (const schema::StepSpec& step : spec.steps()) tasks += step.task_count();
+  return tasks;
+}
+
 void AppendAnswers(const Step& step, schema::StepRow* stored) {
   if (step.IsDone()) return;
   for (const auto& [key, is_allowed] : step.stored_answers) {
@@ -109,9 +135,51 @@
 
 std::uint32_t OccurrenceCount(const Job& job) { return std::max(1U, job.spec.occurrences()); }
 
-WallTime OccurrenceDue(const Job& job, std::uint32_t occurrence) {
-  return WallTime(milliseconds(job.spec.first_start_unix_ms() +
-                               job.spec.interval_ms() * static_cast<std::int64_t>(occurrence)));
+milliseconds OccurrenceDue(const Job& job, std::uint32_t occurrence) {
+  std::int64_t due = 0;
+  if (__builtin_mul_overflow(job.spec.interval_ms(), std::int64_t{occurrence}, &due) ||
+      __builtin_add_overflow(job.spec.first_start_unix_ms(), due, &due)) {
+    return milliseconds::max();
+  }
+  return milliseconds(due);
+}
+
+std::uint64_t OccurrencesToBegin(const Job& job) {
+  // Steps that follow others do not count as waiting: the others may have to run for long.
+  std::uint64_t tasks = 0;
+  std::uint64_t first_tasks = 0;
+  for (const schema::StepSpec& step : job.spec.steps()) {
+    tasks += step.task_count();
+    if (step.after().empty()) first_tasks += step.task_count();
+  }
+  std::uint64_t live = 0;
+  std::uint64_t waiting = 0;
+  for (const auto& step : job.steps) {
+    live += step->tasks.size();
+    if (!step->spec->after().empty() || step->IsDone()) continue;
+    waiting += static_cast<std::uint64_t>(
+        std::count_if(step->tasks.begin(), step->tasks.end(),
+                      [](const Task& task) { return !task.is_done && task.orders.empty(); }));
+  }
+  if (waiting >= kMaxWaitingOccurrenceTasks || live >= kMaxLiveTasksPerJob) return 0;
+  const std::uint64_t by_waiting =
+      (kMaxWaitingOccurrenceTasks - waiting + first_tasks - 1) / first_tasks;
+  return std::min(by_waiting, (kMaxLiveTasksPerJob - live) / tasks);
+}
+
+std::span<const std::unique_ptr<Step>> StepsOf(const Job& job, std::uint32_t occurrence) {
+  const auto [first, last] =
+      std::equal_range(job.steps.begin(), job.steps.end(), occurrence, OccurrenceOrder());
+  return {first, last};
+}
+
+Step* FindStep(const Job& job, std::uint32_t occurrence, std::uint32_t number) {
+  const auto steps = StepsOf(job, occurrence);
+  return number < steps.size() ? steps[number].get() : nullptr;
+}
+
+milliseconds EstimateOf(const schema::StepSpec& spec) {
+  return std::clamp(milliseconds(spec.estimate_ms()), milliseconds(0), kMaxTaskEstimate);
 }
 
 FinalCause AttemptsUsedUp(const Task& task, std::uint32_t failures) {
@@ -127,7 +195,11 @@
   return cause;
 }
 
-void BeginOccurrence(Job* job) { MakeSteps(job->occurrences_begun++, job); }
+std::span<const std::unique_ptr<Step>> BeginOccurrence(Job* job) {
+  const std::uint32_t occurrence = job->occurrences_begun++;
+  MakeSteps(occurrence, job);
+  return StepsOf(*job, occurrence);
+}
 
 bool HasUnassigned(const Step& step) {
   return step.ready && !step.IsDone() &&
@@ -135,20 +207,31 @@
                      [](const Task& task) { return !task.is_done && task.orders.empty(); });
 }
 
-void EndOccurrence(std::uint32_t occurrence, Job* job) {
-  std::erase_if(job->steps, [occurrence](const std::unique_ptr<Step>& step) {
-    return step->occurrence == occurrence;
+void RemoveEndedOccurrences(Job* job) {
+  const auto steps_per_occurrence = job->spec.steps_size();
+  auto kept_end = job->steps.begin();
+  std::set<std::uint32_t> ended;
+  for (auto first = job->steps.begin(); first != job->steps.end(); first += steps_per_occurrence) {
+    const auto last = first + steps_per_occurrence;
+    if (IsOver({first, last})) {
+      ended.insert((*first)->occurrence);
+      continue;
+    }
+    kept_end = kept_end == first ? last : std::move(first, last, kept_end);
+  }
+  if (ended.empty()) return;
+  job->steps.erase(kept_end, job->steps.end());
+  job->occurrences_done += static_cast<std::uint32_t>(ended.size());
+  std::erase_if(job->failures, [&ended](const CountedFailure& failure) {
+    return ended.contains(failure.occurrence);
   });
-  ++job->occurrences_done;
 }
 
 bool PredecessorsDone(const Step& step) {
-  const auto& steps = step.job->steps;
-  return std::all_of(steps.begin(), steps.end(), [&](const std::unique_ptr<Step>& other) {
-    if (other->occurrence != step.occurrence || other->IsDone()) return true;
-    const auto& after = step.spec->after();
-    return std::find(after.begin(), after.end(), other->number) == after.end();
-  });
+  const auto steps = StepsOf(*step.job, step.occurrence);
+  const auto& after = step.spec->after();
+  return std::all_of(after.begin(), after.end(),
+                     [&](std::uint32_t number) { return steps[number]->IsDone(); });
 }
 
 schema::ProgressRow ToProgressRow(const Job& job) {
@@ -201,27 +284,42 @@
   job->occurrences_done = job->occurrences_begun - static_cast<std::uint32_t>(live.size());
   std::vector<StoredAssignment> assignments;
   for (const schema::StepRow& stored : row.steps()) {
-    for (const auto& step : job->steps) {
-      if (step->occurrence == stored.occurrence() && step->number == stored.step()) {
-        RestoreStep(stored, step.get(), &assignments);
-      }
+    if (Step* step = FindStep(*job, stored.occurrence(), stored.step()); step != nullptr) {
+      RestoreStep(stored, step, &assignments);
     }
   }
   return assignments;
 }
 
+void NormalizeJob(schema::JobSpec* spec) {
+  for (schema::StepSpec& step : *spec->mutable_steps()) {
+    auto* after = step.mutable_after();
+    std::sort(after->begin(), after->end());
+    after->erase(std::unique(after->begin(), after->end()), after->end());
+  }
+}
+
 Result<void> ValidateJob(const schema::JobSpec& spec) {
   if (spec.id().empty()) return Invalid("id", "is missing");
   if (spec.payload().size() > kMaxTaskPayloadBytes) return Invalid("spec", "is too long");
   if (spec.steps_size() < 1 || spec.steps_size() > kMaxSteps) {
     return Invalid("steps", "must have between 1 and " + std::to_string(kMaxSteps) + " entries");
   }
-  std::uint32_t tasks = 0;
   for (int number = 0; number < spec.steps_size(); ++number) {
     BOOST_OUTCOME_TRY(CheckStep(spec, number));
-    tasks += spec.steps(number).task_count();
   }
+  const std::uint64_t tasks = TasksPerOccurrence(spec);
   if (tasks > kMaxTasksPerJob) return Invalid("steps", "have too many tasks in total");
+  if (spec.interval_ms() < 0) return Invalid("interval", "is negative");
+  // Occurrences with a long-running step never end, so all of them have to exist at the same time.
+  const bool lasts = std::any_of(spec.steps().begin(), spec.steps().end(),
+                                 [](const auto& step) { return step.long_running(); });
+  if (lasts && spec.occurrences() * tasks > kMaxLiveTasksPerJob) {
+    return Invalid("occurrences", "have too many tasks that run until the job is cancelled");
+  }
+  if (spec.ByteSizeLong() + kJobRowOverhead > kMaxRowBytes) {
+    return Invalid("steps", "are too large to be stored");
+  }
   return Success();
 }
 
--- a/cell/job.h
+++ b/cell/job.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -175,7 +176,8 @@
   SteadyTime objective{};
   /// State that is stored and shown to callers.
   schema::JobState stored_state = schema::JOB_STATE_NONE;
-  /// Steps of the occurrences that have begun and are not over.
+  /// Steps of the occurrences that have begun and are not over, by occurrence and number. Each
+  /// occurrence has all steps of the spec.
   std::vector<std::unique_ptr<Step>> steps;
   std::uint32_t occurrences_begun = 0;
   std::uint32_t occurrences_done = 0;
@@ -203,13 +205,30 @@
 FinalCause AttemptsUsedUp(const Task& task, std::uint32_t failures);
 
 /// Creates the steps of the next occurrence of `job`.
-void BeginOccurrence(Job* job);
+/// @returns these steps, as `StepsOf` does.
+std::span<const std::unique_ptr<Step>> BeginOccurrence(Job* job);
 
 /// @returns the total number of occurrences of the job; 1 for a job that runs once.
 std::uint32_t OccurrenceCount(const Job& job);
 
-/// @returns the wall clock time at which an occurrence is due.
-WallTime OccurrenceDue(const Job& job, std::uint32_t occurrence);
+/// @returns the Unix time at which an occurrence is due; the latest time for one that is due later
+/// than that.
+milliseconds OccurrenceDue(const Job& job, std::uint32_t occurrence);
+
+/// @returns the number of further occurrences of the job that may begin if they are due. Bounds the
+/// tasks of a job that exist at a time, and those that wait, however many occurrences are due.
+std::uint64_t OccurrencesToBegin(const Job& job);
+
+/// @returns the steps of an occurrence by number; none if it has not begun or is over. Valid until
+/// occurrences of the job begin or are removed.
+std::span<const std::unique_ptr<Step>> StepsOf(const Job& job, std::uint32_t occurrence);
+
+/// @returns the step, or null if there is none.
+Step* FindStep(const Job& job, std::uint32_t occurrence, std::uint32_t number);
+
+/// @returns the declared duration of a task of the step, within limits with which the times of a
+/// job can be calculated.
+milliseconds EstimateOf(const schema::StepSpec& spec);
 
 /// @returns whether the steps that `step` follows are done.
 bool PredecessorsDone(const Step& step);
@@ -230,10 +249,14 @@
 /// @returns whether a task of the step has yet to be given to a worker: now, or after a pause.
 bool HasUnassigned(const Step& step);
 
-/// Removes the steps of an occurrence that is over.
-void EndOccurrence(std::uint32_t occurrence, Job* job);
+/// Removes the occurrences whose steps are done and that have no runs left.
+void RemoveEndedOccurrences(Job* job);
+
+/// Puts the lists of a submitted job into their shortest form.
+void NormalizeJob(schema::JobSpec* spec);
 
-/// Validates a submitted job.
+/// Validates a submitted job. What is valid can be stored and takes a bounded time in each event of
+/// the scheduler.
 /// @returns CODE_INVALID_FIELD with the name of the invalid field.
 Result<void> ValidateJob(const schema::JobSpec& spec);
 
--- a/cell/limits.h
+++ b/cell/limits.h
@@ -16,6 +16,24 @@
 inline constexpr std::uint32_t kMaxTasksPerStep = 1000;
 inline constexpr std::uint32_t kMaxTasksPerJob = 1200;
 inline constexpr int kMaxSteps = 64;
+// Maximum number of tasks of a scheduled job that exist at a time: more than the running tasks of a
+// whole cell. Further occurrences begin when earlier ones are over.
+inline constexpr std::uint64_t kMaxLiveTasksPerJob = 4096;
+// No further occurrence of a job begins while this many tasks of earlier ones wait for their first
+// worker. With a check every `kLeaderTick`, a job that is behind its schedule still begins over a
+// thousand tasks a second, and its backlog does not count as load that makes the scheduler refuse
+// other jobs.
+inline constexpr std::uint64_t kMaxWaitingOccurrenceTasks = 64;
+// Largest amount of a resource that a task may ask for (thousandths of a core, MB, accelerators):
+// beyond any machine, and small enough for sums over all waiting tasks.
+inline constexpr std::int64_t kMaxTaskResource = INT32_MAX;
+// Declared durations above this count as this.
+inline constexpr std::chrono::milliseconds kMaxTaskEstimate = std::chrono::hours(24 * 30);
+// Maximum size of the value of a row in bytes. The store accepts 64 KiB; it is not said whether
+// before or after Base64, which adds a third.
+inline constexpr std::size_t kMaxRowBytes = 48U << 10;
+// Bytes of a job's row beside its spec, at most.
+inline constexpr std::size_t kJobRowOverhead = 32;
 // Maximum number of entries in a transaction: a limit of the store.
 inline constexpr std::size_t kMaxTransactionEntries = 100;
 // Maximum size of a transaction in bytes. The store accepts 1 MB, of which Base64 and names take up
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -6,6 +6,7 @@
 
 #include "cell/claim.h"
 #include "cell/follower.h"
+#include "cell/job.h"
 #include "cell/limits.h"
 #include "cell/log.h"
 #include "cell/metrics.h"
@@ -388,6 +389,14 @@
 }
 
 void Node::Submit(schema::JobSpec spec, milliseconds timeout, CallDone done) {
+  // An invalid job may be too large for a message to the scheduler, so it is not passed on.
+  NormalizeJob(&spec);
+  if (auto checked = ValidateJob(spec); !checked) {
+    CallOutcome outcome;
+    outcome.code = checked.error().code;
+    outcome.message = checked.error().message;
+    return done(std::move(outcome));
+  }
   Shard& shard = m_impl->ShardOf(spec.id());
   schema::LinkMessage message;
   *message.mutable_submit()->mutable_spec() = std::move(spec);
--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -104,6 +104,7 @@
   const schema::JobRow& row = stored.job;
   auto job = std::make_unique<Job>();
   job->spec = row.spec();
+  NormalizeJob(&job->spec);  // Earlier versions stored the lists as they were submitted.
   job->accepted_unix_ms = row.accepted_unix_ms();
   job->stored = true;
   job->places = stored.places;
@@ -132,7 +133,7 @@
       }
     }
   }
-  RefreshReady(raw);
+  RefreshReady(raw, raw->steps);
   ArchiveIfFinished(raw);
 }
 
@@ -146,7 +147,9 @@
     m_submitters[spec.id()].push_back(std::move(done));
     return;
   }
-  if (auto checked = ValidateJob(spec); !checked) return done(checked.error());
+  schema::JobSpec normalized = spec;
+  NormalizeJob(&normalized);
+  if (auto checked = ValidateJob(normalized); !checked) return done(checked.error());
   const bool is_interactive = spec.queue().priority() == 0;
   const std::size_t tasks_ahead =
       is_interactive ? m_load.waiting_interactive : m_load.waiting_tasks;
@@ -162,7 +165,7 @@
                       "the scheduler is overloaded: too many tasks wait to be started"});
   }
   auto job = std::make_unique<Job>();
-  job->spec = spec;
+  job->spec = std::move(normalized);
   job->accepted_unix_ms =
       std::chrono::duration_cast<milliseconds>(m_hooks.wall().time_since_epoch()).count();
   job->arrived = m_hooks.now() - waited;
@@ -172,7 +175,7 @@
   for (const auto& step : raw->steps) {
     for (Task& task : step->tasks) task.last_run = m_run_base;
   }
-  RefreshReady(raw);
+  RefreshReady(raw, raw->steps);
   MarkDirty(raw);
   raw->submission = ++m_submissions;
   AfterStored([this, id = spec.id(), submission = raw->submission, accepted_at = m_hooks.now()] {
@@ -582,7 +585,7 @@
   if (step->spec->long_running()) return;
   m_queues[step->job->spec.queue().name()].run_times.Add(
       std::chrono::duration_cast<milliseconds>(m_hooks.now() - order.running_since),
-      milliseconds(step->spec->estimate_ms()));
+      EstimateOf(*step->spec));
   MarkDone(task);
 }
 
@@ -749,7 +752,7 @@
 
 void Scheduler::OnStepDone(Step* step) {
   Job* job = step->job;
-  RefreshReady(job);
+  RefreshReady(job, StepsOf(*job, step->occurrence));
   const bool all_done = std::all_of(job->steps.begin(), job->steps.end(),
                                     [](const auto& other) { return other->IsDone(); });
   if (all_done && job->occurrences_begun == OccurrenceCount(*job)) {
@@ -799,8 +802,8 @@
   if (job->IsFinal() && job->live_orders == 0) MarkDirty(job);
 }
 
-void Scheduler::RefreshReady(Job* job) {
-  for (const auto& step : job->steps) {
+void Scheduler::RefreshReady(Job* job, std::span<const std::unique_ptr<Step>> steps) {
+  for (const auto& step : steps) {
     if (step->ready || !PredecessorsDone(*step)) continue;
     step->ready = true;
     step->ready_since = m_hooks.now();
@@ -813,10 +816,7 @@
 Step* Scheduler::FindStep(const TaskRef& ref) {
   const auto found = m_jobs.find(ref.job);
   if (found == m_jobs.end()) return nullptr;
-  for (const auto& step : found->second->steps) {
-    if (step->occurrence == ref.occurrence && step->number == ref.step) return step.get();
-  }
-  return nullptr;
+  return citronsill::FindStep(*found->second, ref.occurrence, ref.step);
 }
 
 // Stores answers for the case that a scheduler dies while many gangs wait: without them, its
@@ -894,30 +894,22 @@
 
 void Scheduler::BeginDueOccurrences(Job* job) {
   if (job->spec.occurrences() == 0) return;
-  bool has_begun = false;
-  while (job->occurrences_begun < OccurrenceCount(*job) &&
-         m_hooks.wall() >= OccurrenceDue(*job, job->occurrences_begun)) {
-    BeginOccurrence(job);
-    has_begun = true;
-  }
-  // Drops occurrences whose steps are done and that have no runs left.
-  std::vector<std::uint32_t> over;
-  for (const auto& first : job->steps) {
-    const bool is_over = std::all_of(job->steps.begin(), job->steps.end(), [&](const auto& step) {
-      if (step->occurrence != first->occurrence) return true;
-      return step->IsDone() && std::all_of(step->tasks.begin(), step->tasks.end(),
-                                           [](const Task& task) { return task.orders.empty(); });
-    });
-    if (is_over && (over.empty() || over.back() != first->occurrence)) {
-      over.push_back(first->occurrence);
+  RemoveEndedOccurrences(job);
+  const auto now = std::chrono::floor<milliseconds>(m_hooks.wall().time_since_epoch());
+  const auto is_due = [&] {
+    return job->occurrences_begun < OccurrenceCount(*job) &&
+           OccurrenceDue(*job, job->occurrences_begun) <= now;
+  };
+  if (!is_due()) return;
+  const std::uint64_t count = OccurrencesToBegin(*job);
+  for (std::uint64_t begun = 0; begun < count && is_due(); ++begun) {
+    const auto steps = BeginOccurrence(job);
+    for (const auto& step : steps) {
+      for (Task& task : step->tasks) task.last_run = m_run_base;
     }
+    RefreshReady(job, steps);
   }
-  for (const std::uint32_t occurrence : over) EndOccurrence(occurrence, job);
-  if (!has_begun) return;
-  for (const auto& step : job->steps) {
-    for (Task& task : step->tasks) task.last_run = std::max(task.last_run, m_run_base);
-  }
-  RefreshReady(job);
+  if (count == 0) return;
   MarkDirty(job);
   m_hooks.plan_soon();
 }
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -221,7 +222,7 @@
   void ApplyStoredAnswers(Step* step);
   void Finish(Job* job, schema::JobState state, const FinalCause& cause);
   void ArchiveIfFinished(Job* job);
-  void RefreshReady(Job* job);
+  void RefreshReady(Job* job, std::span<const std::unique_ptr<Step>> steps);
   void BeginDueOccurrences(Job* job);
   void AvoidWorker(Task* task, const Worker& worker);
   void CountWorkerFailure(Worker* worker, Task* task);
--- a/cell/scheduler_plan.cc
+++ b/cell/scheduler_plan.cc
@@ -54,23 +54,22 @@
 }
 
 milliseconds Scheduler::ExpectedRun(const Step& step) const {
-  const milliseconds declared(step.spec->estimate_ms());
+  const milliseconds declared = EstimateOf(*step.spec);
   const auto queue = m_queues.find(step.job->spec.queue().name());
   return queue == m_queues.end() ? declared : queue->second.run_times.Expect(declared);
 }
 
 milliseconds Scheduler::ExpectedCriticalPath(const Step& step) const {
   // Steps follow earlier ones only, so the paths through the last steps are known first.
-  const auto& steps = step.job->steps;
-  std::vector<milliseconds> longest_after(step.number + 1);
+  const auto steps = StepsOf(*step.job, step.occurrence).subspan(step.number);
+  const schema::QueueSpec& queue = step.job->spec.queue();
+  milliseconds overhead = kStepOverhead;
+  if (queue.has_advice()) overhead += AdviceRequestTime(queue.advice(), kTypicalNamedWorkers);
+  std::vector<milliseconds> longest_after(step.number + steps.size());
   milliseconds path{0};
   for (auto next = steps.rbegin(); next != steps.rend(); ++next) {
     const Step& other = **next;
-    if (other.occurrence != step.occurrence || other.number < step.number) continue;
-    if (longest_after.size() <= other.number) longest_after.resize(other.number + 1);
-    path = ExpectedRun(other) + kStepOverhead + longest_after[other.number];
-    const schema::QueueSpec& queue = step.job->spec.queue();
-    if (queue.has_advice()) path += AdviceRequestTime(queue.advice(), kTypicalNamedWorkers);
+    path = ExpectedRun(other) + overhead + longest_after[other.number];
     for (const std::uint32_t before : other.spec->after()) {
       longest_after[before] = std::max(longest_after[before], path);
     }
@@ -148,9 +147,12 @@
   bool has_unassigned = false;
   const SteadyTime now = m_hooks.now();
   if (job->objective == SteadyTime{}) {
+    // The occurrences of a job are alike.
     milliseconds critical_path{0};
-    for (const auto& step : job->steps)
-      critical_path = std::max(critical_path, ExpectedCriticalPath(*step));
+    if (!job->steps.empty()) {
+      for (const auto& step : StepsOf(*job, job->steps.front()->occurrence))
+        critical_path = std::max(critical_path, ExpectedCriticalPath(*step));
+    }
     const schema::QueueSpec& queue = job->spec.queue();
     job->objective = job->arrived + milliseconds(queue.target_ms()) +
                      std::chrono::duration_cast<milliseconds>(critical_path * queue.stretch());
