Store the progress of a job in as many rows as it needs

From the 13th on nothing of the shard was stored, started or acknowledged any more, for any customer; after 10 s all leases lapsed.

Cause: all tasks of all occurrences that were not over went into one row, which grew past 64 KiB; the store refused it.

Change: the progress of a job is spread over rows KEY, KEY.1, ... of at most 48 KiB each, written by one transaction; the first one says how many there are, and a row of another version does not count. 48 KiB, because "`value` (base64 of at most `rowBytes`)" may bound the text or the bytes; this satisfies both readings. What they hold is bounded by construction, so that a job always fits into one transaction: runs of one job take 300 KiB at most (further tasks wait; 1,200 runs on workers with ids of 200 bytes fit), checkpoints and answers of the policy service 96 KiB (the rest is not stored, a gang's all or none), a checkpoint over 1 KiB is ignored, and 4,096 tasks exist at a time.

The store of the model refuses what the pages do not allow (values, entries, bytes, keys); it took everything before.

--- a/cell/fleet.cc
+++ b/cell/fleet.cc
@@ -181,6 +181,7 @@
   worker->used += order->size;
   task->orders.push_back(order.get());
   ++task->step->job->live_orders;
+  task->step->job->assignment_bytes += AssignmentRowBytes(worker->description.id);
   ++m_orders_in_flight;
   Order* raw = order.get();
   m_orders.emplace(raw->id, std::move(order));
@@ -192,6 +193,7 @@
   order->worker->used -= order->size;
   std::erase(order->task->orders, order);
   --order->task->step->job->live_orders;
+  order->task->step->job->assignment_bytes -= AssignmentRowBytes(order->worker->description.id);
   if (IsInFlight(*order)) --m_orders_in_flight;
   auto owned = std::move(m_orders.extract(order->id).mapped());
   m_hooks.on_capacity_changed();
@@ -486,7 +488,7 @@
     }
     if (running.percent > order->percent) order->percent_changed = now;
     order->percent = running.percent;
-    if (!running.checkpoint.empty()) order->task->checkpoint = running.checkpoint;
+    KeepCheckpoint(running.checkpoint, order->task);
   }
   worker->stray_runs = std::move(stray_runs);
   StopStrayRuns(worker);
--- a/cell/job.cc
+++ b/cell/job.cc
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 #include "cell/fleet.h"
 #include "cell/limits.h"
+#include "cell/log.h"
 
 namespace citronsill {
 namespace {
@@ -84,8 +86,77 @@
   return tasks;
 }
 
-void AppendAnswers(const Step& step, schema::StepRow* stored) {
-  if (step.IsDone()) return;
+// Bytes of a step in a progress row beside its lists, and of a task beside its runs, at most.
+constexpr std::size_t kStepRowOverhead = 32;
+constexpr std::size_t kTaskRowOverhead = 24;
+
+// Distributes the steps of a job over rows of at most `kMaxRowBytes`.
+class ProgressWriter {
+ public:
+  explicit ProgressWriter(const Job& job) {
+    schema::ProgressRow& first = m_rows.emplace_back();
+    first.set_state(job.state);
+    first.set_occurrences_begun(job.occurrences_begun);
+    first.set_ever_started(job.ever_started);
+  }
+
+  void AddStep(schema::StepRow step) {
+    const std::size_t bytes = step.ByteSizeLong() + kStepRowOverhead;
+    if (m_bytes + bytes > kMaxRowBytes) AddRow();
+    m_bytes += bytes;
+    m_step = m_rows.back().add_steps();
+    *m_step = std::move(step);
+  }
+
+  // Adds a task to the last step.
+  void AddTask(schema::TaskRow task) {
+    const std::size_t bytes = task.ByteSizeLong() + kTaskRowOverhead;
+    if (m_bytes + bytes > kMaxRowBytes) {
+      schema::StepRow rest;
+      rest.set_occurrence(m_step->occurrence());
+      rest.set_step(m_step->step());
+      AddRow();
+      AddStep(std::move(rest));
+    }
+    m_bytes += bytes;
+    *m_step->add_tasks() = std::move(task);
+  }
+
+  std::vector<schema::ProgressRow> Finish() {
+    m_rows.front().set_parts(static_cast<std::uint32_t>(m_rows.size() - 1));
+    return std::move(m_rows);
+  }
+
+ private:
+  void AddRow() {
+    m_rows.emplace_back();
+    m_bytes = kStepRowOverhead;
+  }
+
+  std::vector<schema::ProgressRow> m_rows;
+  std::size_t m_bytes = kStepRowOverhead;  // Upper bound of the size of the last row.
+  schema::StepRow* m_step = nullptr;       // In the last row.
+};
+
+// What is left of `kMaxOptionalProgressBytes`.
+class OptionalBytes {
+ public:
+  // @returns whether `bytes` are left, and then takes them.
+  bool Take(std::size_t bytes) {
+    if (bytes > m_left) return false;
+    m_left -= bytes;
+    return true;
+  }
+
+ private:
+  std::size_t m_left = kMaxOptionalProgressBytes;
+};
+
+void AppendAnswers(const Step& step, OptionalBytes* optional, schema::StepRow* stored) {
+  if (step.IsDone() || step.stored_answers.empty()) return;
+  if (!optional->Take(step.stored_answers.size() * sizeof(std::uint32_t) + kStepRowOverhead)) {
+    return;
+  }
   for (const auto& [key, is_allowed] : step.stored_answers) {
     if (is_allowed) {
       stored->add_allowed_workers(key);
@@ -95,15 +166,63 @@
   }
 }
 
+// The members of a gang have the same checkpoint, so all of them are stored or none.
+bool TakeGangCheckpoints(const Step& step, OptionalBytes* optional) {
+  std::size_t bytes = 0;
+  for (const Task& task : step.tasks) {
+    if (!task.checkpoint.empty()) bytes += task.checkpoint.size() + kTaskRowOverhead;
+  }
+  return optional->Take(bytes);
+}
+
+schema::TaskRow ToTaskRow(const Task& task, bool has_checkpoint) {
+  schema::TaskRow row;
+  row.set_index(task.index);
+  row.set_failures(task.failures);
+  if (has_checkpoint) row.set_save(task.checkpoint);
+  for (const Order* order : task.orders) {
+    schema::AssignmentRow* assignment = row.add_assignments();
+    assignment->set_run(order->run);
+    assignment->set_worker(order->worker->description.id);
+    assignment->set_worker_born_unix_ms(order->worker->description.born_unix_ms);
+  }
+  return row;
+}
+
+// @returns the rows of the tasks that have more to store than whether they are done.
+std::vector<schema::TaskRow> ToTaskRows(const Step& step, OptionalBytes* optional) {
+  const bool keeps_gang_checkpoints = step.spec->gang() && TakeGangCheckpoints(step, optional);
+  std::vector<schema::TaskRow> rows;
+  for (const Task& task : step.tasks) {
+    if (task.is_done && task.orders.empty()) continue;
+    const bool has_checkpoint =
+        !task.checkpoint.empty() &&
+        (step.spec->gang() ? keeps_gang_checkpoints
+                           : optional->Take(task.checkpoint.size() + kTaskRowOverhead));
+    if (task.failures == 0 && !has_checkpoint && task.orders.empty()) continue;
+    rows.push_back(ToTaskRow(task, has_checkpoint));
+  }
+  return rows;
+}
+
+std::string DoneBits(const Step& step) {
+  std::string bits((step.tasks.size() + 7) / 8, '\0');
+  for (const Task& task : step.tasks) {
+    if (task.is_done) SetBit(task.index, &bits);
+  }
+  return bits;
+}
+
 void RestoreStep(const schema::StepRow& stored, Step* step,
                  std::vector<StoredAssignment>* assignments) {
-  step->gang_failures = stored.gang_failures();
-  step->has_earlier_answers = stored.allowed_workers_size() + stored.denied_workers_size() > 0;
+  step->gang_failures = std::max(step->gang_failures, stored.gang_failures());
+  step->has_earlier_answers |= stored.allowed_workers_size() + stored.denied_workers_size() > 0;
   for (const std::uint32_t key : stored.allowed_workers()) step->stored_answers[key] = true;
   for (const std::uint32_t key : stored.denied_workers()) step->stored_answers[key] = false;
   for (Task& task : step->tasks) {
-    task.is_done = BitAt(stored.done(), task.index);
-    if (task.is_done) ++step->done_count;
+    if (task.is_done || !BitAt(stored.done(), task.index)) continue;
+    task.is_done = true;
+    ++step->done_count;
   }
   for (const schema::TaskRow& row : stored.tasks()) {
     if (row.index() >= step->tasks.size()) continue;
@@ -234,43 +353,43 @@
                      [&](std::uint32_t number) { return steps[number]->IsDone(); });
 }
 
-schema::ProgressRow ToProgressRow(const Job& job) {
-  schema::ProgressRow row;
-  row.set_state(job.state);
-  row.set_occurrences_begun(job.occurrences_begun);
-  row.set_ever_started(job.ever_started);
+std::size_t AssignmentRowBytes(const std::string& worker) {
+  return worker.size() + kAssignmentOverhead;
+}
+
+std::vector<schema::ProgressRow> ToProgressRows(const Job& job) {
+  ProgressWriter writer(job);
+  OptionalBytes optional;
   for (const auto& step : job.steps) {
     schema::StepRow stored;
     stored.set_occurrence(step->occurrence);
     stored.set_step(step->number);
     stored.set_gang_failures(step->gang_failures);
-    std::string bits((step->tasks.size() + 7) / 8, '\0');
-    for (const Task& task : step->tasks) {
-      if (task.is_done) {
-        SetBit(task.index, &bits);
-        if (task.orders.empty()) continue;
-      }
-      if (task.failures == 0 && task.checkpoint.empty() && task.orders.empty()) continue;
-      schema::TaskRow* out = stored.add_tasks();
-      out->set_index(task.index);
-      out->set_failures(task.failures);
-      out->set_save(task.checkpoint);
-      for (const Order* order : task.orders) {
-        schema::AssignmentRow* assignment = out->add_assignments();
-        assignment->set_run(order->run);
-        assignment->set_worker(order->worker->description.id);
-        assignment->set_worker_born_unix_ms(order->worker->description.born_unix_ms);
-      }
-    }
-    if (step->done_count > 0) stored.set_done(std::move(bits));
-    AppendAnswers(*step, &stored);
-    // The steps of a scheduled job are always stored: occurrences that are missing from the row are
-    // over.
-    const bool is_empty = step->done_count == 0 && stored.tasks_size() == 0 &&
-                          step->gang_failures == 0 && step->stored_answers.empty();
-    if (!is_empty || job.spec.occurrences() > 0) *row.add_steps() = std::move(stored);
+    if (step->done_count > 0) stored.set_done(DoneBits(*step));
+    AppendAnswers(*step, &optional, &stored);
+    std::vector<schema::TaskRow> tasks = ToTaskRows(*step, &optional);
+    // The steps of a scheduled job are always stored: occurrences that are missing from the rows
+    // are over.
+    const bool is_empty = step->done_count == 0 && tasks.empty() && step->gang_failures == 0 &&
+                          step->stored_answers.empty();
+    if (is_empty && job.spec.occurrences() == 0) continue;
+    writer.AddStep(std::move(stored));
+    for (schema::TaskRow& task : tasks) writer.AddTask(std::move(task));
   }
-  return row;
+  return writer.Finish();
+}
+
+void KeepCheckpoint(const std::string& checkpoint, Task* task) {
+  if (checkpoint.empty()) return;
+  if (checkpoint.size() <= kMaxCheckpointBytes) {
+    task->checkpoint = checkpoint;
+    return;
+  }
+  if (std::exchange(task->checkpoint_too_long, true)) return;
+  Log(LogLevel::kWarn, "checkpoint-too-long")
+      .Field("task", task->step->Ref(task->index))
+      .Field("bytes", checkpoint.size())
+      .Field("limit", kMaxCheckpointBytes);
 }
 
 std::vector<StoredAssignment> RestoreProgress(const schema::ProgressRow& row, Job* job) {
--- a/cell/job.h
+++ b/cell/job.h
@@ -85,8 +85,9 @@
   Step* step = nullptr;
   std::uint32_t index = 0;
   bool is_done = false;
-  std::uint32_t failures = 0;  ///< Number of counted failures, in all terms.
-  std::string checkpoint;      ///< Last checkpoint; the next run starts from it.
+  std::uint32_t failures = 0;        ///< Number of counted failures, in all terms.
+  std::string checkpoint;            ///< Last checkpoint; the next run starts from it.
+  bool checkpoint_too_long = false;  ///< A checkpoint was ignored, and that was logged.
   std::uint64_t last_run = 0;  ///< Run number of the last run, or a lower bound for the next one.
   /// Runs that were given up in this term after their lease expired; their ends may still be
   /// reported.
@@ -181,10 +182,11 @@
   std::vector<std::unique_ptr<Step>> steps;
   std::uint32_t occurrences_begun = 0;
   std::uint32_t occurrences_done = 0;
-  std::uint32_t live_orders = 0;  ///< Orders for its tasks that have not ended.
-  std::uint64_t number = 0;       ///< Sequence number of the job, counted by each scheduler.
-  std::uint64_t submission = 0;   ///< Sequence number of the submission, counted by each scheduler.
-  RowPlaces places;               ///< Where its records are in the store.
+  std::uint32_t live_orders = 0;     ///< Orders for its tasks that have not ended.
+  std::size_t assignment_bytes = 0;  ///< Upper bound of what they take in its progress rows.
+  std::uint64_t number = 0;          ///< Sequence number of the job, counted by each scheduler.
+  std::uint64_t submission = 0;  ///< Sequence number of the submission, counted by each scheduler.
+  RowPlaces places;              ///< Where its records are in the store.
   std::uint64_t finished_pack = 0;  ///< Pack that holds its final state; 0 for none.
   bool has_finished_row = false;    ///< Its final state has a row of its own.
   bool is_to_unpack = false;        ///< Its records in packs are to get rows of their own.
@@ -233,8 +235,12 @@
 /// @returns whether the steps that `step` follows are done.
 bool PredecessorsDone(const Step& step);
 
-/// @returns the row in which the progress of `job` is stored.
-schema::ProgressRow ToProgressRow(const Job& job);
+/// @returns the rows in which the progress of `job` is stored, each of at most `kMaxRowBytes`. The
+/// first one says how many there are.
+std::vector<schema::ProgressRow> ToProgressRows(const Job& job);
+
+/// @returns an upper bound of the bytes that a run on the worker takes in a progress row.
+std::size_t AssignmentRowBytes(const std::string& worker);
 
 /// A stored assignment of an earlier scheduler whose end is not known.
 struct StoredAssignment {
@@ -242,7 +248,12 @@
   schema::AssignmentRow row;
 };
 
-/// Restores the progress of a job from its row.
+/// Sets the checkpoint from which the next run of the task starts, unless it is empty or too long
+/// to be stored; the task then keeps its earlier one.
+void KeepCheckpoint(const std::string& checkpoint, Task* task);
+
+/// Restores the progress of a job.
+/// @param row the first row, with the steps of all rows.
 /// @returns the stored assignments; no orders are created for them.
 std::vector<StoredAssignment> RestoreProgress(const schema::ProgressRow& row, Job* job);
 
--- a/cell/limits.h
+++ b/cell/limits.h
@@ -34,6 +34,19 @@
 inline constexpr std::size_t kMaxRowBytes = 48U << 10;
 // Bytes of a job's row beside its spec, at most.
 inline constexpr std::size_t kJobRowOverhead = 32;
+// Bytes of the runs of one job in its progress rows, at most: a task that would exceed it waits.
+// Enough for `kMaxTasksPerJob` runs of any size, and for some 6,000 with short names of workers.
+inline constexpr std::size_t kMaxAssignmentBytes = 300U << 10;
+// Bytes of one run in a progress row beside the id of its worker, at most; and with the longest id,
+// since keys of rows have 200 bytes at most.
+inline constexpr std::size_t kAssignmentOverhead = 40;
+inline constexpr std::size_t kMaxAssignmentRowBytes = kAssignmentOverhead + 200;
+// Bytes of checkpoints and of answers of the policy service in the progress rows of one job, at
+// most. What exceeds it is not stored: after a change of the scheduler these tasks start from the
+// beginning, and the policy service is asked again.
+inline constexpr std::size_t kMaxOptionalProgressBytes = 96U << 10;
+// A longer checkpoint is ignored.
+inline constexpr std::size_t kMaxCheckpointBytes = 1024;
 // Maximum number of entries in a transaction: a limit of the store.
 inline constexpr std::size_t kMaxTransactionEntries = 100;
 // Maximum size of a transaction in bytes. The store accepts 1 MB, of which Base64 and names take up
--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -88,7 +88,10 @@
     m_packs.Hold(finished.pack);
     if (finished.earlier.has_job_row) m_packs.RemoveLater({kJobTable, m_options.shard, id});
     if (finished.earlier.has_progress_row) {
-      m_packs.RemoveLater({kProgressTable, m_options.shard, id});
+      m_packs.RemoveLater(ProgressKey(m_options.shard, id, 0));
+    }
+    for (std::uint32_t part = 1; part <= finished.earlier.progress_parts; ++part) {
+      m_packs.RemoveLater(ProgressKey(m_options.shard, id, part));
     }
     AddFinished(id, finished);
   }
@@ -343,7 +346,7 @@
 }
 
 WriteBatch Scheduler::TakeBatch(std::size_t max_entries, std::size_t max_bytes) {
-  constexpr std::size_t kEntriesPerJob = 3;  // At most: the finished row and two removals.
+  constexpr std::size_t kOpenPacks = 2;
   WriteBatch batch;
   std::size_t bytes = 0;
   const auto next_pack = [this] { return ++m_last_pack; };
@@ -351,16 +354,23 @@
   PackWriter finished(m_options.shard, &m_packs, next_pack, &batch);
   const bool packs = m_dirty.size() > max_entries;
   while (!m_dirty.empty()) {
-    const std::size_t all_bytes = bytes + active.Bytes() + finished.Bytes();
-    if (batch.Entries() + kEntriesPerJob > max_entries || all_bytes > max_bytes) break;
     Job* job = m_dirty.front();
+    JobChange change = ChangeOf(*job);
+    const bool is_packed =
+        packs && change.progress.size() <= 1 && change.bytes <= kMaxPackedJobBytes;
+    const std::size_t all_bytes = bytes + active.Bytes() + finished.Bytes();
+    const std::size_t entries =
+        batch.Entries() + (packs ? kOpenPacks : 0) + (is_packed ? 1 : change.entries);
+    // What is stored about one job always fits into a transaction of its own.
+    if (all_bytes > 0 && (entries > max_entries || all_bytes + change.bytes > max_bytes)) break;
     m_dirty.pop_front();
     batch.position = job->dirty_position;
     job->dirty_position = 0;
-    if (packs && job->spec.ByteSizeLong() <= kMaxPackedJobBytes) {
-      AppendPacked(job, &active, &finished, &batch);
+    if (is_packed) {
+      AppendPacked(job, std::move(change), &active, &finished, &batch);
     } else {
-      AppendRows(job, &batch, &bytes);
+      bytes += change.bytes;
+      AppendRows(job, std::move(change), &batch);
     }
   }
   active.Finish();
@@ -414,20 +424,43 @@
   return job.ever_started || job.IsFinal() || job.live_orders > 0;
 }
 
-void Scheduler::AppendRows(Job* job, WriteBatch* batch, std::size_t* bytes) {
+Scheduler::JobChange Scheduler::ChangeOf(const Job& job) {
+  constexpr std::size_t kFinishedRowBytes = 32;
+  JobChange change;
+  change.is_final = job.IsFinal() && job.live_orders == 0;
+  if (change.is_final) {
+    change.bytes = kFinishedRowBytes;
+    change.entries = 3 + job.places.progress_parts;  // Its row, and removals of the earlier ones.
+    return change;
+  }
+  const bool unpacks_job = job.is_to_unpack && job.places.job_pack != 0;
+  change.has_job = !job.stored || unpacks_job;
+  if (change.has_job) {
+    change.bytes += job.spec.ByteSizeLong() + kJobRowOverhead;
+    ++change.entries;
+  }
+  if (change.has_job && !unpacks_job && !HasProgress(job)) return change;
+  change.progress = ToProgressRows(job);
+  for (const schema::ProgressRow& row : change.progress) change.bytes += row.ByteSizeLong();
+  change.entries += std::max<std::size_t>(change.progress.size(), job.places.progress_parts + 1);
+  return change;
+}
+
+void Scheduler::AppendRows(Job* job, JobChange change, WriteBatch* batch) {
   const std::string& id = job->spec.id();
   RowPlaces& places = job->places;
-  const auto key = [&](const char* table) { return RowKey{table, m_options.shard, id}; };
-  const auto write = [&](const char* table, const google::protobuf::MessageLite& row) {
-    batch->writes.push_back(Row{key(table), row.SerializeAsString()});
-    *bytes += batch->writes.back().value.size();
+  const auto write = [batch](RowKey key, const google::protobuf::MessageLite& row) {
+    batch->writes.push_back(Row{std::move(key), row.SerializeAsString()});
   };
-  if (job->IsFinal() && job->live_orders == 0) {
-    write(kFinishedTable, MakeFinishedRow(*job));
-    if (std::exchange(places.has_job_row, false)) batch->removals.push_back(key(kJobTable));
+  if (change.is_final) {
+    write({kFinishedTable, m_options.shard, id}, MakeFinishedRow(*job));
+    if (std::exchange(places.has_job_row, false)) {
+      batch->removals.push_back({kJobTable, m_options.shard, id});
+    }
     if (std::exchange(places.has_progress_row, false)) {
-      batch->removals.push_back(key(kProgressTable));
+      batch->removals.push_back(ProgressKey(m_options.shard, id, 0));
     }
+    RemoveProgressRows(job, 0, batch);
     if (!job->has_finished_row && job->finished_pack == 0) {
       m_packs.Release(places.job_pack);
       m_packs.Release(places.progress_pack);
@@ -437,30 +470,48 @@
     m_archiving.emplace_back(batch->position, id);
     return;
   }
-  const bool unpacks = std::exchange(job->is_to_unpack, false);
-  if (!job->stored || (unpacks && places.job_pack != 0)) {
+  job->is_to_unpack = false;
+  if (change.has_job) {
     schema::JobRow row;
     *row.mutable_spec() = job->spec;
     row.set_accepted_unix_ms(job->accepted_unix_ms);
-    write(kJobTable, row);
+    write({kJobTable, m_options.shard, id}, row);
     job->stored = true;
     places.has_job_row = true;
     m_packs.Release(std::exchange(places.job_pack, 0));
-    if (!unpacks && !HasProgress(*job)) return;
   }
-  write(kProgressTable, ToProgressRow(*job));
+  if (change.progress.empty()) return;
+  for (std::uint32_t part = 0; part < change.progress.size(); ++part) {
+    write(ProgressKey(m_options.shard, id, part), change.progress[part]);
+  }
   places.has_progress_row = true;
+  const auto parts = static_cast<std::uint32_t>(change.progress.size() - 1);
+  RemoveProgressRows(job, parts, batch);
+  places.progress_parts = parts;
   m_packs.Release(std::exchange(places.progress_pack, 0));
 }
 
+// Removes the further rows of the progress of a job but for the first `parts_left` of them.
+void Scheduler::RemoveProgressRows(Job* job, std::size_t parts_left, WriteBatch* batch) const {
+  std::uint32_t& parts = job->places.progress_parts;
+  for (; parts > parts_left; --parts) {
+    batch->removals.push_back(ProgressKey(m_options.shard, job->spec.id(), parts));
+  }
+}
+
 // Stores the changes of a job in a pack, whatever rows it has. Its own rows are removed later.
-void Scheduler::AppendPacked(Job* job, PackWriter* active, PackWriter* finished,
+void Scheduler::AppendPacked(Job* job, JobChange change, PackWriter* active, PackWriter* finished,
                              WriteBatch* batch) {
   const std::string& id = job->spec.id();
   RowPlaces& places = job->places;
   schema::PackedJob record;
   record.set_id(id);
-  if (job->IsFinal() && job->live_orders == 0) {
+  const auto remove_parts = [&] {
+    for (; places.progress_parts > 0; --places.progress_parts) {
+      m_packs.RemoveLater(ProgressKey(m_options.shard, id, places.progress_parts));
+    }
+  };
+  if (change.is_final) {
     *record.mutable_finished() = MakeFinishedRow(*job);
     const std::uint64_t pack = finished->Add(std::move(record));
     const auto remove = [&](const char* table) {
@@ -468,6 +519,7 @@
     };
     if (std::exchange(places.has_job_row, false)) remove(kJobTable);
     if (std::exchange(places.has_progress_row, false)) remove(kProgressTable);
+    remove_parts();
     if (!job->has_finished_row && job->finished_pack == 0) {
       m_packs.Release(places.job_pack);
       m_packs.Release(places.progress_pack);
@@ -483,11 +535,12 @@
     record.mutable_job()->set_accepted_unix_ms(job->accepted_unix_ms);
     job->stored = true;
   }
-  const bool has_progress = !is_new || HasProgress(*job);
-  if (has_progress) *record.mutable_progress() = ToProgressRow(*job);
+  const bool has_progress = !change.progress.empty();
+  if (has_progress) *record.mutable_progress() = std::move(change.progress.front());
   const std::uint64_t pack = active->Add(std::move(record));
   if (is_new) places.job_pack = pack;
   if (!has_progress) return;
+  remove_parts();
   // Both records of a new job are in the pack.
   if (is_new) m_packs.Hold(pack);
   m_packs.Release(std::exchange(places.progress_pack, pack));
@@ -557,7 +610,7 @@
   task->last_run_over_at = m_hooks.now();
   Reopen(job);
   MarkDirty(job);
-  if (!checkpoint.empty()) task->checkpoint = checkpoint;
+  KeepCheckpoint(checkpoint, task);
   if (job->IsFinal() || task->is_done) return ArchiveIfFinished(job);
   switch (end) {
     case RunEnd::kDone:
@@ -625,7 +678,7 @@
   // Ignores checkpoints of gang members, which all start from the same one, and checkpoints of runs
   // that a newer run has overtaken.
   const bool is_newest = run == task->last_run && task->orders.empty();
-  if (!checkpoint.empty() && !step->spec->gang() && is_newest) task->checkpoint = checkpoint;
+  if (!step->spec->gang() && is_newest) KeepCheckpoint(checkpoint, task);
   MarkDirty(job);
   ArchiveIfFinished(job);
   m_hooks.plan_soon();
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -197,8 +197,19 @@
   void RunEffects();
   void SkipWithdrawn();
   void LoadJob(const StoredJob& stored, SteadyTime lapse);
-  void AppendRows(Job* job, WriteBatch* batch, std::size_t* bytes);
-  void AppendPacked(Job* job, PackWriter* active, PackWriter* finished, WriteBatch* batch);
+  // What a transaction is to store about a job.
+  struct JobChange {
+    bool is_final = false;                      // Its final state; else...
+    bool has_job = false;                       // ...its spec...
+    std::vector<schema::ProgressRow> progress;  // ...and its progress, if there is any.
+    std::size_t bytes = 0;                      // Upper bound, as rows of their own.
+    std::size_t entries = 0;
+  };
+  [[nodiscard]] static JobChange ChangeOf(const Job& job);
+  void AppendRows(Job* job, JobChange change, WriteBatch* batch);
+  void RemoveProgressRows(Job* job, std::size_t parts_left, WriteBatch* batch) const;
+  void AppendPacked(Job* job, JobChange change, PackWriter* active, PackWriter* finished,
+                    WriteBatch* batch);
   [[nodiscard]] static bool HasProgress(const Job& job);
   [[nodiscard]] schema::FinishedRow MakeFinishedRow(const Job& job) const;
   void UnpackOldJobs(SteadyTime now);
--- a/cell/scheduler_plan.cc
+++ b/cell/scheduler_plan.cc
@@ -157,14 +157,20 @@
     job->objective = job->arrived + milliseconds(queue.target_ms()) +
                      std::chrono::duration_cast<milliseconds>(critical_path * queue.stretch());
   }
+  std::size_t runs_left =
+      (kMaxAssignmentBytes - std::min(kMaxAssignmentBytes, job->assignment_bytes)) /
+      kMaxAssignmentRowBytes;
   for (const auto& step : job->steps) {
     if (!HasUnassigned(*step)) continue;
     has_unassigned = true;
     LowerMinWaitingSize(*step);
-    const auto waiting = static_cast<std::uint32_t>(
+    auto waiting = static_cast<std::uint32_t>(
         std::count_if(step->tasks.begin(), step->tasks.end(),
                       [now](const Task& task) { return IsWaiting(task, now); }));
-    if (waiting == 0) continue;
+    // The runs of a job have to fit into its progress rows.
+    if (!step->spec->gang()) waiting = std::min(waiting, static_cast<std::uint32_t>(runs_left));
+    if (waiting == 0 || waiting > runs_left) continue;
+    runs_left -= waiting;
     CountWaiting(*step, waiting);
     step->waiting = waiting;
     // While thousands of steps wait and the cell is full, steps that fit on no worker and about
--- a/cell/shard_rows.cc
+++ b/cell/shard_rows.cc
@@ -1,5 +1,6 @@
 #include "cell/shard_rows.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -16,6 +17,7 @@
   schema::JobRow job;
   std::uint64_t progress_version = 0;
   schema::ProgressRow progress;
+  std::map<std::uint32_t, std::pair<std::uint64_t, schema::ProgressRow>> parts;  // And versions.
   std::uint64_t finished_version = 0;
   schema::FinishedRow finished;
   std::uint64_t finished_pack = 0;
@@ -68,6 +70,37 @@
   return number;
 }
 
+constexpr char kPartSeparator = '.';
+
+struct ProgressRowName {
+  std::string job;
+  std::uint32_t part = 0;
+};
+
+std::optional<ProgressRowName> ParseProgressKey(const std::string& key) {
+  const std::size_t separator = key.find(kPartSeparator);
+  if (separator == std::string::npos) return ProgressRowName{key, 0};
+  std::uint32_t part = 0;
+  const char* const last = key.data() + key.size();
+  const auto [end, error] = std::from_chars(key.data() + separator + 1, last, part);
+  if (error != std::errc() || end != last || part == 0) return std::nullopt;
+  return ProgressRowName{key.substr(0, separator), part};
+}
+
+// Adds the steps in the further rows of the progress to the first one.
+void JoinParts(const std::string& id, Records* job) {
+  for (std::uint32_t part = 1; part <= job->progress.parts(); ++part) {
+    const auto found = job->parts.find(part);
+    if (found == job->parts.end() || found->second.first != job->progress_version) {
+      Log(LogLevel::kError, "progress-incomplete").Field("job", id).Field("part", part);
+      continue;
+    }
+    for (schema::StepRow& step : *found->second.second.mutable_steps()) {
+      *job->progress.add_steps() = std::move(step);
+    }
+  }
+}
+
 }  // namespace
 
 StoredShard ResolveRows(const ShardRows& rows) {
@@ -92,7 +125,14 @@
   for (const Row& row : rows.progress) {
     schema::ProgressRow stored;
     if (!ReadRow(row, &stored)) continue;
-    Records& job = jobs[row.key.key];
+    const auto name = ParseProgressKey(row.key.key);
+    if (!name) continue;
+    Records& job = jobs[name->job];
+    if (name->part > 0) {
+      job.places.progress_parts = std::max(job.places.progress_parts, name->part);
+      job.parts[name->part] = {row.version, std::move(stored)};
+      continue;
+    }
     job.places.has_progress_row = true;
     if (Update(row.version, std::move(stored), &job.progress_version, &job.progress)) {
       job.places.progress_pack = 0;
@@ -114,6 +154,7 @@
       continue;
     }
     if (job.job_version == 0) continue;
+    JoinParts(id, &job);
     StoredJob stored{std::move(job.job), std::nullopt, job.places};
     if (job.progress_version >= job.job_version) {
       stored.progress = std::move(job.progress);
@@ -125,6 +166,10 @@
   return shard;
 }
 
+RowKey ProgressKey(const std::string& shard, const std::string& job, std::uint32_t part) {
+  return {kProgressTable, shard, part == 0 ? job : job + kPartSeparator + std::to_string(part)};
+}
+
 RowKey PackKey(const std::string& shard, std::uint64_t pack) {
   return {kPackTable, shard, Hex64(pack)};
 }
--- a/cell/shard_rows.h
+++ b/cell/shard_rows.h
@@ -41,6 +41,7 @@
   std::uint64_t progress_pack = 0;  ///< The same for its progress.
   bool has_job_row = false;         ///< There is a row of its own, whether current or not.
   bool has_progress_row = false;
+  std::uint32_t progress_parts = 0;  ///< Number of the last further row of its progress.
 };
 
 /// Rows of a shard as they were read.
@@ -74,6 +75,9 @@
 /// @returns the current record of each job. Rows that cannot be read are logged and skipped.
 StoredShard ResolveRows(const ShardRows& rows);
 
+/// @returns the key of a row of the progress of a job; part 0 is the first one.
+RowKey ProgressKey(const std::string& shard, const std::string& job, std::uint32_t part);
+
 /// @returns the key of the row of a pack.
 RowKey PackKey(const std::string& shard, std::uint64_t pack);
 
--- a/tests/cell/cell.h
+++ b/tests/cell/cell.h
@@ -123,14 +123,16 @@
 
 class Cell {
  public:
-  Cell(std::uint64_t seed, int instances, int workers, Resources capacity)
+  // @param worker_prefix ids of workers are this and a number.
+  Cell(std::uint64_t seed, int instances, int workers, Resources capacity,
+       const std::string& worker_prefix = "w")
       : loop(seed), store(loop), m_capacity(capacity) {
     history.behavior_of = [this](const TaskRef& task) {
       return behaviors[task.job + std::to_string(task.step)];
     };
     for (int i = 0; i < workers; ++i) {
       WorkerNode node;
-      node.id = "w" + std::to_string(i);
+      node.id = worker_prefix + std::to_string(i);
       node.process = StartWorkerProcess(node.id);
       nodes[node.id] = node;
     }
--- a/tests/cell/cell_checks.h
+++ b/tests/cell/cell_checks.h
@@ -14,6 +14,11 @@
   for (const std::string& violation : history.violations) FAIL_CHECK(violation);
 }
 
+// The scheduler stores nothing that is over the limits of the store.
+inline void CheckNoRefusals(const Store& store) {
+  for (const std::string& refusal : store.refusals) FAIL_CHECK(refusal);
+}
+
 inline void CheckAllEnd(Cell& cell, const std::vector<std::string>& jobs) {
   for (const std::string& job : jobs) {
     INFO("job ", job);
--- /dev/null
+++ b/tests/cell/rows_test.cc
@@ -0,0 +1,210 @@
+// Sizes of the rows of jobs, and what happens to a job that the store does not take.
+#include <doctest/doctest.h>
+
+#include "cell.h"
+#include "cell/job.h"
+#include "cell_checks.h"
+
+namespace citronsill::model {
+namespace {
+
+using std::chrono::seconds;
+
+schema::JobSpec MakeScheduled(Cell& cell, const std::string& id, std::uint32_t tasks,
+                              TaskBehavior behavior, std::uint32_t occurrences,
+                              std::int64_t interval_ms) {
+  schema::JobSpec spec = cell.MakeJob(id, tasks, behavior);
+  spec.set_occurrences(occurrences);
+  spec.set_interval_ms(interval_ms);
+  spec.set_first_start_unix_ms(
+      std::chrono::duration_cast<milliseconds>(cell.loop.Now().time_since_epoch()).count() + 2000);
+  return spec;
+}
+
+// Submits small jobs for some time. @returns their ids.
+std::vector<std::string> SubmitOthers(Cell* cell, int count, milliseconds period) {
+  TaskBehavior behavior;
+  behavior.duration = milliseconds(500);
+  std::vector<std::string> ids;
+  for (int i = 0; i < count; ++i) {
+    ids.push_back("other" + std::to_string(i));
+    cell->loop.After(milliseconds(1000) + period * i, [cell, behavior, id = ids.back()] {
+      cell->Submit(cell->MakeJob(id, 2, behavior));
+    });
+  }
+  return ids;
+}
+
+// Guards against LOST (review/2): the progress of a job with overlapping occurrences exceeded the
+// size of a row, the store refused the transaction, and nothing of the shard was stored any more.
+TEST_CASE("rows: overlapping occurrences of a job are stored, and other jobs go on") {
+  constexpr std::uint32_t kTasks = 120;
+  constexpr std::uint32_t kOccurrences = 24;
+  Cell cell(1, 3, 6, Resources{32000, 32000, 0}, "i-7f3a91c");
+  TaskBehavior part;
+  part.duration = milliseconds(60000);
+  part.size = {50, 16, 0};
+  cell.loop.After(milliseconds(500), [&] {
+    cell.Submit(MakeScheduled(cell, "scheduled", kTasks, part, kOccurrences, 1500));
+  });
+  const std::vector<std::string> others = SubmitOthers(&cell, 30, milliseconds(2000));
+  // The next scheduler restores all rows.
+  cell.loop.After(milliseconds(45000), [&] {
+    if (cell.Leader() != nullptr) cell.Leader()->Kill();
+  });
+  cell.loop.RunFor(seconds(120));
+  CheckNoRefusals(cell.store);
+  CheckHistory(cell.history);
+  CheckAllEnd(cell, others);
+  CHECK(cell.State("scheduled") == schema::JOB_STATE_SUCCEEDED);
+  CHECK(cell.history.starts == kTasks * kOccurrences + 2 * others.size());
+  CHECK(cell.store.Read(kProgressTable, "s0").rows.empty());
+}
+
+// Guards against a pack that exceeds the size of a row because of one large record in it.
+TEST_CASE("rows: packs hold no large records") {
+  Cell cell(1, 1, 6, Resources{32000, 32000, 0}, std::string(60, 'w'));
+  cell.max_entries = 12;
+  TaskBehavior small;
+  small.duration = milliseconds(3000);
+  small.size = {20, 8, 0};
+  std::vector<std::string> ids;
+  for (int i = 0; i < 40; ++i) {
+    ids.push_back("job" + std::to_string(i));
+    cell.loop.After(milliseconds(1000 + 10 * i), [&, id = ids.back(), tasks = i < 3 ? 1000U : 2U] {
+      cell.Submit(cell.MakeJob(id, tasks, small));
+    });
+  }
+  cell.loop.RunFor(seconds(30));
+  CheckNoRefusals(cell.store);
+  CheckHistory(cell.history);
+  CheckAllEnd(cell, ids);
+}
+
+// A job whose tasks all run, on workers with the longest ids, and have failures and checkpoints.
+struct FullJob {
+  FullJob(std::uint32_t tasks, int steps, std::uint32_t occurrences, std::size_t worker_id_bytes,
+          std::size_t checkpoint_bytes) {
+    worker.description.id = std::string(worker_id_bytes, 'w');
+    worker.description.born_unix_ms = INT64_MAX;
+    job.spec.set_id("00000000000000aa");
+    if (occurrences > 1) job.spec.set_occurrences(occurrences);
+    for (int step = 0; step < steps; ++step) {
+      job.spec.add_steps()->set_task_count(tasks / static_cast<std::uint32_t>(steps));
+    }
+    for (std::uint32_t i = 0; i < occurrences; ++i) BeginOccurrence(&job);
+    order.worker = &worker;
+    order.run = UINT64_MAX;
+    for (const auto& step : job.steps) {
+      step->gang_failures = UINT32_MAX;
+      for (std::uint32_t key = 0; key < kMaxStoredAnswers; ++key) {
+        step->stored_answers[key * 7919] = key % 2 == 0;
+      }
+      for (Task& task : step->tasks) {
+        task.failures = UINT32_MAX;
+        task.checkpoint = std::string(checkpoint_bytes, 'c');
+        // As many runs as `Scheduler::AddUnits` allows.
+        if (job.assignment_bytes + kMaxAssignmentRowBytes > kMaxAssignmentBytes) continue;
+        job.assignment_bytes += AssignmentRowBytes(worker.description.id);
+        task.orders = {&order};
+        ++runs;
+      }
+    }
+  }
+
+  // @returns the transaction that stores the job and its progress.
+  [[nodiscard]] RowTransaction MakeTransaction() const {
+    RowTransaction transaction;
+    schema::JobRow row;
+    *row.mutable_spec() = job.spec;
+    transaction.writes.push_back(Row{{kJobTable, "s0", job.spec.id()}, row.SerializeAsString()});
+    std::uint32_t part = 0;
+    for (const schema::ProgressRow& progress : ToProgressRows(job)) {
+      transaction.writes.push_back(
+          Row{ProgressKey("s0", job.spec.id(), part++), progress.SerializeAsString()});
+    }
+    return transaction;
+  }
+
+  Worker worker;
+  Order order;
+  Job job;
+  std::size_t runs = 0;
+};
+
+// Guards against rows and transactions that the store refuses, for jobs at the limits of what is
+// accepted.
+TEST_CASE("rows: a job at the limits is stored in one transaction and restored") {
+  struct Size {
+    std::uint32_t tasks;
+    int steps;
+    std::uint32_t occurrences;
+    std::size_t worker_id_bytes;
+    std::size_t checkpoint_bytes;
+  };
+  for (const Size& size :
+       {Size{kMaxTasksPerJob, 2, 1, 10, 16}, Size{kMaxTasksPerJob, 2, 1, 200, 16},
+        Size{1152, kMaxSteps, 1, 200, kMaxCheckpointBytes}, Size{1, 1, kMaxLiveTasksPerJob, 10, 16},
+        Size{1, 1, kMaxLiveTasksPerJob, 200, kMaxCheckpointBytes},
+        Size{64, kMaxSteps, kMaxLiveTasksPerJob / 64, 200, 0}}) {
+    CAPTURE(size.tasks);
+    CAPTURE(size.steps);
+    CAPTURE(size.worker_id_bytes);
+    CAPTURE(size.checkpoint_bytes);
+    const FullJob full(size.tasks, size.steps, size.occurrences, size.worker_id_bytes,
+                       size.checkpoint_bytes);
+    if (size.occurrences == 1) CHECK(full.runs == size.tasks);
+    RowTransaction transaction = full.MakeTransaction();
+    const auto refusal = RefusalOf(transaction);
+    INFO(refusal.value_or(""));
+    CHECK_FALSE(refusal.has_value());
+    for (const Row& row : transaction.writes) CHECK(row.value.size() <= kMaxRowBytes);
+    // All rows of a transaction have the same version.
+    ShardRows rows;
+    for (Row& row : transaction.writes) {
+      row.version = 7;
+      (row.key.table == kJobTable ? rows.jobs : rows.progress).push_back(row);
+    }
+    const StoredShard shard = ResolveRows(rows);
+    REQUIRE(shard.jobs.size() == 1);
+    CHECK(shard.jobs[0].places.progress_parts == rows.progress.size() - 1);
+    Job restored;
+    restored.spec = shard.jobs[0].job.spec();
+    CHECK(RestoreProgress(*shard.jobs[0].progress, &restored).size() == full.runs);
+    REQUIRE(restored.steps.size() == full.job.steps.size());
+    for (std::size_t i = 0; i < restored.steps.size(); ++i) {
+      REQUIRE(restored.steps[i]->gang_failures == UINT32_MAX);
+      for (const Task& task : restored.steps[i]->tasks) REQUIRE(task.failures == UINT32_MAX);
+    }
+  }
+}
+
+// A checkpoint of an ordinary size is never left out.
+TEST_CASE("rows: checkpoints of a job of the largest size are stored") {
+  const FullJob full(kMaxTasksPerJob, 2, 1, 10, 16);
+  std::size_t checkpoints = 0;
+  for (const schema::ProgressRow& row : ToProgressRows(full.job)) {
+    for (const schema::StepRow& step : row.steps()) {
+      for (const schema::TaskRow& task : step.tasks()) checkpoints += task.save().empty() ? 0 : 1;
+    }
+  }
+  CHECK(checkpoints == kMaxTasksPerJob);
+}
+
+// Guards against a further row that an earlier transaction left: its steps are older.
+TEST_CASE("rows: further rows of another version do not count") {
+  const FullJob full(kMaxTasksPerJob, 2, 1, 200, 0);
+  ShardRows rows;
+  for (Row& row : full.MakeTransaction().writes) {
+    row.version = row.key.key.ends_with(".2") ? 6 : 7;
+    (row.key.table == kJobTable ? rows.jobs : rows.progress).push_back(row);
+  }
+  const std::size_t all = full.runs;
+  const StoredShard shard = ResolveRows(rows);
+  Job restored;
+  restored.spec = shard.jobs[0].job.spec();
+  CHECK(RestoreProgress(*shard.jobs[0].progress, &restored).size() < all);
+}
+
+}  // namespace
+}  // namespace citronsill::model
--- a/tests/cell/store.h
+++ b/tests/cell/store.h
@@ -21,10 +21,52 @@
   milliseconds latency{8};  // Time until the reply.
 };
 
+// Limits of the store, from the platform's pages: a value is at most 64 KiB, taken here as Base64,
+// a transaction has at most 100 entries and 1 MB, texts of keys have at most 200 bytes.
+constexpr std::size_t kStoreValueBytes = 65536;
+constexpr std::size_t kStoreEntries = 100;
+constexpr std::size_t kStoreBodyBytes = 1'000'000;
+constexpr std::size_t kStoreKeyBytes = 200;
+
+constexpr std::size_t Base64Bytes(std::size_t bytes) { return (bytes + 2) / 3 * 4; }
+
+// @returns why the store refuses a transaction; none if it does not.
+inline std::optional<std::string> RefusalOf(const RowTransaction& transaction) {
+  constexpr std::size_t kEntryOverhead = 60;  // Names of fields and punctuation.
+  std::size_t bytes = 0;
+  std::optional<std::string> refusal;
+  const auto add_key = [&](const RowKey& key) {
+    bytes += key.table.size() + key.part.size() + key.key.size() + kEntryOverhead;
+    for (const std::string& text : {key.table, key.part, key.key}) {
+      if (text.size() > kStoreKeyBytes) refusal = "a key is too long";
+    }
+  };
+  for (const RowCondition& condition : transaction.conditions) add_key(condition.key);
+  for (const RowKey& key : transaction.removals) add_key(key);
+  for (const Row& row : transaction.writes) {
+    add_key(row.key);
+    const std::size_t value_bytes = Base64Bytes(row.value.size());
+    bytes += value_bytes;
+    if (value_bytes > kStoreValueBytes) {
+      refusal = "row " + row.key.table + "/" + row.key.key + " has " +
+                std::to_string(row.value.size()) + " bytes";
+    }
+  }
+  const std::size_t entries =
+      transaction.conditions.size() + transaction.writes.size() + transaction.removals.size();
+  if (entries > kStoreEntries) refusal = std::to_string(entries) + " entries";
+  if (bytes > kStoreBodyBytes) refusal = std::to_string(bytes) + " bytes";
+  return refusal;
+}
+
 class Store {
  public:
   explicit Store(Loop& loop) : m_loop(loop) {}
 
+  // Refuses further transactions; the reason, or none. For tests of refusals.
+  std::function<std::optional<std::string>(const RowTransaction&)> refuses;
+  std::vector<std::string> refusals;  // Of transactions over the limits of the store.
+
   StoreFaults faults;
   bool keeps_history = true;  // Whether `Changes` can be used.
 
@@ -36,6 +78,12 @@
       });
       return;
     }
+    if (const auto refusal = Refuse(transaction); refusal) {
+      m_loop.After(faults.latency, [done, refusal] {
+        done(Error{schema::CODE_COMMIT_UNKNOWN, *refusal});
+      });
+      return;
+    }
     const auto unanswered = [this, timeout, done] {
       m_loop.After(timeout, [done] { done(Error{schema::CODE_COMMIT_UNKNOWN, "no answer"}); });
     };
@@ -116,6 +164,14 @@
   std::function<void()> on_change;
 
  private:
+  std::optional<std::string> Refuse(const RowTransaction& transaction) {
+    if (auto refusal = RefusalOf(transaction); refusal) {
+      refusals.push_back(*refusal);
+      return refusal;
+    }
+    return refuses ? refuses(transaction) : std::nullopt;
+  }
+
   Loop& m_loop;
   std::map<RowKey, Row> m_rows;
   std::vector<Row> m_changes;
