--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -8,18 +8,20 @@
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
 
-# Unit tests: converts the JUnit report into "ok NAME" and "not ok NAME" lines.
-: > "$work/results"
+# count_results FILE STATUS NAME: adds the "ok" and "not ok" lines of a program to the results. A program that fails
+# without naming a test, or that names none, counts as a failed test.
+count_results() {
+  grep -E '^(ok|not ok) ' "$1" >> "$work/results"
+  if ! grep -qE '^(ok|not ok) ' "$1" || { [ "$2" -ne 0 ] && ! grep -q '^not ok ' "$1"; } || [ "$2" -gt 1 ]; then
+    echo "not ok $3 ended with status $2" >> "$work/results"
+  fi
+}
+
+# Unit tests: see tests/line_reporter.h.
 for program in citronsill_tests citronsill_cell_tests; do
-  "$build/$program" --reporters=junit > "$work/unit.xml" 2>> "$work/unit.err"
-  status=$?
-  awk -v status="$status" -v program="$program" '
-    /<testcase / { match($0, / name="[^"]*"/); name = substr($0, RSTART + 7, RLENGTH - 8); order[++n] = name }
-    /<(failure|error)/ { failed[name] = 1; print > "/dev/stderr" }
-    END {
-      for (i = 1; i <= n; i++) print (order[i] in failed ? "not ok " : "ok ") order[i]
-      if (status > 1 || n == 0) print "not ok " program " ended with status " status
-    }' "$work/unit.xml" >> "$work/results"
+  "$build/$program" --reporters=lines > "$work/unit.out" 2>> "$work/unit.err"
+  count_results "$work/unit.out" $? "$program"
+  grep -E '^(#|not ok) ' "$work/unit.out"
 done
 
 # Multi-process tests: each script prints "ok NAME" or "not ok NAME" lines.
@@ -27,12 +29,9 @@
   [ -e "$script" ] || continue
   BUILD=$build bash "$script" > "$work/script.out" 2> "$work/script.err"
   status=$?
-  grep -E '^(ok|not ok) ' "$work/script.out" >> "$work/results"
+  count_results "$work/script.out" $status "$script"
   grep -v -E '^ok ' "$work/script.out"
-  if [ $status -ne 0 ] && ! grep -q '^not ok ' "$work/script.out"; then
-    echo "not ok $script ended with status $status" >> "$work/results"
-    cat "$work/script.err"
-  fi
+  grep -qF "not ok $script " "$work/results" && cat "$work/script.err"
 done
 
 passed=0
--- a/tests/failures.sh
+++ b/tests/failures.sh
@@ -97,6 +97,9 @@
   base=$((base + 300))
 done
 wait
+for case in "${cases[@]}"; do
+  [ -e "$work/$case.result" ] || echo "not ok failures: $case (no result)" > "$work/$case.result"
+done
 cat "$work"/*.result
 cat "$work"/*.detail 2> "/dev/null" || true
 ! grep -q '^not ok' "$work"/*.result
--- a/tests/main.cc
+++ b/tests/main.cc
@@ -1,2 +1,2 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
-#include <doctest/doctest.h>
+#include "line_reporter.h"
--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -9,8 +9,14 @@
 run() { # SEED SECONDS PORT OPTIONS...
   local seed=$1 seconds=$2 port=$3
   shift 3
-  "$build/citronsill_soak" --node "$build/citronsill_node" --directory "$work" --seed "$seed" \
-    --seconds "$seconds" --port "$port" "$@" > "$work/$seed.out" 2>&1 &
+  {
+    "$build/citronsill_soak" --node "$build/citronsill_node" --directory "$work" --seed "$seed" \
+      --seconds "$seconds" --port "$port" "$@" > "$work/$seed.out" 2>&1
+    status=$?
+    # A run that ends without a result, or with a result that its status contradicts, has failed.
+    { [ $status -eq 0 ] && grep -q '^ok ' "$work/$seed.out"; } || grep -q '^not ok ' "$work/$seed.out" ||
+      echo "not ok soak: seed $seed" >> "$work/$seed.out"
+  } &
 }
 # Long enough to contain a period without faults, in which waiting tasks are checked.
 run 1 20 16400 --rate 7
