--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -25,6 +25,9 @@
 # Workers that start again under their id while the network holds calls to them back (issue 35).
 run 9301 20 18400 --rate 10 --faults held_restart
 wait
+# Jobs that callers rarely send: occurrences that are long past or overlap, steps that name all earlier ones, jobs that
+# no deployment can serve (issue 38).
+run 3801 20 18800 --rate 7 --unusual 0.1
 # Seeds that failed before: a scheduler that had been frozen denied jobs of its successor
 # (docs/incidents/2026-12-04-frozen-scheduler.md).
 run 104 15 17200 --plain
--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -40,6 +40,12 @@
 
 const char* const kFinalStates[] = {"succeeded", "failed", "cancelled"};
 
+std::int64_t UnixMs() {
+  return std::chrono::duration_cast<milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 bool IsFinal(const std::string& state) {
   return std::find(std::begin(kFinalStates), std::end(kFinalStates), state) !=
          std::end(kFinalStates);
@@ -54,7 +60,7 @@
 }  // namespace
 
 Callers::Callers(Platform* platform, const Processes& processes, Options options)
-    : m_platform(platform), m_processes(processes), m_options(options) {}
+    : m_platform(platform), m_processes(processes), m_options(options), m_unusual(options.seed) {}
 
 Result<std::unique_ptr<Callers>> Callers::Create(Runtime& runtime, Platform* platform,
                                                  const Processes& processes, Options options) {
@@ -127,12 +133,99 @@
     job->has_advice = false;
     job->queue = Platform::WithoutAdvice(job->queue);
   }
+  Add(job);
+  if (m_options.unusual_share > 0 && m_unusual.Chance(m_options.unusual_share)) SubmitUnusual();
+}
+
+void Callers::Add(const JobPtr& job) {
   m_jobs[job->id] = job;
   m_platform->history.submitted.insert(job->id);
   ++m_counts.jobs;
   SendSubmission(job);
 }
 
+void Callers::SubmitUnusual() {
+  auto job = std::make_shared<CallerJob>();
+  job->id = Hex64(RandomId());
+  job->queue = Platform::WithoutAdvice("batch");
+  job->has_advice = false;
+  switch (m_unusual.Between(0, 3)) {
+    case 0:
+      FillOverdueJob(job.get());
+      break;
+    case 1:
+      FillOverlappingJob(job.get());
+      break;
+    case 2:
+      FillPipeline(job.get());
+      break;
+    default:
+      FillInvalidJob(job.get());
+      break;
+  }
+  Add(job);
+}
+
+// Sets the fields of a job of one small step that runs at several times.
+void Callers::FillOccurrences(milliseconds duration, std::uint32_t tasks, CallerJob* job) {
+  model::TaskBehavior actual;
+  actual.duration = duration;
+  actual.size = {m_unusual.Between(20, 60), 16, 0};
+  actual.members = tasks;
+  job->steps.push_back(actual);
+  job->body = fmt::format(R"({{"spec":"soak","maxRuns":{},"startTimeMs":{},"intervalMs":{},)"
+                          R"("steps":[{{"count":{},"cpu":{},"memMb":16,"estimateMs":{}}}]}})",
+                          job->occurrences, *job->first_start_unix_ms, job->interval_ms, tasks,
+                          actual.size.processors_milli, duration.count());
+}
+
+void Callers::FillOverdueJob(CallerJob* job) {
+  job->occurrences = static_cast<std::uint32_t>(m_unusual.Between(50, 150));
+  job->interval_ms = 1000;
+  job->first_start_unix_ms = UnixMs() - milliseconds(std::chrono::hours(24)).count();
+  FillOccurrences(m_unusual.Delay(50, 200), 1, job);
+}
+
+void Callers::FillOverlappingJob(CallerJob* job) {
+  job->occurrences = static_cast<std::uint32_t>(m_unusual.Between(5, 12));
+  job->interval_ms = m_unusual.Between(0, 300);
+  job->first_start_unix_ms = UnixMs() + m_unusual.Between(0, 1000);
+  FillOccurrences(m_unusual.Delay(2000, 5000),
+                  static_cast<std::uint32_t>(m_unusual.Between(10, 30)), job);
+}
+
+// Each step names all earlier steps, and some of them twice.
+void Callers::FillPipeline(CallerJob* job) {
+  std::string text;
+  std::string earlier;
+  const std::int64_t steps = m_unusual.Between(8, 24);
+  for (std::int64_t number = 0; number < steps; ++number) {
+    model::TaskBehavior actual;
+    actual.duration = milliseconds(50);
+    actual.size = {100, 16, 0};
+    job->steps.push_back(actual);
+    fmt::format_to(std::back_inserter(text),
+                   R"({}{{"count":1,"cpu":100,"memMb":16,"estimateMs":50,"after":[{}]}})",
+                   number == 0 ? "" : ",", earlier);
+    for (std::int64_t i = m_unusual.Between(1, 2); i > 0; --i) {
+      fmt::format_to(std::back_inserter(earlier), "{}{}", earlier.empty() ? "" : ",", number);
+    }
+  }
+  job->body = fmt::format(R"({{"spec":"soak","steps":[{}]}})", text);
+}
+
+// Too large for any deployment, in one of several ways.
+void Callers::FillInvalidJob(CallerJob* job) {
+  job->is_invalid = true;
+  job->steps.push_back({});
+  const std::string label(static_cast<std::size_t>(m_unusual.Between(50'000, 500'000)), 'x');
+  const std::vector<std::string> fields = {R"("requiredLabel":")" + label + R"(")",
+                                           R"("cpu":9000000000000000000)", R"("longRunning":true)",
+                                           R"("maxPerServer":-1)"};
+  const auto field = static_cast<std::size_t>(m_unusual.Between(0, 3));
+  job->body = R"({"spec":"soak","maxRuns":4000000000,"steps":[{"count":9,)" + fields[field] + "}]}";
+}
+
 // Tasks of a long-running job run until they are stopped. In about one job of three they also end
 // by themselves after 2 to 6 s, some of them as failed.
 void Callers::FillLongRunningJob(CallerJob* job) {
@@ -259,6 +352,10 @@
     loop.After(delay, [this, job] { SendSubmission(job); });
   };
   const unsigned status = result ? result.value().status : 504;
+  if (job->is_invalid && (status == 400 || status == 200)) {
+    if (status == 200) ReportViolation("accepted although it cannot be served", job->id);
+    return MarkRefused(job);
+  }
   if (status == 200) {
     job->phase = Phase::kAccepted;
     ++m_counts.accepted;
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -17,12 +17,18 @@
   struct Options {
     int callers = 1;               // Number of callers; each has its own connections.
     bool has_long_running = true;  // Whether to submit long-running and scheduled jobs.
+    // Share of jobs after which an unusual one is submitted as well; see `SubmitUnusual`.
+    double unusual_share = 0.0;
+    std::uint64_t seed = 1;  // Of the unusual jobs, so that the others stay the same.
   };
   static Result<std::unique_ptr<Callers>> Create(Runtime& runtime, Platform* platform,
                                                  const Processes& processes, Options options);
 
   // Submits a new job of a random kind and follows it until it ends.
   void Submit();
+  // Submits a job that the protocol allows but that callers rarely send: occurrences that are long
+  // past or overlap, steps that name all earlier ones. One of four cannot be served.
+  void SubmitUnusual();
   // Cancels accepted jobs that have not ended, each with the probability `share`.
   void CancelSome(double share);
 
@@ -55,7 +61,8 @@
     std::string body;                        // JSON of the submission.
     std::vector<model::TaskBehavior> steps;  // Actual behavior of the tasks of each step.
     bool is_long_running = false;
-    bool has_advice = true;  // Whether the queue has advice.
+    bool is_invalid = false;  // To be refused with status 400.
+    bool has_advice = true;   // Whether the queue has advice.
     std::uint32_t occurrences = 1;
     std::optional<std::int64_t> first_start_unix_ms;  // Set for scheduled jobs.
     std::int64_t interval_ms = 0;
@@ -92,6 +99,12 @@
   void MarkRefused(const JobPtr& job);
   void Cancel(const JobPtr& job);
   void Poll(const JobPtr& job);
+  void Add(const JobPtr& job);
+  void FillOccurrences(milliseconds duration, std::uint32_t tasks, CallerJob* job);
+  void FillOverdueJob(CallerJob* job);
+  void FillOverlappingJob(CallerJob* job);
+  void FillPipeline(CallerJob* job);
+  void FillInvalidJob(CallerJob* job);
   void OnState(const JobPtr& job, const std::string& state);
   void VerifyFinalState(const JobPtr& job, int retries, const std::function<void(bool)>& done);
   void CheckSucceeded(const CallerJob& job);
@@ -102,6 +115,7 @@
   Platform* m_platform;
   const Processes& m_processes;
   Options m_options;
+  model::Loop m_unusual;                               // Random numbers only.
   std::vector<std::unique_ptr<HttpClient>> m_clients;  // One for each caller and instance.
   std::map<std::string, JobPtr> m_jobs;
   Counts m_counts;
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -50,9 +50,10 @@
   int workers = 6;
   int callers = 1;
   double jobs_per_second = 8.0;
-  double share = 1.0;  // Share of its processor that each instance gets.
-  int slow = -1;       // Number of slow instances; below 0: one in half of the seeds.
-  bool plain = false;  // No long-running or scheduled jobs and no calm periods.
+  double share = 1.0;    // Share of its processor that each instance gets.
+  int slow = -1;         // Number of slow instances; below 0: one in half of the seeds.
+  double unusual = 0.0;  // Share of jobs after which an unusual one is submitted.
+  bool plain = false;    // No long-running or scheduled jobs and no calm periods.
   std::string program;
   std::string directory;
   int base_port = 0;
@@ -105,7 +106,8 @@
                       Processes::Create(*m_runtime, *m_timers, m_platform.get(), processes));
     BOOST_OUTCOME_TRY(m_callers,
                       Callers::Create(*m_runtime, m_platform.get(), *m_processes,
-                                      Callers::Options{m_options.callers, !m_options.plain}));
+                                      Callers::Options{m_options.callers, !m_options.plain,
+                                                       m_options.unusual, m_options.seed}));
     BOOST_OUTCOME_TRY(m_config_check,
                       ConfigCheck::Create(*m_runtime, m_platform.get(), *m_processes));
     m_waiting = std::make_unique<WaitingCheck>(m_platform.get(), m_callers.get());
@@ -261,6 +263,8 @@
       "share of its processor that each instance gets");
   add("slow", options::value(&soak.slow)->default_value(-1),
       "instances with 12 to 25% of their processor; -1: one in half of the seeds");
+  add("unusual", options::value(&soak.unusual)->default_value(0.0),
+      "share of jobs after which an unusual one is submitted as well");
   add("plain", options::bool_switch(&soak.plain),
       "no long-running or scheduled jobs and no calm periods");
   add("rate", options::value(&soak.jobs_per_second)->default_value(8.0), "jobs per second");
