Tell a stalled run from one whose progress takes long to show

Cause: a run counted as stalled when its whole percent had not risen for 4.5 s. One percent of ten minutes takes 6 s.

Change: the time is that in which the task is expected to advance by 3 percent, at least 4.5 s as before; each stall of a task doubles it, as declared durations may be far off. A new checkpoint counts as progress. A run is stopped, and its worker avoided, only where another worker may run the task.

--- a/cell/fleet.cc
+++ b/cell/fleet.cc
@@ -305,7 +305,7 @@
       if (order->state == OrderState::kSending) {
         SetState(order, OrderState::kRunning);
         order->running_since = m_hooks.now();
-        order->percent_changed = m_hooks.now();
+        order->percent_changed = order->advanced = m_hooks.now();
         m_hooks.on_running(*order);
       }
       if (order->stop_wanted) SendStop(order);
@@ -481,12 +481,15 @@
     if (order->state == OrderState::kSending || order->state == OrderState::kUnknown) {
       SetState(order, OrderState::kRunning);
       order->running_since = now;
-      order->percent_changed = now;
+      order->percent_changed = order->advanced = now;
       order->first_percent = running.percent;
       m_hooks.on_running(*order);
       if (order->stop_wanted) SendStop(order);
     }
-    if (running.percent > order->percent) order->percent_changed = now;
+    if (running.percent > order->percent) order->percent_changed = order->advanced = now;
+    if (!running.checkpoint.empty() && running.checkpoint != order->task->checkpoint) {
+      order->advanced = now;
+    }
     order->percent = running.percent;
     KeepCheckpoint(running.checkpoint, order->task);
   }
--- a/cell/job.h
+++ b/cell/job.h
@@ -55,6 +55,7 @@
   int percent = 0;             ///< Last reported progress of this run, in percent.
   int first_percent = 0;       ///< First reported progress of this run, in percent.
   SteadyTime percent_changed;  ///< When the reported progress last increased.
+  SteadyTime advanced;         ///< When it last increased or the checkpoint changed.
 };
 
 /// Answer of the policy service about one incarnation of a worker.
@@ -97,6 +98,7 @@
   SteadyTime retry_at{};          ///< The task is not started before this time.
   SteadyTime last_run_over_at{};  ///< When its last run ended or was lost.
   SteadyTime held_logged_at{};    ///< When it was last logged as held.
+  std::uint32_t stalls = 0;       ///< Number of its runs in this term that were stopped as stalled.
   /// Workers on which the task is not started for some time.
   std::vector<AvoidedWorker> avoided_workers;
 };
--- a/cell/limits.h
+++ b/cell/limits.h
@@ -136,6 +136,9 @@
 // Time without progress after which a run counts as stalled. Progress is reported with each hold,
 // at least every 1.5 s; three reports without progress are a stall.
 inline constexpr std::chrono::milliseconds kStalledAfter{4500};
+// For a longer task, the time in which it is expected to advance by this many percent.
+inline constexpr int kStalledPercent = 3;
+inline constexpr std::uint32_t kMaxStallDoublings = 8;
 inline constexpr std::chrono::milliseconds kStallCheckPeriod{250};
 // Interval of the check that no job with waiting tasks is missing from planning passes.
 inline constexpr std::chrono::milliseconds kOpenJobCheckPeriod{500};
--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -1056,9 +1056,35 @@
   }
 }
 
-// Stops runs that make no progress, so that they are tried on another worker. Guards against
-// workers that accept tasks and answer calls, but whose tasks make no progress. Such a worker is
-// avoided by all tasks for some time; after a stalled member of a gang, only by that member.
+// Returns the time without progress after which a run counts as stalled. Progress is reported in
+// whole percent, which take longer the longer the task. Declared durations may be far off, so each
+// stall of a task doubles the time for its next run.
+milliseconds Scheduler::StalledAfter(const Order& order) const {
+  const Task& task = *order.task;
+  const milliseconds usual =
+      std::max(kStalledAfter, ExpectedRun(*task.step) * kStalledPercent / 100);
+  return usual * (1 << std::min(task.stalls, kMaxStallDoublings));
+}
+
+// @returns whether a worker other than this one may run tasks of the step, as far as the policy
+// service allows.
+bool Scheduler::HasOtherWorker(const Step& step, const Worker& worker) {
+  const SteadyTime now = m_hooks.now();
+  const std::string& service = step.job->spec.queue().service();
+  const std::string& label = step.spec->required_label();
+  return std::any_of(m_fleet.Workers().begin(), m_fleet.Workers().end(), [&](const auto& entry) {
+    const Worker& other = *entry.second;
+    const auto& labels = other.description.labels;
+    return &other != &worker && other.TakesWork() && other.avoided_until <= now &&
+           other.description.service == service && other.description.capacity.Covers(step.size) &&
+           (label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end());
+  });
+}
+
+// Stops runs that make no progress, so that they are tried on another worker, if there is one.
+// Guards against workers that accept tasks and answer calls, but whose tasks make no progress. Such
+// a worker is avoided by all tasks for some time; after a stalled member of a gang, only by that
+// member.
 void Scheduler::CheckStalled(SteadyTime now) {
   if (now < m_next_stall_check) return;
   m_next_stall_check = now + kStallCheckPeriod;
@@ -1068,14 +1094,16 @@
     for (Order* order : worker->orders) {
       const Step& step = *order->task->step;
       if (order->state != OrderState::kRunning || order->stop_wanted) continue;
-      if (step.spec->long_running() || order->percent_changed + kStalledAfter > now) continue;
-      if (step.job->IsFinal()) continue;
+      if (step.spec->long_running() || order->advanced + kStalledAfter > now) continue;
+      if (step.job->IsFinal() || order->advanced + StalledAfter(*order) > now) continue;
+      if (!HasOtherWorker(step, *worker)) continue;
       Log(LogLevel::kWarn, "run-stalled")
           .Field("task", step.Ref(order->task->index))
           .Field("run", order->run)
           .Field("worker", id)
           .Field("percent", order->percent)
-          .Field("for_ms", std::chrono::duration_cast<milliseconds>(now - order->percent_changed));
+          .Field("stalls", ++order->task->stalls)
+          .Field("for_ms", std::chrono::duration_cast<milliseconds>(now - order->advanced));
       AvoidWorker(order->task, *worker);
       if (!step.spec->gang()) worker->avoided_until = now + kStalledAvoidPeriod;
       m_fleet.Stop(order);
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -245,6 +245,8 @@
   void AvoidWorker(Task* task, const Worker& worker);
   void CountWorkerFailure(Worker* worker, Task* task);
   void CheckStalled(SteadyTime now);
+  [[nodiscard]] milliseconds StalledAfter(const Order& order) const;
+  bool HasOtherWorker(const Step& step, const Worker& worker);
   void CheckGang(Step* step, SteadyTime now);
 
   // Planning, in scheduler_plan.cc.
