--- a/cell/limits.h
+++ b/cell/limits.h
@@ -19,6 +19,9 @@
 // Maximum number of tasks of a scheduled job that exist at a time: more than the running tasks of a
 // whole cell. Further occurrences begin when earlier ones are over.
 inline constexpr std::uint64_t kMaxLiveTasksPerJob = 4096;
+// Maximum number of tasks of all jobs that exist at a time, which take 200 bytes each: thirty times
+// the running tasks of the largest cell. More jobs are refused, and no occurrences begin.
+inline constexpr std::uint64_t kMaxLiveTasks = 100'000;
 // No further occurrence of a job begins while this many tasks of earlier ones wait for their first
 // worker. With a check every `kLeaderTick`, a job that is behind its schedule still begins over a
 // thousand tasks a second, and its backlog does not count as load that makes the scheduler refuse
--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -157,15 +157,10 @@
   const std::size_t tasks_ahead =
       is_interactive ? m_load.waiting_interactive : m_load.waiting_tasks;
   if (!m_admission.Accepts(m_hooks.now(), tasks_ahead, is_interactive)) {
-    Log(LogLevel::kInfo, "job-refused")
-        .Field("job", spec.id())
-        .Field("reason", "too many tasks wait to be started")
-        .Field("waiting_tasks", tasks_ahead)
-        .Field("starts_per_s", static_cast<std::int64_t>(m_admission.StartsPerSecond()))
-        .Field("window", m_order_window.Size())
-        .Field("call_ms", m_fleet.Calls().Mean());
-    return done(Error{schema::CODE_OVERLOADED,
-                      "the scheduler is overloaded: too many tasks wait to be started"});
+    return RefuseOverload(spec, "too many tasks wait to be started", tasks_ahead, done);
+  }
+  if (m_live_tasks >= kMaxLiveTasks) {
+    return RefuseOverload(spec, "too many tasks exist", tasks_ahead, done);
   }
   auto job = std::make_unique<Job>();
   job->spec = std::move(normalized);
@@ -176,6 +171,7 @@
   m_submitters[spec.id()].push_back(std::move(done));
   if (spec.occurrences() == 0) BeginOccurrence(raw);
   for (const auto& step : raw->steps) {
+    m_live_tasks += step->tasks.size();
     for (Task& task : step->tasks) task.last_run = m_run_base;
   }
   RefreshReady(raw, raw->steps);
@@ -203,6 +199,19 @@
   m_hooks.plan_soon();
 }
 
+void Scheduler::RefuseOverload(const schema::JobSpec& spec, const char* reason,
+                               std::size_t tasks_ahead, const JobStateCallback& done) const {
+  Log(LogLevel::kInfo, "job-refused")
+      .Field("job", spec.id())
+      .Field("reason", reason)
+      .Field("waiting_tasks", tasks_ahead)
+      .Field("live_tasks", m_live_tasks)
+      .Field("starts_per_s", static_cast<std::int64_t>(m_admission.StartsPerSecond()))
+      .Field("window", m_order_window.Size())
+      .Field("call_ms", m_fleet.Calls().Mean());
+  done(Error{schema::CODE_OVERLOADED, std::string("the scheduler is overloaded: ") + reason});
+}
+
 void Scheduler::RefuseUnsent(const Error& error) {
   std::vector<Job*> unsent;
   for (const auto& [id, job] : m_jobs) {
@@ -1006,13 +1015,15 @@
   m_fleet.Tick();
   m_order_window.Adjust(now, m_fleet.Calls().Mean(), std::exchange(m_window_was_full, false));
   m_admission.Update(now, m_fleet.StartsSent(), m_order_window.IsLimiting());
+  std::uint64_t live_tasks = 0;
   for (const auto& [id, job] : m_jobs) {
-    if (job->IsFinal()) continue;
-    BeginDueOccurrences(job.get());
+    if (!job->IsFinal()) BeginDueOccurrences(job.get());
     for (const auto& step : job->steps) {
-      if (step->gang_run != 0) CheckGang(step.get(), now);
+      live_tasks += step->tasks.size();
+      if (step->gang_run != 0 && !job->IsFinal()) CheckGang(step.get(), now);
     }
   }
+  m_live_tasks = live_tasks;
   CheckStalled(now);
   ReopenMissing(now);
   UnpackOldJobs(now);
@@ -1028,14 +1039,16 @@
   };
   if (!is_due()) return;
   const std::uint64_t count = OccurrencesToBegin(*job);
-  for (std::uint64_t begun = 0; begun < count && is_due(); ++begun) {
+  std::uint64_t begun = 0;
+  for (; begun < count && is_due() && m_live_tasks < kMaxLiveTasks; ++begun) {
     const auto steps = BeginOccurrence(job);
     for (const auto& step : steps) {
+      m_live_tasks += step->tasks.size();
       for (Task& task : step->tasks) task.last_run = m_run_base;
     }
     RefreshReady(job, steps);
   }
-  if (count == 0) return;
+  if (begun == 0) return;
   MarkDirty(job);
   m_hooks.plan_soon();
 }
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -160,6 +160,8 @@
   [[nodiscard]] StartRate CurrentStartRate() const;
 
   [[nodiscard]] std::size_t ActiveJobs() const { return m_jobs.size(); }
+  /// @returns the number of tasks of all jobs and of their occurrences that have begun.
+  [[nodiscard]] std::uint64_t LiveTasks() const { return m_live_tasks; }
 
   /// Work that waits for the store.
   struct Backlog {
@@ -194,6 +196,8 @@
   [[nodiscard]] milliseconds Since(SteadyTime time) const;
   Job* AddJob(std::unique_ptr<Job> job);
   void EraseJob(const std::string& id);
+  void RefuseOverload(const schema::JobSpec& spec, const char* reason, std::size_t tasks_ahead,
+                      const JobStateCallback& done) const;
   void Reopen(Job* job);
   void ReopenMissing(SteadyTime now);
   void MarkDirty(Job* job);
@@ -326,6 +330,7 @@
   // and the position up to which that goes on.
   std::size_t m_max_batch_jobs = SIZE_MAX;
   std::uint64_t m_refused_until = 0;
+  std::uint64_t m_live_tasks = 0;  // Of all jobs, at the last tick, and those added since.
   std::uint64_t m_submissions = 0;
   std::uint64_t m_last_position = 0;    // Last position that was assigned.
   std::uint64_t m_stored_position = 0;  // Everything up to this position is stored.
--- a/tests/cell/occurrences_test.cc
+++ b/tests/cell/occurrences_test.cc
@@ -80,6 +80,50 @@
   CHECK(job.steps.size() == kMaxLiveTasksPerJob / 3);
 }
 
+// Guards against memory that grows with the jobs that wait: the process would be killed, and so
+// would the next scheduler, which loads all of them.
+TEST_CASE("occurrences: no more tasks exist than a scheduler can hold") {
+  Cell cell(1, 2, 2, Resources{8000, 8000, 0});
+  TaskBehavior lasting;
+  lasting.duration = seconds(600);
+  constexpr int kJobs = 200;
+  const std::uint64_t fitting = kMaxLiveTasks / kMaxTasksPerStep;
+  std::uint64_t accepted = 0;
+  std::uint64_t refused = 0;
+  cell.loop.After(milliseconds(3000), [&] {
+    REQUIRE(cell.Leader() != nullptr);
+    for (int i = 0; i < kJobs; ++i) {
+      schema::JobSpec spec = cell.MakeJob("job" + std::to_string(i), kMaxTasksPerStep, lasting);
+      // Every other one is scheduled, and all of its occurrences are due.
+      if (i % 2 == 0) {
+        spec.set_occurrences(1000);
+        spec.set_first_start_unix_ms(-kDayMs);
+      }
+      cell.history.submitted.insert(spec.id());
+      cell.Leader()->scheduler->Submit(spec, milliseconds(0), [&](const auto& result) {
+        (result ? accepted : refused) += 1;
+        if (!result) CHECK(result.error().code == schema::CODE_OVERLOADED);
+      });
+    }
+  });
+  cell.loop.RunFor(seconds(6));
+  CHECK(accepted >= fitting / 2);
+  CHECK(accepted + refused == kJobs);
+  std::uint64_t later_refused = 0;
+  cell.Leader()->scheduler->Submit(cell.MakeJob("later", 1, lasting), milliseconds(0),
+                                   [&](const auto& result) { later_refused += result ? 0 : 1; });
+  CHECK(later_refused == 1);
+  CHECK(cell.Leader()->scheduler->LiveTasks() >= kMaxLiveTasks);
+  CHECK(cell.Leader()->scheduler->LiveTasks() <= kMaxLiveTasks + kMaxTasksPerStep);
+  // What has ended makes room.
+  for (int i = 0; i < kJobs; ++i) {
+    cell.Leader()->scheduler->Cancel("job" + std::to_string(i), [](const auto&) {});
+  }
+  cell.loop.RunFor(seconds(5));
+  CHECK(cell.Leader()->scheduler->LiveTasks() < kMaxLiveTasks);
+  CheckHistory(cell.history);
+}
+
 TEST_CASE("occurrences: those that are over are removed, with their failures") {
   Job job;
   job.spec.set_id("j");
