--- a/cell/fleet.cc
+++ b/cell/fleet.cc
@@ -487,11 +487,8 @@
       if (order->stop_wanted) SendStop(order);
     }
     if (running.percent > order->percent) order->percent_changed = order->advanced = now;
-    if (!running.checkpoint.empty() && running.checkpoint != order->task->checkpoint) {
-      order->advanced = now;
-    }
     order->percent = running.percent;
-    KeepCheckpoint(running.checkpoint, order->task);
+    if (KeepCheckpoint(running.checkpoint, order->task)) order->advanced = now;
   }
   worker->stray_runs = std::move(stray_runs);
   StopStrayRuns(worker);
--- a/cell/job.cc
+++ b/cell/job.cc
@@ -379,17 +379,19 @@
   return writer.Finish();
 }
 
-void KeepCheckpoint(const std::string& checkpoint, Task* task) {
-  if (checkpoint.empty()) return;
+bool KeepCheckpoint(const std::string& checkpoint, Task* task) {
+  if (checkpoint.empty() || checkpoint == task->checkpoint) return false;
   if (checkpoint.size() <= kMaxCheckpointBytes) {
     task->checkpoint = checkpoint;
-    return;
+    return true;
+  }
+  if (!std::exchange(task->checkpoint_too_long, true)) {
+    Log(LogLevel::kWarn, "checkpoint-too-long")
+        .Field("task", task->step->Ref(task->index))
+        .Field("bytes", checkpoint.size())
+        .Field("limit", kMaxCheckpointBytes);
   }
-  if (std::exchange(task->checkpoint_too_long, true)) return;
-  Log(LogLevel::kWarn, "checkpoint-too-long")
-      .Field("task", task->step->Ref(task->index))
-      .Field("bytes", checkpoint.size())
-      .Field("limit", kMaxCheckpointBytes);
+  return false;
 }
 
 std::vector<StoredAssignment> RestoreProgress(const schema::ProgressRow& row, Job* job) {
@@ -429,7 +431,7 @@
   }
   const std::uint64_t tasks = TasksPerOccurrence(spec);
   if (tasks > kMaxTasksPerJob) return Invalid("steps", "have too many tasks in total");
-  if (spec.interval_ms() < 0) return Invalid("interval", "is negative");
+  if (spec.occurrences() > 0 && spec.interval_ms() < 0) return Invalid("interval", "is negative");
   // Occurrences with a long-running step never end, so all of them have to exist at the same time.
   const bool lasts = std::any_of(spec.steps().begin(), spec.steps().end(),
                                  [](const auto& step) { return step.long_running(); });
--- a/cell/job.h
+++ b/cell/job.h
@@ -254,7 +254,8 @@
 
 /// Sets the checkpoint from which the next run of the task starts, unless it is empty or too long
 /// to be stored; the task then keeps its earlier one.
-void KeepCheckpoint(const std::string& checkpoint, Task* task);
+/// @returns whether it has changed.
+bool KeepCheckpoint(const std::string& checkpoint, Task* task);
 
 /// Restores the progress of a job.
 /// @param row the first row, with the steps of all rows.
