--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -543,7 +543,8 @@
   const bool has_progress = !change.progress.empty();
   if (has_progress) *record.mutable_progress() = std::move(change.progress.front());
   const std::uint64_t pack = active->Add(std::move(record));
-  if (is_new) places.job_pack = pack;
+  // After a refusal, an earlier record of the job may be in a pack as well.
+  if (is_new) m_packs.Release(std::exchange(places.job_pack, pack));
   if (!has_progress) return;
   remove_parts();
   // Both records of a new job are in the pack.
