--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -36,4 +36,13 @@
 run 940 20 18000 --faults store_silent
 wait
 cat "$work"/*.out
+# Keeps the last part of the logs of runs that failed.
+kept=${KEEP:-/tmp/citronsill-soak-failed}
+for out in $(grep -l '^not ok' "$work"/*.out); do
+  seed=$(basename "$out" .out)
+  mkdir -p "$kept/$seed"
+  cp "$out" "$kept/$seed/"
+  for log in "$work/$seed"/*; do tail -c 4000000 "$log" > "$kept/$seed/$(basename "$log")"; done
+  echo "# the logs of seed $seed are in $kept/$seed"
+done
 ! grep -q '^not ok' "$work"/*.out
