--- a/cell/job.cc
+++ b/cell/job.cc
@@ -11,6 +11,10 @@
 namespace citronsill {
 namespace {
 
+// Bytes of a step in a progress row beside its lists, and of a task beside its runs, at most.
+constexpr std::size_t kStepRowOverhead = 32;
+constexpr std::size_t kTaskRowOverhead = 24;
+
 bool BitAt(const std::string& bits, std::uint32_t index) {
   const std::size_t byte = index / 8;
   return byte < bits.size() && ((static_cast<unsigned char>(bits[byte]) >> (index % 8)) & 1U) != 0;
@@ -46,6 +50,7 @@
   return Success();
 }
 
+// Compares steps with an occurrence, for a binary search in `Job::steps`.
 struct OccurrenceOrder {
   bool operator()(const std::unique_ptr<Step>& step, std::uint32_t occurrence) const {
     return step->occurrence < occurrence;
@@ -86,10 +91,6 @@
   return tasks;
 }
 
-// Bytes of a step in a progress row beside its lists, and of a task beside its runs, at most.
-constexpr std::size_t kStepRowOverhead = 32;
-constexpr std::size_t kTaskRowOverhead = 24;
-
 // Distributes the steps of a job over rows of at most `kMaxRowBytes`.
 class ProgressWriter {
  public:
