--- a/tests/cell/rows_test.cc
+++ b/tests/cell/rows_test.cc
@@ -57,7 +57,7 @@
   CheckHistory(cell.history);
   CheckAllEnd(cell, others);
   CHECK(cell.State("scheduled") == schema::JOB_STATE_SUCCEEDED);
-  CHECK(cell.history.starts == kTasks * kOccurrences + 2 * others.size());
+  CHECK(cell.history.starts == std::uint64_t{kTasks} * kOccurrences + 2 * others.size());
   CHECK(cell.store.Read(kProgressTable, "s0").rows.empty());
 }
 
