Customers of a configuration: keys, who may call, whose job it is

Cause: keys of customers were not decoded, so that calls with unknown or withdrawn keys were served. Change: the configuration's customers with digests of their keys (cell/customers), 401 for calls without a known key unless the queue is public, 403 for jobs of other customers; jobs, their final rows and the calls between instances carry the customer's name, and configurations that are passed on carry digests in place of keys. Without customers nothing changes.

--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -26,6 +26,8 @@
   return reply;
 }
 
+const Error kOtherCustomer{schema::CODE_FORBIDDEN, "the job belongs to another customer"};
+
 }  // namespace
 
 struct Leader::Impl : std::enable_shared_from_this<Impl> {
@@ -621,6 +623,8 @@
       return;
     }
     if (message.has_submit()) return Submit(message.submit(), std::move(reply));
+    if (message.has_cancel() && IsOfOther(message.cancel())) return reply(Failure(kOtherCustomer));
+    if (message.has_state() && IsOfOther(message.state())) return reply(Failure(kOtherCustomer));
     if (message.has_cancel()) return Cancel(message.cancel().id(), std::move(reply));
     if (message.has_state()) return State(message.state().id(), std::move(reply));
     schema::CallReply out;
@@ -628,6 +632,12 @@
     reply(std::move(out));
   }
 
+  // @returns whether the job of a call belongs to another customer than the caller.
+  template <class Call>
+  [[nodiscard]] bool IsOfOther(const Call& call) const {
+    return !scheduler->MayAccess(call.id(), call.customer());
+  }
+
   // "No such job" and "already ended" are answered only while this instance is certain to own the
   // shard: if this process was frozen, its successor may have accepted the job meanwhile. An active
   // job is cancelled with the next transaction, which a replaced scheduler cannot store.
@@ -680,6 +690,9 @@
     if (!scheduler->IsKnown(call.spec().id()) && commits->FailingFor() > kRefuseAfterStoreSilence) {
       return reply(Failure(StoreFailure(), retry_after));
     }
+    if (!scheduler->MayAccess(call.spec().id(), call.spec().customer())) {
+      return reply(Failure(kOtherCustomer));
+    }
     scheduler->Submit(
         call.spec(), milliseconds(call.waited_ms()),
         [reply = std::move(reply), retry_after](const Result<schema::JobState>& result) {
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -33,6 +33,8 @@
   std::function<LoopLoad()> loop_load;
   /// @returns incarnations of the instances that the next head row names as supporters.
   std::function<std::vector<std::uint64_t>()> supporters;
+  /// @returns the configuration in force, null when there is none yet.
+  std::function<CellConfigPtr()> config;
 };
 
 /// The scheduler of one shard while this instance owns it.
--- a/cell/limits.h
+++ b/cell/limits.h
@@ -9,6 +9,8 @@
 
 // ---- Sizes
 
+// Maximum length of the name of a customer in bytes; it is stored with each job.
+inline constexpr std::size_t kMaxCustomerNameBytes = 200;
 // Maximum length of a payload in bytes, set by the protocol with callers.
 inline constexpr std::size_t kMaxTaskPayloadBytes = 4000;
 // Maximum numbers of tasks. The progress of a job has to fit into one row: 64 KiB, at about 40
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -136,6 +136,7 @@
     deps.may_claim = [this] { return MayLead(); };
     deps.loop_load = [this] { return loop_load; };
     deps.supporters = [this] { return succession.Supporters(); };
+    deps.config = [this] { return config; };
     shards.push_back(Shard::Create(name, std::move(deps)));
   }
 
@@ -163,12 +164,14 @@
 
   void ApplyConfigRow(const Row& row) {
     if (row.key.key != platform.config_row.key || row.removed) return;
-    ApplyConfig(row.value, "");
+    ApplyConfig(row.value, "", {});
   }
 
   // Ignores configurations that are not newer than the current one.
   // @param peer instance that sent it, empty when it was read from the store.
-  void ApplyConfig(const std::string& text, const std::string& peer) {
+  // @param keys keys of the customers, if a peer sent the text without them.
+  void ApplyConfig(const std::string& text, const std::string& peer,
+                   const google::protobuf::RepeatedPtrField<schema::CustomerKeys>& keys) {
     const char* source = peer.empty() ? "store" : "peer";
     if (config && config->text == text) return;
     auto read = platform.read_config(text);
@@ -182,6 +185,11 @@
     if (config && read.value()->version <= config->version) return;
     const std::uint64_t previous = config ? config->version : 0;
     config = std::move(read).value();
+    if (!keys.empty()) {
+      auto with_keys = std::make_shared<CellConfig>(*config);
+      with_keys->customers = config->customers->WithKeys(keys);
+      config = std::move(with_keys);
+    }
     config_pushes.OnChange();
     config_is_from_peer = !peer.empty();
     const FollowerStatus status = ConfigStatus();
@@ -189,6 +197,8 @@
         .Field("version", config->version)
         .Field("source", source)
         .Field("queues", config->queues.size())
+        .Field("customers", config->customers->Customers().size())
+        .Field("keys", config->customers->KeyCount())
         .Field("previous", previous)
         .Field("peer", peer)
         .Field("store_call", status.call)
@@ -259,17 +269,24 @@
   void OnPing(const LinkPtr& link, const schema::Ping& ping) {
     if (config && ping.config_version() < config->version &&
         config_pushes.IsDue(link.get(), config->version, ping.reaches_store())) {
-      schema::LinkMessage message;
-      message.mutable_config()->set_version(config->version);
-      message.mutable_config()->set_text(config->text);
-      link->Send(std::move(message));
+      link->Send(MakeConfigPush());
     }
     for (const auto& shard : shards) shard->OnPing(link, ping);
   }
 
+  [[nodiscard]] schema::LinkMessage MakeConfigPush() const {
+    schema::LinkMessage message;
+    schema::ConfigPush* push = message.mutable_config();
+    push->set_version(config->version);
+    push->set_text(config->text_without_keys.empty() ? config->text : config->text_without_keys);
+    for (schema::CustomerKeys& keys : config->customers->Keys())
+      *push->add_keys() = std::move(keys);
+    return message;
+  }
+
   void OnMessage(const LinkPtr& link, const schema::LinkMessage& message) {
     if (message.has_config()) {
-      return ApplyConfig(message.config().text(), link->Peer().instance());
+      return ApplyConfig(message.config().text(), link->Peer().instance(), message.config().keys());
     }
     if (message.has_advice()) return ServeAdvice(platform.ask_advice, link, message);
     if (message.has_store()) return store->Serve(link, message);
@@ -407,15 +424,19 @@
   shard.Call(std::move(message), timeout, std::move(done));
 }
 
-void Node::Cancel(const std::string& id, milliseconds timeout, CallDone done) {
+void Node::Cancel(const std::string& id, const std::string& customer, milliseconds timeout,
+                  CallDone done) {
   schema::LinkMessage message;
   message.mutable_cancel()->set_id(id);
+  message.mutable_cancel()->set_customer(customer);
   m_impl->ShardOf(id).Call(std::move(message), timeout, std::move(done));
 }
 
-void Node::State(const std::string& id, milliseconds timeout, CallDone done) {
+void Node::State(const std::string& id, const std::string& customer, milliseconds timeout,
+                 CallDone done) {
   schema::LinkMessage message;
   message.mutable_state()->set_id(id);
+  message.mutable_state()->set_customer(customer);
   m_impl->ShardOf(id).Call(std::move(message), timeout, std::move(done));
 }
 
--- a/cell/node.h
+++ b/cell/node.h
@@ -29,8 +29,11 @@
 
   /// Calls of callers. `timeout` is the time until the final answer is needed.
   void Submit(schema::JobSpec spec, milliseconds timeout, CallDone done);
-  void Cancel(const std::string& id, milliseconds timeout, CallDone done);
-  void State(const std::string& id, milliseconds timeout, CallDone done);
+  /// @param customer customer of the caller; empty to reach jobs of any customer.
+  void Cancel(const std::string& id, const std::string& customer, milliseconds timeout,
+              CallDone done);
+  void State(const std::string& id, const std::string& customer, milliseconds timeout,
+             CallDone done);
   void QueryWaitingJobCount(const std::string& queue, milliseconds timeout, CallDone done);
 
   /// @returns whether the load balancer should send callers here: the node is not draining, has a
--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -302,6 +302,16 @@
   return job.ever_started ? schema::JOB_STATE_RUNNING : schema::JOB_STATE_QUEUED;
 }
 
+bool Scheduler::MayAccess(const std::string& id, const std::string& customer) const {
+  if (customer.empty()) return true;
+  const auto is_own = [&](const std::string& owner) { return owner.empty() || owner == customer; };
+  if (const auto finished = m_finished.find(id); finished != m_finished.end()) {
+    return is_own(finished->second.customer);
+  }
+  const auto found = m_jobs.find(id);
+  return found == m_jobs.end() || is_own(found->second->spec.customer());
+}
+
 std::uint64_t Scheduler::WaitingJobCount(const std::string& queue) const {
   return static_cast<std::uint64_t>(
       std::count_if(m_jobs.begin(), m_jobs.end(), [&](const auto& entry) {
@@ -466,6 +476,7 @@
 schema::FinishedRow Scheduler::MakeFinishedRow(const Job& job) const {
   schema::FinishedRow row;
   row.set_state(job.state);
+  row.set_customer(job.spec.customer());
   row.set_finished_unix_ms(
       std::chrono::duration_cast<milliseconds>(m_hooks.wall().time_since_epoch()).count());
   return row;
@@ -476,11 +487,11 @@
 }
 
 Scheduler::JobChange Scheduler::ChangeOf(const Job& job) {
-  constexpr std::size_t kFinishedRowBytes = 32;
+  constexpr std::size_t kFinishedRowOverhead = 32;
   JobChange change;
   change.is_final = job.IsFinal() && (job.live_orders == 0 || job.is_unstorable);
   if (change.is_final) {
-    change.bytes = kFinishedRowBytes;
+    change.bytes = kFinishedRowOverhead + job.spec.customer().size();
     change.entries = 3 + job.places.progress_parts;  // Its row, and removals of the earlier ones.
     return change;
   }
@@ -705,8 +716,8 @@
     if (found == m_jobs.end() || found->second->dirty_position != 0) continue;
     const Job& job = *found->second;
     if (job.live_orders > 0) continue;  // Written once more when these have ended.
-    AddFinished(
-        id, {job.state, MakeFinishedRow(job).finished_unix_ms(), job.finished_pack, job.places});
+    AddFinished(id, {job.state, MakeFinishedRow(job).finished_unix_ms(), job.finished_pack,
+                     job.places, job.spec.customer()});
     EraseJob(id);
   }
 }
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -100,6 +100,10 @@
     return m_jobs.contains(id) || m_finished.contains(id);
   }
 
+  /// @returns whether a caller may see and cancel the job. Jobs without a customer are open to all.
+  /// @param customer customer of the caller; empty for one that needs no key.
+  [[nodiscard]] bool MayAccess(const std::string& id, const std::string& customer) const;
+
   /// @returns the number of accepted jobs of a queue of which no task has started.
   [[nodiscard]] std::uint64_t WaitingJobCount(const std::string& queue) const;
 
--- a/cell/settings.h
+++ b/cell/settings.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "cell/customers.h"
 #include "cell/store.h"
 #include "cell/worker.h"
 #include "citronsill/http.h"
@@ -42,7 +43,11 @@
   std::uint64_t version = 0;
   std::vector<schema::QueueSpec> queues;
   HttpLimits limits;  ///< Limits on callers' requests.
-  std::string text;   ///< Original text, which is forwarded to other instances.
+  /// Never null; empty where calls need no key.
+  CustomerDirectoryPtr customers = CustomerDirectory::Create({});
+  std::string text;  ///< Original text. With customers, it has their keys.
+  /// The text without the customers' keys, for other instances; empty if it is `text` itself.
+  std::string text_without_keys;
 };
 using CellConfigPtr = std::shared_ptr<const CellConfig>;
 
--- a/cell/shard.cc
+++ b/cell/shard.cc
@@ -183,6 +183,7 @@
     hooks.on_lost = [this] { StopLeader(); };
     hooks.loop_load = deps.loop_load;
     hooks.supporters = deps.supporters;
+    hooks.config = deps.config;
     leader = Leader::Create(*deps.runtime, *deps.timers, deps.store, *deps.platform, *deps.settings,
                             std::move(options), std::move(hooks));
     deps.for_each_link([this](const LinkPtr& link) {
--- a/cell/shard.h
+++ b/cell/shard.h
@@ -53,6 +53,8 @@
   std::function<LoopLoad()> loop_load;
   /// @returns incarnations of the instances that a scheduler here names as supporters.
   std::function<std::vector<std::uint64_t>()> supporters;
+  /// @returns the configuration in force, null when there is none yet.
+  std::function<CellConfigPtr()> config;
 };
 
 /// One shard of the cell as seen by this instance.
--- a/cell/shard_rows.cc
+++ b/cell/shard_rows.cc
@@ -185,7 +185,7 @@
     // A record of an earlier job with this id may be left in a pack.
     if (job.finished_version > 0 && job.finished_version >= job.job_version) {
       shard.finished[id] = {job.finished.state(), job.finished.finished_unix_ms(),
-                            job.finished_pack, job.places};
+                            job.finished_pack, job.places, job.finished.customer()};
       continue;
     }
     if (job.job_version == 0) continue;
--- a/cell/shard_rows.h
+++ b/cell/shard_rows.h
@@ -74,6 +74,7 @@
   std::int64_t finished_unix_ms = 0;
   std::uint64_t pack = 0;  ///< Pack that holds this record; 0 for a row of its own.
   RowPlaces earlier;       ///< Records from before its end, which may still be in the store.
+  std::string customer;    ///< Customer that submitted it; empty for none.
 };
 
 struct StoredShard {
