--- a/cell/fleet.cc
+++ b/cell/fleet.cc
@@ -185,6 +185,7 @@
   ++m_orders_in_flight;
   Order* raw = order.get();
   m_orders.emplace(raw->id, std::move(order));
+  if (m_hooks.on_reserved) m_hooks.on_reserved(*raw);
   return raw;
 }
 
@@ -195,6 +196,7 @@
   --order->task->step->job->live_orders;
   order->task->step->job->assignment_bytes -= AssignmentRowBytes(order->worker->description.id);
   if (IsInFlight(*order)) --m_orders_in_flight;
+  if (m_hooks.on_given_back) m_hooks.on_given_back(*order);
   auto owned = std::move(m_orders.extract(order->id).mapped());
   m_hooks.on_capacity_changed();
   return owned;
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -128,6 +128,9 @@
   std::function<void(const Worker&, StartOrder, std::uint64_t order)> start;
   std::function<void(const Worker&, const TaskRef&, std::uint64_t run, std::uint64_t order)> stop;
   std::function<void(const Worker&, HoldOrder, std::uint64_t hold)> hold;
+  /// The resources of an order were reserved or given back. May be empty.
+  std::function<void(const Order&)> on_reserved = nullptr;
+  std::function<void(const Order&)> on_given_back = nullptr;
   /// Events. In `on_ended` and `on_void`, the order is already detached from its task and worker.
   std::function<void(Order&)> on_running;
   std::function<void(Order&, RunEnd, const std::string& checkpoint)> on_ended;
--- a/cell/held.cc
+++ b/cell/held.cc
@@ -91,6 +91,8 @@
       return "not-planned";
     case HeldReason::kOrderWindow:
       return "order-window";
+    case HeldReason::kCustomerLimit:
+      return "customer-limit";
     case HeldReason::kYieldsToGangs:
       return "yields-to-gangs";
     case HeldReason::kNotAllowed:
@@ -122,6 +124,7 @@
   // current state.
   if (facts.plan_age > kPlanStaleAfter) return HeldReason::kNotPlanned;
   if (facts.is_window_full) return HeldReason::kOrderWindow;
+  if (facts.is_over_limit) return HeldReason::kCustomerLimit;
   if (facts.yields_to_gangs) return HeldReason::kYieldsToGangs;
   if (facts.uses_advice && facts.room.ready_room < facts.need) return WhyNoTicket(facts);
   return HeldReason::kNotSelected;
--- a/cell/held.h
+++ b/cell/held.h
@@ -36,6 +36,7 @@
   kNotPlanned,  ///< There was no planning pass for some time.
   /// The limit of orders in flight is reached: the scheduler starts as much as it can.
   kOrderWindow,
+  kCustomerLimit,  ///< The customer has as much running as it may have.
   kYieldsToGangs,  ///< The task is batch work and leaves the room to waiting gangs.
   kNotAllowed,     ///< The policy service allows no worker with room.
   kAdvicePending,  ///< The policy service has not answered yet.
@@ -55,10 +56,10 @@
     HeldReason::kQuarantine,     HeldReason::kStrayRuns,
     HeldReason::kReservedRoom,   HeldReason::kNoRoom,
     HeldReason::kNotPlanned,     HeldReason::kOrderWindow,
-    HeldReason::kYieldsToGangs,  HeldReason::kNotAllowed,
-    HeldReason::kAdvicePending,  HeldReason::kAdviceBackOff,
-    HeldReason::kNoRequestSlot,  HeldReason::kTicketExpired,
-    HeldReason::kNotSelected};
+    HeldReason::kCustomerLimit,  HeldReason::kYieldsToGangs,
+    HeldReason::kNotAllowed,     HeldReason::kAdvicePending,
+    HeldReason::kAdviceBackOff,  HeldReason::kNoRequestSlot,
+    HeldReason::kTicketExpired,  HeldReason::kNotSelected};
 
 /// @returns the name for logs and metrics.
 const char* HeldReasonName(HeldReason reason);
@@ -105,6 +106,8 @@
   bool gang_ending = false;
   /// In the last planning pass the step got no room because it is left to gangs.
   bool yields_to_gangs = false;
+  /// In the last planning pass the customer had no room below its limit.
+  bool is_over_limit = false;
   // The scheduler.
   bool may_lead = true;
   milliseconds commit_age{0};   ///< Time since the last committed transaction was sent.
--- a/cell/job.h
+++ b/cell/job.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "cell/customer_ledger.h"
 #include "cell/shard_rows.h"
 #include "cell/worker.h"
 #include "schema/cell.pb.h"
@@ -136,6 +137,8 @@
   SteadyTime ready_since{};  ///< When it became ready, as seen in this term.
   /// In the last planning pass it got no room because it is left to gangs.
   bool yields_to_gangs = false;
+  /// In the last planning pass its customer had no room left below its limit.
+  bool is_over_limit = false;
   /// Answers of the policy service, by worker slot; may be shorter than the number of slots.
   std::vector<WorkerAdvice> advice;
   std::vector<std::uint32_t> allowed_slots;  ///< Slots of the workers that may be allowed.
@@ -178,6 +181,9 @@
 struct Job {
   schema::JobSpec spec;
   schema::JobState state = schema::JOB_STATE_QUEUED;
+  CustomerIndex customer = kNoCustomer;
+  /// Submitted beyond the share of its customer: goes behind what others submit within theirs.
+  bool is_beyond_share = false;
   std::int64_t accepted_unix_ms = 0;
   SteadyTime arrived{};  ///< When the caller's request arrived, as far as known.
   /// When the job should be finished; unset until the first planning pass.
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -65,7 +65,8 @@
   SteadyTime earlier_may_lead_until{};
   ReadGate read_gate{BootNow};
   SupportRegister support{BootNow};
-  bool lead_paused = false;  // `MayLead` was false at the last tick.
+  CellConfigPtr applied_config;  // Its customers are known to the scheduler.
+  bool lead_paused = false;      // `MayLead` was false at the last tick.
   bool loaded = false;
   bool lost = false;
   bool releasing = false;      // The transaction that releases the shard was built.
@@ -91,6 +92,7 @@
 
   void Begin() {
     MakeScheduler();
+    ApplyConfig();
     MakeCommitLog();
     Load();
     tick_timer = timers.Every(kLeaderTick, [weak = weak_from_this()](SteadyTime) {
@@ -580,7 +582,17 @@
         .Field("supporters_missing", support.Missing(commits->Supporters()));
   }
 
+  // Limits of customers count from their configuration on.
+  void ApplyConfig() {
+    if (!hooks.config) return;
+    const CellConfigPtr config = hooks.config();
+    if (config == nullptr || config == applied_config) return;
+    applied_config = config;
+    scheduler->SetCustomers(*config->customers);
+  }
+
   void Tick() {
+    ApplyConfig();
     commits->Tick();
     ReportLead();
     read_gate.OnTick();
--- a/cell/limits.h
+++ b/cell/limits.h
@@ -251,6 +251,15 @@
 inline constexpr std::chrono::milliseconds kInteractiveRetryAfter{2000};
 inline constexpr std::chrono::milliseconds kBatchRetryAfter{3000};
 
+// ---- Customers
+
+// Jobs that a customer may submit at once within its share: those of this time, and at least this
+// many, so that small customers may send a few together.
+inline constexpr std::chrono::milliseconds kShareWindow{2000};
+inline constexpr double kMinShareBurst = 4.0;
+// Customers that are named in each report.
+inline constexpr std::size_t kMaxReportedCustomers = 8;
+
 // ---- Ownership
 
 // Without a commit for this long a scheduler stops renewing leases and starting tasks. The time
--- a/cell/planner.cc
+++ b/cell/planner.cc
@@ -48,7 +48,8 @@
       : m_limits(limits),
         m_workers(*workers),
         m_set_aside(workers->size()),
-        m_set_aside_until(workers->size(), SteadyTime::min()) {
+        m_set_aside_until(workers->size(), SteadyTime::min()),
+        m_customer_room(limits.customer_room) {
     for (const PlanWorker& worker : m_workers) {
       if (!worker.takes_work) continue;
       m_free += worker.free;
@@ -65,6 +66,7 @@
         if (!unit.reserved.empty()) m_plan.reservations.push_back({unit.id, unit.reserved});
         continue;
       }
+      if (ObserveCustomerLimit(&unit)) continue;
       if (!IsWorthExamining(unit)) {
         if (unit.gang) AddGangDemand(unit);
         continue;
@@ -126,6 +128,31 @@
     return m_plan.placement_limit_reached || m_plan.examine_limit_reached;
   }
 
+  // Leaves out the tasks of a unit that do not fit below the limit of its customer. They take no
+  // room, reservation or request from others.
+  // @returns whether none is left.
+  bool ObserveCustomerLimit(PlanUnit* unit) {
+    if (m_customer_room.empty()) return false;
+    Resources& room = m_customer_room[unit->customer];
+    const std::uint32_t fitting = FitCount(room, unit->size, unit->count);
+    if (fitting == unit->count) return false;
+    m_plan.over_limit.push_back(unit->id);
+    if (!unit->gang) {
+      unit->count = fitting;
+      return fitting == 0;
+    }
+    for (const Share& share : unit->reserved) ReturnRoom(*unit, share);
+    // Later batch work of the customer would otherwise take each place as it becomes free.
+    if (LatenessOf(*unit, m_limits.now) != Lateness::kVeryLate)
+      TakeCustomerRoom(*unit, unit->count);
+    return true;
+  }
+
+  void TakeCustomerRoom(const PlanUnit& unit, std::uint32_t count) {
+    if (m_customer_room.empty()) return;
+    for (std::uint32_t i = 0; i < count; ++i) m_customer_room[unit.customer] -= unit.size;
+  }
+
   // While thousands of steps wait and the cell is full, the largest free amount on any worker rules
   // most of them out without a look at all workers.
   [[nodiscard]] bool IsWorthExamining(const PlanUnit& unit) const {
@@ -179,6 +206,7 @@
   }
 
   void TakeRoom(const PlanUnit& unit, std::uint32_t index, std::uint32_t count) {
+    TakeCustomerRoom(unit, count);
     for (std::uint32_t i = 0; i < count; ++i) {
       m_workers[index].free -= unit.size;
       m_free -= unit.size;
@@ -277,6 +305,7 @@
     if (!unit.reserved.empty()) {
       if (!unit.may_ask) {
         m_plan.reservations.push_back({unit.id, unit.reserved});
+        TakeCustomerRoom(unit, unit.count);
         return true;
       }
       for (const Share& share : unit.reserved) ReturnRoom(unit, share);
@@ -536,7 +565,8 @@
   std::vector<Resources> m_set_aside;  // Room set aside for waiting gangs, by worker.
   // When the gang for which room is set aside can start, by worker; min() if there is none.
   std::vector<SteadyTime> m_set_aside_until;
-  Resources m_free;  // Sum over the workers that accept tasks.
+  std::vector<Resources> m_customer_room;  // Left below the limits, by customer.
+  Resources m_free;                        // Sum over the workers that accept tasks.
   // Upper bound of the free amount of each resource on any worker that accepts tasks. Placements do
   // not lower it.
   Resources m_max_free;
@@ -564,7 +594,9 @@
   // remaining time of their job, shortest first.
   const SteadyTime latest = lateness == Lateness::kInTime ? unit.objective - unit.critical_path
                                                           : SteadyTime(unit.critical_path);
-  return std::tuple(!unit.goes_first, lateness, !is_interactive, latest, unit.arrived, unit.id);
+  const bool is_hopeless = lateness == Lateness::kVeryLate;
+  return std::tuple(!unit.goes_first, is_hopeless, unit.is_beyond_share, lateness, !is_interactive,
+                    latest, unit.arrived, unit.id);
 }
 
 }  // namespace
--- a/cell/planner.h
+++ b/cell/planner.h
@@ -7,6 +7,7 @@
 #include <limits>
 #include <vector>
 
+#include "cell/customer_ledger.h"
 #include "cell/types.h"
 
 namespace citronsill {
@@ -66,6 +67,9 @@
 struct PlanUnit {
   std::uint32_t id = 0;        ///< Id chosen by the caller.
   std::uint32_t priority = 0;  ///< 0 for interactive work, which goes first.
+  CustomerIndex customer = kNoCustomer;
+  /// Submitted beyond the share of its customer: goes behind what is within a share.
+  bool is_beyond_share = false;
   SteadyTime arrived;
   SteadyTime objective;  ///< When the job should be finished.
   /// Until this time finishing the job late still has some value; after it, hardly any.
@@ -111,6 +115,8 @@
   /// Maximum number of units to examine. Examining a unit visits all workers and makes up the cost
   /// of a pass.
   std::size_t max_examined = std::numeric_limits<std::size_t>::max();
+  /// What each customer may start below its limit, by its index; empty without limits.
+  std::vector<Resources> customer_room = {};
   /// Fills in the fields of a unit that depend on workers (`fits` or `known`, `present`,
   /// `preferred_rack`, `duration`). Called only for the units that are examined. May be empty if
   /// the units are complete.
@@ -150,6 +156,8 @@
   std::vector<AdviceRequest> advice_requests;  ///< Most urgent request first.
   /// Ids of units that got no room because it is left to gangs.
   std::vector<std::uint32_t> yielding;
+  /// Ids of units of which tasks wait for the limit of their customer.
+  std::vector<std::uint32_t> over_limit;
   std::vector<SetAsideRoom> set_aside;   ///< Room set aside for waiting gangs.
   std::vector<std::uint32_t> undecided;  ///< Ids of units that were examined without a decision.
   std::size_t examined = 0;              ///< Number of units that were examined.
@@ -161,11 +169,13 @@
 /// Scheduling order of units.
 ///
 /// Matters when, for seconds at a time, interactive tasks that last less than a second, and batch
-/// tasks and gangs that may wait, need more room than there is. After the units with `goes_first`,
-/// work that can still meet its objective goes before late work, which still has value, and that
-/// before very late work, which has hardly any (see `late_limit`). Within each of these classes
-/// interactive work goes first: it cannot wait and ends soon. The rest goes by the latest start
-/// that meets its objective, or, if it is late, by the shortest remaining time.
+/// tasks and gangs that may wait, need more room than there is, or when a customer sends many times
+/// its usual. After the units with `goes_first`, what was submitted within the share of its
+/// customer goes before what was not, but for very late work, which goes last. In each of these
+/// groups, work that can still meet its objective goes before late work, which still has value, and
+/// that before very late work, which has hardly any (see `late_limit`). Within each of these
+/// classes interactive work goes first: it cannot wait and ends soon. The rest goes by the latest
+/// start that meets its objective, or, if it is late, by the shortest remaining time.
 /// @returns whether `a` goes before `b`.
 bool GoesBefore(const PlanUnit& a, const PlanUnit& b, SteadyTime now);
 
--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -68,6 +68,12 @@
   hooks.start = m_hooks.start;
   hooks.stop = m_hooks.stop;
   hooks.hold = m_hooks.hold;
+  hooks.on_reserved = [this](const Order& order) {
+    m_customers.Add(order.task->step->job->customer, order.size);
+  };
+  hooks.on_given_back = [this](const Order& order) {
+    m_customers.Remove(order.task->step->job->customer, order.size);
+  };
   hooks.on_running = [this](Order& order) { OnRunning(order); };
   hooks.on_ended = [this](Order& order, RunEnd end, const std::string& checkpoint) {
     OnEnded(order, end, checkpoint);
@@ -118,6 +124,27 @@
     LoadJob(job, lapse, all_lapsed);
   }
   m_packs.ReleaseEmpty();
+  RestoreShares();
+}
+
+// Counts the jobs of earlier schedulers in the shares of their customers, so that a change of the
+// scheduler gives no customer a new share.
+void Scheduler::RestoreShares() {
+  std::vector<Job*> jobs;
+  for (const auto& [id, job] : m_jobs) {
+    if (job->customer != kNoCustomer) jobs.push_back(job.get());
+  }
+  std::sort(jobs.begin(), jobs.end(),
+            [](const Job* a, const Job* b) { return a->arrived < b->arrived; });
+  for (Job* job : jobs) {
+    job->is_beyond_share = !m_customers.CountJob(job->customer, job->arrived);
+  }
+}
+
+void Scheduler::SetCustomers(const CustomerDirectory& customers) {
+  m_customers.SetCustomers(customers);
+  // A limit that was raised may let waiting tasks start.
+  m_hooks.plan_soon();
 }
 
 // @param lapse when the leases on a worker have ended of which nothing else is known.
@@ -194,9 +221,13 @@
   schema::JobSpec normalized = spec;
   NormalizeJob(&normalized);
   if (auto checked = ValidateJob(normalized); !checked) return done(checked.error());
+  if (auto checked = CheckCustomerLimit(normalized); !checked) return done(checked.error());
+  const CustomerIndex customer = m_customers.IndexOf(spec.customer());
+  const bool is_within_share = m_customers.IsWithinShare(customer, m_hooks.now());
   const bool is_interactive = spec.queue().priority() == 0;
+  const std::size_t waiting = is_interactive ? m_load.waiting_interactive : m_load.waiting_tasks;
   const std::size_t tasks_ahead =
-      is_interactive ? m_load.waiting_interactive : m_load.waiting_tasks;
+      is_within_share ? waiting - std::min(waiting, m_load.waiting_beyond_share) : waiting;
   if (!m_admission.Accepts(m_hooks.now(), tasks_ahead, is_interactive)) {
     return RefuseOverload(spec, "too many tasks wait to be started", tasks_ahead, done);
   }
@@ -208,6 +239,7 @@
   job->accepted_unix_ms =
       std::chrono::duration_cast<milliseconds>(m_hooks.wall().time_since_epoch()).count();
   job->arrived = m_hooks.now() - waited;
+  job->is_beyond_share = !m_customers.CountJob(customer, m_hooks.now());
   Job* raw = AddJob(std::move(job));
   m_submitters[spec.id()].push_back(std::move(done));
   if (spec.occurrences() == 0) BeginOccurrence(raw);
@@ -236,10 +268,28 @@
       .Field("config", spec.queue().config_version())
       .Field("steps", spec.steps_size())
       .Field("waited_ms", waited)
+      .Field("customer", spec.customer())
+      .Field("beyond_share", !is_within_share)
       .Field("active_jobs", m_jobs.size());
   m_hooks.plan_soon();
 }
 
+// A gang that is larger than the limit of its customer would wait for ever; so would a task.
+Result<void> Scheduler::CheckCustomerLimit(const schema::JobSpec& spec) {
+  const CustomerIndex customer = m_customers.IndexOf(spec.customer());
+  for (const schema::StepSpec& step : spec.steps()) {
+    const std::uint32_t together = step.gang() ? step.task_count() : 1;
+    if (m_customers.CanEverRun(customer, RequiredResources(step), together)) continue;
+    Log(LogLevel::kInfo, "job-refused")
+        .Field("job", spec.id())
+        .Field("reason", "customer-limit")
+        .Field("customer", spec.customer())
+        .Field("tasks", together);
+    return Error{schema::CODE_QUOTA_EXCEEDED, "a step needs more than the limit of its customer"};
+  }
+  return Success();
+}
+
 void Scheduler::RefuseOverload(const schema::JobSpec& spec, const char* reason,
                                std::size_t tasks_ahead, const JobStateCallback& done) const {
   Log(LogLevel::kInfo, "job-refused")
@@ -326,6 +376,7 @@
 Job* Scheduler::AddJob(std::unique_ptr<Job> job) {
   Job* raw = job.get();
   raw->number = ++m_last_job_number;
+  raw->customer = m_customers.IndexOf(raw->spec.customer());
   m_jobs[raw->spec.id()] = std::move(job);
   Reopen(raw);
   return raw;
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -73,6 +73,9 @@
   /// @param lapse when every lease granted by earlier schedulers has expired.
   void Restore(const StoredShard& shard, SteadyTime lapse);
 
+  /// Applies the customers of a configuration. To be called before `Restore` and when they change.
+  void SetCustomers(const CustomerDirectory& customers);
+
   /// Accepts a job. A job whose id is known counts as a repeated submission.
   /// @param waited time since the caller's request arrived.
   /// @param done gets JOB_STATE_QUEUED once the job is stored, whatever its state by then;
@@ -134,6 +137,8 @@
 
   Fleet& Workers() { return m_fleet; }
 
+  [[nodiscard]] const CustomerLedger& Customers() const { return m_customers; }
+
   /// Free resources at the last planning pass, and the work that waits after it, including steps
   /// that have become ready since.
   struct Load {
@@ -144,12 +149,15 @@
     std::size_t waiting_gangs = 0;
     std::size_t waiting_tasks = 0;
     std::size_t waiting_interactive = 0;  ///< Waiting tasks of interactive queues.
-    std::size_t examined_units = 0;       ///< Units for which the last pass examined workers...
-    std::size_t examined_pairs = 0;       ///< ...and how many, over all units.
+    /// Of the waiting tasks, those of jobs beyond the share of their customer, which go last.
+    std::size_t waiting_beyond_share = 0;
+    std::size_t waiting_for_limit = 0;  ///< Tasks that wait for the limit of their customer.
+    std::size_t examined_units = 0;     ///< Units for which the last pass examined workers...
+    std::size_t examined_pairs = 0;     ///< ...and how many, over all units.
 
     void ClearWaiting() {
       waiting_units = waiting_gangs = 0;
-      waiting_tasks = waiting_interactive = 0;
+      waiting_tasks = waiting_interactive = waiting_beyond_share = waiting_for_limit = 0;
     }
   };
   [[nodiscard]] const Load& LastLoad() const { return m_load; }
@@ -286,6 +294,9 @@
   std::vector<std::uint32_t> ListUnknown(const PlanUnit& unit,
                                          const std::vector<PlanWorker>& workers);
   void LowerMinWaitingSize(const Step& step);
+  void RestoreShares();
+  [[nodiscard]] Result<void> CheckCustomerLimit(const schema::JobSpec& spec);
+  [[nodiscard]] bool HasRoomBelowLimit(const Step& step, std::uint32_t count) const;
   void CountWaiting(const Step& step, std::size_t tasks);
   void CountPlaced(Step* step);
   [[nodiscard]] bool HasRoomOrRequestSlot() const;
@@ -350,6 +361,7 @@
   // Position and id of final jobs that are archived once everything up to the position is stored.
   std::deque<std::pair<std::uint64_t, std::string>> m_archiving;
   std::map<std::string, QueueStats> m_queues;  // By the name of the queue.
+  CustomerLedger m_customers;
   Load m_load;
   // Room reserved or set aside for gangs by the last pass, by worker slot.
   std::unordered_map<std::uint32_t, Resources> m_set_aside;
@@ -373,9 +385,10 @@
   std::optional<Resources> m_min_waiting_size;
   // Upper bound of the free amount of each resource on any worker that accepts tasks.
   Resources m_plan_max_free;
-  bool m_plan_has_request_slot = false;  // A request slot of the policy service is free.
-  std::vector<Step*> m_plan_steps;       // By the id of the unit.
-  std::uint64_t m_run_base;              // Run numbers of this term are higher than this.
+  std::vector<Resources> m_plan_customer_room;  // By customer; empty without limits.
+  bool m_plan_has_request_slot = false;         // A request slot of the policy service is free.
+  std::vector<Step*> m_plan_steps;              // By the id of the unit.
+  std::uint64_t m_run_base;                     // Run numbers of this term are higher than this.
 };
 
 }  // namespace citronsill
--- a/cell/scheduler_held.cc
+++ b/cell/scheduler_held.cc
@@ -106,6 +106,7 @@
   if (task.retry_at > now) facts.retry_in = until(task.retry_at);
   facts.gang_ending = step.gang_ending;
   facts.yields_to_gangs = step.yields_to_gangs;
+  facts.is_over_limit = step.is_over_limit;
   facts.is_window_full = m_order_window.Room(m_fleet.OrdersInFlight()) == 0;
   facts.uses_advice = step.job->spec.queue().has_advice();
   if (!facts.uses_advice) return facts;
--- a/cell/scheduler_plan.cc
+++ b/cell/scheduler_plan.cc
@@ -175,7 +175,15 @@
       step->reserved_room.clear();
       continue;
     }
-    CountWaiting(*step, waiting);
+    const bool waits_for_limit = !HasRoomBelowLimit(*step, waiting);
+    step->is_over_limit = waits_for_limit;
+    if (waits_for_limit) {
+      m_load.waiting_for_limit += waiting;
+      // A gang is passed on, so that later work of its customer leaves it the room below the limit.
+      if (!step->spec->gang()) continue;
+    } else {
+      CountWaiting(*step, waiting);
+    }
     step->waiting = waiting;
     // While thousands of steps wait and the cell is full, steps that fit on no worker and about
     // which no advice request can be sent are left out of the sort.
@@ -243,6 +251,8 @@
   const Job& job = *step->job;
   const schema::QueueSpec& queue = job.spec.queue();
   unit->priority = queue.priority();
+  unit->customer = job.customer;
+  unit->is_beyond_share = job.is_beyond_share;
   unit->arrived = job.arrived;
   unit->objective = job.objective;
   unit->late_limit = job.arrived + kLateFactor * (job.objective - job.arrived);
@@ -385,8 +395,16 @@
   }
 }
 
+// @returns whether the customer of the step may start a task of it; of a gang, `count` tasks.
+bool Scheduler::HasRoomBelowLimit(const Step& step, std::uint32_t count) const {
+  if (m_plan_customer_room.empty()) return true;
+  const std::uint32_t needed = step.spec->gang() && step.gang_run == 0 ? count : 1;
+  return FitCount(m_plan_customer_room[step.job->customer], step.size, needed) == needed;
+}
+
 void Scheduler::CountWaiting(const Step& step, std::size_t tasks) {
   m_load.waiting_tasks += tasks;
+  if (step.job->is_beyond_share) m_load.waiting_beyond_share += tasks;
   if (step.job->spec.queue().priority() == 0) m_load.waiting_interactive += tasks;
   ++m_load.waiting_units;
   if (step.spec->gang()) ++m_load.waiting_gangs;
@@ -394,6 +412,7 @@
 
 void Scheduler::CountPlaced(Step* step) {
   --m_load.waiting_tasks;
+  if (step->job->is_beyond_share) --m_load.waiting_beyond_share;
   if (step->job->spec.queue().priority() == 0) --m_load.waiting_interactive;
   if (--step->waiting > 0) return;
   --m_load.waiting_units;
@@ -431,6 +450,7 @@
   m_plan_has_request_slot = limits.advice_capacity.free > 0;
   if (!HasRoomOrRequestSlot()) return;
   m_load.ClearWaiting();
+  m_plan_customer_room = m_customers.Room();
   m_plan_steps.clear();
   m_min_waiting_size.reset();
   std::vector<PlanUnit> units;
@@ -439,6 +459,7 @@
   if (units.empty()) return;
   limits.max_placements = m_order_window.Room(m_fleet.OrdersInFlight());
   limits.max_examined = kMaxExaminedPerPass;
+  limits.customer_room = m_plan_customer_room;
   limits.fill_worker_fields = [this](PlanUnit* unit) { FillWorkerFields(unit); };
   limits.list_unknown = [this, &workers](const PlanUnit& unit) {
     return ListUnknown(unit, workers);
@@ -471,7 +492,9 @@
   for (Step* step : m_plan_steps) {
     step->reserved_room.clear();
     step->yields_to_gangs = false;
+    step->is_over_limit = false;
   }
+  for (const std::uint32_t unit : plan.over_limit) m_plan_steps[unit]->is_over_limit = true;
   for (const std::uint32_t unit : plan.yielding) m_plan_steps[unit]->yields_to_gangs = true;
   m_set_aside.clear();
   for (const SetAsideRoom& room : plan.set_aside) {
