--- a/tests/cell/cell.h
+++ b/tests/cell/cell.h
@@ -166,6 +166,15 @@
   std::set<std::string> accepted;
   std::set<std::string> cancel_sent;      // Jobs with a cancel call, acknowledged or not.
   std::unique_ptr<PolicyService> policy;  // Null: advice requests are not answered.
+  CustomerDirectoryPtr customers;         // Of the configuration; null for none.
+
+  // A configuration with these customers comes into force everywhere.
+  void SetCustomers(CustomerDirectoryPtr directory) {
+    customers = std::move(directory);
+    for (const auto& instance : instances) {
+      if (instance->scheduler) instance->scheduler->SetCustomers(*customers);
+    }
+  }
 
   std::shared_ptr<WorkerProcess> StartWorkerProcess(const std::string& id) {
     const double rate = 0.98 + 0.02 * static_cast<double>(loop.Between(0, 100)) / 100.0;
@@ -537,6 +546,7 @@
   options.gang_time = milliseconds(3000);
   options.keep_finished = milliseconds(120000);
   scheduler = std::make_unique<Scheduler>(options, MakeSchedulerHooks());
+  if (m_cell.customers) scheduler->SetCustomers(*m_cell.customers);
   CommitHooks hooks;
   hooks.now = [this] { return m_cell.loop.Now(); };
   hooks.after = [this](milliseconds delay, std::function<void()> action) {
