Keys of customers: not relayed, not lost on the way, no open door for unreadable customers

Change: the table of the configuration is not relayed, pushes take its place; texts without keys are marked and refused without digests (cell/config_push); customers that cannot be read leave calls that need a key; customers-ignored tells all that is left out; entries of one name are one customer; a push that may be old waits 1 s for a peer's own read. The fixture of relay_test probes another table, so that its reads are relayed as before.

--- a/cell/customers.cc
+++ b/cell/customers.cc
@@ -43,15 +43,16 @@
   return hash;
 }
 
-CustomerDirectoryPtr CustomerDirectory::Create(std::vector<Entry> entries) {
+CustomerDirectoryPtr CustomerDirectory::Create(std::vector<Entry> entries, bool needs_keys) {
   auto directory = std::shared_ptr<CustomerDirectory>(new CustomerDirectory());
+  directory->m_needs_keys = needs_keys || !entries.empty();
   directory->m_customers.reserve(entries.size());
   directory->m_by_name.reserve(entries.size());
   for (Entry& entry : entries) {
-    const auto index = static_cast<std::uint32_t>(directory->m_customers.size());
-    if (!directory->m_by_name.try_emplace(entry.customer.name, index).second) continue;
-    for (const KeyDigest& key : entry.keys) directory->m_keys.try_emplace(key, index);
-    directory->m_customers.push_back(std::move(entry.customer));
+    const auto next = static_cast<std::uint32_t>(directory->m_customers.size());
+    const auto [found, is_new] = directory->m_by_name.try_emplace(entry.customer.name, next);
+    for (const KeyDigest& key : entry.keys) directory->m_keys.try_emplace(key, found->second);
+    if (is_new) directory->m_customers.push_back(std::move(entry.customer));
   }
   return directory;
 }
@@ -71,7 +72,7 @@
       entries[found->second].keys.push_back(digest);
     }
   }
-  return Create(std::move(entries));
+  return Create(std::move(entries), m_needs_keys);
 }
 
 const Customer* CustomerDirectory::FindByKey(std::string_view key) const {
@@ -96,7 +97,7 @@
 
 Caller FindCaller(const CustomerDirectory& customers, std::string_view authorization,
                   bool is_public) {
-  if (customers.IsEmpty()) return {};
+  if (!customers.NeedsKeys()) return {};
   const std::string_view key = KeyOf(authorization);
   const Customer* customer = key.empty() ? nullptr : customers.FindByKey(key);
   if (customer != nullptr || is_public) return {CallerVerdict::kAllowed, customer};
--- a/cell/customers.h
+++ b/cell/customers.h
@@ -40,9 +40,12 @@
     std::vector<KeyDigest> keys;
   };
 
-  /// @param entries a key that several customers have belongs to the first of them, and of several
-  /// customers of one name the first one counts.
-  static std::shared_ptr<const CustomerDirectory> Create(std::vector<Entry> entries);
+  /// @param entries a key that several customers have belongs to the first of them. Entries of one
+  /// name are one customer with the keys of all of them, and the weight and limit of the first.
+  /// @param needs_keys whether calls need a key even if there is no entry, because none of the
+  /// configuration's customers could be read.
+  static std::shared_ptr<const CustomerDirectory> Create(std::vector<Entry> entries,
+                                                         bool needs_keys = false);
 
   /// @returns a directory of the same customers with the keys that another instance has sent.
   [[nodiscard]] std::shared_ptr<const CustomerDirectory> WithKeys(
@@ -56,9 +59,12 @@
 
   [[nodiscard]] const std::vector<Customer>& Customers() const { return m_customers; }
 
-  /// @returns whether the configuration has no customers: calls need no key.
+  /// @returns whether there are no customers.
   [[nodiscard]] bool IsEmpty() const { return m_customers.empty(); }
 
+  /// @returns whether calls need the key of a customer.
+  [[nodiscard]] bool NeedsKeys() const { return m_needs_keys; }
+
   [[nodiscard]] std::size_t KeyCount() const { return m_keys.size(); }
 
   /// @returns the digests of all keys, to be sent to other instances.
@@ -71,6 +77,7 @@
 
   CustomerDirectory() = default;
 
+  bool m_needs_keys = false;
   std::vector<Customer> m_customers;
   std::unordered_map<std::string, std::uint32_t> m_by_name;         // Index in `m_customers`.
   std::unordered_map<KeyDigest, std::uint32_t, DigestHash> m_keys;  // The same, by key.
--- a/cell/limits.h
+++ b/cell/limits.h
@@ -411,6 +411,9 @@
 // it usually reads it itself, and again after the second time.
 inline constexpr std::chrono::milliseconds kConfigPushAfter{200};
 inline constexpr std::chrono::milliseconds kConfigPushRepeat{1000};
+// An instance without a configuration gets one that may be old only after this time, in which it
+// reads the store twice if that answers.
+inline constexpr std::chrono::milliseconds kOldConfigPushAfter{1000};
 inline constexpr std::chrono::milliseconds kLinkMaintenancePeriod{50};
 // A link without a message for this long is closed: fifteen pings.
 inline constexpr std::chrono::milliseconds kLinkSilence{1500};
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "cell/claim.h"
+#include "cell/config_push.h"
 #include "cell/follower.h"
 #include "cell/job.h"
 #include "cell/limits.h"
@@ -164,17 +165,14 @@
 
   void ApplyConfigRow(const Row& row) {
     if (row.key.key != platform.config_row.key || row.removed) return;
-    ApplyConfig(row.value, "", {});
+    if (config && config->text == row.value) return;
+    ApplyConfig(platform.read_config(row.value), "");
   }
 
   // Ignores configurations that are not newer than the current one.
   // @param peer instance that sent it, empty when it was read from the store.
-  // @param keys keys of the customers, if a peer sent the text without them.
-  void ApplyConfig(const std::string& text, const std::string& peer,
-                   const google::protobuf::RepeatedPtrField<schema::CustomerKeys>& keys) {
+  void ApplyConfig(Result<CellConfigPtr> read, const std::string& peer) {
     const char* source = peer.empty() ? "store" : "peer";
-    if (config && config->text == text) return;
-    auto read = platform.read_config(text);
     if (!read) {
       Log(LogLevel::kError, "config-rejected")
           .Field("source", source)
@@ -185,11 +183,6 @@
     if (config && read.value()->version <= config->version) return;
     const std::uint64_t previous = config ? config->version : 0;
     config = std::move(read).value();
-    if (!keys.empty()) {
-      auto with_keys = std::make_shared<CellConfig>(*config);
-      with_keys->customers = config->customers->WithKeys(keys);
-      config = std::move(with_keys);
-    }
     config_pushes.OnChange();
     config_is_from_peer = !peer.empty();
     const FollowerStatus status = ConfigStatus();
@@ -267,26 +260,23 @@
   }
 
   void OnPing(const LinkPtr& link, const schema::Ping& ping) {
-    if (config && ping.config_version() < config->version &&
-        config_pushes.IsDue(link.get(), config->version, ping.reaches_store())) {
-      link->Send(MakeConfigPush());
+    if (config && ping.config_version() < config->version) {
+      // To a peer that has none yet, an old configuration would bring withdrawn keys back.
+      const bool may_be_old = ping.config_version() == 0 && !store->OwnPathWorks();
+      if (config_pushes.IsDue(link.get(), config->version, ping.reaches_store(), may_be_old)) {
+        schema::LinkMessage message;
+        *message.mutable_config() = MakeConfigPush(*config);
+        link->Send(std::move(message));
+      }
     }
     for (const auto& shard : shards) shard->OnPing(link, ping);
   }
 
-  [[nodiscard]] schema::LinkMessage MakeConfigPush() const {
-    schema::LinkMessage message;
-    schema::ConfigPush* push = message.mutable_config();
-    push->set_version(config->version);
-    push->set_text(config->text_without_keys.empty() ? config->text : config->text_without_keys);
-    for (schema::CustomerKeys& keys : config->customers->Keys())
-      *push->add_keys() = std::move(keys);
-    return message;
-  }
-
   void OnMessage(const LinkPtr& link, const schema::LinkMessage& message) {
     if (message.has_config()) {
-      return ApplyConfig(message.config().text(), link->Peer().instance(), message.config().keys());
+      if (config && message.config().version() <= config->version) return;
+      return ApplyConfig(ReadConfigPush(platform.read_config, message.config()),
+                         link->Peer().instance());
     }
     if (message.has_advice()) return ServeAdvice(platform.ask_advice, link, message);
     if (message.has_store()) return store->Serve(link, message);
--- a/cell/relay.cc
+++ b/cell/relay.cc
@@ -181,7 +181,7 @@
 }
 
 void RelayedStore::Read(RowRange range, milliseconds timeout, ReadDone done) {
-  const LinkPtr link = OwnPathWorks() ? nullptr : PickLink();
+  const LinkPtr link = OwnPathWorks() || !IsRelayed(range.table) ? nullptr : PickLink();
   if (!link) return ReadOwn(std::move(range), timeout, std::move(done));
   const SteadyTime began = m_now();
   ReadRelayed(link, range, timeout,
@@ -248,10 +248,12 @@
   schema::LinkMessage envelope;
   envelope.set_call(message.call());
   // A call that waits here in vain would keep its connection from the calls of this instance.
-  if (!OwnPathWorks()) {
+  const bool is_private = call.read() && !IsRelayed(call.table());
+  if (!OwnPathWorks() || is_private) {
     schema::LinkMessage refusal;
     refusal.mutable_store_reply()->set_code(schema::CODE_TABLE_UNAVAILABLE);
-    refusal.mutable_store_reply()->set_message("this instance does not reach the store");
+    refusal.mutable_store_reply()->set_message(
+        is_private ? "the table is not relayed" : "this instance does not reach the store");
     return link->Answer(envelope, std::move(refusal));
   }
   if (call.read()) {
--- a/cell/relay.h
+++ b/cell/relay.h
@@ -19,7 +19,8 @@
 class RelayedStore : public RowStore {
  public:
   /// @param own the store through the own connection of this instance.
-  /// @param probe range that is read to check whether the own connection works again.
+  /// @param probe range that is read to check whether the own connection works again. Reads of its
+  /// table are not relayed, because it has the keys of customers; `ConfigPush` takes their place.
   /// @param links returns the links to instances that reach the store.
   RelayedStore(RowStore* own, Clock now, RowRange probe,
                std::function<std::vector<LinkPtr>()> links);
@@ -49,6 +50,8 @@
   using ReadDone = std::function<void(Result<RowPage>)>;
 
   LinkPtr PickLink();
+  // @returns whether the rows of a table may be sent to other instances.
+  [[nodiscard]] bool IsRelayed(const std::string& table) const { return table != m_probe.table; }
   void RecordOwnPathResult(bool served);
   void CommitOwn(RowTransaction transaction, milliseconds timeout, CommitDone done);
   void CommitRelayed(const LinkPtr& link, const RowTransaction& transaction, milliseconds timeout,
--- a/cell/settings.h
+++ b/cell/settings.h
@@ -48,6 +48,8 @@
   std::string text;  ///< Original text. With customers, it has their keys.
   /// The text without the customers' keys, for other instances; empty if it is `text` itself.
   std::string text_without_keys;
+  /// Whether `text` is such a text of another instance: `customers` have no keys then.
+  bool keys_are_removed = false;
 };
 using CellConfigPtr = std::shared_ptr<const CellConfig>;
 
--- a/cell/succession.h
+++ b/cell/succession.h
@@ -70,11 +70,17 @@
 
   /// A ping of a peer with an older configuration has arrived.
   /// @param version current configuration of this instance.
+  /// @param may_be_old whether the store may have a newer one: a peer that reaches the store is
+  /// left more time to read that.
   /// @returns whether to send it to the peer now.
-  bool IsDue(const void* peer, std::uint64_t version, bool peer_reaches_store);
+  bool IsDue(const void* peer, std::uint64_t version, bool peer_reaches_store,
+             bool may_be_old = false);
 
   /// The link to a peer was closed.
-  void Forget(const void* peer) { m_pushed.erase(peer); }
+  void Forget(const void* peer) {
+    m_pushed.erase(peer);
+    m_reading.erase(peer);
+  }
 
  private:
   struct Push {
@@ -85,6 +91,8 @@
   Clock m_now;
   SteadyTime m_changed_at{};
   std::unordered_map<const void*, Push> m_pushed;
+  // When peers that were left time to read the store first asked.
+  std::unordered_map<const void*, SteadyTime> m_reading;
 };
 
 }  // namespace citronsill
--- a/tests/cell/decoder_fuzz_test.cc
+++ b/tests/cell/decoder_fuzz_test.cc
@@ -3,9 +3,11 @@
 #include <doctest/doctest.h>
 #include <google/protobuf/stubs/logging.h>
 
+#include <cmath>
 #include <random>
 #include <string>
 
+#include "cell/config_push.h"
 #include "cell/job.h"
 #include "platform/platform.h"
 #include "platform/wire.h"
@@ -26,6 +28,12 @@
     R"("advice":{"decideMs":14.3,"eachMs":0.208,"validMs":2000}}],)"
     R"("services":[{"name":"s","admissionCheck":false}],"limits":{"maxHeaderBytes":16384}})";
 
+// Customers of a configuration, with damage only to them and their neighbours.
+constexpr const char* kCustomersText =
+    R"({"version":7,"routes":[{"name":"r","prefix":"/p/","service":"s","public":true}],"tenants":[)"
+    R"({"name":"a","weight":2.5,"cap":{"cpu":16000,"memMb":0,"gpu":1},"keys":["k-a1","k-a2"]},)"
+    R"({"name":"b","weight":1,"keys":["k-b1"]},{"name":"c","keys":[]}]})";
+
 // Replaces, removes, repeats or inserts a few pieces of a text.
 std::string Damage(std::string text, std::mt19937* random) {
   static const std::string pieces[] = {"{",     "}",
@@ -80,6 +88,61 @@
   CHECK(read < kTextsPerCase);
 }
 
+// Guards against customers in odd shapes that open queues to callers without a key, bring queues
+// down with them, or reach other instances with their keys.
+TEST_CASE("decoders: customers with random faults are read, or left out by themselves") {
+  std::mt19937 random(5);
+  const std::string text = kCustomersText;
+  const std::size_t first = text.find("\"tenants\":") + std::string_view("\"tenants\":").size();
+  const std::string before = text.substr(0, first);
+  int read = 0;
+  int customers = 0;
+  for (int i = 0; i < kTextsPerCase; ++i) {
+    // The last two characters end the list and the configuration.
+    const std::string damaged = Damage(text.substr(first, text.size() - first - 2), &random) + "]}";
+    Result<CellConfigPtr> config = Error{};
+    REQUIRE_NOTHROW(config = ReadConfig(before + damaged));
+    if (!config) continue;
+    ++read;
+    const CellConfig& value = *config.value();
+    CHECK(value.queues.size() == 1);
+    customers += static_cast<int>(value.customers->Customers().size());
+    if (!value.customers->NeedsKeys()) {
+      CAPTURE(damaged);
+      // No list of customers is left at all.
+      CHECK(value.customers->IsEmpty());
+      CHECK((damaged.starts_with("[]") || damaged.starts_with("null")));
+      continue;
+    }
+    CHECK(FindCaller(*value.customers, "", false).verdict == CallerVerdict::kNoKey);
+    for (const Customer& customer : value.customers->Customers()) {
+      CHECK(customer.weight >= 0.0);
+      CHECK(std::isfinite(customer.weight));
+    }
+    // What is sent to another instance is read as the same there.
+    const auto passed = ReadConfigPush(ReadConfig, MakeConfigPush(value));
+    CAPTURE(damaged);
+    CAPTURE(value.text_without_keys);
+    REQUIRE(passed);
+    CHECK(passed.value()->customers->NeedsKeys());
+    CHECK(passed.value()->customers->KeyCount() == value.customers->KeyCount());
+    CHECK(passed.value()->customers->Customers().size() == value.customers->Customers().size());
+  }
+  CHECK(read > kTextsPerCase / 10);
+  CHECK(customers > read);
+}
+
+TEST_CASE("decoders: keys of customers from other instances with random faults") {
+  google::protobuf::LogSilencer silencer;
+  std::mt19937 random(6);
+  const std::string text = MakeConfigPush(*ReadConfig(kCustomersText).value()).SerializeAsString();
+  for (int i = 0; i < kTextsPerCase; ++i) {
+    schema::ConfigPush push;
+    if (!push.ParseFromString(Damage(text, &random))) continue;
+    CHECK_NOTHROW(static_cast<void>(ReadConfigPush(ReadConfig, push)));
+  }
+}
+
 TEST_CASE("decoders: task names and Base64 with random faults are read or refused") {
   std::mt19937 random(3);
   for (int i = 0; i < kTextsPerCase; ++i) {
--- a/tests/cell/relay_test.cc
+++ b/tests/cell/relay_test.cc
@@ -55,7 +55,7 @@
       return is_linked ? std::vector<LinkPtr>{peer} : std::vector<LinkPtr>{};
     };
     relayed = std::make_unique<RelayedStore>(
-        &store, [this] { return loop.Now(); }, RowRange{"op", "", "", "", 1}, links);
+        &store, [this] { return loop.Now(); }, RowRange{"probed", "", "", "", 1}, links);
     Tick();
   }
   void Tick() {
