Soak: customers with keys that come and go, and limits

Cause: nothing checked with real processes that withdrawn keys and limits of customers hold. Callers use keys of their job's customer and also wrong ones. Checked: no call with a key that no configuration held, without a key or with that of another customer is served; none with a withdrawn key, and none refused whose key is in force, 2 s after the change in calm periods; no start above 1.1 times the highest limit that may be in force and one task; waiting tasks count only while their customer has under half of its limit.

--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -33,6 +33,12 @@
   // Cancels accepted jobs that have not ended, each with the probability `share`.
   void CancelSome(double share);
 
+  // Asks for the state of a job, or submits one, with a key that must not reach it.
+  void SendWrongKey();
+
+  // @returns what a customer has running on all workers.
+  [[nodiscard]] Resources RunningOf(const std::string& customer) const;
+
   // Cancels all long-running jobs.
   void CancelLongRunning();
 
@@ -50,6 +56,9 @@
     std::size_t refused = 0;
     std::size_t cancelled = 0;
     std::size_t unanswered_calls = 0;
+    std::size_t wrong_keys = 0;          // Calls with a key that must not reach the job.
+    std::size_t wrong_keys_refused = 0;  // Those of them answered with 401 or 403.
+    std::size_t keys_refused = 0;        // Calls with a right key answered with 401.
   };
   [[nodiscard]] const Counts& Total() const { return m_counts; }
   // @returns a description of each job that `AllServed` finds without an outcome.
@@ -59,6 +68,7 @@
   struct CallerJob {
     std::string id;
     std::string queue;
+    std::string customer;                    // Empty without customers.
     std::string body;                        // JSON of the submission.
     std::vector<model::TaskBehavior> steps;  // Actual behavior of the tasks of each step.
     bool is_long_running = false;
@@ -83,6 +93,7 @@
   static constexpr int kAttempts = 3;  // As in the configuration that Platform writes.
 
  private:
+  using Key = Customers::Key;
   using ResponseHandler = std::function<void(const Result<HttpResponse>&)>;
 
   Callers(Platform* platform, const Processes& processes, Options options);
@@ -95,6 +106,16 @@
   void OnUnanswered(const std::string& call, const Processes::Instance& entry, SteadyTime sent,
                     schema::Code code);
   void Call(const JobPtr& job, const char* method, ResponseHandler done);
+  // @returns the number of a random client, and the instance that it calls.
+  std::pair<std::size_t, const Processes::Instance*> PickClient();
+  // @returns whether an instance is held to bounds for a call that was sent then.
+  [[nodiscard]] bool IsInTouch(const Processes::Instance& entry, SteadyTime sent) const;
+  void OnWrongKey(const std::string& job, const Key& key, const Processes::Instance& entry,
+                  SteadyTime sent, unsigned status);
+  void OnKeyRefused(const std::string& call, const Key& key, const Processes::Instance& entry,
+                    SteadyTime sent);
+  // Checks the limit of the task's customer.
+  void OnRunning(const TaskRef& task);
   void SendSubmission(const JobPtr& job);
   void OnSubmitted(const JobPtr& job, const Result<HttpResponse>& result);
   void MarkRefused(const JobPtr& job);
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -93,6 +93,7 @@
   void Recut();
   void RestartWhileHeld(Platform::WorkerHost* worker, std::int64_t restarts);
   void ChangeConfig();
+  void ChangeCustomers();
   void Burst();
   void CancelMany();
 
--- a/tests/soak/waiting.h
+++ b/tests/soak/waiting.h
@@ -33,6 +33,7 @@
   };
   void UpdateUsage();
   [[nodiscard]] bool HasDoubleCapacity(const TaskRef& task, const model::TaskBehavior& step) const;
+  bool IsUnderHalfOfLimit(const Callers::CallerJob& job);
   void CheckLongRunning(const Callers::CallerJob& job, bool is_calm);
   void CheckJob(const Callers::CallerJob& job);
   void CheckOccurrence(const Callers::CallerJob& job, std::uint32_t occurrence);
@@ -46,6 +47,8 @@
   Platform* m_platform;
   const Callers* m_callers;
   std::map<std::string, Resources> m_used;  // Resources in use, by worker id.
+  // Customers that have less running than half of their limit, as far as known in this check.
+  std::map<std::string, bool> m_under_half;
   // Whether the running tasks use more than half of the capacity of all ready workers, in any
   // dimension.
   bool m_is_over_half_used = false;
