Relayed store calls: the path that answers soonest, and copies when it is late

Change: StorePaths (pure) orders the instances by what recent calls through them took and whether they failed, before that by strength; a call that fails goes on to the next one, and one that takes twice the usual time is copied to it (2 copies, 4 instances at most; no second copy beside an own path that works, since the writes of a part queue up at a slow store). Line store-path-chosen, counter relayed_calls_total.

--- a/cell/limits.h
+++ b/cell/limits.h
@@ -246,6 +246,14 @@
 // New work is refused when the store has not answered for this long. Interactive work has a second
 // or two in all, and waiting would use up its callers' time for a call.
 inline constexpr std::chrono::milliseconds kRefuseAfterStoreSilence{700};
+// A new job is also refused when it cannot be in the store this long before its caller's deadline:
+// the time for the answer to go back.
+inline constexpr std::chrono::milliseconds kSubmitAnswerReserve{60};
+// Refusals of new jobs for want of the store are logged in one line in this time.
+inline constexpr std::chrono::milliseconds kRefusalLogPeriod{1000};
+// Transactions that took longer count as this when the time of the next one is estimated. A store
+// that is slow takes up to 1.1 s for one; after a silence the next one takes a few milliseconds.
+inline constexpr std::chrono::milliseconds kMaxExpectedCommit{1200};
 // Retry-after times of refused calls: four attempts outlast an outage of the store, which takes 4
 // to 9 s.
 inline constexpr std::chrono::milliseconds kInteractiveRetryAfter{2000};
@@ -353,6 +361,28 @@
 inline constexpr std::uint32_t kOwnPathFailures = 2;
 // Interval at which the own path to the store is tried again.
 inline constexpr std::chrono::milliseconds kOwnPathRetry{500};
+// A relayed call without an answer is sent through another instance as well after this time: twice
+// what the path usually takes, within the first two, or the third if nothing is known of the path.
+// A relay adds 1 to 3 ms to the store's 5 ms; a store that is slow takes 200 to 400 ms.
+inline constexpr std::chrono::milliseconds kMinRelayHedge{30};
+inline constexpr std::chrono::milliseconds kMaxRelayHedge{600};
+inline constexpr std::chrono::milliseconds kUnknownRelayHedge{80};
+// What a relayed call is taken to need through an instance of full strength of which nothing is
+// known; weaker ones take longer in proportion.
+inline constexpr std::chrono::milliseconds kAssumedRelayLatency{20};
+// Answers older than this tell nothing about a path.
+inline constexpr std::chrono::milliseconds kRelayMemory{5000};
+// An instance is avoided for this long after a relayed call through it has failed, doubled with
+// each further failure up to this many times: 4 s, half of an outage.
+inline constexpr std::chrono::milliseconds kRelayAvoid{250};
+inline constexpr std::uint32_t kMaxRelayAvoidDoublings = 4;
+// Number of instances that one relayed call tries, and of copies that are on their way at a time.
+inline constexpr std::size_t kMaxRelayPeers = 4;
+inline constexpr std::size_t kMaxRelayCopies = 2;
+// Changes of the instance that transactions try first are logged at most this often.
+inline constexpr std::chrono::milliseconds kRelayLogPeriod{1000};
+// Number of instances of which the results of relayed calls are kept.
+inline constexpr std::size_t kMaxRelayRecords = 256;
 
 // ---- Calls of callers
 
--- a/cell/metrics.cc
+++ b/cell/metrics.cc
@@ -105,6 +105,16 @@
                                    .Name("citronsill_takeovers_total")
                                    .Help("Shards that this process has taken over.")
                                    .Register(registry);
+  Family<Counter>& relays =
+      prometheus::BuildCounter()
+          .Name("citronsill_relayed_calls_total")
+          .Help("Calls to the store that were sent through other instances, by result.")
+          .Register(registry);
+  Family<Counter>& store_refusals =
+      prometheus::BuildCounter()
+          .Name("citronsill_store_refusals_total")
+          .Help("New jobs that were refused for want of the store, by reason.")
+          .Register(registry);
   Histogram& loop_lag = prometheus::BuildHistogram()
                             .Name("citronsill_loop_lag_seconds")
                             .Help("How late a periodic timer of the event loop fired.")
@@ -175,6 +185,14 @@
 
 void NodeMetrics::CountTakeover() { m_impl->takeovers.Add({}).Increment(); }
 
+void NodeMetrics::CountRelay(const char* result) {
+  m_impl->relays.Add({{"result", result}}).Increment();
+}
+
+void NodeMetrics::CountStoreRefusals(const char* reason, std::size_t jobs) {
+  m_impl->store_refusals.Add({{"reason", reason}}).Increment(static_cast<double>(jobs));
+}
+
 void NodeMetrics::ObserveLoopLag(milliseconds lag) { m_impl->loop_lag.Observe(Seconds(lag)); }
 
 void NodeMetrics::CountFinal(const char* state) {
--- a/cell/metrics.h
+++ b/cell/metrics.h
@@ -36,6 +36,11 @@
   void CountCommit(milliseconds elapsed, std::uint32_t attempts);
   void CountAdvice(bool answered, milliseconds elapsed);
   void CountTakeover();
+  /// A store call through another instance has ended, or is taking long. @param result one of
+  /// "served", "failed" and "overdue".
+  void CountRelay(const char* result);
+  /// New jobs were refused for want of the store. @param reason "silent" or "late".
+  void CountStoreRefusals(const char* reason, std::size_t jobs);
   /// A job has reached a final state. @param state one of a fixed set.
   void CountFinal(const char* state);
   /// A periodic timer fired late by this much.
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -57,8 +57,9 @@
 
   Result<void> Begin() {
     const RowRange store_probe{platform.config_row.table, platform.config_row.part, "", "", 1};
-    store = std::make_unique<RelayedStore>(platform.store.get(), BootNow, store_probe,
-                                           [this] { return LinksToStore(); });
+    store = std::make_unique<RelayedStore>(
+        platform.store.get(), BootNow, store_probe, [this] { return OpenLinks(); },
+        DelayThrough(timers));
     BOOST_OUTCOME_TRY(links, LinkService::Create(runtime, timers, settings.link_address,
                                                  MakeHello(), MakeHooks()));
     FollowConfig();
@@ -80,16 +81,10 @@
     return Success();
   }
 
-  // Returns the links to instances that reach the store, or all links when none reports that it
-  // does.
-  std::vector<LinkPtr> LinksToStore() {
+  std::vector<LinkPtr> OpenLinks() {
     std::vector<LinkPtr> open_links;
-    std::vector<LinkPtr> links_to_store;
-    links->ForEach([&](const LinkPtr& link) {
-      open_links.push_back(link);
-      if (link->LastPing().reaches_store()) links_to_store.push_back(link);
-    });
-    return links_to_store.empty() ? open_links : links_to_store;
+    links->ForEach([&open_links](const LinkPtr& link) { open_links.push_back(link); });
+    return open_links;
   }
 
   void End() {
--- a/cell/relay.cc
+++ b/cell/relay.cc
@@ -1,9 +1,12 @@
 #include "cell/relay.h"
 
+#include <algorithm>
 #include <optional>
+#include <utility>
 
 #include "cell/limits.h"
 #include "cell/log.h"
+#include "cell/metrics.h"
 
 namespace citronsill {
 namespace {
@@ -37,6 +40,43 @@
   return message;
 }
 
+void CommitThrough(const LinkPtr& link, const schema::LinkMessage& message, milliseconds timeout,
+                   std::function<void(Result<CommitOutcome>)> done) {
+  link->Call(message, timeout, [done = std::move(done)](const Result<schema::LinkMessage>& result) {
+    if (!result) return done(Error{schema::CODE_COMMIT_UNKNOWN, result.error().message});
+    const schema::StoreReply& reply = result.value().store_reply();
+    if (reply.code() != schema::CODE_OK) return done(ErrorOf(reply));
+    CommitOutcome outcome{reply.committed(), reply.version(), {}};
+    for (const auto& row : reply.rows()) outcome.current.push_back(FromSchema(row));
+    done(std::move(outcome));
+  });
+}
+
+void ReadThrough(const LinkPtr& link, const RowRange& range, milliseconds timeout,
+                 std::function<void(Result<RowPage>)> done) {
+  schema::LinkMessage message;
+  schema::StoreCall* call = message.mutable_store();
+  call->set_read(true);
+  call->set_table(range.table);
+  call->set_part(range.part);
+  call->set_from(range.from);
+  call->set_until(range.until);
+  call->set_limit(range.limit);
+  call->set_timeout_ms(timeout.count());
+  link->Call(std::move(message), timeout,
+             [done = std::move(done)](const Result<schema::LinkMessage>& result) {
+               if (!result)
+                 return done(Error{schema::CODE_TABLE_UNAVAILABLE, result.error().message});
+               const schema::StoreReply& reply = result.value().store_reply();
+               if (reply.code() != schema::CODE_OK) return done(ErrorOf(reply));
+               RowPage page;
+               page.truncated = reply.truncated();
+               page.version = reply.version();
+               for (const auto& row : reply.rows()) page.rows.push_back(FromSchema(row));
+               done(std::move(page));
+             });
+}
+
 // @returns whether a relayed call has failed without effect: the store may serve the own path.
 template <class Outcome>
 bool IsRefused(const Result<Outcome>& result) {
@@ -45,9 +85,29 @@
 
 }  // namespace
 
+// The first instance that serves the call ends it. If all fail, an unknown outcome of one outranks
+// that the others have had no effect.
+template <class Outcome>
+struct RelayedStore::Relay {
+  using Done = std::function<void(Result<Outcome>)>;
+  std::function<void(const LinkPtr&, milliseconds timeout, Done)> send;
+  Done done;  // Empty once the call has ended.
+  std::vector<LinkPtr> links;
+  std::size_t next = 0;     // Next of `links` to try.
+  std::size_t pending = 0;  // Copies without an answer.
+  std::size_t max_copies = kMaxRelayCopies;
+  SteadyTime deadline{};
+  std::optional<Error> unknown;
+};
+
 RelayedStore::RelayedStore(RowStore* own, Clock now, RowRange probe,
-                           std::function<std::vector<LinkPtr>()> links)
-    : m_own(own), m_now(std::move(now)), m_probe(std::move(probe)), m_links(std::move(links)) {}
+                           std::function<std::vector<LinkPtr>()> links, DelayHook after)
+    : m_own(own),
+      m_now(now),
+      m_probe(std::move(probe)),
+      m_links(std::move(links)),
+      m_after(std::move(after)),
+      m_paths(std::move(now)) {}
 
 RelayedStore::~RelayedStore() { *m_alive = false; }
 
@@ -74,10 +134,74 @@
   });
 }
 
-LinkPtr RelayedStore::PickLink() {
+// Returns the links to the instances that a call tries, in this order.
+std::vector<LinkPtr> RelayedStore::PickLinks() const {
   const std::vector<LinkPtr> links = m_links();
-  if (links.empty()) return nullptr;
-  return links[m_next_link % links.size()];
+  std::vector<RelayPeer> peers;
+  peers.reserve(links.size());
+  for (const LinkPtr& link : links) {
+    peers.push_back({link->Peer().incarnation(), link->Peer().strength_milli(),
+                     link->LastPing().reaches_store()});
+  }
+  std::vector<LinkPtr> picked;
+  for (const std::size_t index : m_paths.Order(peers)) {
+    if (picked.size() == kMaxRelayPeers) break;
+    picked.push_back(links[index]);
+  }
+  return picked;
+}
+
+template <class Outcome>
+void RelayedStore::RelayOnce(const RelayPtr<Outcome>& relay) {
+  const LinkPtr link = relay->links[relay->next++];
+  const SteadyTime sent = m_now();
+  const auto time_left = std::chrono::ceil<milliseconds>(relay->deadline - sent);
+  const std::uint64_t incarnation = link->Peer().incarnation();
+  ++relay->pending;
+  HedgeLater(relay, incarnation);
+  relay->send(link, std::max(time_left, milliseconds(1)),
+              [this, alive = m_alive, relay, incarnation, sent](const Result<Outcome>& result) {
+                if (*alive) OnRelayed(relay, incarnation, sent, result);
+              });
+}
+
+// Calls can be repeated: reads change nothing, and of several copies of a transaction only one can
+// take effect, because each is conditional on a version that the first one changes.
+template <class Outcome>
+void RelayedStore::HedgeLater(const RelayPtr<Outcome>& relay, std::uint64_t incarnation) {
+  if (!m_after) return;
+  m_after(m_paths.HedgeAfter(incarnation),
+          [this, alive = m_alive, relay, incarnation, number = relay->next] {
+            if (!*alive || !relay->done || relay->next != number) return;
+            m_paths.OnOverdue(incarnation);
+            NodeMetrics::Get().CountRelay("overdue");
+            if (relay->next == relay->links.size() || relay->pending >= relay->max_copies) return;
+            if (m_now() < relay->deadline) RelayOnce(relay);
+          });
+}
+
+template <class Outcome>
+void RelayedStore::OnRelayed(const RelayPtr<Outcome>& relay, std::uint64_t incarnation,
+                             SteadyTime sent, const Result<Outcome>& result) {
+  --relay->pending;
+  const bool is_served = result || result.error().code == schema::CODE_COMMIT_REFUSED;
+  NodeMetrics::Get().CountRelay(is_served ? "served" : "failed");
+  if (is_served) {
+    m_paths.OnAnswer(incarnation, std::chrono::duration_cast<milliseconds>(m_now() - sent));
+  } else {
+    m_paths.OnFailure(incarnation);
+    if (!IsRefused(result)) relay->unknown = result.error();
+  }
+  if (!relay->done) return;
+  if (!is_served) {
+    if (relay->next < relay->links.size() && m_now() < relay->deadline) {
+      if (relay->pending == 0) RelayOnce(relay);
+      return;
+    }
+    if (relay->pending > 0) return;
+  }
+  const auto done = std::exchange(relay->done, nullptr);
+  done(!is_served && relay->unknown ? Result<Outcome>(*relay->unknown) : result);
 }
 
 void RelayedStore::Commit(RowTransaction transaction, milliseconds timeout, CommitDone done) {
@@ -91,9 +215,12 @@
   const bool is_own_path_suspect = m_commit_failed || m_commits_in_flight > 0;
   ++m_commits_in_flight;
   const bool own_works = OwnPathWorks();
-  const LinkPtr link = own_works && !is_own_path_suspect ? nullptr : PickLink();
-  if (!link) return CommitOwn(std::move(transaction), timeout, std::move(finish));
-  if (own_works) return CommitBoth(link, std::move(transaction), timeout, std::move(finish));
+  std::vector<LinkPtr> links;
+  if (!own_works || is_own_path_suspect) links = PickLinks();
+  if (links.empty()) return CommitOwn(std::move(transaction), timeout, std::move(finish));
+  if (own_works) {
+    return CommitBoth(std::move(links), std::move(transaction), timeout, std::move(finish));
+  }
   const SteadyTime began = m_now();
   auto or_own = [this, alive = m_alive, transaction, timeout, began,
                  finish = std::move(finish)](const Result<CommitOutcome>& result) {
@@ -102,7 +229,23 @@
     if (!IsRefused(result) || remaining <= milliseconds(0)) return finish(result);
     CommitOwn(transaction, remaining, finish);
   };
-  CommitRelayed(link, transaction, timeout, std::move(or_own));
+  LogFirstPeer(links.front());
+  CommitRelayed(std::move(links), transaction, kMaxRelayCopies, timeout, std::move(or_own));
+}
+
+// Logs through which instance transactions go, when that changes and at most once a second.
+void RelayedStore::LogFirstPeer(const LinkPtr& link) {
+  const schema::Hello& peer = link->Peer();
+  if (peer.incarnation() == m_logged_peer) return;
+  if (m_now() < m_logged_at + kRelayLogPeriod) return;
+  m_logged_peer = peer.incarnation();
+  m_logged_at = m_now();
+  Log(LogLevel::kInfo, "store-path-chosen")
+      .Field("peer", peer.instance())
+      .Field("strength_milli", peer.strength_milli())
+      .Field("reports_store", link->LastPing().reaches_store())
+      .Field("mean_ms", m_paths.Latency(peer.incarnation()).value_or(milliseconds(0)))
+      .Field("hedge_ms", m_paths.HedgeAfter(peer.incarnation()));
 }
 
 milliseconds RelayedStore::RemainingAfter(SteadyTime began, milliseconds timeout) const {
@@ -121,10 +264,10 @@
       });
 }
 
-void RelayedStore::CommitRelayed(const LinkPtr& link, const RowTransaction& transaction,
-                                 milliseconds timeout, CommitDone done) {
-  schema::LinkMessage message;
-  schema::StoreCall* call = message.mutable_store();
+void RelayedStore::CommitRelayed(std::vector<LinkPtr> links, const RowTransaction& transaction,
+                                 std::size_t max_copies, milliseconds timeout, CommitDone done) {
+  auto message = std::make_shared<schema::LinkMessage>();
+  schema::StoreCall* call = message->mutable_store();
   for (const RowCondition& condition : transaction.conditions) {
     schema::StoredRow* row = call->add_conditions();
     ToSchema(condition.key, row);
@@ -132,27 +275,23 @@
   }
   for (const Row& row : transaction.writes) ToSchema(row, call->add_writes());
   for (const RowKey& key : transaction.removals) ToSchema(key, call->add_removals());
-  call->set_timeout_ms(timeout.count());
-  link->Call(
-      std::move(message), timeout,
-      [this, alive = m_alive, done = std::move(done)](const Result<schema::LinkMessage>& result) {
-        if (!*alive) return;
-        const bool served = result && result.value().store_reply().code() == schema::CODE_OK;
-        if (!served) ++m_next_link;
-        if (!result) return done(Error{schema::CODE_COMMIT_UNKNOWN, result.error().message});
-        const schema::StoreReply& reply = result.value().store_reply();
-        if (!served) return done(ErrorOf(reply));
-        CommitOutcome outcome{reply.committed(), reply.version(), {}};
-        for (const auto& row : reply.rows()) outcome.current.push_back(FromSchema(row));
-        done(std::move(outcome));
-      });
+  auto relay = std::make_shared<Relay<CommitOutcome>>();
+  relay->send = [message](const LinkPtr& link, milliseconds time_left, CommitDone on_result) {
+    message->mutable_store()->set_timeout_ms(time_left.count());
+    CommitThrough(link, *message, time_left, std::move(on_result));
+  };
+  relay->done = std::move(done);
+  relay->links = std::move(links);
+  relay->max_copies = max_copies;
+  relay->deadline = m_now() + timeout;
+  RelayOnce(relay);
 }
 
 // Sends a transaction over both paths. One of the two may fail on its conditions because the other
 // has already taken effect; the caller recognizes that by the rows that are returned. If both fail,
 // an unknown outcome of either outranks that the other has had no effect.
-void RelayedStore::CommitBoth(const LinkPtr& link, RowTransaction transaction, milliseconds timeout,
-                              CommitDone done) {
+void RelayedStore::CommitBoth(std::vector<LinkPtr> links, RowTransaction transaction,
+                              milliseconds timeout, CommitDone done) {
   struct Race {
     CommitDone done;
     int pending = 2;
@@ -176,15 +315,17 @@
     if (result && race->done) RecordOwnPathResult(false);
     finish(result);
   };
-  CommitRelayed(link, transaction, timeout, std::move(relayed));
+  // One copy beside the own one: the writes of a part queue up at a store that is slow.
+  CommitRelayed(std::move(links), transaction, 1, timeout, std::move(relayed));
   CommitOwn(std::move(transaction), timeout, finish);
 }
 
 void RelayedStore::Read(RowRange range, milliseconds timeout, ReadDone done) {
-  const LinkPtr link = OwnPathWorks() ? nullptr : PickLink();
-  if (!link) return ReadOwn(std::move(range), timeout, std::move(done));
+  std::vector<LinkPtr> links;
+  if (!OwnPathWorks()) links = PickLinks();
+  if (links.empty()) return ReadOwn(std::move(range), timeout, std::move(done));
   const SteadyTime began = m_now();
-  ReadRelayed(link, range, timeout,
+  ReadRelayed(std::move(links), range, timeout,
               [this, alive = m_alive, range, timeout, began,
                done = std::move(done)](const Result<RowPage>& result) {
                 if (!*alive) return;
@@ -203,32 +344,16 @@
               });
 }
 
-void RelayedStore::ReadRelayed(const LinkPtr& link, const RowRange& range, milliseconds timeout,
-                               ReadDone done) {
-  schema::LinkMessage message;
-  schema::StoreCall* call = message.mutable_store();
-  call->set_read(true);
-  call->set_table(range.table);
-  call->set_part(range.part);
-  call->set_from(range.from);
-  call->set_until(range.until);
-  call->set_limit(range.limit);
-  call->set_timeout_ms(timeout.count());
-  link->Call(
-      std::move(message), timeout,
-      [this, alive = m_alive, done = std::move(done)](const Result<schema::LinkMessage>& result) {
-        if (!*alive) return;
-        const bool served = result && result.value().store_reply().code() == schema::CODE_OK;
-        if (!served) ++m_next_link;
-        if (!result) return done(Error{schema::CODE_TABLE_UNAVAILABLE, result.error().message});
-        const schema::StoreReply& reply = result.value().store_reply();
-        if (!served) return done(ErrorOf(reply));
-        RowPage page;
-        page.truncated = reply.truncated();
-        page.version = reply.version();
-        for (const auto& row : reply.rows()) page.rows.push_back(FromSchema(row));
-        done(std::move(page));
-      });
+void RelayedStore::ReadRelayed(std::vector<LinkPtr> links, const RowRange& range,
+                               milliseconds timeout, ReadDone done) {
+  auto relay = std::make_shared<Relay<RowPage>>();
+  relay->send = [range](const LinkPtr& link, milliseconds time_left, ReadDone on_result) {
+    ReadThrough(link, range, time_left, std::move(on_result));
+  };
+  relay->done = std::move(done);
+  relay->links = std::move(links);
+  relay->deadline = m_now() + timeout;
+  RelayOnce(relay);
 }
 
 void RelayedStore::Follow(std::string table, std::uint64_t after, milliseconds wait,
--- a/cell/relay.h
+++ b/cell/relay.h
@@ -10,19 +10,22 @@
 #include "cell/limits.h"
 #include "cell/link.h"
 #include "cell/store.h"
+#include "cell/store_paths.h"
 
 namespace citronsill {
 
 /// A row store that uses the own connection (the "own path") or, while that fails, relays calls
-/// through the link to another instance. When the other instance refuses a call, it is made through
-/// the own connection all the same.
+/// through the links to other instances (`StorePaths` says which). A relayed call that fails, or is
+/// not answered soon, goes on to the next instance; the first successful answer counts. When all of
+/// them refuse a call, it is made through the own connection all the same.
 class RelayedStore : public RowStore {
  public:
   /// @param own the store through the own connection of this instance.
   /// @param probe range that is read to check whether the own connection works again.
-  /// @param links returns the links to instances that reach the store.
+  /// @param links returns the links to instances that may reach the store.
+  /// @param after runs a function later. Without it, no copies of unanswered calls are sent.
   RelayedStore(RowStore* own, Clock now, RowRange probe,
-               std::function<std::vector<LinkPtr>()> links);
+               std::function<std::vector<LinkPtr>()> links, DelayHook after = nullptr);
   ~RelayedStore() override;
 
   /// A transaction that follows a failed one, or is sent while another has no answer yet, is sent
@@ -48,27 +51,47 @@
   using CommitDone = std::function<void(Result<CommitOutcome>)>;
   using ReadDone = std::function<void(Result<RowPage>)>;
 
-  LinkPtr PickLink();
+  // One call that is relayed through one or more instances.
+  template <class Outcome>
+  struct Relay;
+  template <class Outcome>
+  using RelayPtr = std::shared_ptr<Relay<Outcome>>;
+
+  std::vector<LinkPtr> PickLinks() const;
+  // Sends the call, or a copy of it, to the next instance.
+  template <class Outcome>
+  void RelayOnce(const RelayPtr<Outcome>& relay);
+  template <class Outcome>
+  void HedgeLater(const RelayPtr<Outcome>& relay, std::uint64_t incarnation);
+  template <class Outcome>
+  void OnRelayed(const RelayPtr<Outcome>& relay, std::uint64_t incarnation, SteadyTime sent,
+                 const Result<Outcome>& result);
   void RecordOwnPathResult(bool served);
   void CommitOwn(RowTransaction transaction, milliseconds timeout, CommitDone done);
-  void CommitRelayed(const LinkPtr& link, const RowTransaction& transaction, milliseconds timeout,
-                     CommitDone done);
-  void CommitBoth(const LinkPtr& link, RowTransaction transaction, milliseconds timeout,
+  void CommitRelayed(std::vector<LinkPtr> links, const RowTransaction& transaction,
+                     std::size_t max_copies, milliseconds timeout, CommitDone done);
+  void CommitBoth(std::vector<LinkPtr> links, RowTransaction transaction, milliseconds timeout,
                   CommitDone done);
   void ReadOwn(RowRange range, milliseconds timeout, ReadDone done);
-  void ReadRelayed(const LinkPtr& link, const RowRange& range, milliseconds timeout, ReadDone done);
+  void ReadRelayed(std::vector<LinkPtr> links, const RowRange& range, milliseconds timeout,
+                   ReadDone done);
+  void LogFirstPeer(const LinkPtr& link);
   [[nodiscard]] milliseconds RemainingAfter(SteadyTime began, milliseconds timeout) const;
 
   RowStore* m_own;
   Clock m_now;
   RowRange m_probe;
   std::function<std::vector<LinkPtr>()> m_links;
+  DelayHook m_after;
+  StorePaths m_paths;
   std::uint32_t m_own_failures = 0;       // Consecutive failed calls on the own path.
   bool m_commit_failed = false;           // The last answered transaction failed.
   std::uint32_t m_commits_in_flight = 0;  // Transactions without an answer.
   bool m_probing = false;
   SteadyTime m_next_probe{};
-  std::size_t m_next_link = 0;
+  // Instance that calls try first, for the log, and when a change of it was logged last.
+  std::uint64_t m_logged_peer = 0;
+  SteadyTime m_logged_at{};
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
