Turn away what has no use for want of room; renew a gang's tickets before its room is free

Cause: with too little room every job was accepted, waited past its late limit and was planned again and again; what a customer sent in excess waited to the end; a gang's room stayed empty for the second that an answer of the policy service takes. Change: DecideRoom (cell/room_admission), pure: from the work that waits, by group, and the job's slack; Retry-After from the backlog. RenewTickets in the planner. Reports per customer.

--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -73,6 +73,7 @@
   bool starts_paused = false;  // The list of workers is too old.
   bool plan_pending = false;
   SteadyTime plan_due{};  // When the pending planning pass is due.
+  SteadyTime next_customer_report{};
   PassMeter pass_meter;
   WaitingSet open_calls;
   WaitingSet open_advice_requests;
@@ -489,6 +490,25 @@
         .Field("free_long_lanes", counts.free_long)
         .Field("confirmed_ms_ago", TimeSinceConfirmed());
     ReportBacklog(&line);
+    ReportCustomers();
+  }
+
+  // One line for each of the customers with the most running work.
+  void ReportCustomers() {
+    if (BootNow() < next_customer_report) return;
+    next_customer_report = BootNow() + kCustomerReportPeriod;
+    for (const CustomerLedger::Usage& usage :
+         scheduler->Customers().Report(kMaxReportedCustomers)) {
+      Log(LogLevel::kInfo, "customer-usage")
+          .Field("customer", usage.name)
+          .Field("runs", usage.runs)
+          .Field("running_milli", usage.running.processors_milli)
+          .Field("running_mb", usage.running.memory_mb)
+          .Field("limit_milli", usage.limit.processors_milli)
+          .Field("limit_mb", usage.limit.memory_mb)
+          .Field("jobs_within", usage.jobs_within)
+          .Field("jobs_beyond", usage.jobs_beyond);
+    }
   }
 
   // Reports in a log line and in gauges whether the scheduler keeps up with its work.
@@ -707,7 +727,12 @@
     }
     scheduler->Submit(
         call.spec(), milliseconds(call.waited_ms()),
-        [reply = std::move(reply), retry_after](const Result<schema::JobState>& result) {
+        [reply = std::move(reply), retry_after,
+         for_room = scheduler->RetryAfter(call.spec())](const Result<schema::JobState>& result) {
+          const bool is_overload = !result && result.error().code == schema::CODE_OVERLOADED;
+          if (is_overload && for_room > milliseconds(0)) {
+            return reply(Failure(result.error(), for_room));
+          }
           if (!result) return reply(Failure(result.error(), retry_after));
           schema::CallReply out;
           out.set_state(result.value());
--- a/cell/limits.h
+++ b/cell/limits.h
@@ -265,7 +265,15 @@
 // many, so that small customers may send a few together.
 inline constexpr std::chrono::milliseconds kShareWindow{2000};
 inline constexpr double kMinShareBurst = 4.0;
-// Customers that are named in each report.
+// A backlog that the workers of the cell can do in this time is none: it is the time of a planning
+// pass, a request to the policy service and a start.
+inline constexpr std::chrono::milliseconds kMinBacklogWait{500};
+// Shortest and longest Retry-After for want of room. The clients' time for a call is a few seconds,
+// and the backlog may shrink sooner than expected.
+inline constexpr std::chrono::milliseconds kMinRoomRetryAfter{1000};
+inline constexpr std::chrono::milliseconds kMaxRoomRetryAfter{8000};
+// Interval of the report about customers, and how many are named in it.
+inline constexpr std::chrono::milliseconds kCustomerReportPeriod{5000};
 inline constexpr std::size_t kMaxReportedCustomers = 8;
 
 // ---- Ownership
--- a/cell/metrics.cc
+++ b/cell/metrics.cc
@@ -115,6 +115,11 @@
           .Name("citronsill_store_refusals_total")
           .Help("New jobs that were refused for want of the store, by reason.")
           .Register(registry);
+  Family<Counter>& room_refusals =
+      prometheus::BuildCounter()
+          .Name("citronsill_room_refusals_total")
+          .Help("New jobs that were refused for want of room, by reason")
+          .Register(registry);
   Histogram& loop_lag = prometheus::BuildHistogram()
                             .Name("citronsill_loop_lag_seconds")
                             .Help("How late a periodic timer of the event loop fired.")
@@ -193,6 +198,10 @@
   m_impl->store_refusals.Add({{"reason", reason}}).Increment(static_cast<double>(jobs));
 }
 
+void NodeMetrics::CountRoomRefusal(const char* reason) {
+  m_impl->room_refusals.Add({{"reason", reason}}).Increment();
+}
+
 void NodeMetrics::ObserveLoopLag(milliseconds lag) { m_impl->loop_lag.Observe(Seconds(lag)); }
 
 void NodeMetrics::CountFinal(const char* state) {
--- a/cell/metrics.h
+++ b/cell/metrics.h
@@ -41,6 +41,8 @@
   void CountRelay(const char* result);
   /// New jobs were refused for want of the store. @param reason "silent" or "late".
   void CountStoreRefusals(const char* reason, std::size_t jobs);
+  /// A new job was refused for want of room. @param reason see `RoomVerdictName`.
+  void CountRoomRefusal(const char* reason);
   /// A job has reached a final state. @param state one of a fixed set.
   void CountFinal(const char* state);
   /// A periodic timer fired late by this much.
--- a/cell/planner.cc
+++ b/cell/planner.cc
@@ -86,6 +86,12 @@
   }
 
  private:
+  // Room that becomes free for a gang, and the workers that hold it.
+  struct RoomAhead {
+    SteadyTime ready;
+    std::vector<std::uint32_t> workers;
+  };
+
   // Lists the workers on which the unit that is examined now may run.
   void ListFits(const PlanUnit& unit) {
     m_known = unit.known;
@@ -327,10 +333,27 @@
       return true;
     }
     AskForTickets(unit, unit.count);
-    SetRoomAside(unit);
+    RenewTickets(unit, SetRoomAside(unit));
     return false;
   }
 
+  // Renews the tickets of a gang shortly before the room that is set aside for it becomes free.
+  //
+  // Matters where an answer of the policy service takes a second: the room of a whole gang would
+  // otherwise stay empty for that long while other work waits.
+  void RenewTickets(const PlanUnit& unit, const std::optional<RoomAhead>& room) {
+    if (!room || unit.ticket_valid <= milliseconds(0) || !CanAsk(unit)) return;
+    if (!m_plan.advice_requests.empty() && m_plan.advice_requests.back().unit == unit.id) return;
+    if (room->ready > m_limits.now + unit.advice_time + unit.ticket_valid / 2) return;
+    const auto has_ticket = [this](std::uint32_t index) {
+      return std::any_of(m_known.begin(), m_known.end(), [index](const KnownFit& known) {
+        return known.worker == index && known.fit == Fit::kReady;
+      });
+    };
+    if (std::all_of(room->workers.begin(), room->workers.end(), has_ticket)) return;
+    AskOnSeveralSlots(unit, room->workers);
+  }
+
   void ReturnRoom(const PlanUnit& unit, const Share& share) {
     for (std::uint32_t i = 0; i < share.count; ++i) {
       m_workers[share.worker].free += unit.size;
@@ -465,8 +488,10 @@
   // soon as they appear, so that a gang never finds enough of them at once. Sets aside the workers
   // on which the gang fits soonest; tasks that are expected to end before that time may still use
   // them.
-  void SetRoomAside(const PlanUnit& unit) {
-    if (m_gangs_set_aside >= kMaxGangsSetAside || m_set_aside_tries >= kMaxSetAsideTries) return;
+  std::optional<RoomAhead> SetRoomAside(const PlanUnit& unit) {
+    if (m_gangs_set_aside >= kMaxGangsSetAside || m_set_aside_tries >= kMaxSetAsideTries) {
+      return std::nullopt;
+    }
     ++m_set_aside_tries;
     struct Change {
       SteadyTime at;
@@ -493,9 +518,9 @@
       fitting += FitCount(room[change.worker], unit.size, unit.count);
       ready = change.at;
     }
-    if (fitting < unit.count) return;
+    if (fitting < unit.count) return std::nullopt;
     ++m_gangs_set_aside;
-    SetAsideUntil(unit, ready, room);
+    return RoomAhead{ready, SetAsideUntil(unit, ready, room)};
   }
 
   const std::vector<ExpectedEnd>& EndsOn(std::uint32_t index) {
@@ -507,21 +532,26 @@
     return worker.ends;
   }
 
-  void SetAsideUntil(const PlanUnit& unit, SteadyTime ready, const std::vector<Resources>& room) {
+  // @returns the workers on which room was set aside.
+  std::vector<std::uint32_t> SetAsideUntil(const PlanUnit& unit, SteadyTime ready,
+                                           const std::vector<Resources>& room) {
     std::vector<std::uint32_t> order = Known(Fit::kAllowed);
     std::sort(order.begin(), order.end());
     std::stable_sort(order.begin(), order.end(), [&](std::uint32_t a, std::uint32_t b) {
       return FitCount(room[a], unit.size, unit.count) > FitCount(room[b], unit.size, unit.count);
     });
     std::uint32_t left = unit.count;
+    std::vector<std::uint32_t> workers;
     for (const std::uint32_t index : order) {
       const std::uint32_t count = std::min(left, FitCount(room[index], unit.size, unit.count));
-      if (count == 0) return;
+      if (count == 0) break;
+      workers.push_back(index);
       for (std::uint32_t i = 0; i < count; ++i) m_set_aside[index] += unit.size;
       m_set_aside_until[index] = ready;
       m_plan.set_aside.push_back({index, m_set_aside[index]});
       left -= count;
     }
+    return workers;
   }
 
   // Tickets are requested for this multiple of the tasks that need one.
--- a/cell/planner.h
+++ b/cell/planner.h
@@ -101,6 +101,8 @@
   /// The queue uses the policy service, and the step has no open advice request and no pause after
   /// a failed one.
   bool may_ask = false;
+  milliseconds advice_time{0};       ///< Expected duration of an advice request.
+  milliseconds ticket_valid{0};      ///< How long a ticket can be used.
   AdviceRequestKind request_kind{};  ///< Which request slots its requests may use.
   /// Share of the workers that the policy service usually allows.
   double allowed_share = 1.0;
--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -234,6 +234,14 @@
   if (m_live_tasks >= kMaxLiveTasks) {
     return RefuseOverload(spec, "too many tasks exist", tasks_ahead, done);
   }
+  const JobNeeds needs = NeedsOf(normalized, waited);
+  if (const RoomDecision decision = DecideRoom(m_load.queued, needs);
+      decision.verdict != RoomVerdict::kAccepted) {
+    return RefuseForRoom(spec, needs, decision, done);
+  }
+  // Jobs that arrive before the next planning pass count as well.
+  (is_within_share ? is_interactive ? m_load.queued.interactive : m_load.queued.batch
+                   : m_load.queued.beyond_share) += needs.work;
   auto job = std::make_unique<Job>();
   job->spec = std::move(normalized);
   job->accepted_unix_ms =
@@ -274,6 +282,38 @@
   m_hooks.plan_soon();
 }
 
+void Scheduler::RefuseForRoom(const schema::JobSpec& spec, const JobNeeds& needs,
+                              const RoomDecision& decision, const JobStateCallback& done) const {
+  const char* const reason = RoomVerdictName(decision.verdict);
+  NodeMetrics::Get().CountRoomRefusal(reason);
+  const auto in_ms = [](CellTime work) { return std::chrono::duration_cast<milliseconds>(work); };
+  Log(LogLevel::kInfo, "job-refused")
+      .Field("job", spec.id())
+      .Field("reason", reason)
+      .Field("customer", spec.customer())
+      .Field("wait_ms", decision.expected_wait)
+      .Field("objective_slack_ms", needs.objective_slack)
+      .Field("late_slack_ms", needs.late_slack)
+      .Field("work_ms", in_ms(needs.work))
+      .Field("interactive_ms", in_ms(m_load.queued.interactive))
+      .Field("batch_ms", in_ms(m_load.queued.batch))
+      .Field("beyond_share_ms", in_ms(m_load.queued.beyond_share))
+      .Field("retry_after_ms", decision.retry_after);
+  done(Error{schema::CODE_OVERLOADED, std::string("too little room: ") + reason});
+}
+
+milliseconds Scheduler::RetryAfter(const schema::JobSpec& spec) {
+  if (m_load.queued.All() < kMinBacklogWait) return milliseconds(0);
+  const RoomDecision decision = DecideRoom(m_load.queued, NeedsOf(spec, milliseconds(0)));
+  const CustomerIndex customer = m_customers.IndexOf(spec.customer());
+  if (decision.verdict == RoomVerdict::kAccepted) return milliseconds(0);
+  // A job within its share has its turn sooner.
+  const milliseconds to_share = m_customers.TimeToShare(customer, m_hooks.now());
+  return decision.verdict == RoomVerdict::kBeyondShare
+             ? std::clamp(to_share, kMinRoomRetryAfter, decision.retry_after)
+             : decision.retry_after;
+}
+
 // A gang that is larger than the limit of its customer would wait for ever; so would a task.
 Result<void> Scheduler::CheckCustomerLimit(const schema::JobSpec& spec) {
   const CustomerIndex customer = m_customers.IndexOf(spec.customer());
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -22,6 +22,7 @@
 #include "cell/limits.h"
 #include "cell/long_leases.h"
 #include "cell/planner.h"
+#include "cell/room_admission.h"
 #include "cell/run_time_estimator.h"
 #include "cell/shard_rows.h"
 #include "cell/store.h"
@@ -83,6 +84,10 @@
   /// of `RefuseUnsent`.
   void Submit(const schema::JobSpec& spec, milliseconds waited, JobStateCallback done);
 
+  /// @returns when a job that was refused with CODE_OVERLOADED should be submitted again; 0 if
+  /// nothing is known about that.
+  [[nodiscard]] milliseconds RetryAfter(const schema::JobSpec& spec);
+
   /// Refuses the jobs that wait for their first transaction; nothing about them was sent to the
   /// store.
   /// @param error passed to their submitters.
@@ -152,12 +157,14 @@
     /// Of the waiting tasks, those of jobs beyond the share of their customer, which go last.
     std::size_t waiting_beyond_share = 0;
     std::size_t waiting_for_limit = 0;  ///< Tasks that wait for the limit of their customer.
+    QueuedWork queued;                  ///< Work of the waiting tasks.
     std::size_t examined_units = 0;     ///< Units for which the last pass examined workers...
     std::size_t examined_pairs = 0;     ///< ...and how many, over all units.
 
     void ClearWaiting() {
       waiting_units = waiting_gangs = 0;
       waiting_tasks = waiting_interactive = waiting_beyond_share = waiting_for_limit = 0;
+      queued = {};
     }
   };
   [[nodiscard]] const Load& LastLoad() const { return m_load; }
@@ -213,6 +220,8 @@
   void EraseJob(const std::string& id);
   void RefuseOverload(const schema::JobSpec& spec, const char* reason, std::size_t tasks_ahead,
                       const JobStateCallback& done) const;
+  void RefuseForRoom(const schema::JobSpec& spec, const JobNeeds& needs,
+                     const RoomDecision& decision, const JobStateCallback& done) const;
   void Reopen(Job* job);
   void ReopenMissing(SteadyTime now);
   void MarkDirty(Job* job);
@@ -271,7 +280,12 @@
 
   // Planning, in scheduler_plan.cc.
   static AdviceRequestKind RequestKindOf(const schema::QueueSpec& queue);
+  [[nodiscard]] milliseconds ExpectedRun(const std::string& queue,
+                                         const schema::StepSpec& step) const;
   [[nodiscard]] milliseconds ExpectedRun(const Step& step) const;
+  [[nodiscard]] CellTime WorkOf(const Resources& size, std::size_t tasks, milliseconds run) const;
+  [[nodiscard]] JobNeeds NeedsOf(const schema::JobSpec& spec, milliseconds waited);
+  void CountQueuedWork(const PlanUnit& unit, milliseconds run);
   [[nodiscard]] milliseconds ExpectedCriticalPath(const Step& step) const;
   [[nodiscard]] SteadyTime ExpectedEndOf(const Order& order) const;
   static std::uint32_t IdOf(const std::string& name, NameIds* ids);
--- a/cell/scheduler_plan.cc
+++ b/cell/scheduler_plan.cc
@@ -53,10 +53,73 @@
   return is_long ? AdviceRequestKind::kLong : AdviceRequestKind::kBatch;
 }
 
+milliseconds Scheduler::ExpectedRun(const std::string& queue, const schema::StepSpec& step) const {
+  const milliseconds declared = EstimateOf(step);
+  const auto found = m_queues.find(queue);
+  return found == m_queues.end() ? declared : found->second.run_times.Expect(declared);
+}
+
 milliseconds Scheduler::ExpectedRun(const Step& step) const {
-  const milliseconds declared = EstimateOf(*step.spec);
-  const auto queue = m_queues.find(step.job->spec.queue().name());
-  return queue == m_queues.end() ? declared : queue->second.run_times.Expect(declared);
+  return ExpectedRun(step.job->spec.queue().name(), *step.spec);
+}
+
+// @returns the work of tasks that take `run` each, by the resource of which they need most.
+CellTime Scheduler::WorkOf(const Resources& size, std::size_t tasks, milliseconds run) const {
+  const auto share = [](std::int64_t need, std::int64_t have) {
+    return have > 0 ? static_cast<double>(need) / static_cast<double>(have) : 0.0;
+  };
+  const double largest = std::max({share(size.processors_milli, m_load.capacity.processors_milli),
+                                   share(size.memory_mb, m_load.capacity.memory_mb),
+                                   share(size.accelerators, m_load.capacity.accelerators)});
+  return CellTime(run) * largest * static_cast<double>(tasks);
+}
+
+// Jobs that last or have times are not bound to a moment of their submission: they need no room
+// now.
+JobNeeds Scheduler::NeedsOf(const schema::JobSpec& spec, milliseconds waited) {
+  const schema::QueueSpec& queue = spec.queue();
+  JobNeeds needs;
+  needs.is_interactive = queue.priority() == 0;
+  needs.is_within_share =
+      m_customers.IsWithinShare(m_customers.IndexOf(spec.customer()), m_hooks.now());
+  milliseconds overhead = kStepOverhead;
+  if (queue.has_advice()) overhead += AdviceRequestTime(queue.advice(), kTypicalNamedWorkers);
+  // Steps follow earlier ones only.
+  std::vector<milliseconds> path_to(static_cast<std::size_t>(spec.steps_size()));
+  milliseconds critical_path{0};
+  bool has_lasting = spec.occurrences() > 0;
+  for (int number = 0; number < spec.steps_size(); ++number) {
+    const schema::StepSpec& step = spec.steps(number);
+    const milliseconds run = ExpectedRun(queue.name(), step);
+    milliseconds& path = path_to[static_cast<std::size_t>(number)];
+    for (const std::uint32_t before : step.after()) path = std::max(path, path_to[before]);
+    path += run + overhead;
+    critical_path = std::max(critical_path, path);
+    has_lasting |= step.long_running();
+    needs.work += WorkOf(RequiredResources(step), step.task_count(), run);
+  }
+  if (has_lasting)
+    return {needs.is_interactive, true, CellTime(0), kMaxTaskEstimate, kMaxTaskEstimate};
+  const milliseconds objective =
+      milliseconds(queue.target_ms()) +
+      std::chrono::duration_cast<milliseconds>(critical_path * queue.stretch());
+  needs.objective_slack = objective - critical_path - waited;
+  needs.late_slack = kLateFactor * objective - critical_path - waited;
+  return needs;
+}
+
+void Scheduler::CountQueuedWork(const PlanUnit& unit, milliseconds run) {
+  const CellTime work = WorkOf(unit.size, unit.count, run);
+  const SteadyTime end = m_hooks.now() + unit.critical_path;
+  if (end > unit.late_limit) return;  // Goes behind all other work.
+  QueuedWork& queued = m_load.queued;
+  if (unit.is_beyond_share) {
+    queued.beyond_share += work;
+  } else if (end > unit.objective) {
+    queued.late += work;
+  } else {
+    (unit.priority == 0 ? queued.interactive : queued.batch) += work;
+  }
 }
 
 milliseconds Scheduler::ExpectedCriticalPath(const Step& step) const {
@@ -199,6 +262,9 @@
     unit.count = waiting;
     unit.gang = step->spec->gang() && !is_refill;
     FillStepFields(step.get(), &unit);
+    if (!waits_for_limit && !step->spec->long_running()) {
+      CountQueuedWork(unit, ExpectedRun(*step));
+    }
     unit.goes_first = unit.may_use_reserved_slots = is_refill || step->spec->long_running();
     if (unit.gang) SubtractReservedRoom(*step, &unit, workers);
     const auto add = [&](PlanUnit part) {
@@ -262,7 +328,10 @@
   unit->max_per_worker = step->spec->max_per_worker();
   unit->may_ask =
       queue.has_advice() && step->advice_requests == 0 && step->advice_retry_at <= m_hooks.now();
-  if (queue.has_advice()) unit->request_kind = RequestKindOf(queue);
+  if (!queue.has_advice()) return;
+  unit->request_kind = RequestKindOf(queue);
+  unit->advice_time = AdviceRequestTime(queue.advice(), kTypicalNamedWorkers);
+  unit->ticket_valid = milliseconds(queue.advice().valid_ms()) - kTicketMargin;
 }
 
 // Fills in the fields of a unit that depend on workers. Of an advised step, only the workers that
