Objectives follow the learned run times; gangs ask about enough workers; shares over five seconds

Gangs asked about 32 workers a second, ten times, before they knew enough allowed ones. 661 jobs counted as beyond a share, most of them sent in bursts of a second or two.

--- a/cell/customer_ledger.cc
+++ b/cell/customer_ledger.cc
@@ -75,8 +75,7 @@
 }
 
 double CustomerLedger::MaxTokens(const Account& account) {
-  return std::max(kMinShareBurst,
-                  account.weight * std::chrono::duration<double>(kShareWindow).count());
+  return kShareBurst + account.weight * std::chrono::duration<double>(kShareWindow).count();
 }
 
 double CustomerLedger::TokensAt(const Account& account, SteadyTime at) {
--- a/cell/job.h
+++ b/cell/job.h
@@ -188,6 +188,7 @@
   SteadyTime arrived{};  ///< When the caller's request arrived, as far as known.
   /// When the job should be finished; unset until the first planning pass.
   SteadyTime objective{};
+  std::uint64_t objective_runs = 0;  ///< Ended runs of its queue on which that is based.
   /// State that is stored and shown to callers.
   schema::JobState stored_state = schema::JOB_STATE_NONE;
   /// Steps of the occurrences that have begun and are not over, by occurrence and number. Each
--- a/cell/limits.h
+++ b/cell/limits.h
@@ -261,10 +261,10 @@
 
 // ---- Customers
 
-// Jobs that a customer may submit at once within its share: those of this time, and at least this
-// many, so that small customers may send a few together.
-inline constexpr std::chrono::milliseconds kShareWindow{2000};
-inline constexpr double kMinShareBurst = 4.0;
+// Jobs that a customer may submit at once within its share: those of this time, and this many more,
+// so that small customers may send a few together.
+inline constexpr std::chrono::milliseconds kShareWindow{5000};
+inline constexpr double kShareBurst = 20.0;
 // A backlog that the workers of the cell can do in this time is none: it is the time of a planning
 // pass, a request to the policy service and a start.
 inline constexpr std::chrono::milliseconds kMinBacklogWait{500};
--- a/cell/planner.cc
+++ b/cell/planner.cc
@@ -381,7 +381,7 @@
     const std::size_t allowed_count = workers.size();
     if (expected < wanted) {
       add(Unknown(unit), unit.allowed_share);
-      const std::size_t minimum = allowed_count + MinNamedWorkers(unit);
+      const std::size_t minimum = allowed_count + NamesWanted(unit);
       if (workers.size() < minimum) {
         AddFreestWorkers(unit, minimum - workers.size(), &workers);
       }
@@ -423,6 +423,29 @@
     return SlotsPerUnit(unit) > kMinSlotsPerUnit ? kBroadGangAskFactor : kGangAskFactor;
   }
 
+  // Number of unknown workers to name, whether they have room now or not.
+  //
+  // While the cell is full, a gang that knows a few allowed workers has to wait until most of what
+  // runs there has ended. Among many of them enough places become free at any time, so it asks
+  // until the allowed ones could hold it several times.
+  [[nodiscard]] std::size_t NamesWanted(const PlanUnit& unit) const {
+    const std::size_t minimum = MinNamedWorkers(unit);
+    if (!unit.gang || unit.request_kind != AdviceRequestKind::kLong) return minimum;
+    double places = 0.0;
+    double capacity = 0.0;
+    for (const KnownFit& known : m_known) {
+      places += FitCount(m_workers[known.worker].capacity, unit.size, unit.count);
+    }
+    for (const PlanWorker& worker : m_workers) {
+      if (worker.takes_work) capacity += FitCount(worker.capacity, unit.size, unit.count);
+    }
+    const double missing = kGangPlaces * unit.count - places;
+    const double each = unit.allowed_share * capacity / static_cast<double>(m_workers.size());
+    if (missing <= 0.0 || each <= 0.0) return minimum;
+    return std::clamp(static_cast<std::size_t>(missing / each), minimum,
+                      SlotsPerUnit(unit) * kPreferredNamedWorkersLong);
+  }
+
   static std::size_t MinNamedWorkers(const PlanUnit& unit) {
     return unit.request_kind == AdviceRequestKind::kLong ? kMinNamedWorkersLong : kMinNamedWorkers;
   }
@@ -561,6 +584,9 @@
   static constexpr double kGangAskFactor = 3.0;
   // The same while most request slots are idle.
   static constexpr double kBroadGangAskFactor = 6.0;
+  // A gang asks about workers until the allowed ones could hold it this many times while nothing
+  // else runs there.
+  static constexpr double kGangPlaces = 6.0;
   // Number of request slots that one unit uses at a time: at most the first, or one in
   // `kIdleSlotsPerSlot` idle ones, at most the second.
   static constexpr std::size_t kMinSlotsPerUnit = 4;
--- a/cell/run_time_estimator.h
+++ b/cell/run_time_estimator.h
@@ -21,6 +21,9 @@
   /// any run); while it has enough runs, but too few with an estimate, it is the mean.
   [[nodiscard]] milliseconds Expect(milliseconds declared) const;
 
+  /// @returns the number of runs that were added.
+  [[nodiscard]] std::uint64_t Count() const { return m_actual.count; }
+
  private:
   // Moving mean and variance.
   struct Moments {
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -292,6 +292,7 @@
   [[nodiscard]] milliseconds SendDelay() const;
   std::uint32_t PreferredRack(const Step& step);
   std::vector<PlanWorker> MakePlanWorkers();
+  void SetObjective(Job* job);
   bool AddUnits(Job* job, std::vector<PlanUnit>* units, std::vector<PlanWorker>* workers);
   void FillStepFields(Step* step, PlanUnit* unit);
   void FillWorkerFields(PlanUnit* unit);
--- a/cell/scheduler_plan.cc
+++ b/cell/scheduler_plan.cc
@@ -204,22 +204,32 @@
   return workers;
 }
 
+// Sets the objective of a job from what is known of its queue's run times by now. A scheduler that
+// has just taken over only knows the declared durations, which may be a tenth of the real ones:
+// with an objective from them a job would count as late for good, and wait behind all others.
+void Scheduler::SetObjective(Job* job) {
+  const schema::QueueSpec& queue = job->spec.queue();
+  const auto stats = m_queues.find(queue.name());
+  const std::uint64_t runs = stats == m_queues.end() ? 0 : stats->second.run_times.Count();
+  const bool is_set = job->objective != SteadyTime{};
+  if (is_set && runs < job->objective_runs + 1 + job->objective_runs / 8) return;
+  job->objective_runs = runs;
+  // The occurrences of a job are alike.
+  milliseconds critical_path{0};
+  if (!job->steps.empty()) {
+    for (const auto& step : StepsOf(*job, job->steps.front()->occurrence))
+      critical_path = std::max(critical_path, ExpectedCriticalPath(*step));
+  }
+  job->objective = job->arrived + milliseconds(queue.target_ms()) +
+                   std::chrono::duration_cast<milliseconds>(critical_path * queue.stretch());
+}
+
 // @returns whether a task of the job waits, or will after a pause.
 bool Scheduler::AddUnits(Job* job, std::vector<PlanUnit>* units, std::vector<PlanWorker>* workers) {
   if (job->IsFinal()) return false;
   bool has_unassigned = false;
   const SteadyTime now = m_hooks.now();
-  if (job->objective == SteadyTime{}) {
-    // The occurrences of a job are alike.
-    milliseconds critical_path{0};
-    if (!job->steps.empty()) {
-      for (const auto& step : StepsOf(*job, job->steps.front()->occurrence))
-        critical_path = std::max(critical_path, ExpectedCriticalPath(*step));
-    }
-    const schema::QueueSpec& queue = job->spec.queue();
-    job->objective = job->arrived + milliseconds(queue.target_ms()) +
-                     std::chrono::duration_cast<milliseconds>(critical_path * queue.stretch());
-  }
+  SetObjective(job);
   std::size_t runs_left =
       (kMaxAssignmentBytes - std::min(kMaxAssignmentBytes, job->assignment_bytes)) /
       kMaxAssignmentRowBytes;
