Tests of clients outside the limits, which fail on this code

tests/hostile_clients_test.sh starts a node with a stand-in of the store for each of 29 cases, connects a small crowd (citronsill_hostile), and checks while the crowd stays connected that the process lives, that its highest resident memory is within 64 MB and its descriptors within 1,000 (the settings of the node in the test), and that an ordinary request is answered. No times are checked. The settings of the limits are not known to this code yet; the script then starts the node without them.

--- /dev/null
+++ b/tests/hostile/crowd.cc
@@ -0,0 +1,131 @@
+#include "crowd.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <system_error>
+#include <utility>
+
+namespace citronsill::hostile {
+namespace {
+
+constexpr int kConnectWaitMs = 3000;
+
+bool WaitFor(int descriptor, std::int16_t events, int wait_ms) {
+  pollfd entry{descriptor, events, 0};
+  return poll(&entry, 1, wait_ms) > 0;
+}
+
+}  // namespace
+
+ProcessState ReadProcess(pid_t pid) {
+  ProcessState state;
+  const std::string folder = "/proc/" + std::to_string(pid);
+  std::ifstream status(folder + "/status");
+  std::string line;
+  while (std::getline(status, line)) {
+    if (!line.starts_with("VmHWM:")) continue;
+    state.lives = true;  // A process that has ended has no memory.
+    state.peak_resident_kib = std::strtoull(line.c_str() + sizeof("VmHWM:"), nullptr, 10);
+  }
+  std::error_code error;
+  for (std::filesystem::directory_iterator entry(folder + "/fd", error), end;
+       !error && entry != end; entry.increment(error)) {
+    ++state.descriptors;
+  }
+  return state;
+}
+
+Client::Client(std::uint16_t port, int receive_buffer_bytes) {
+  m_descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (m_descriptor < 0) return;
+  const int enabled = 1;
+  setsockopt(m_descriptor, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
+  if (receive_buffer_bytes > 0) {
+    setsockopt(m_descriptor, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes,
+               sizeof(receive_buffer_bytes));
+  }
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  if (connect(m_descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0) {
+    return;
+  }
+  int failure = 0;
+  socklen_t size = sizeof(failure);
+  if (errno != EINPROGRESS || !WaitFor(m_descriptor, POLLOUT, kConnectWaitMs) ||
+      getsockopt(m_descriptor, SOL_SOCKET, SO_ERROR, &failure, &size) != 0 || failure != 0) {
+    Close();
+  }
+}
+
+Client::~Client() { Close(); }
+
+Client::Client(Client&& other) noexcept : m_descriptor(std::exchange(other.m_descriptor, -1)) {}
+
+void Client::Close() {
+  if (m_descriptor >= 0) close(std::exchange(m_descriptor, -1));
+}
+
+std::size_t Client::Send(std::string_view bytes, int wait_ms) {
+  std::size_t sent = 0;
+  while (IsOpen() && sent < bytes.size()) {
+    const ssize_t count =
+        send(m_descriptor, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+    if (count >= 0) {
+      sent += static_cast<std::size_t>(count);
+    } else if (errno == EAGAIN) {
+      if (!WaitFor(m_descriptor, POLLOUT, wait_ms)) break;
+    } else {
+      Close();
+    }
+  }
+  return sent;
+}
+
+void Client::Discard() {
+  std::array<char, 16384> bytes{};
+  while (IsOpen()) {
+    const ssize_t count = recv(m_descriptor, bytes.data(), bytes.size(), 0);
+    if (count > 0) continue;
+    if (count == 0 || errno != EAGAIN) Close();
+    return;
+  }
+}
+
+unsigned Client::ReadStatus(int wait_ms) {
+  std::string text;
+  std::array<char, 16384> bytes{};
+  while (IsOpen() && WaitFor(m_descriptor, POLLIN, wait_ms)) {
+    const ssize_t count = recv(m_descriptor, bytes.data(), bytes.size(), 0);
+    if (count < 0 && errno == EAGAIN) continue;
+    if (count <= 0) {
+      Close();
+      return 0;
+    }
+    text.append(bytes.data(), static_cast<std::size_t>(count));
+    const std::size_t end = text.find("\r\n\r\n");
+    if (end == std::string::npos) continue;
+    const std::size_t length_at = text.find("Content-Length: ");
+    if (!text.starts_with("HTTP/1.1 ") || length_at == std::string::npos) return 0;
+    const std::size_t length =
+        std::strtoull(text.c_str() + length_at + sizeof("Content-Length: ") - 1, nullptr, 10);
+    if (text.size() < end + 4 + length) continue;
+    return static_cast<unsigned>(std::strtoul(text.c_str() + sizeof("HTTP/1.1 ") - 1, nullptr, 10));
+  }
+  return 0;
+}
+
+}  // namespace citronsill::hostile
--- /dev/null
+++ b/tests/hostile/crowd.h
@@ -0,0 +1,48 @@
+// Clients that do not keep to the limits of a server, and the state of the process that they are
+// connected to.
+#pragma once
+
+#include <sys/types.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace citronsill::hostile {
+
+// State of a process as its kernel reports it.
+struct ProcessState {
+  bool lives = false;
+  std::size_t peak_resident_kib = 0;  // VmHWM: the highest resident memory so far.
+  std::size_t descriptors = 0;        // Open descriptors now.
+};
+
+ProcessState ReadProcess(pid_t pid);
+
+// One connection to "127.0.0.1:port". Calls wait only where they say so.
+class Client {
+ public:
+  // @param receive_buffer_bytes size of the kernel's buffer for received bytes; 0 for its default.
+  explicit Client(std::uint16_t port, int receive_buffer_bytes = 0);
+  ~Client();
+  Client(Client&& other) noexcept;
+  Client& operator=(Client&&) = delete;
+
+  // @returns whether the connection was made and the peer has not closed or reset it.
+  [[nodiscard]] bool IsOpen() const { return m_descriptor >= 0; }
+  // Sends as much as the peer takes, waiting up to `wait_ms` for each part. @returns the number of
+  // bytes sent; the connection counts as closed when it was reset.
+  std::size_t Send(std::string_view bytes, int wait_ms);
+  // Reads and discards what has arrived.
+  void Discard();
+  // Reads until the end of an answer with Content-Length, or until `wait_ms` pass without a byte.
+  // @returns the status of the answer, 0 when there was none.
+  unsigned ReadStatus(int wait_ms);
+
+ private:
+  void Close();
+  int m_descriptor = -1;
+};
+
+}  // namespace citronsill::hostile
--- /dev/null
+++ b/tests/hostile/main.cc
@@ -0,0 +1,377 @@
+// Clients and servers outside the limits of the platform's pages, for
+// tests/hostile_clients_test.sh.
+//
+//   citronsill_hostile platform [--endless-workers PART]   store and policy service of one node;
+//                                                          prints their addresses
+//   citronsill_hostile endless PART                        a server whose answers do not end
+//   citronsill_hostile CASE --pid PID --target PORT ...    a crowd of clients
+//
+// A case connects its crowd, and while the crowd stays connected it checks that the process lives,
+// that its resident memory and its descriptors stayed within the bounds, and that an ordinary
+// request is answered. It checks no times.
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <boost/program_options.hpp>
+#include <csignal>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <thread>
+
+#include "../soak/platform.h"
+#include "crowd.h"
+#include "endless_server.h"
+
+namespace options = boost::program_options;
+
+namespace citronsill::hostile {
+namespace {
+
+// Limits of callers' requests in the configuration that the stand-in of the store serves. The
+// time-outs are longer than a case, so that no case passes because its connections expired.
+constexpr const char* kConfiguration =
+    R"({"version":2,"routes":[{"name":"short","host":"cell.example","prefix":"/short/",)"
+    R"("timeoutMs":3000,"service":"pool","attempts":3,"priority":0,"stretch":1.5,)"
+    R"("targetDurationMs":250}],"services":[{"name":"pool","admissionCheck":false}],)"
+    R"("limits":{"maxHeaderBytes":8192,"maxBodyBytes":262144,"headerTimeoutMs":120000,)"
+    R"("idleTimeoutMs":120000}})";
+constexpr std::size_t kMaxBodyBytes = 262144;
+// The stand-ins end by themselves after this time, should the script not end them.
+constexpr std::chrono::seconds kMaxRunTime{600};
+constexpr int kEndlessWorkers = 8;
+// A peer that takes no byte for this time is taken to read no more.
+constexpr int kSendWaitMs = 500;
+constexpr std::size_t kPieceBytes = 64U << 10;
+// A case that has shown its fault stops, so that a process without limits does not take the memory
+// of the machine that runs the test.
+constexpr std::size_t kStopFactor = 4;
+constexpr int kOrdinaryAttempts = 20;
+constexpr int kOrdinaryWaitMs = 10000;
+constexpr std::chrono::milliseconds kSamplePeriod{100};
+constexpr int kSettledSamples = 10;
+constexpr int kSamplesWithoutCrowd = 30;
+// Connections of the crowds.
+constexpr int kEndlessClients = 4;
+constexpr std::size_t kEndlessBytes = 24U << 20;
+constexpr int kClients = 600;
+constexpr int kSlowClients = 200;
+constexpr std::size_t kSlowHeaderBytes = 1200;
+constexpr int kIdleClients = 1300;
+constexpr int kPipelineClients = 100;
+constexpr std::size_t kPipelineBytes = 512U << 10;
+constexpr int kLinkClients = 100;
+constexpr std::size_t kLinkFrameBytes = 2U << 20;
+// Bytes that a small receive buffer of a client that does not read holds.
+constexpr int kSmallReceiveBuffer = 4096;
+
+struct CaseOptions {
+  pid_t pid = 0;
+  std::uint16_t target = 0;         // Port that the crowd connects to.
+  std::uint16_t ordinary = 0;       // Port of the ordinary request.
+  std::string ordinary_path;        // Its target.
+  unsigned expected_status = 200;   // Its answer.
+  std::size_t memory_kib = 0;       // Bound of the resident memory.
+  std::size_t max_descriptors = 0;  // Bound of the open descriptors.
+};
+
+std::string Head(const std::string& method, const std::string& fields) {
+  return method + " /short/ HTTP/1.1\r\nHost: cell.example\r\n" + fields + "\r\n";
+}
+
+class Crowd {
+ public:
+  explicit Crowd(const CaseOptions& case_options) : m_options(case_options) {}
+
+  // Connects and sends `opening`, on `count` connections.
+  void Connect(int count, const std::string& opening, int receive_buffer_bytes = 0) {
+    for (int i = 0; i < count && !IsOverBound(); ++i) {
+      m_clients.emplace_back(m_options.target, receive_buffer_bytes);
+      m_clients.back().Send(opening, kSendWaitMs);
+      Observe();
+    }
+  }
+
+  // Sends the piece on each connection in turn, until each has sent `bytes` or is closed.
+  void SendInTurn(const std::string& piece, std::size_t bytes) {
+    for (std::size_t sent = 0; sent < bytes && !IsOverBound(); sent += piece.size()) {
+      bool is_any_open = false;
+      for (Client& client : m_clients) {
+        client.Send(piece, kSendWaitMs);
+        is_any_open = is_any_open || client.IsOpen();
+      }
+      Observe();
+      if (!is_any_open) return;
+    }
+  }
+
+  // Waits until the process has read what was sent: until its state has not changed for a while.
+  void Settle() {
+    for (int unchanged = 0; unchanged < kSettledSamples && !IsOverBound(); ++unchanged) {
+      const auto [before_kib, before_descriptors] = std::pair(m_peak_kib, m_peak_descriptors);
+      std::this_thread::sleep_for(kSamplePeriod);
+      Observe();
+      if (m_peak_kib != before_kib || m_peak_descriptors != before_descriptors) unchanged = 0;
+    }
+  }
+
+  void DiscardAnswers() {
+    for (Client& client : m_clients) client.Discard();
+  }
+
+  void Observe() {
+    const ProcessState state = ReadProcess(m_options.pid);
+    m_lives = m_lives && state.lives;
+    m_peak_kib = std::max(m_peak_kib, state.peak_resident_kib);
+    m_peak_descriptors = std::max(m_peak_descriptors, state.descriptors);
+  }
+
+  // @returns what did not hold, empty when all held.
+  std::vector<std::string> Check() {
+    unsigned status = 0;
+    for (int attempt = 0; attempt < kOrdinaryAttempts && m_lives; ++attempt) {
+      Client client(m_options.ordinary);
+      client.Send("GET " + m_options.ordinary_path + " HTTP/1.1\r\nHost: cell.example\r\n\r\n",
+                  kSendWaitMs);
+      status = client.ReadStatus(kOrdinaryWaitMs);
+      Observe();
+      if (status == m_options.expected_status) break;
+      std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    }
+    Observe();
+    std::vector<std::string> failures;
+    if (!m_lives) failures.emplace_back("the process ended");
+    if (m_peak_kib > m_options.memory_kib) {
+      failures.push_back(
+          fmt::format("{} KiB resident, bound {}", m_peak_kib, m_options.memory_kib));
+    }
+    if (m_peak_descriptors > m_options.max_descriptors) {
+      failures.push_back(
+          fmt::format("{} descriptors, bound {}", m_peak_descriptors, m_options.max_descriptors));
+    }
+    if (status != m_options.expected_status) {
+      failures.push_back(fmt::format("an ordinary request got status {}, expected {}", status,
+                                     m_options.expected_status));
+    }
+    return failures;
+  }
+
+  [[nodiscard]] std::string Summary() const {
+    return fmt::format("{} KiB resident, {} descriptors", m_peak_kib, m_peak_descriptors);
+  }
+
+ private:
+  [[nodiscard]] bool IsOverBound() const {
+    return !m_lives || m_peak_kib > kStopFactor * m_options.memory_kib;
+  }
+
+  CaseOptions m_options;
+  std::vector<Client> m_clients;
+  bool m_lives = true;
+  std::size_t m_peak_kib = 0;
+  std::size_t m_peak_descriptors = 0;
+};
+
+// Small fields up to a little less than the limit of the header.
+std::string ManyFields() {
+  std::string fields;
+  while (fields.size() < 8000) fields.append("a:b\r\n");
+  return fields;
+}
+
+const std::map<std::string, std::function<void(Crowd&)>>& Cases() {
+  static const std::string chunked = Head("POST", "Transfer-Encoding: chunked\r\n");
+  static const std::string sized =
+      Head("POST", fmt::format("Content-Length: {}\r\n", kMaxBodyBytes));
+  static const std::map<std::string, std::function<void(Crowd&)>> cases{
+      // Trailers without end behind a chunked body.
+      {"trailers",
+       [](Crowd& crowd) {
+         crowd.Connect(kEndlessClients, chunked + "1\r\nx\r\n0\r\n");
+         crowd.SendInTurn("X-Filler: " + std::string(kPieceBytes, 'x') + "\r\n", kEndlessBytes);
+       }},
+      // A chunk extension without end.
+      {"extension",
+       [](Crowd& crowd) {
+         crowd.Connect(kEndlessClients, chunked + "1;");
+         crowd.SendInTurn(std::string(kPieceBytes, 'x'), kEndlessBytes);
+       }},
+      // A long extension on each of many small chunks.
+      {"extensions",
+       [](Crowd& crowd) {
+         crowd.Connect(kEndlessClients, chunked);
+         crowd.SendInTurn("1;" + std::string(4000, 'x') + "\r\nx\r\n", kEndlessBytes);
+       }},
+      // Headers that arrive a byte at a time and have no end.
+      {"slow-headers",
+       [](Crowd& crowd) {
+         crowd.Connect(kSlowClients, "GET /short/ HTTP/1.1\r\nX-Filler: ");
+         crowd.SendInTurn("x", kSlowHeaderBytes);
+       }},
+      // Headers of many small fields, which take much more memory than their bytes.
+      {"many-fields",
+       [](Crowd& crowd) {
+         crowd.Connect(kClients, "POST /short/ HTTP/1.1\r\nContent-Length: 100\r\n" + ManyFields() +
+                                     "\r\nhalf");
+       }},
+      // Bodies that lack their last bytes.
+      {"half-bodies",
+       [](Crowd& crowd) { crowd.Connect(kClients, sized + std::string(262000, 'x')); }},
+      {"half-chunked-bodies",
+       [](Crowd& crowd) {
+         crowd.Connect(kClients, chunked + "3ff00\r\n" + std::string(0x3ff00, 'x'));
+       }},
+      // Connections that send nothing.
+      {"idle", [](Crowd& crowd) { crowd.Connect(kIdleClients, ""); }},
+      // Requests whose answers are not read.
+      {"unread-answers",
+       [](Crowd& crowd) {
+         crowd.Connect(kClients, "", kSmallReceiveBuffer);
+         std::string requests;
+         while (requests.size() < kPieceBytes) requests += "GET /metrics HTTP/1.1\r\n\r\n";
+         crowd.SendInTurn(requests.substr(0, 8192), 16384);
+       }},
+      // Many requests at once, whose answers are read later.
+      {"pipeline",
+       [](Crowd& crowd) {
+         std::string requests;
+         while (requests.size() < kPieceBytes) requests += Head("GET", "");
+         crowd.Connect(kPipelineClients, "");
+         for (std::size_t sent = 0; sent < kPipelineBytes; sent += requests.size()) {
+           crowd.SendInTurn(requests, requests.size());
+           crowd.DiscardAnswers();
+         }
+       }},
+      // Connections between instances that begin a large message and do not end it.
+      {"half-frames",
+       [](Crowd& crowd) {
+         std::string frame;
+         for (int shift = 24; shift >= 0; shift -= 8) {
+           frame.push_back(static_cast<char>(kLinkFrameBytes >> static_cast<unsigned>(shift)));
+         }
+         crowd.Connect(kLinkClients, frame);
+         crowd.SendInTurn(std::string(kPieceBytes, 'x'), kLinkFrameBytes - kPieceBytes);
+       }},
+      // No crowd: what the node calls does not end its answers.
+      {"none",
+       [](Crowd& crowd) {
+         for (int i = 0; i < kSamplesWithoutCrowd; ++i) {
+           crowd.Observe();
+           std::this_thread::sleep_for(kSamplePeriod);
+         }
+       }},
+  };
+  return cases;
+}
+
+int RunCase(const std::string& name, const CaseOptions& case_options) {
+  const auto found = Cases().find(name);
+  if (found == Cases().end()) {
+    std::cerr << "citronsill_hostile: no case " << name << '\n';
+    return 2;
+  }
+  Crowd crowd(case_options);
+  found->second(crowd);
+  crowd.Settle();
+  const std::vector<std::string> failures = crowd.Check();
+  std::cout << "# " << name << ": " << crowd.Summary() << '\n';
+  for (const std::string& failure : failures) std::cout << "# " << name << ": " << failure << '\n';
+  return failures.empty() ? 0 : 1;
+}
+
+std::optional<EndlessPart> ParsePart(const std::string& name) {
+  if (name == "headers") return EndlessPart::kHeaders;
+  if (name == "body") return EndlessPart::kBody;
+  if (name == "extension") return EndlessPart::kExtension;
+  if (name == "trailers") return EndlessPart::kTrailers;
+  return std::nullopt;
+}
+
+// Runs until SIGTERM. @returns the exit code.
+int RunUntilTerminated(Runtime& runtime, TimerService& timers) {
+  runtime.OnTerminate([&runtime](int) { runtime.Stop(); });
+  timers.After(kMaxRunTime, [&runtime](SteadyTime) { runtime.Stop(); });
+  runtime.Run();
+  return 0;
+}
+
+int RunEndless(const std::string& part_name) {
+  const auto part = ParsePart(part_name);
+  auto runtime = Runtime::Create(1);
+  if (!part || !runtime) return 2;
+  auto timers = TimerService::Create(*runtime.value());
+  if (!timers) return 2;
+  const auto server = std::make_shared<EndlessServer>(runtime.value()->Context(), *part);
+  std::cout << server->Listen() << std::endl;
+  return RunUntilTerminated(*runtime.value(), *timers.value());
+}
+
+int RunPlatform(const std::string& endless_part) {
+  auto runtime = Runtime::Create(1);
+  if (!runtime) return 2;
+  auto timers = TimerService::Create(*runtime.value());
+  if (!timers) return 2;
+  auto platform =
+      soak::Platform::Create(*runtime.value(), *timers.value(), 1, 1, 1, milliseconds(6000));
+  if (!platform) return 2;
+  soak::Platform& services = *platform.value();
+  services.actual_behavior = [](const TaskRef&) { return model::TaskBehavior{}; };
+  services.store.Apply(RowTransaction{{}, {Row{{"op", "", "config"}, kConfiguration}}, {}});
+  std::shared_ptr<EndlessServer> endless;
+  if (const auto part = ParsePart(endless_part); part) {
+    endless = std::make_shared<EndlessServer>(runtime.value()->Context(), *part);
+    const std::string address = endless->Listen();
+    for (int i = 0; i < kEndlessWorkers; ++i) {
+      const std::string text = fmt::format(
+          R"({{"service":"pool","address":"{}","zone":"a","state":"ready","machine":"e{}",)"
+          R"("born":1790000000000,"drainRemainingMs":0,"labels":["a","r1"],)"
+          R"("capacity":{{"cpu":8000,"memMb":8000}}}})",
+          address, i);
+      services.store.Apply(
+          RowTransaction{{}, {Row{{"servers", "", fmt::format("endless{}", i)}, text}}, {}});
+    }
+  }
+  std::cout << services.instance_services[0]->store.Address() << ' '
+            << services.instance_services[0]->advice.Address() << std::endl;
+  return RunUntilTerminated(*runtime.value(), *timers.value());
+}
+
+int Main(int argc, char** argv) {
+  CaseOptions case_options;
+  std::string mode;
+  std::string part;
+  options::options_description description("citronsill_hostile");
+  auto add = description.add_options();
+  add("mode", options::value(&mode)->required(), "platform, endless or the name of a case");
+  add("part", options::value(&part)->default_value(""),
+      "what does not end: headers, body, extension or trailers");
+  add("pid", options::value(&case_options.pid), "process whose state is checked");
+  add("target", options::value(&case_options.target), "port that the crowd connects to");
+  add("ordinary", options::value(&case_options.ordinary), "port of the ordinary request");
+  add("path", options::value(&case_options.ordinary_path)->default_value("/short/"),
+      "target of the ordinary request");
+  add("expect", options::value(&case_options.expected_status)->default_value(200),
+      "status of its answer");
+  add("memory-kib", options::value(&case_options.memory_kib), "bound of the resident memory");
+  add("descriptors", options::value(&case_options.max_descriptors), "bound of open descriptors");
+  options::positional_options_description positions;
+  positions.add("mode", 1).add("part", 1);
+  options::variables_map values;
+  try {
+    options::store(
+        options::command_line_parser(argc, argv).options(description).positional(positions).run(),
+        values);
+    options::notify(values);
+  } catch (const options::error& error) {
+    std::cerr << "citronsill_hostile: " << error.what() << '\n';
+    return 2;
+  }
+  if (mode == "platform") return RunPlatform(part);
+  if (mode == "endless") return RunEndless(part);
+  return RunCase(mode, case_options);
+}
+
+}  // namespace
+}  // namespace citronsill::hostile
+
+int main(int argc, char** argv) { return citronsill::hostile::Main(argc, argv); }
