--- a/tests/hostile/main.cc
+++ b/tests/hostile/main.cc
@@ -4,6 +4,8 @@
 //   citronsill_hostile platform [--endless-workers PART]   store and policy service of one node;
 //                                                          prints their addresses
 //   citronsill_hostile endless PART                        a server whose answers do not end
+//   citronsill_hostile requests --count N                  a server and N ordinary requests, whose
+//                                                          instructions valgrind counts
 //   citronsill_hostile CASE --pid PID --target PORT ...    a crowd of clients
 //
 // A case connects its crowd, and while the crowd stays connected it checks that the process lives,
@@ -48,6 +50,9 @@
 constexpr std::size_t kStopFactor = 4;
 constexpr int kOrdinaryAttempts = 20;
 constexpr int kOrdinaryWaitMs = 10000;
+// The request of `requests`: a job with a few steps.
+constexpr std::size_t kOrdinaryBodyBytes = 500;
+constexpr std::chrono::milliseconds kOrdinaryTimeout{60000};
 constexpr std::chrono::milliseconds kSamplePeriod{100};
 constexpr int kSettledSamples = 10;
 constexpr int kSamplesWithoutCrowd = 30;
@@ -336,10 +341,46 @@
   return RunUntilTerminated(*runtime.value(), *timers.value());
 }
 
+// Sends ordinary requests to a server in this process, one after the other on one connection. What
+// one request takes is the difference between the instructions of two counts, divided by theirs.
+int RunRequests(int count) {
+  auto runtime = Runtime::Create(1);
+  if (!runtime) return 2;
+  HttpServerOptions server_options;
+  server_options.address = "127.0.0.1:0";
+  auto server = HttpServer::Create(*runtime.value(), server_options,
+                                   [](const HttpRequest& request, const HttpReply& reply) {
+                                     HttpResponse response;
+                                     response.body = request.body;
+                                     reply(std::move(response));
+                                   });
+  if (!server) return 2;
+  HttpClientOptions client_options;
+  client_options.address = fmt::format("127.0.0.1:{}", server.value()->Port());
+  auto client = HttpClient::Create(*runtime.value(), client_options);
+  if (!client) return 2;
+  HttpRequest request;
+  request.method = "POST";
+  request.target = "/short/5c0e7a21d94b36f8";
+  request.host = "cell.example";
+  request.body = std::string(kOrdinaryBodyBytes, 'x');
+  int answered = 0;
+  std::function<void()> send = [&] {
+    client.value()->Send(request, kOrdinaryTimeout, [&](const Result<HttpResponse>& response) {
+      if (!response || ++answered == count) return runtime.value()->Stop();
+      send();
+    });
+  };
+  send();
+  runtime.value()->Run();
+  return answered == count ? 0 : 1;
+}
+
 int Main(int argc, char** argv) {
   CaseOptions case_options;
   std::string mode;
   std::string part;
+  int request_count = 0;
   options::options_description description("citronsill_hostile");
   auto add = description.add_options();
   add("mode", options::value(&mode)->required(), "platform, endless or the name of a case");
@@ -354,6 +395,7 @@
       "status of its answer");
   add("memory-kib", options::value(&case_options.memory_kib), "bound of the resident memory");
   add("descriptors", options::value(&case_options.max_descriptors), "bound of open descriptors");
+  add("count", options::value(&request_count)->default_value(1000), "number of requests");
   options::positional_options_description positions;
   positions.add("mode", 1).add("part", 1);
   options::variables_map values;
@@ -368,6 +410,7 @@
   }
   if (mode == "platform") return RunPlatform(part);
   if (mode == "endless") return RunEndless(part);
+  if (mode == "requests") return RunRequests(request_count);
   return RunCase(mode, case_options);
 }
 
