--- /dev/null
+++ b/cell/connection_limits.cc
@@ -0,0 +1,127 @@
+#include "cell/connection_limits.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cell/log.h"
+#include "cell/metrics.h"
+
+namespace citronsill {
+namespace {
+
+constexpr std::size_t kMib = 1U << 20;
+// A process takes 25 to 95 MB without its connections; the scheduler of a grown cell takes most.
+constexpr std::size_t kProcessMb = 96;
+// Part of the memory that connections get on machines on which little or nothing is left beside
+// that, the reciprocal. Such a machine seldom schedules, as stronger ones claim first.
+constexpr std::size_t kMinConnectionsPart = 4;
+// The platform keeps this many descriptors for files.
+constexpr std::uint32_t kFileDescriptors = 200;
+// Parts of the descriptors for callers and for links, the reciprocals. The rest is for connections
+// to workers, up to six each, and to the store. A process on the smallest machine has 2,875: 958
+// callers and 359 links.
+constexpr std::uint32_t kCallersPart = 3;
+constexpr std::uint32_t kLinksPart = 8;
+constexpr std::size_t kMinConnections = 16;
+// Interval of the log lines about limits that were exceeded.
+constexpr std::chrono::milliseconds kReportPeriod{1000};
+
+std::size_t BytesOf(std::uint32_t mb, std::size_t worked_out) {
+  return mb > 0 ? mb * kMib : worked_out;
+}
+
+}  // namespace
+
+ProcessLimits WorkOutLimits(const LimitSettings& settings) {
+  ProcessLimits limits;
+  if (settings.memory_mb > 0) {
+    const std::size_t memory_mb = settings.memory_mb;
+    const std::size_t spare_mb =
+        std::max(memory_mb / kMinConnectionsPart, memory_mb - std::min(memory_mb, kProcessMb));
+    // Callers and answers may hold three eighths each, links the remaining quarter.
+    limits.connection_bytes = spare_mb * kMib / 8 * 3;
+    limits.answer_bytes = limits.connection_bytes;
+    limits.link_bytes = spare_mb * kMib / 4;
+  }
+  limits.connection_bytes = BytesOf(settings.connection_budget_mb, limits.connection_bytes);
+  limits.answer_bytes = BytesOf(settings.answer_budget_mb, limits.answer_bytes);
+  limits.link_bytes = BytesOf(settings.link_budget_mb, limits.link_bytes);
+  limits.max_answer_bytes = settings.max_answer_mb * kMib;
+  limits.max_service_connections = settings.max_service_connections;
+  if (settings.max_descriptors > 0) {
+    const std::size_t sockets =
+        settings.max_descriptors - std::min(settings.max_descriptors, kFileDescriptors);
+    limits.max_caller_connections =
+        std::clamp(sockets / kCallersPart, kMinConnections, kMaxHttpConnections);
+    limits.max_links = std::max(sockets / kLinksPart, kMinConnections);
+  }
+  if (settings.max_caller_connections > 0) {
+    limits.max_caller_connections = settings.max_caller_connections;
+  }
+  if (settings.max_links > 0) limits.max_links = settings.max_links;
+  return limits;
+}
+
+std::shared_ptr<ConnectionLimits> ConnectionLimits::Create(const LimitSettings& settings,
+                                                           TimerService& timers) {
+  std::shared_ptr<ConnectionLimits> created(new ConnectionLimits(settings, timers));
+  created->m_timer = timers.Every(kReportPeriod, [weak = std::weak_ptr(created)](SteadyTime) {
+    if (const auto self = weak.lock()) self->LogExceeded();
+  });
+  return created;
+}
+
+ConnectionLimits::ConnectionLimits(const LimitSettings& settings, TimerService& timers)
+    : limits(WorkOutLimits(settings)),
+      connections(std::make_shared<ConnectionBudget>(
+          ConnectionBudgetLimits{limits.connection_bytes, settings.slow_connection})),
+      answers(std::make_shared<ConnectionBudget>(
+          ConnectionBudgetLimits{limits.answer_bytes, settings.slow_connection})),
+      links(std::make_shared<ConnectionBudget>(
+          ConnectionBudgetLimits{limits.link_bytes, settings.slow_connection})),
+      m_timers(timers) {}
+
+ConnectionLimits::~ConnectionLimits() { m_timers.Cancel(m_timer); }
+
+HttpOnLimit ConnectionLimits::Reporter(std::string party) {
+  return [weak = weak_from_this(), party = std::move(party)](std::string_view limit) {
+    NodeMetrics::Get().CountLimit(party.c_str(), std::string(limit));
+    const auto self = weak.lock();
+    if (!self) return;
+    Exceeded& exceeded = self->m_exceeded[party + " " + std::string(limit)];
+    ++exceeded.since_line;
+    ++exceeded.total;
+  };
+}
+
+void ConnectionLimits::LogExceeded() {
+  for (auto& [key, exceeded] : m_exceeded) {
+    if (exceeded.since_line == 0) continue;
+    const std::size_t space = key.find(' ');
+    Log(LogLevel::kWarn, "limit-exceeded")
+        .Field("party", key.substr(0, space))
+        .Field("limit", key.substr(space + 1))
+        .Field("times", std::exchange(exceeded.since_line, 0))
+        .Field("total", exceeded.total)
+        .Field("connection_bytes", connections->Bytes())
+        .Field("answer_bytes", answers->Bytes())
+        .Field("link_bytes", links->Bytes());
+  }
+}
+
+void ApplyLimits(const ConnectionLimitsPtr& limits, const char* party, HttpClientOptions* options) {
+  if (!limits) return;
+  options->max_answer_bytes = limits->limits.max_answer_bytes;
+  options->budget = limits->answers;
+  options->on_limit = limits->Reporter(party);
+}
+
+void ApplyLimits(const ConnectionLimitsPtr& limits, const char* party, std::size_t max_connections,
+                 HttpServerOptions* options) {
+  if (!limits) return;
+  options->max_connections = max_connections;
+  options->budget = limits->connections;
+  options->on_limit = limits->Reporter(party);
+}
+
+}  // namespace citronsill
--- a/cell/link.cc
+++ b/cell/link.cc
@@ -22,6 +22,14 @@
 
 constexpr std::size_t kFrameHeaderBytes = 4;
 constexpr std::size_t kReadBytes = 16U << 10;
+// A `Hello` has a few names and addresses, each of at most 200 bytes.
+constexpr std::size_t kMaxHelloBytes = 16U << 10;
+// Memory of a link that has received nothing, as the budget counts it: the buffer that it reads
+// into and its state.
+constexpr std::size_t kIdleLinkBytes = kReadBytes + (2U << 10);
+// A link whose peer is known may be closed for its memory only while it holds more than this of a
+// message that has not arrived whole. It keeps a buffer of up to this size.
+constexpr std::size_t kLargeFrameBytes = 64U << 10;
 
 // Limits how long sent data may stay unacknowledged: a machine that lost power does not reset its
 // connections.
@@ -35,13 +43,20 @@
 struct LinkService::Impl : std::enable_shared_from_this<Impl> {
   class Connection;
 
-  Impl(Runtime& runtime, TimerService& timer_service, schema::Hello hello, LinkHooks link_hooks)
+  Impl(Runtime& runtime, TimerService& timer_service, schema::Hello hello, LinkHooks link_hooks,
+       LinkLimits link_limits)
       : context(runtime.Context()),
         timers(timer_service),
         acceptor(context),
         accept_retry_timer(context),
         self(std::move(hello)),
-        hooks(std::move(link_hooks)) {}
+        hooks(std::move(link_hooks)),
+        limits(std::move(link_limits)) {
+    if (!limits.budget) {
+      limits.budget = std::make_shared<ConnectionBudget>(ConnectionBudgetLimits{});
+    }
+    accepted->max_connections = limits.max_accepted;
+  }
 
   asio::io_context& context;
   TimerService& timers;
@@ -49,6 +64,8 @@
   asio::steady_timer accept_retry_timer;
   schema::Hello self;
   LinkHooks hooks;
+  LinkLimits limits;
+  std::shared_ptr<ConnectionGroup> accepted = std::make_shared<ConnectionGroup>();
   std::unordered_set<std::shared_ptr<Connection>> connections;
   TimerId maintain_timer;
   bool stopping = false;
@@ -57,6 +74,9 @@
   void Accept();
   void Add(const std::shared_ptr<Connection>& connection);
   void MaintainAll();
+  void ReportLimit(std::string_view limit) const {
+    if (limits.on_limit) limits.on_limit(limit);
+  }
 };
 
 class LinkService::Impl::Connection : public Link, public std::enable_shared_from_this<Connection> {
@@ -99,6 +119,7 @@
   void Close(const std::string& reason) override {
     if (m_closed) return;
     m_closed = true;
+    m_share.reset();
     error_code ignored;
     m_socket.close(ignored);
     const std::shared_ptr<Connection> self = shared_from_this();
@@ -125,6 +146,7 @@
     SetUserTimeout(&m_socket, kLinkSilence);
     m_connected = true;
     m_heard = BootNow();
+    m_connected_at = m_heard;
     if (const auto service = m_service.lock()) {
       schema::LinkMessage hello;
       *hello.mutable_hello() = service->self;
@@ -137,6 +159,17 @@
     Read();
   }
 
+  // Joins the budget, as a link that was accepted. @returns false when there is no room.
+  bool JoinBudget(const Impl& service) {
+    m_share = service.limits.budget->Join(service.accepted, kIdleLinkBytes,
+                                          std::chrono::steady_clock::now(),
+                                          [weak = weak_from_this()](const Eviction&) {
+                                            if (const auto evicted = weak.lock(); evicted)
+                                              evicted->OnEvict();
+                                          });
+    return m_share != nullptr;
+  }
+
   void Connect(const Tcp::endpoint& endpoint) {
     m_socket.async_connect(endpoint, [self = shared_from_this()](error_code error) {
       if (self->m_closed) return;
@@ -150,6 +183,11 @@
   void Maintain() {
     const SteadyTime now = BootNow();
     if (now > m_heard + kLinkSilence) return Close("silent");
+    // A client that sends a byte at a time is not silent.
+    if (m_connected && !IsOpen() && now > m_connected_at + kLinkSilence) {
+      ReportLimit("link-hello");
+      return Close("no Hello");
+    }
     std::vector<Reply> expired;
     for (auto it = m_calls.begin(); it != m_calls.end();) {
       if (it->second.deadline > now) {
@@ -216,7 +254,8 @@
       for (std::size_t i = 0; i < kFrameHeaderBytes; ++i) {
         length = (length << 8U) | static_cast<unsigned char>(m_in[offset + i]);
       }
-      if (length > kMaxLinkFrameBytes) {
+      if (length > (IsOpen() ? kMaxLinkFrameBytes : kMaxHelloBytes)) {
+        ReportLimit("link-frame");
         Close("a received frame exceeds the size limit");
         return false;
       }
@@ -234,7 +273,39 @@
       if (m_closed) return false;
     }
     m_in.erase(0, offset);
-    return true;
+    if (m_in.size() <= kLargeFrameBytes && m_in.capacity() > 2 * kLargeFrameBytes) {
+      m_in.shrink_to_fit();
+    }
+    return UpdateBudget();
+  }
+
+  // Tells the budget what the link holds. A known peer without part of a large message is not
+  // evicted. @returns false when the link was closed.
+  bool UpdateBudget() {
+    if (!m_share) return true;
+    const bool is_large = m_in.size() > kLargeFrameBytes;
+    if (!is_large && !m_is_large && IsOpen() == m_is_known) return true;
+    m_is_large = is_large;
+    m_is_known = IsOpen();
+    const ConnectionState state = is_large     ? ConnectionState::kReading
+                                  : m_is_known ? ConnectionState::kAnswering
+                                               : ConnectionState::kIdle;
+    if (m_share->Set(state, kIdleLinkBytes + m_in.capacity(), std::chrono::steady_clock::now())) {
+      return true;
+    }
+    OnEvict();
+    return false;
+  }
+
+  void OnEvict() {
+    ReportLimit("link-evicted");
+    // The budget calls this in the middle of what another link does.
+    asio::post(m_socket.get_executor(),
+               [self = shared_from_this()] { self->Close("the limits of links are exceeded"); });
+  }
+
+  void ReportLimit(std::string_view limit) const {
+    if (const auto service = m_service.lock()) service->ReportLimit(limit);
   }
 
   void HandleMessage(const schema::LinkMessage& message) {
@@ -268,6 +339,10 @@
   std::string m_sending;
   std::unordered_map<std::uint64_t, PendingCall> m_calls;
   std::uint64_t m_last_call = 0;
+  SteadyTime m_connected_at{};
+  std::unique_ptr<ConnectionBudget::Share> m_share;  // Null for links that this instance opened.
+  bool m_is_large = false;  // The budget knows that the link holds part of a large message.
+  bool m_is_known = false;  // The budget knows that the `Hello` has arrived.
   bool m_connected = false;
   bool m_writing = false;
   bool m_closed = false;
@@ -297,8 +372,12 @@
       return;
     }
     auto connection = std::make_shared<Connection>(self, std::move(socket));
-    self->Add(connection);
-    connection->OnConnected();
+    if (connection->JoinBudget(*self)) {
+      self->Add(connection);
+      connection->OnConnected();
+    } else {
+      self->ReportLimit("links");
+    }
     self->Accept();
   });
 }
@@ -314,8 +393,10 @@
 
 Result<std::unique_ptr<LinkService>> LinkService::Create(Runtime& runtime, TimerService& timers,
                                                          const std::string& address,
-                                                         schema::Hello self, LinkHooks hooks) {
-  auto impl = std::make_shared<Impl>(runtime, timers, std::move(self), std::move(hooks));
+                                                         schema::Hello self, LinkHooks hooks,
+                                                         LinkLimits limits) {
+  auto impl =
+      std::make_shared<Impl>(runtime, timers, std::move(self), std::move(hooks), std::move(limits));
   BOOST_OUTCOME_TRY(impl->Listen(address));
   impl->Accept();
   impl->maintain_timer =
--- a/cell/link.h
+++ b/cell/link.h
@@ -6,8 +6,10 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "cell/types.h"
+#include "citronsill/connection_budget.h"
 #include "citronsill/result.h"
 #include "citronsill/runtime.h"
 #include "citronsill/timer.h"
@@ -55,6 +57,18 @@
   std::function<schema::Ping(const LinkPtr&)> make_ping;
 };
 
+/// Limits on the links that other processes open. Links that this instance opens do not count.
+struct LinkLimits {
+  /// A further link replaces one whose peer has not sent its `Hello`; without one, it is closed.
+  std::size_t max_accepted = ConnectionBudgetLimits::kUnlimited;
+  /// Budget of what the links have received and not handled; null for one without limit. The link
+  /// that holds most is closed.
+  std::shared_ptr<ConnectionBudget> budget;
+  /// Called when a limit is exceeded. @param limit "links", "link-evicted", "link-frame" or
+  /// "link-hello". May be empty.
+  std::function<void(std::string_view limit)> on_limit;
+};
+
 /// Accepts and opens links.
 class LinkService {
  public:
@@ -64,7 +78,7 @@
   /// when it cannot be listened on.
   static Result<std::unique_ptr<LinkService>> Create(Runtime& runtime, TimerService& timers,
                                                      const std::string& address, schema::Hello self,
-                                                     LinkHooks hooks);
+                                                     LinkHooks hooks, LinkLimits limits = {});
   ~LinkService();
 
   /// Connects to another instance. `on_open` or `on_closed` follows.
--- a/cell/metrics.cc
+++ b/cell/metrics.cc
@@ -118,6 +118,10 @@
                               .Name("citronsill_answers_cut_total")
                               .Help("Connections of callers that ended without a whole answer.")
                               .Register(registry);
+  Family<Counter>& limits = prometheus::BuildCounter()
+                                .Name("citronsill_limits_exceeded_total")
+                                .Help("Times that a connection exceeded a limit.")
+                                .Register(registry);
   Family<Gauge>& held_tasks = prometheus::BuildGauge()
                                   .Name("citronsill_held_tasks")
                                   .Help("Tasks whose turn has come and that wait, by reason.")
@@ -189,6 +193,10 @@
   m_impl->cuts.Add({{"reason", reason}}).Increment();
 }
 
+void NodeMetrics::CountLimit(const char* party, const std::string& limit) {
+  m_impl->limits.Add({{"party", party}, {"limit", limit}}).Increment();
+}
+
 void NodeMetrics::SetHeldTasks(const char* reason, std::uint32_t tasks) {
   m_impl->held_tasks.Add({{"reason", reason}}).Set(tasks);
 }
--- a/cell/metrics.h
+++ b/cell/metrics.h
@@ -44,6 +44,8 @@
   void CountHandlerFailure(const std::string& handler);
   /// A caller's connection ended without a complete response. @param reason one of a fixed set.
   void CountAbort(const char* reason);
+  /// A client or a called server exceeded a limit. @param party, limit each one of a fixed set.
+  void CountLimit(const char* party, const std::string& limit);
   /// Sets the number of held tasks (ready but not running for `kHeldAfter`) that one check found
   /// for a reason. @param reason one of a fixed set.
   void SetHeldTasks(const char* reason, std::uint32_t tasks);
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -18,11 +18,12 @@
 namespace citronsill {
 struct Node::Impl : std::enable_shared_from_this<Impl> {
   Impl(Runtime& node_runtime, TimerService& service, NodeSettings node_settings,
-       PlatformServices services)
+       PlatformServices services, ConnectionLimitsPtr limits)
       : runtime(node_runtime),
         timers(service),
         settings(std::move(node_settings)),
         platform(std::move(services)),
+        connection_limits(std::move(limits)),
         incarnation(RandomId()),
         started_unix_ms(std::chrono::duration_cast<milliseconds>(
                             std::chrono::system_clock::now().time_since_epoch())
@@ -32,6 +33,7 @@
   TimerService& timers;
   NodeSettings settings;
   PlatformServices platform;
+  ConnectionLimitsPtr connection_limits;
   std::uint64_t incarnation;
   std::int64_t started_unix_ms;
   std::unique_ptr<RelayedStore> store;
@@ -60,7 +62,7 @@
     store = std::make_unique<RelayedStore>(platform.store.get(), BootNow, store_probe,
                                            [this] { return LinksToStore(); });
     BOOST_OUTCOME_TRY(links, LinkService::Create(runtime, timers, settings.link_address,
-                                                 MakeHello(), MakeHooks()));
+                                                 MakeHello(), MakeHooks(), MakeLinkLimits()));
     FollowConfig();
     AddShard("s0");
     gauge_timer = timers.Every(kLoadReportPeriod, [weak = weak_from_this()](SteadyTime) {
@@ -214,6 +216,15 @@
 
   // ---- Links
 
+  LinkLimits MakeLinkLimits() {
+    LinkLimits limits;
+    if (!connection_limits) return limits;
+    limits.max_accepted = connection_limits->limits.max_links;
+    limits.budget = connection_limits->links;
+    limits.on_limit = connection_limits->Reporter("link");
+    return limits;
+  }
+
   LinkHooks MakeHooks() {
     LinkHooks hooks;
     hooks.on_open = [this](const LinkPtr& link) {
@@ -392,8 +403,10 @@
 };
 
 Result<std::unique_ptr<Node>> Node::Create(Runtime& runtime, TimerService& timers,
-                                           NodeSettings settings, PlatformServices platform) {
-  auto impl = std::make_shared<Impl>(runtime, timers, std::move(settings), std::move(platform));
+                                           NodeSettings settings, PlatformServices platform,
+                                           ConnectionLimitsPtr limits) {
+  auto impl = std::make_shared<Impl>(runtime, timers, std::move(settings), std::move(platform),
+                                     std::move(limits));
   BOOST_OUTCOME_TRY(impl->Begin());
   return std::unique_ptr<Node>(new Node(std::move(impl)));
 }
--- a/cell/node.h
+++ b/cell/node.h
@@ -15,10 +15,12 @@
 
 class Node {
  public:
+  /// @param limits limits on links; null for none.
   /// @returns CODE_INVALID_FIELD or CODE_SETTINGS_INVALID when `LinkService` cannot listen on the
   /// link address.
   static Result<std::unique_ptr<Node>> Create(Runtime& runtime, TimerService& timers,
-                                              NodeSettings settings, PlatformServices platform);
+                                              NodeSettings settings, PlatformServices platform,
+                                              ConnectionLimitsPtr limits = nullptr);
   ~Node();
 
   /// @returns the configuration in force, null when none has been received yet.
--- a/cell/node_settings.cc
+++ b/cell/node_settings.cc
@@ -16,6 +16,8 @@
 namespace json = boost::json;
 
 constexpr std::uint32_t kMaxLinkMbps = 1'000'000;
+constexpr std::uint32_t kMaxMemoryMb = 1U << 20;
+constexpr std::uint32_t kMaxDescriptors = 1U << 20;
 constexpr double kMaxShare = 64.0;
 constexpr milliseconds kMinLease{500};
 constexpr milliseconds kMaxDuration{24 * 3600 * 1000};
@@ -88,6 +90,19 @@
     *mbps = std::max(1U, static_cast<std::uint32_t>(std::lround(*number)));
   }
 
+  /// A whole number. @param minimum, maximum allowed values.
+  void Whole(std::string_view key, std::uint32_t minimum, std::uint32_t maximum,
+             std::uint32_t* out) {
+    const json::value* value = Find(key, false);
+    if (value == nullptr) return;
+    const auto number = ToNumber(*value);
+    if (!number || *number < minimum || *number > maximum || *number != std::floor(*number)) {
+      return Reject(
+          key, "a whole number from " + std::to_string(minimum) + " to " + std::to_string(maximum));
+    }
+    *out = static_cast<std::uint32_t>(*number);
+  }
+
   void OneOf(std::string_view key, const std::set<std::string>& allowed, std::string* out) {
     const json::value* value = Find(key, false);
     if (value == nullptr) return;
@@ -171,6 +186,17 @@
   fields.Duration("gang_time_ms", milliseconds(1), milliseconds(1), &node.gang_time);
   fields.Duration("keep_finished_s", milliseconds(1000), milliseconds(0), &node.keep_finished);
   fields.Duration("drain_time_s", milliseconds(1000), milliseconds(0), &node.drain_time);
+  fields.Whole("memory_mb", 1, kMaxMemoryMb, &node.limits.memory_mb);
+  fields.Whole("max_descriptors", 1, kMaxDescriptors, &node.limits.max_descriptors);
+  fields.Whole("connection_budget_mb", 1, kMaxMemoryMb, &node.limits.connection_budget_mb);
+  fields.Whole("answer_budget_mb", 1, kMaxMemoryMb, &node.limits.answer_budget_mb);
+  fields.Whole("link_budget_mb", 1, kMaxMemoryMb, &node.limits.link_budget_mb);
+  fields.Whole("max_answer_mb", 1, kMaxMemoryMb, &node.limits.max_answer_mb);
+  fields.Whole("max_caller_connections", 1, kMaxDescriptors, &node.limits.max_caller_connections);
+  fields.Whole("max_service_connections", 1, kMaxDescriptors, &node.limits.max_service_connections);
+  fields.Whole("max_links", 1, kMaxDescriptors, &node.limits.max_links);
+  fields.Duration("slow_connection_ms", milliseconds(1), milliseconds(1),
+                  &node.limits.slow_connection);
   fields.Address("store_address", true, &file.store_address);
   fields.Address("advice_address", false, &file.advice_address);
   BOOST_OUTCOME_TRY(fields.Finish());
--- a/cell/settings.h
+++ b/cell/settings.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "cell/connection_limits.h"
 #include "cell/customers.h"
 #include "cell/store.h"
 #include "cell/worker.h"
@@ -36,6 +37,7 @@
   /// A worker gets no new task from this long after it announced that it drains.
   milliseconds worker_drain{4000};
   milliseconds drain_time{4000};  ///< Time from SIGTERM until the process must have ended.
+  LimitSettings limits;           ///< Limits on connections.
 };
 
 /// One version of the configuration. Immutable.
--- a/include/citronsill/http.h
+++ b/include/citronsill/http.h
@@ -8,10 +8,12 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
 #include "citronsill/config.h"
+#include "citronsill/connection_budget.h"
 #include "citronsill/result.h"
 #include "citronsill/runtime.h"
 
@@ -47,6 +49,7 @@
 
 /// Limits on the requests to a server.
 struct HttpLimits {
+  /// Header, chunk extensions and trailers of a request together.
   std::size_t max_header_bytes = kMaxHttpHeaderBytes;
   std::size_t max_body_bytes = kMaxHttpBodyBytes;
   std::chrono::milliseconds read_timeout = kHttpReadTimeout;  ///< From the first byte of a request.
@@ -75,9 +78,19 @@
   std::chrono::milliseconds age{0};  ///< Since the first byte of the request.
 };
 
+/// Called when a client, or a server that is called, exceeds a limit. @param limit one of a fixed
+/// set: "header" (headers, chunk extensions and trailers), "body", "connections",
+/// "evicted-refused", "evicted-idle", "evicted-slow", "evicted-unfinished"; of a client "header",
+/// "body", "answers".
+using HttpOnLimit = std::function<void(std::string_view limit)>;
+
 struct HttpServerOptions {
   std::string address;  ///< IP:port; port 0 selects a free port.
+  /// A further connection replaces one that is not being answered; without one, it is closed.
   std::size_t max_connections = kMaxHttpConnections;
+  /// Budget of the process, which may be shared with other servers; null for one without limit.
+  std::shared_ptr<ConnectionBudget> budget;
+  HttpOnLimit on_limit;  ///< May be empty.
   HttpLimits limits;
   std::string tls_certificate_file;            ///< PEM; TLS is used when set.
   std::string tls_key_file;                    ///< PEM.
@@ -135,7 +148,12 @@
   std::size_t max_waiting = 1024;  ///< Calls that wait for a connection; further ones are rejected.
   /// A connection that was not used for this long is closed instead of being used again.
   std::chrono::milliseconds max_idle = kHttpIdleTimeout;
-  std::string tls_ca_file;  ///< PEM; TLS is used when set.
+  std::string tls_ca_file;                             ///< PEM; TLS is used when set.
+  std::size_t max_answer_bytes = kMaxHttpAnswerBytes;  ///< Of the body.
+  /// Budget of the answers that have not arrived whole; null for one without limit. The call whose
+  /// answer holds most fails.
+  std::shared_ptr<ConnectionBudget> budget;
+  HttpOnLimit on_limit;  ///< May be empty.
 };
 
 /// A pool of connections to one address. Every call has a deadline; a connection whose call missed
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -23,8 +23,11 @@
 namespace {
 
 constexpr std::size_t kReadChunkBytes = 4096;
-// Responses of the table service may contain many rows.
-constexpr std::size_t kMaxAnswerBytes = 64 * kMaxHttpBodyBytes;
+// A line before a chunk without an extension is shorter. It does not count against the limit of the
+// header.
+constexpr std::size_t kMaxChunkLineBytes = 24;
+constexpr std::string_view kAnswersLimit = "answers";
+constexpr const char* kOverBudget = "too much memory is held by answers, among them that of ";
 
 struct Call {
   HttpRequest request;
@@ -80,6 +83,12 @@
     std::optional<Call> call;
     bool fresh = true;  // No response was received on it yet.
     bool timed_out = false;
+    // Bytes of the header, of chunk extensions and of trailers that the parser has taken.
+    std::size_t header_bytes = 0;
+    std::function<void(std::uint64_t, std::string_view, error_code&)> on_chunk_header;
+    // Present while an answer arrives in several parts.
+    std::unique_ptr<ConnectionBudget::Share> share;
+    bool evicted = false;
     SteadyTime used;  // End of the last call.
   };
   using ConnectionPtr = std::shared_ptr<Connection>;
@@ -100,6 +109,7 @@
   std::deque<Call> waiting;
   std::vector<ConnectionPtr> idle;
   std::unordered_set<ConnectionPtr> busy;
+  std::shared_ptr<ConnectionGroup> group = std::make_shared<ConnectionGroup>();
 
   void Send(Call call) {
     if (busy.size() >= options.max_connections) {
@@ -163,7 +173,8 @@
     connection->out = Serialize(connection->call->request, options.address);
     connection->call->request = {};
     connection->parser.emplace();
-    connection->parser->body_limit(kMaxAnswerBytes);
+    connection->parser->body_limit(options.max_answer_bytes);
+    connection->header_bytes = 0;
     connection->stream->Write(asio::buffer(connection->out),
                               [self = shared_from_this(), connection](error_code error) {
                                 if (error) return self->Fail(connection, error, "sending to ");
@@ -185,32 +196,104 @@
       if (!error && connection->parser->is_done()) return FinishCall(connection, false);
       error = asio::error::eof;
     }
+    if (connection->evicted) return Fail(connection, {}, kOverBudget);
     if (error) return Fail(connection, error, "no answer from ");
     connection->buffer.commit(bytes);
-    if (!Parse(connection, &error)) return Fail(connection, error, "invalid response from ");
-    if (!connection->parser->is_done()) return Read(connection);
+    if (!Parse(connection, &error)) {
+      if (error == http::error::body_limit) ReportLimit("body");
+      if (error == http::error::header_limit) ReportLimit("header");
+      return Fail(connection, error, "invalid response from ");
+    }
+    if (!connection->parser->is_done()) {
+      if (!Hold(connection)) return Fail(connection, {}, kOverBudget);
+      return Read(connection);
+    }
     FinishCall(connection, connection->parser->get().keep_alive());
   }
 
+  // @returns false when the answer is not to be read further; `error` then says why.
   static bool Parse(const ConnectionPtr& connection, error_code* error) {
-    while (!connection->parser->is_done() && connection->buffer.size() > 0) {
-      const std::size_t used = connection->parser->put(connection->buffer.data(), *error);
+    auto& parser = *connection->parser;
+    while (!parser.is_done() && connection->buffer.size() > 0) {
+      const bool had_header = parser.is_header_done();
+      const std::size_t used = parser.put(connection->buffer.data(), *error);
       connection->buffer.consume(used);
+      if (!had_header) {
+        connection->header_bytes += used;
+        if (parser.is_header_done() && parser.chunked()) CountChunks(connection);
+      }
       if (*error == http::error::need_more) {
         *error = {};
-        return true;
+        break;
       }
       if (*error) return false;
-      if (used == 0) return true;
+      if (used == 0) break;
+    }
+    // What could not be parsed yet is part of the header, of the line before a chunk, or of the
+    // trailers. The parser sets no limit for the latter two.
+    const std::size_t unparsed = connection->buffer.size();
+    if (!parser.is_done() && unparsed > kMaxChunkLineBytes &&
+        connection->header_bytes + unparsed > kMaxHttpHeaderBytes) {
+      *error = http::error::header_limit;
+      return false;
     }
     return true;
   }
 
+  // Counts the extensions of chunks, which the parser does not limit.
+  static void CountChunks(const ConnectionPtr& connection) {
+    connection->on_chunk_header =
+        [raw = connection.get()](std::uint64_t, std::string_view extension, error_code& error) {
+          raw->header_bytes += extension.size();
+          if (raw->header_bytes > kMaxHttpHeaderBytes) error = http::error::header_limit;
+        };
+    connection->parser->on_chunk_header(connection->on_chunk_header);
+  }
+
+  // Tells the budget what part of an answer takes. @returns false when the call has to fail.
+  bool Hold(const ConnectionPtr& connection) {
+    if (!options.budget) return true;
+    const SteadyTime now = std::chrono::steady_clock::now();
+    if (!connection->share) {
+      connection->share = options.budget->Join(
+          group, kHttpConnectionBytes, now,
+          [weak_self = weak_from_this(), weak = std::weak_ptr(connection)](const Eviction&) {
+            const auto self = weak_self.lock();
+            if (!self) return;
+            asio::dispatch(self->strand, [self, weak] {
+              if (const auto evicted = weak.lock(); evicted) self->OnEvict(evicted);
+            });
+          });
+    }
+    const std::size_t bytes = kHttpConnectionBytes + connection->buffer.capacity() +
+                              connection->parser->get().body().capacity() +
+                              kHttpFieldFactor * connection->header_bytes;
+    if (connection->share && connection->share->Set(ConnectionState::kReading, bytes, now)) {
+      return true;
+    }
+    ReportLimit(kAnswersLimit);
+    return false;
+  }
+
+  // The answer holds more than those of the other calls, and all together hold too much.
+  void OnEvict(const ConnectionPtr& connection) {
+    if (!connection->share || connection->evicted) return;
+    ReportLimit(kAnswersLimit);
+    connection->evicted = true;
+    // The pending read then fails, which ends the call.
+    connection->stream->Close();
+  }
+
+  void ReportLimit(std::string_view limit) const {
+    if (options.on_limit) options.on_limit(limit);
+  }
+
   void FinishCall(const ConnectionPtr& connection, bool keep) {
     Result<HttpResponse> response = TakeResponse(*connection->parser);
     connection->parser.reset();
     connection->fresh = false;
     if (!keep || connection->buffer.size() > 0) connection->stream->Close();
+    if (connection->buffer.capacity() > 2 * kReadChunkBytes) connection->buffer.shrink_to_fit();
     Release(connection, std::move(response));
   }
 
@@ -222,6 +305,8 @@
 
   void Fail(const ConnectionPtr& connection, error_code error, const char* context) {
     connection->stream->Close();
+    connection->parser.reset();
+    if (error == error_code{}) error = http::error::body_limit;
     const auto code = connection->timed_out ? schema::CODE_TIMEOUT : schema::CODE_CONNECTION_CLOSED;
     Release(connection,
             Error{code, context + options.address + ": " +
@@ -232,6 +317,7 @@
   void Release(const ConnectionPtr& connection, Result<HttpResponse> result) {
     auto done = std::move(connection->call->done);
     connection->call.reset();
+    connection->share.reset();
     busy.erase(connection);
     if (connection->stream->Socket().is_open()) {
       connection->used = std::chrono::steady_clock::now();
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -25,6 +25,11 @@
 using RequestParser = http::request_parser<http::string_body>;
 
 constexpr std::size_t kReadChunkBytes = 4096;
+// A line before a chunk without an extension is shorter. It does not count against the limit of the
+// header.
+constexpr std::size_t kMaxChunkLineBytes = 24;
+// Retry-After of requests that are refused because connections hold too much memory.
+constexpr std::chrono::milliseconds kRefusedRetryAfter{1000};
 // How often the deadlines of connections are checked.
 constexpr std::chrono::milliseconds kSweepPeriod{500};
 // Wait after a failed accept. Without it, accept would spin while out of file descriptors.
@@ -81,6 +86,12 @@
     std::string method;
     std::string target;
     std::size_t lingered_bytes = 0;
+    // Bytes of the header, of chunk extensions and of trailers that the parser has taken.
+    std::size_t header_bytes = 0;
+    std::function<void(std::uint64_t, std::string_view, error_code&)> on_chunk_header;
+    std::unique_ptr<ConnectionBudget::Share> share;
+    bool refused = false;  // Evicted; its request is not handled.
+    bool ended = false;    // No longer among the sessions.
   };
   using SessionPtr = std::shared_ptr<Session>;
 
@@ -93,6 +104,10 @@
         handler(std::move(request_handler)) {
     if (!options.reject) options.reject = DefaultReject;
     limits = std::make_shared<const HttpLimits>(options.limits);
+    if (!options.budget) {
+      options.budget = std::make_shared<ConnectionBudget>(ConnectionBudgetLimits{});
+    }
+    group->max_connections = options.max_connections;
   }
 
   asio::io_context& context;
@@ -104,6 +119,7 @@
   HttpStreamFactory make_stream;
   std::atomic<std::shared_ptr<const HttpLimits>> limits;
   std::atomic<bool> draining{false};
+  std::shared_ptr<ConnectionGroup> group = std::make_shared<ConnectionGroup>();
   std::atomic<std::size_t> count{0};  // Size of `sessions`, readable without the mutex.
   std::mutex mutex;
   std::unordered_set<SessionPtr> sessions;
@@ -144,17 +160,32 @@
     socket.set_option(Tcp::no_delay(true), ignored);
     auto session = std::make_shared<Session>();
     session->stream = make_stream(std::move(socket));
+    session->share = options.budget->Join(
+        group, kHttpConnectionBytes, Clock::now(),
+        [weak_self = weak_from_this(), weak = std::weak_ptr(session)](const Eviction& eviction) {
+          if (const SessionPtr evicted = weak.lock(); evicted) {
+            asio::dispatch(evicted->stream->Socket().get_executor(),
+                           [weak_self, evicted, eviction] {
+                             if (const auto self = weak_self.lock(); self) {
+                               self->OnEvict(evicted, eviction);
+                             }
+                           });
+          }
+        });
+    if (!session->share) {
+      ReportLimit("connections");
+      return ReportAbort(session, HttpAbortReason::kConnections);
+    }
     {
       std::lock_guard lock(mutex);
-      if (sessions.size() < options.max_connections) sessions.insert(session);
+      sessions.insert(session);
       count = sessions.size();
-      if (!sessions.contains(session)) return ReportAbort(session, HttpAbortReason::kConnections);
     }
     asio::dispatch(session->stream->Socket().get_executor(), [self = shared_from_this(), session] {
       const std::chrono::milliseconds timeout = self->limits.load()->read_timeout;
       session->deadline = Clock::now() + timeout;
       session->stream->Handshake([self, session, timeout](error_code error) {
-        if (error) return self->EndSession(session);
+        if (error || session->ended) return self->EndSession(session);
         // The first request must follow soon; later ones have the idle timeout.
         self->StartRequest(session, timeout);
       });
@@ -163,8 +194,15 @@
 
   void StartRequest(const SessionPtr& session, std::chrono::milliseconds timeout) {
     session->phase = Phase::kIdle;
-    session->deadline = Clock::now() + timeout;
+    const SteadyTime now = Clock::now();
+    session->deadline = now + timeout;
     session->parser.reset();
+    // The buffer of a large header and a large answer are not kept while the connection is idle.
+    if (session->buffer.capacity() > 2 * kReadChunkBytes) session->buffer.shrink_to_fit();
+    if (session->out.capacity() > kReadChunkBytes) session->out = std::string();
+    if (!session->share->Set(ConnectionState::kIdle, HeldBytes(*session), now)) {
+      return EndSession(session);
+    }
     if (session->buffer.size() > 0) return Parse(session);
     Read(session);
   }
@@ -173,12 +211,26 @@
     session->stream->ReadSome(
         session->buffer.prepare(kReadChunkBytes),
         [self = shared_from_this(), session](error_code error, std::size_t bytes) {
-          if (error) return self->EndSession(session);
+          if (error || session->ended) return self->EndSession(session);
+          // The connection was evicted while it was being read from.
+          if (session->refused) return self->Linger(session);
           session->buffer.commit(bytes);
           self->Parse(session);
         });
   }
 
+  // @returns memory of a connection, without that of its handler.
+  static std::size_t HeldBytes(const Session& session) {
+    std::size_t bytes = kHttpConnectionBytes + session.out.capacity();
+    if (const std::size_t buffer = session.buffer.capacity(); buffer > kReadChunkBytes) {
+      bytes += buffer - kReadChunkBytes;
+    }
+    if (session.parser) {
+      bytes += session.parser->get().body().capacity() + kHttpFieldFactor * session.header_bytes;
+    }
+    return bytes;
+  }
+
   // Uses the limits at the first byte of the request, not those at the end of the previous one.
   void BeginRequest(const SessionPtr& session) {
     session->limits = limits.load();
@@ -187,6 +239,7 @@
     session->method.clear();
     session->target.clear();
     session->deadline = session->began + session->limits->read_timeout;
+    session->header_bytes = 0;
     session->parser.emplace();
     session->parser->body_limit(session->limits->max_body_bytes);
     session->parser->header_limit(static_cast<std::uint32_t>(session->limits->max_header_bytes));
@@ -196,17 +249,51 @@
     if (session->phase == Phase::kIdle) BeginRequest(session);
     error_code error;
     while (!session->parser->is_done() && session->buffer.size() > 0) {
+      const bool had_header = session->parser->is_header_done();
       const std::size_t used = session->parser->put(session->buffer.data(), error);
       session->buffer.consume(used);
-      if (error == http::error::need_more) return Read(session);
+      if (!had_header) {
+        session->header_bytes += used;
+        if (session->parser->is_header_done() && session->parser->chunked()) CountChunks(session);
+      }
+      if (error == http::error::need_more) return ReadMore(session);
       if (error) return Reject(session, error);
       if (used == 0) break;
     }
-    if (!session->parser->is_done()) return Read(session);
+    if (!session->parser->is_done()) return ReadMore(session);
     Handle(session);
   }
 
+  // Counts the extensions of chunks, which the parser does not limit.
+  static void CountChunks(const SessionPtr& session) {
+    session->on_chunk_header = [raw = session.get()](std::uint64_t, std::string_view extension,
+                                                     error_code& error) {
+      raw->header_bytes += extension.size();
+      if (raw->header_bytes > raw->limits->max_header_bytes) error = http::error::header_limit;
+    };
+    session->parser->on_chunk_header(session->on_chunk_header);
+  }
+
+  // Reads more of a request within the limits. What is in the buffer could not be parsed yet: part
+  // of the header, of the line before a chunk, or of the trailers. The parser takes these only when
+  // they are whole, and sets no limit for the latter two.
+  void ReadMore(const SessionPtr& session) {
+    const std::size_t unparsed = session->buffer.size();
+    if (unparsed > kMaxChunkLineBytes &&
+        session->header_bytes + unparsed > session->limits->max_header_bytes) {
+      return Reject(session, http::error::header_limit);
+    }
+    if (!session->share->Set(ConnectionState::kReading, HeldBytes(*session), Clock::now())) {
+      ReportLimit(EvictionLimitName(EvictionReason::kUnfinished));
+      return Refuse(session, false);
+    }
+    Read(session);
+  }
+
   void Handle(const SessionPtr& session) {
+    if (!session->share->Set(ConnectionState::kAnswering, HeldBytes(*session), Clock::now())) {
+      return Refuse(session, false);
+    }
     session->phase = Phase::kHandling;
     session->deadline = SteadyTime::max();
     auto& message = session->parser->get();
@@ -239,7 +326,7 @@
   }
 
   void Reply(const SessionPtr& session, const HttpResponse& response) {
-    if (session->silenced) return;
+    if (session->silenced || session->ended) return;
     if (draining) session->keep_alive = false;
     Write(session, response, [self = shared_from_this(), session] {
       if (!session->keep_alive) return self->EndSession(session, true);
@@ -252,17 +339,64 @@
       return EndSession(session);
     }
     const bool too_large = error == http::error::body_limit || error == http::error::header_limit;
+    if (too_large) ReportLimit(error == http::error::body_limit ? "body" : "header");
     const Error reason = too_large ? Error{schema::CODE_TOO_LARGE, "the message is too large"}
                                    : Error{schema::CODE_MALFORMED, "not HTTP: " + error.message()};
+    AnswerAndClose(session, options.reject(too_large ? 413 : 400, reason), false);
+  }
+
+  // Frees the memory of a request that has not been handled, says so to the client and closes the
+  // connection.
+  // @param is_reading whether a read of the connection is pending.
+  void Refuse(const SessionPtr& session, bool is_reading) {
+    if (std::exchange(session->refused, true)) return;
+    session->abort_reported = true;  // Reported as a limit; these may be many.
+    session->parser.reset();
+    HttpResponse response =
+        options.reject(503, Error{schema::CODE_OVERLOADED,
+                                  "too many requests are on their way; this one was not accepted"});
+    if (!response.retry_after) response.retry_after = kRefusedRetryAfter;
+    AnswerAndClose(session, response, is_reading);
+  }
+
+  // Closes the connection after a response to a request that was not read whole.
+  void AnswerAndClose(const SessionPtr& session, const HttpResponse& response, bool is_reading) {
     session->keep_alive = false;
-    Write(session, options.reject(too_large ? 413 : 400, reason),
-          [self = shared_from_this(), session] {
-            error_code ignored;
-            session->stream->Socket().shutdown(Tcp::socket::shutdown_send, ignored);
-            session->phase = Phase::kLingering;
-            session->deadline = Clock::now() + kLingerTimeout;
-            self->Linger(session);
-          });
+    Write(session, response, [self = shared_from_this(), session, is_reading] {
+      error_code ignored;
+      session->stream->Socket().shutdown(Tcp::socket::shutdown_send, ignored);
+      session->phase = Phase::kLingering;
+      session->deadline = Clock::now() + kLingerTimeout;
+      // The pending read, and those after it, are already those of `Linger`.
+      if (!is_reading) self->Linger(session);
+    });
+  }
+
+  // Another connection needs the memory, or the place, of this one.
+  void OnEvict(const SessionPtr& session, const Eviction& eviction) {
+    if (session->ended) return;
+    ReportLimit(EvictionLimitName(eviction.reason));
+    if (!eviction.at_once && session->phase == Phase::kReading) return Refuse(session, true);
+    session->abort_reported = true;
+    EndSession(session);
+  }
+
+  static std::string_view EvictionLimitName(EvictionReason reason) {
+    switch (reason) {
+      case EvictionReason::kRefused:
+        return "evicted-refused";
+      case EvictionReason::kIdle:
+        return "evicted-idle";
+      case EvictionReason::kSlow:
+        return "evicted-slow";
+      case EvictionReason::kUnfinished:
+        return "evicted-unfinished";
+    }
+    return "";
+  }
+
+  void ReportLimit(std::string_view limit) const {
+    if (options.on_limit) options.on_limit(limit);
   }
 
   template <class Then>
@@ -270,9 +404,14 @@
     session->phase = Phase::kWriting;
     session->deadline = Clock::now() + kHttpWriteTimeout;
     session->out = Serialize(response, session->keep_alive);
+    if (!session->refused && session->out.size() > kReadChunkBytes) {
+      // Never evicts this connection, which is being answered.
+      static_cast<void>(
+          session->share->Set(ConnectionState::kAnswering, HeldBytes(*session), Clock::now()));
+    }
     session->stream->Write(asio::buffer(session->out), [self = shared_from_this(), session,
                                                         then = std::move(then)](error_code error) {
-      if (error) return self->EndSession(session);
+      if (error || session->ended) return self->EndSession(session);
       then();
     });
   }
@@ -283,7 +422,8 @@
         session->buffer.prepare(kReadChunkBytes),
         [self = shared_from_this(), session](error_code error, std::size_t bytes) {
           session->lingered_bytes += bytes;
-          if (error || session->lingered_bytes > kMaxLingerBytes) return self->EndSession(session);
+          if (error || session->ended || session->lingered_bytes > kMaxLingerBytes)
+            return self->EndSession(session);
           self->Linger(session);
         });
   }
@@ -314,7 +454,9 @@
       ReportAbort(session,
                   session->expired ? HttpAbortReason::kDeadline : HttpAbortReason::kPeerClosed);
     }
+    session->ended = true;
     session->stream->Close();
+    session->share.reset();
     std::lock_guard lock(mutex);
     sessions.erase(session);
     count = sessions.size();
--- /dev/null
+++ b/tests/cell/connection_budget_test.cc
@@ -0,0 +1,221 @@
+// Tests which connections are closed when those of a process hold too much, and how the limits
+// follow from the machine. Guards against a process that its clients end by memory or descriptors,
+// and against closing the wrong ones.
+#include "citronsill/connection_budget.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <random>
+
+#include "cell/connection_limits.h"
+#include "cell/node_settings.h"
+
+namespace citronsill {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t kIdleBytes = 10;
+constexpr SteadyTime kStart{std::chrono::hours(1)};
+
+// Connections of one budget, by name, and the evictions in their order.
+struct Connections {
+  explicit Connections(std::size_t max_bytes, std::size_t max_connections = 100)
+      : budget(std::make_shared<ConnectionBudget>(ConnectionBudgetLimits{max_bytes, 2000ms})) {
+    group->max_connections = max_connections;
+  }
+
+  bool Join(const std::string& name) {
+    auto share = budget->Join(group, kIdleBytes, now, [this, name](const Eviction& eviction) {
+      evicted.push_back(name + " " + EvictionReasonName(eviction.reason) +
+                        (eviction.at_once ? " at once" : ""));
+      // As a server does: a connection that is closed leaves the budget.
+      if (eviction.at_once) shares.erase(name);
+    });
+    if (!share) return false;
+    shares[name] = std::move(share);
+    return true;
+  }
+
+  bool Set(const std::string& name, ConnectionState state, std::size_t bytes) {
+    return shares.at(name)->Set(state, bytes, now);
+  }
+
+  std::shared_ptr<ConnectionBudget> budget;
+  std::shared_ptr<ConnectionGroup> group = std::make_shared<ConnectionGroup>();
+  std::map<std::string, std::unique_ptr<ConnectionBudget::Share>> shares;
+  std::vector<std::string> evicted;
+  SteadyTime now = kStart;
+};
+
+using Evicted = std::vector<std::string>;
+
+TEST_CASE("connection budget: idle, then slow, then unfinished requests make room") {
+  Connections connections(200);
+  for (const char* name : {"idle", "slow", "answering"}) REQUIRE(connections.Join(name));
+  REQUIRE(connections.Set("slow", ConnectionState::kReading, 50));
+  REQUIRE(connections.Set("answering", ConnectionState::kAnswering, 60));
+  connections.now += 3s;
+  for (const char* name : {"small", "large", "new"}) REQUIRE(connections.Join(name));
+  REQUIRE(connections.Set("small", ConnectionState::kReading, 15));
+  REQUIRE(connections.Set("large", ConnectionState::kReading, 55));
+  CHECK(connections.budget->Bytes() == 200);
+  CHECK(connections.evicted.empty());
+  REQUIRE(connections.Set("new", ConnectionState::kReading, 20));
+  CHECK(connections.evicted == Evicted{"idle idle at once"});
+  REQUIRE(connections.Set("new", ConnectionState::kReading, 30));
+  CHECK(connections.evicted.back() == "slow slow");
+  // What was refused before goes first, then the request that holds most.
+  REQUIRE(connections.Set("new", ConnectionState::kReading, 51));
+  REQUIRE(connections.Set("new", ConnectionState::kReading, 71) == false);
+  CHECK(connections.evicted == Evicted{"idle idle at once", "slow slow", "slow refused at once"});
+}
+
+TEST_CASE("connection budget: of unfinished requests the one that holds most is refused") {
+  Connections connections(200);
+  for (const char* name : {"small", "large"}) REQUIRE(connections.Join(name));
+  REQUIRE(connections.Set("large", ConnectionState::kReading, 180));
+  REQUIRE(connections.Set("small", ConnectionState::kReading, 30));
+  CHECK(connections.evicted == Evicted{"large unfinished"});
+  // It is only told so, and still holds its connection.
+  CHECK(connections.group->connections == 2);
+  CHECK(connections.budget->Bytes() == 40);
+  CHECK_FALSE(connections.Set("large", ConnectionState::kAnswering, 180));
+}
+
+TEST_CASE("connection budget: a request that is being answered is never evicted") {
+  Connections connections(100, 3);
+  for (const char* name : {"a", "b", "c"}) {
+    REQUIRE(connections.Join(name));
+    REQUIRE(connections.Set(name, ConnectionState::kAnswering, 60));
+  }
+  CHECK_FALSE(connections.Join("d"));
+  connections.now += 100s;
+  CHECK_FALSE(connections.Join("e"));
+  CHECK(connections.evicted.empty());
+  CHECK(connections.budget->Bytes() == 180);
+  // Answered, the connection is idle, and closed because all hold too much.
+  CHECK_FALSE(connections.Set("a", ConnectionState::kIdle, kIdleBytes));
+  connections.shares.erase("a");
+  CHECK(connections.group->connections == 2);
+}
+
+TEST_CASE("connection budget: a connection above the maximum replaces the longest idle one") {
+  Connections connections(ConnectionBudgetLimits::kUnlimited, 3);
+  for (const char* name : {"a", "b", "c"}) {
+    REQUIRE(connections.Join(name));
+    connections.now += 1s;
+  }
+  REQUIRE(connections.Set("a", ConnectionState::kAnswering, 20));
+  REQUIRE(connections.Set("a", ConnectionState::kIdle, 10));
+  connections.now += 5s;
+  REQUIRE(connections.Join("d"));
+  CHECK(connections.evicted == Evicted{"b idle at once"});
+  REQUIRE(connections.Set("c", ConnectionState::kReading, 500));
+  REQUIRE(connections.Join("e"));
+  // A connection that is closed for its place is closed at once.
+  CHECK(connections.evicted.back() == "a idle at once");
+  CHECK(connections.group->connections == 3);
+}
+
+// Guards against bytes or connections that are counted twice or not at all.
+TEST_CASE("connection budget: any sequence keeps the bounds and leaves nothing behind") {
+  constexpr std::size_t kMaxBytes = 2000;
+  constexpr std::size_t kMaxConnections = 20;
+  for (std::uint32_t seed = 1; seed <= 50; ++seed) {
+    CAPTURE(seed);
+    std::mt19937 random(seed);
+    Connections connections(kMaxBytes, kMaxConnections);
+    std::map<std::string, ConnectionState> states;
+    std::size_t answering_bytes = 0;
+    for (int step = 0; step < 2000; ++step) {
+      connections.now += std::chrono::milliseconds(random() % 300);
+      const std::string name = std::to_string(random() % 40);
+      if (!connections.shares.contains(name)) {
+        connections.Join(name);
+      } else if (random() % 4 == 0) {
+        connections.shares.erase(name);
+      } else {
+        const auto state = static_cast<ConnectionState>(random() % 3);
+        const std::size_t bytes = kIdleBytes + random() % 400;
+        if (!connections.Set(name, state, bytes) && random() % 2 == 0) {
+          connections.shares.erase(name);
+        }
+      }
+      CHECK(connections.group->connections <= kMaxConnections);
+      // Answers of at most 410 bytes on all connections are allowed to exceed the budget; nothing
+      // else is.
+      answering_bytes = kMaxConnections * 410;
+      CHECK(connections.budget->Bytes() <= std::max(kMaxBytes, answering_bytes));
+    }
+    connections.shares.clear();
+    CHECK(connections.budget->Bytes() == 0);
+    CHECK(connections.group->connections == 0);
+  }
+}
+
+// Guards against limits that let the connections of a small machine take more than it has, or that
+// refuse callers inside the limits of the pages.
+TEST_CASE("connection limits: what a machine allows leaves room for the process") {
+  struct Machine {
+    std::uint32_t memory_mb;
+    std::uint32_t descriptors;
+  };
+  for (const Machine& machine :
+       {Machine{120, 3075}, {160, 4100}, {260, 4100}, {400, 10250}, {512, 8192}, {4096, 65536}}) {
+    CAPTURE(machine.memory_mb);
+    LimitSettings settings;
+    settings.memory_mb = machine.memory_mb;
+    settings.max_descriptors = machine.descriptors;
+    const ProcessLimits limits = WorkOutLimits(settings);
+    const std::size_t total = limits.connection_bytes + limits.answer_bytes + limits.link_bytes;
+    const std::size_t memory = std::size_t{machine.memory_mb} << 20U;
+    // An instance that does not schedule takes 25 MB.
+    CHECK(total + (25U << 20U) <= memory);
+    if (machine.memory_mb >= 160) CHECK(total + (95U << 20U) <= memory);
+    // 500 idle callers and 20 bodies of 262,144 bytes at a time are inside the limits.
+    CHECK(500 * kHttpConnectionBytes + 20 * 262144 <= limits.connection_bytes);
+    CHECK(limits.max_caller_connections >= 900);
+    CHECK(limits.max_links >= 300);
+    // Three full pages of the store at a time.
+    CHECK(limits.answer_bytes >= std::size_t{3} * (2U << 20U));
+    CHECK(limits.max_caller_connections + limits.max_links + 2 * limits.max_service_connections <
+          machine.descriptors - 200);
+  }
+}
+
+TEST_CASE("connection limits: without settings nothing but the service addresses is limited") {
+  const ProcessLimits limits = WorkOutLimits(LimitSettings{});
+  CHECK(limits.connection_bytes == ConnectionBudgetLimits::kUnlimited);
+  CHECK(limits.answer_bytes == ConnectionBudgetLimits::kUnlimited);
+  CHECK(limits.link_bytes == ConnectionBudgetLimits::kUnlimited);
+  CHECK(limits.max_links == ConnectionBudgetLimits::kUnlimited);
+  CHECK(limits.max_caller_connections == kMaxHttpConnections);
+  CHECK(limits.max_answer_bytes == 16U << 20U);
+  CHECK(limits.max_service_connections == 64);
+}
+
+TEST_CASE("connection limits: settings are read, and refused outside their range") {
+  const std::string text =
+      R"({"instance":"n","failure_domain":"a","region":"r","ingress_address":"127.0.0.1:1",)"
+      R"("link_address":"127.0.0.1:2","store_address":"127.0.0.1:3")";
+  const auto file = ParseNodeSettings(
+      text + R"(,"memory_mb":120,"max_descriptors":3075,"connection_budget_mb":7,"max_links":5,)"
+             R"("max_caller_connections":33,"slow_connection_ms":500})",
+      "test");
+  REQUIRE(file);
+  const ProcessLimits limits = WorkOutLimits(file.value().node.limits);
+  CHECK(limits.connection_bytes == 7U << 20U);
+  CHECK(limits.max_links == 5);
+  CHECK(limits.max_caller_connections == 33);
+  CHECK(file.value().node.limits.slow_connection == 500ms);
+  for (const char* wrong : {R"("memory_mb":0)", R"("memory_mb":1.5)", R"("max_descriptors":"many")",
+                            R"("max_answer_mb":-1)", R"("slow_connection_ms":0)"}) {
+    CAPTURE(wrong);
+    CHECK_FALSE(ParseNodeSettings(text + "," + wrong + "}", "test"));
+  }
+}
+
+}  // namespace
+}  // namespace citronsill
--- a/tests/hostile_clients_test.sh
+++ b/tests/hostile_clients_test.sh
@@ -52,13 +52,12 @@
   "ingress_address": "127.0.0.1:$base", "readiness_address": "127.0.0.1:$((base + 1))",
   "link_address": "127.0.0.1:$((base + 2))", "metrics_address": "127.0.0.1:$((base + 3))",
   "seeds": [], "max_lease_ms": 6000, "gang_time_ms": 3000, "keep_finished_s": 120, "drain_time_s": 6,
-  "store_address": "$store", "advice_address": "$advice"$1 }
+  "store_address": "$store", "advice_address": "$advice",
+  "memory_mb": $memory_mb, "max_descriptors": $descriptors }
 JSON
 }
-# Starts the node. A program that does not know the settings of the limits yet runs without them.
 start_node() {
-  settings ", \"memory_mb\": $memory_mb, \"max_descriptors\": $descriptors" > "$work/node.json"
-  "$build/citronsill_node" --check --settings "$work/node.json" > /dev/null 2>&1 || settings "" > "$work/node.json"
+  settings > "$work/node.json"
   "$build/citronsill_node" --settings "$work/node.json" > "$work/log" 2>&1 &
   node=$!
 }
--- a/tools/citronsill_node.cc
+++ b/tools/citronsill_node.cc
@@ -35,10 +35,14 @@
       : m_runtime(runtime), m_timers(timers), m_path(std::move(path)), m_file(std::move(file)) {}
 
   Result<void> Start() {
-    BOOST_OUTCOME_TRY(PlatformServices services,
-                      platform::Connect(m_runtime, {m_file.store_address, m_file.advice_address}));
-    BOOST_OUTCOME_TRY(m_node, Node::Create(m_runtime, m_timers, m_file.node, std::move(services)));
-    BOOST_OUTCOME_TRY(m_ingress, platform::Ingress::Create(m_runtime, *m_node, m_file.node));
+    m_limits = ConnectionLimits::Create(m_file.node.limits, m_timers);
+    BOOST_OUTCOME_TRY(
+        PlatformServices services,
+        platform::Connect(m_runtime, {m_file.store_address, m_file.advice_address}, m_limits));
+    BOOST_OUTCOME_TRY(
+        m_node, Node::Create(m_runtime, m_timers, m_file.node, std::move(services), m_limits));
+    BOOST_OUTCOME_TRY(m_ingress,
+                      platform::Ingress::Create(m_runtime, *m_node, m_file.node, m_limits));
     BOOST_OUTCOME_TRY(ServeMetrics());
     m_timers.Every(kLogFlushPeriod, [](SteadyTime) { FlushNodeLog(); });
     m_runtime.OnTerminate([this](int signal_number) { Terminate(signal_number); });
@@ -52,7 +56,13 @@
         .Field("link", m_file.node.link_address)
         .Field("store", m_file.store_address)
         .Field("advice", m_file.advice_address)
-        .Field("strength_milli", m_file.node.strength_milli);
+        .Field("strength_milli", m_file.node.strength_milli)
+        .Field("memory_mb", m_file.node.limits.memory_mb)
+        .Field("connection_budget_bytes", m_limits->limits.connection_bytes)
+        .Field("answer_budget_bytes", m_limits->limits.answer_bytes)
+        .Field("link_budget_bytes", m_limits->limits.link_bytes)
+        .Field("max_caller_connections", m_limits->limits.max_caller_connections)
+        .Field("max_links", m_limits->limits.max_links);
     return Success();
   }
 
@@ -61,6 +71,7 @@
     if (m_file.node.metrics_address.empty()) return Success();
     HttpServerOptions server;
     server.address = m_file.node.metrics_address;
+    ApplyLimits(m_limits, "metrics", m_limits->limits.max_service_connections, &server);
     BOOST_OUTCOME_TRY(m_metrics,
                       HttpServer::Create(m_runtime, server,
                                          [](const HttpRequest& request, const HttpReply& reply) {
@@ -132,6 +143,7 @@
   std::string m_path;
   std::filesystem::file_time_type m_modified;
   NodeFile m_file;
+  ConnectionLimitsPtr m_limits;
   std::unique_ptr<Node> m_node;
   std::unique_ptr<platform::Ingress> m_ingress;
   std::unique_ptr<HttpServer> m_metrics;
