--- a/tests/cell/chunked_test.cc
+++ b/tests/cell/chunked_test.cc
@@ -5,9 +5,11 @@
 #include <fmt/format.h>
 
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <future>
 #include <random>
+#include <thread>
 
 #include "citronsill/http.h"
 #include "net.h"
--- a/tests/cell/connection_budget_test.cc
+++ b/tests/cell/connection_budget_test.cc
@@ -86,9 +86,11 @@
 
 TEST_CASE("connection budget: a request that is being answered is never evicted") {
   Connections connections(100, 3);
-  for (const char* name : {"a", "b", "c"}) {
-    REQUIRE(connections.Join(name));
-    REQUIRE(connections.Set(name, ConnectionState::kAnswering, 60));
+  for (const char* name : {"a", "b", "c"}) REQUIRE(connections.Join(name));
+  for (const std::size_t bytes : {20, 60}) {
+    for (const char* name : {"a", "b", "c"}) {
+      REQUIRE(connections.Set(name, ConnectionState::kAnswering, bytes));
+    }
   }
   CHECK_FALSE(connections.Join("d"));
   connections.now += 100s;
@@ -127,8 +129,7 @@
     CAPTURE(seed);
     std::mt19937 random(seed);
     Connections connections(kMaxBytes, kMaxConnections);
-    std::map<std::string, ConnectionState> states;
-    std::size_t answering_bytes = 0;
+    std::map<std::string, std::size_t> answering;  // Bytes of the connections that are answered.
     for (int step = 0; step < 2000; ++step) {
       connections.now += std::chrono::milliseconds(random() % 300);
       const std::string name = std::to_string(random() % 40);
@@ -136,18 +137,25 @@
         connections.Join(name);
       } else if (random() % 4 == 0) {
         connections.shares.erase(name);
+        answering.erase(name);
       } else {
         const auto state = static_cast<ConnectionState>(random() % 3);
         const std::size_t bytes = kIdleBytes + random() % 400;
-        if (!connections.Set(name, state, bytes) && random() % 2 == 0) {
-          connections.shares.erase(name);
-        }
+        answering.erase(name);
+        const bool fits = connections.Set(name, state, bytes);
+        if (fits && state == ConnectionState::kAnswering) answering[name] = bytes;
+        if (!fits && random() % 2 == 0) connections.shares.erase(name);
+      }
+      std::size_t answering_bytes = 0;
+      for (const auto& [answered, held] : answering) {
+        CHECK(connections.shares.contains(answered));  // Not evicted.
+        answering_bytes += held;
       }
       CHECK(connections.group->connections <= kMaxConnections);
-      // Answers of at most 410 bytes on all connections are allowed to exceed the budget; nothing
-      // else is.
-      answering_bytes = kMaxConnections * 410;
-      CHECK(connections.budget->Bytes() <= std::max(kMaxBytes, answering_bytes));
+      CHECK(connections.budget->Bytes() >= answering_bytes);
+      // Only connections that are being answered may exceed the budget, and the place of the last
+      // one that was refused because of them.
+      CHECK(connections.budget->Bytes() <= std::max(kMaxBytes, answering_bytes + kIdleBytes));
     }
     connections.shares.clear();
     CHECK(connections.budget->Bytes() == 0);
