New jobs are refused by the caller's deadline while the store is slow

Elsewhere jobs waited for a transaction until 504, after which callers cannot try again.

Change: the entry tells the time left (SubmitCall.time_left_ms). The scheduler refuses a job that no transaction has carried, on arrival or at the first tick at which the store is not expected to take it before that (JudgeSubmission, SubmissionWaits: pure), or when nothing was heard from the store for 0.7 s and longer than recent transactions took. A job that a transaction carries is never refused. Line submissions-refused, counter store_refusals_total.

--- a/cell/commit.cc
+++ b/cell/commit.cc
@@ -60,6 +60,24 @@
   return std::chrono::duration_cast<milliseconds>(m_hooks.now() - m_sent);
 }
 
+milliseconds CommitLog::UnheardFor() const {
+  const milliseconds failing = FailingFor();
+  if (m_refused_position || failing == milliseconds(0)) return failing;
+  const auto unheard =
+      std::chrono::duration_cast<milliseconds>(m_hooks.now() - std::max(m_heard, m_sent));
+  return unheard * 100 > m_duration * kCommitLatencyPercent ? unheard : milliseconds(0);
+}
+
+milliseconds CommitLog::ExpectedWait() const {
+  milliseconds remaining{0};
+  if (m_in_flight) {
+    const auto age = std::chrono::duration_cast<milliseconds>(m_hooks.now() - m_sent);
+    // How long a transaction still takes that has failed is not known: half of its age so far.
+    remaining = std::max(m_duration - age, m_failures > 0 ? age / 2 : milliseconds(0));
+  }
+  return std::max(remaining, milliseconds(0)) + kCommitPeriod + m_duration;
+}
+
 bool CommitLog::MayLead() const {
   const SteadyTime now = m_hooks.now();
   if (m_lost || now >= m_confirmed + kLeadWithoutStore) return false;
@@ -164,6 +182,7 @@
     if (attempt == m_attempts) Send();
     return;
   }
+  m_heard = m_hooks.now();
   // A transaction takes no less than a read. How long this one took is not known: its answer may
   // have been lost.
   const auto read_took = std::chrono::duration_cast<milliseconds>(m_hooks.now() - sent);
@@ -187,6 +206,13 @@
   m_latency = std::max(took, m_latency + (took - m_latency) / kLatencyWindow);
 }
 
+// Follows an increase at once, and a decrease within a few transactions: what is refused because of
+// it could have been stored.
+void CommitLog::RecordDuration(milliseconds took) {
+  took = std::min(took, kMaxExpectedCommit);
+  m_duration = std::max(took, (m_duration + took) / 2);
+}
+
 void CommitLog::NoteFailure(const Error& reason) {
   if (m_failures++ > 0) return;
   Log(LogLevel::kWarn, "commit-delayed")
@@ -198,6 +224,7 @@
 void CommitLog::OnResult(std::uint64_t sequence, SteadyTime sent,
                          const Result<CommitOutcome>& result) {
   // An answer that comes after a read has shown the effect tells the latency all the same.
+  if (result || result.error().code == schema::CODE_COMMIT_REFUSED) m_heard = m_hooks.now();
   if (result) RecordLatency(std::chrono::duration_cast<milliseconds>(m_hooks.now() - sent));
   if (!IsCurrent(sequence)) return;
   --m_unanswered;
@@ -267,6 +294,7 @@
   }
   NodeMetrics::Get().CountCommit(std::chrono::duration_cast<milliseconds>(m_hooks.now() - m_sent),
                                  m_failures + 1);
+  RecordDuration(std::chrono::duration_cast<milliseconds>(m_hooks.now() - m_sent));
   m_head_version = version;
   m_confirmed = m_sent;
   m_supporters = {m_head.supporters().begin(), m_head.supporters().end()};
--- a/cell/commit.h
+++ b/cell/commit.h
@@ -71,6 +71,15 @@
   /// since the store has refused every transaction; else 0.
   [[nodiscard]] milliseconds FailingFor() const;
 
+  /// @returns for how long the store has answered neither the transaction in flight nor a read, if
+  /// an attempt has failed and this is longer than recent transactions took, or since when it has
+  /// refused every transaction; else 0.
+  [[nodiscard]] milliseconds UnheardFor() const;
+
+  /// @returns the time after which a change that is made now is expected to be in the store: what
+  /// the transaction in flight still needs, and the next one.
+  [[nodiscard]] milliseconds ExpectedWait() const;
+
   /// @returns when the last transaction that is known to be in the store was first sent; at first,
   /// the claim.
   [[nodiscard]] SteadyTime Confirmed() const { return m_confirmed; }
@@ -104,6 +113,7 @@
   void OnConflict(const CommitOutcome& outcome);
   void OnRefused(const Error& reason);
   void RecordLatency(milliseconds took);
+  void RecordDuration(milliseconds took);
   void Succeed(std::uint64_t version);
   void NoteFailure(const Error& reason);
   void Lose();
@@ -136,6 +146,10 @@
   std::function<void()> m_on_released;
   SteadyTime m_sent{};        // First attempt of the transaction.
   milliseconds m_latency{0};  // Moving average of the time until a reply.
+  // Moving average of the time from the first attempt of a transaction until it was known to be
+  // stored.
+  milliseconds m_duration{0};
+  SteadyTime m_heard{};  // Last answer of the store to a transaction or a read.
   SteadyTime m_confirmed;
   // Supporters in all head rows that may be in the store since the last transaction that is known
   // to be.
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "cell/claim.h"
@@ -12,6 +13,7 @@
 #include "cell/log.h"
 #include "cell/metrics.h"
 #include "cell/reads.h"
+#include "cell/store_wait.h"
 #include "cell/support.h"
 #include "cell/table_reader.h"
 
@@ -65,6 +67,9 @@
   SteadyTime earlier_may_lead_until{};
   ReadGate read_gate{BootNow};
   SupportRegister support{BootNow};
+  SubmissionWaits submissions{BootNow};
+  std::size_t refused_since_report = 0;  // Jobs, since the last log line about refusals.
+  SteadyTime refusals_reported{};
   bool lead_paused = false;  // `MayLead` was false at the last tick.
   bool loaded = false;
   bool lost = false;
@@ -586,7 +591,7 @@
     read_gate.OnTick();
     if (!loaded || releasing) return;
     read_gate.OnConfirmed(commits->Confirmed());
-    if (commits->FailingFor() > kRefuseAfterStoreSilence) scheduler->RefuseUnsent(StoreFailure());
+    RefuseLost();
     scheduler->Tick();
     PlanSoon();
   }
@@ -683,28 +688,73 @@
     };
   }
 
+  [[nodiscard]] StoreProgress Progress() const {
+    return {commits->FailingFor(), commits->UnheardFor(), commits->ExpectedWait()};
+  }
+
+  // Refuses the jobs that no transaction has carried yet and that the store will not take in time.
+  // Their callers may try again; what a transaction has carried may run and is not refused.
+  void RefuseLost() {
+    const StoreProgress progress = Progress();
+    const bool is_silent = JudgeSubmission(progress, milliseconds(0)) == StoreVerdict::kSilent;
+    if (!is_silent && !submissions.AnyRefused(progress)) return;
+    for (const auto verdict : {StoreVerdict::kSilent, StoreVerdict::kLate}) {
+      const std::size_t refused = scheduler->RefuseUnsent(
+          StoreFailure(verdict),
+          [&](const std::string& job) { return submissions.Judge(progress, job) == verdict; });
+      if (refused > 0) ReportRefused(verdict, progress, refused);
+    }
+  }
+
+  // Logs refusals, at most once in `kRefusalLogPeriod`.
+  void ReportRefused(StoreVerdict verdict, const StoreProgress& progress, std::size_t refused) {
+    NodeMetrics::Get().CountStoreRefusals(verdict == StoreVerdict::kLate ? "late" : "silent",
+                                          refused);
+    refused_since_report += refused;
+    if (BootNow() < refusals_reported + kRefusalLogPeriod) return;
+    refusals_reported = BootNow();
+    Log(LogLevel::kWarn, "submissions-refused")
+        .Field("shard", options.shard)
+        .Field("reason", verdict == StoreVerdict::kLate ? "store-late" : "store-silent")
+        .Field("jobs", std::exchange(refused_since_report, 0))
+        .Field("waiting", submissions.Size())
+        .Field("failing_ms", progress.failing)
+        .Field("unheard_ms", progress.unheard)
+        .Field("expected_ms", progress.expected)
+        .Field("confirmed_ms_ago", TimeSinceConfirmed());
+  }
+
   void Submit(const schema::SubmitCall& call, Reply reply) {
-    // While the store does not answer, a new job would only wait until its caller's deadline.
+    const std::string& id = call.spec().id();
+    const milliseconds time_left(call.time_left_ms());
     const milliseconds retry_after =
         call.spec().queue().priority() == 0 ? kInteractiveRetryAfter : kBatchRetryAfter;
-    if (!scheduler->IsKnown(call.spec().id()) && commits->FailingFor() > kRefuseAfterStoreSilence) {
-      return reply(Failure(StoreFailure(), retry_after));
+    // A job that the store will not take in time would only wait until its caller's deadline.
+    const StoreProgress progress = Progress();
+    const StoreVerdict verdict = JudgeSubmission(progress, time_left);
+    if (!scheduler->IsKnown(id) && verdict != StoreVerdict::kWait) {
+      ReportRefused(verdict, progress, 1);
+      return reply(Failure(StoreFailure(verdict), retry_after));
     }
     if (!scheduler->MayAccess(call.spec().id(), call.spec().customer())) {
       return reply(Failure(kOtherCustomer));
     }
-    scheduler->Submit(
-        call.spec(), milliseconds(call.waited_ms()),
-        [reply = std::move(reply), retry_after](const Result<schema::JobState>& result) {
-          if (!result) return reply(Failure(result.error(), retry_after));
-          schema::CallReply out;
-          out.set_state(result.value());
-          reply(std::move(out));
-        });
-  }
-
-  static Error StoreFailure() {
-    return {schema::CODE_TABLE_UNAVAILABLE, "the store does not answer"};
+    submissions.Add(id, time_left);
+    scheduler->Submit(call.spec(), milliseconds(call.waited_ms()),
+                      [this, weak = weak_from_this(), id, reply = std::move(reply),
+                       retry_after](const Result<schema::JobState>& result) {
+                        if (const auto self = weak.lock()) submissions.Remove(id);
+                        if (!result) return reply(Failure(result.error(), retry_after));
+                        schema::CallReply out;
+                        out.set_state(result.value());
+                        reply(std::move(out));
+                      });
+  }
+
+  static Error StoreFailure(StoreVerdict verdict) {
+    return {schema::CODE_TABLE_UNAVAILABLE, verdict == StoreVerdict::kLate
+                                                ? "the store is too slow for the deadline"
+                                                : "the store does not answer"};
   }
 };
 
--- a/cell/limits.h
+++ b/cell/limits.h
@@ -246,9 +246,6 @@
 // New work is refused when the store has not answered for this long. Interactive work has a second
 // or two in all, and waiting would use up its callers' time for a call.
 inline constexpr std::chrono::milliseconds kRefuseAfterStoreSilence{700};
-// A new job is also refused when it cannot be in the store this long before its caller's deadline:
-// the time for the answer to go back.
-inline constexpr std::chrono::milliseconds kSubmitAnswerReserve{60};
 // Refusals of new jobs for want of the store are logged in one line in this time.
 inline constexpr std::chrono::milliseconds kRefusalLogPeriod{1000};
 // Transactions that took longer count as this when the time of the next one is estimated. A store
--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -253,15 +253,19 @@
   done(Error{schema::CODE_OVERLOADED, std::string("the scheduler is overloaded: ") + reason});
 }
 
-void Scheduler::RefuseUnsent(const Error& error) {
+std::size_t Scheduler::RefuseUnsent(const Error& error,
+                                    const std::function<bool(const std::string& id)>& is_refused) {
   std::vector<Job*> unsent;
   for (const auto& [id, job] : m_jobs) {
     const bool is_unsent = !job->stored && job->stored_state == schema::JOB_STATE_NONE;
-    if (is_unsent && !job->IsFinal()) unsent.push_back(job.get());
+    if (!is_unsent || job->IsFinal()) continue;
+    if (!is_refused || is_refused(id)) unsent.push_back(job.get());
   }
+  if (unsent.empty()) return 0;
   for (Job* job : unsent) EraseUnstored(job, error);
   SkipWithdrawn();
   RunEffects();
+  return unsent.size();
 }
 
 // Withdrawn positions are never stored. Effects that wait for one run once everything before it is
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -83,7 +83,10 @@
   /// Refuses the jobs that wait for their first transaction; nothing about them was sent to the
   /// store.
   /// @param error passed to their submitters.
-  void RefuseUnsent(const Error& error);
+  /// @param is_refused limits the call to these jobs; all if it is empty.
+  /// @returns number of the jobs that were refused.
+  std::size_t RefuseUnsent(const Error& error,
+                           const std::function<bool(const std::string& id)>& is_refused = nullptr);
 
   /// @param done gets JOB_STATE_CANCELLED once all changes so far are stored, the final state of an
   /// archived job at once, or CODE_NOT_FOUND for an unknown job.
--- a/cell/shard.cc
+++ b/cell/shard.cc
@@ -327,6 +327,8 @@
     if (call->message.has_submit()) {
       call->message.mutable_submit()->set_waited_ms(
           std::chrono::duration_cast<milliseconds>(now - call->arrived).count());
+      call->message.mutable_submit()->set_time_left_ms(
+          std::chrono::duration_cast<milliseconds>(call->deadline - now).count());
     }
     if (leader) {
       call->in_flight = true;
