Free the memory of a rejected message at once; the soak runs with limits

A connection whose message was rejected kept its parsed header and body until it was closed, up to 10 s later. The soak gives its nodes the limits of the smallest machine, 120 MB and 3,075 descriptors.

--- a/cell/connection_limits.h
+++ b/cell/connection_limits.h
@@ -48,7 +48,7 @@
 /// which is not known are unlimited, or as large as they were without it.
 ProcessLimits WorkOutLimits(const LimitSettings& settings);
 
-/// The budgets of a process and the reports of what exceeds them.
+/// The budgets of a process and the reports of what exceeds them. For programs with one thread.
 class ConnectionLimits : public std::enable_shared_from_this<ConnectionLimits> {
  public:
   /// @param timers reports are logged with it; outlives the result.
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -351,7 +351,6 @@
   void Refuse(const SessionPtr& session, bool is_reading) {
     if (std::exchange(session->refused, true)) return;
     session->abort_reported = true;  // Reported as a limit; these may be many.
-    session->parser.reset();
     HttpResponse response =
         options.reject(503, Error{schema::CODE_OVERLOADED,
                                   "too many requests are on their way; this one was not accepted"});
@@ -362,6 +361,11 @@
   // Closes the connection after a response to a request that was not read whole.
   void AnswerAndClose(const SessionPtr& session, const HttpResponse& response, bool is_reading) {
     session->keep_alive = false;
+    session->parser.reset();
+    // Whether it is evicted makes no difference, as it is about to be closed.
+    static_cast<void>(
+        session->share->Set(ConnectionState::kReading, HeldBytes(*session), Clock::now()));
+    if (session->ended) return;
     Write(session, response, [self = shared_from_this(), session, is_reading] {
       error_code ignored;
       session->stream->Socket().shutdown(Tcp::socket::shutdown_send, ignored);
--- a/tests/cell/connection_budget_test.cc
+++ b/tests/cell/connection_budget_test.cc
@@ -183,7 +183,7 @@
     CHECK(total + (25U << 20U) <= memory);
     if (machine.memory_mb >= 160) CHECK(total + (95U << 20U) <= memory);
     // 500 idle callers and 20 bodies of 262,144 bytes at a time are inside the limits.
-    CHECK(500 * kHttpConnectionBytes + 20 * 262144 <= limits.connection_bytes);
+    CHECK(500 * kHttpConnectionBytes + std::size_t{20} * 262144 <= limits.connection_bytes);
     CHECK(limits.max_caller_connections >= 900);
     CHECK(limits.max_links >= 300);
     // Three full pages of the store at a time.
--- a/tests/cell/link_limits_test.cc
+++ b/tests/cell/link_limits_test.cc
@@ -133,6 +133,7 @@
   REQUIRE(service.Await("open n-1"));
   REQUIRE(service.Await("open n-2"));
   std::vector<std::unique_ptr<Tcp::socket>> strangers;
+  strangers.reserve(3);
   for (int i = 0; i < 3; ++i) strangers.push_back(service.Connect(""));
   const auto third = service.Connect(HelloFrame("n-3"));
   REQUIRE(service.Await("open n-3"));
--- a/tests/soak/processes.cc
+++ b/tests/soak/processes.cc
@@ -97,6 +97,9 @@
       R"({{"instance":"n-{}","failure_domain":"a","region":"r","processor_share":{},)"
       R"("ingress_address":"{}","link_address":"{}","link_advertised_address":"{}",)"
       R"("readiness_address":"{}","metrics_address":"{}","seeds":[{}],"max_lease_ms":{},)"
+      // The limits of the smallest machine of the platform. Callers within the pages' limits do not
+      // meet them.
+      R"("memory_mb":120,"max_descriptors":3075,)"
       R"("gang_time_ms":3000,"keep_finished_s":120,"drain_time_s":6,"store_address":"{}",)"
       R"("advice_address":"{}"}})",
       instance.number, m_options.share < 1.0 ? m_options.share : 0.5, LoopbackAddress(port),
