--- a/tests/cell/slow_store_test.cc
+++ b/tests/cell/slow_store_test.cc
@@ -44,7 +44,7 @@
   TimerService& m_timers;
 };
 
-struct Answer {
+struct CallAnswer {
   CallOutcome outcome;
   milliseconds took{0};
 };
@@ -90,7 +90,7 @@
     done.get_future().wait();
   }
 
-  std::future<Answer> Submit(const std::string& id, milliseconds timeout) {
+  std::future<CallAnswer> Submit(const std::string& id, milliseconds timeout) {
     schema::LinkMessage message;
     schema::JobSpec* spec = message.mutable_submit()->mutable_spec();
     spec->set_id(id);
@@ -99,8 +99,8 @@
     step->set_task_count(1);
     step->mutable_size()->set_processors_milli(100);
     step->mutable_size()->set_memory_mb(64);
-    auto answer = std::make_shared<std::promise<Answer>>();
-    std::future<Answer> future = answer->get_future();
+    auto answer = std::make_shared<std::promise<CallAnswer>>();
+    std::future<CallAnswer> future = answer->get_future();
     OnLoop([&] {
       shard->Call(message, timeout, [answer, sent = BootNow()](CallOutcome outcome) {
         const auto took = std::chrono::duration_cast<milliseconds>(BootNow() - sent);
@@ -138,7 +138,7 @@
   REQUIRE(cell.Submit("00000000000000a0", 5000ms).get().outcome.code == schema::CODE_OK);
   cell.store.delay = 400ms;
   std::this_thread::sleep_for(2000ms);
-  const Answer late = cell.Submit("00000000000000a1", 300ms).get();
+  const CallAnswer late = cell.Submit("00000000000000a1", 300ms).get();
   CHECK(late.outcome.code == schema::CODE_TABLE_UNAVAILABLE);
   CHECK(late.outcome.retry_after > 0ms);
   CHECK(late.took < 200ms);
@@ -154,10 +154,10 @@
   SlowCell cell;
   REQUIRE(cell.Submit("00000000000000b0", 5000ms).get().outcome.code == schema::CODE_OK);
   cell.store.delay = 2000ms;
-  std::future<Answer> carried = cell.Submit("00000000000000b1", 600ms);
+  std::future<CallAnswer> carried = cell.Submit("00000000000000b1", 600ms);
   std::this_thread::sleep_for(150ms);
-  std::future<Answer> waiting = cell.Submit("00000000000000b2", 600ms);
-  const Answer refused = waiting.get();
+  std::future<CallAnswer> waiting = cell.Submit("00000000000000b2", 600ms);
+  const CallAnswer refused = waiting.get();
   CHECK(refused.outcome.code == schema::CODE_TABLE_UNAVAILABLE);
   CHECK(refused.took < 550ms);
   CHECK(carried.get().outcome.code == schema::CODE_OUTCOME_UNKNOWN);
