--- a/bench/cell/customers_bench.cc
+++ b/bench/cell/customers_bench.cc
@@ -8,6 +8,7 @@
 
 #include "cell/config_push.h"
 #include "platform/platform.h"
+#include "platform/wire.h"
 
 namespace citronsill {
 namespace {
@@ -38,6 +39,13 @@
 void ReadConfig(benchmark::State& state) {
   const std::string text = ConfigText(state.range(0));
   for (auto _ : state) benchmark::DoNotOptimize(platform::ReadConfig(text));
+  {
+    // While it is read, the parsed text is there twice: with the keys and without.
+    const double before_document = AllocatedMb();
+    const auto document = platform::Document::Parse(text);
+    state.counters["document_mb"] = AllocatedMb() - before_document;
+    benchmark::DoNotOptimize(document);
+  }
   const double before = AllocatedMb();
   const CellConfigPtr config = platform::ReadConfig(text).value();
   state.counters["keys"] = static_cast<double>(config->customers->KeyCount());
--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -34,6 +34,8 @@
 run 202 15 17600 --plain
 # Configurations that were not in force after a silent outage (docs/incidents/2026-12-05-config-after-outage.md).
 run 940 20 18000 --faults store_silent
+# Customers whose keys and limits change, with silences of the store in which keys are withdrawn (issue 51).
+run 5101 20 20000 --rate 7 --customers 4 --faults customers store_silent store_turns_away kill
 # The scheduler and a worker that are lost at once (docs/incidents/2026-12-06-lasting-task-away-15-s.md).
 run 9702 45 19200 --rate 6 --faults scheduler_and_worker
 # Workers that start again under their id and are cut off soon after, while the scheduler changes
