--- a/tests/hostile/main.cc
+++ b/tests/hostile/main.cc
@@ -317,7 +317,7 @@
   auto timers = TimerService::Create(*runtime.value());
   if (!timers) return 2;
   auto platform =
-      soak::Platform::Create(*runtime.value(), *timers.value(), 1, 1, 1, milliseconds(6000));
+      soak::Platform::Create(*runtime.value(), *timers.value(), 1, 1, 1, milliseconds(6000), 0);
   if (!platform) return 2;
   soak::Platform& services = *platform.value();
   services.actual_behavior = [](const TaskRef&) { return model::TaskBehavior{}; };
