--- a/cell/limits.h
+++ b/cell/limits.h
@@ -246,9 +246,6 @@
 // New work is refused when the store has not answered for this long. Interactive work has a second
 // or two in all, and waiting would use up its callers' time for a call.
 inline constexpr std::chrono::milliseconds kRefuseAfterStoreSilence{700};
-// A new job is also refused when it cannot be in the store this long before its caller's deadline:
-// the time for the answer to go back.
-inline constexpr std::chrono::milliseconds kSubmitAnswerReserve{60};
 // Refusals of new jobs for want of the store are logged in one line in this time.
 inline constexpr std::chrono::milliseconds kRefusalLogPeriod{1000};
 // Transactions that took longer count as this when the time of the next one is estimated. A store
@@ -261,11 +258,19 @@
 
 // ---- Customers
 
-// Jobs that a customer may submit at once within its share: those of this time, and at least this
-// many, so that small customers may send a few together.
-inline constexpr std::chrono::milliseconds kShareWindow{2000};
-inline constexpr double kMinShareBurst = 4.0;
-// Customers that are named in each report.
+// Jobs that a customer may submit at once within its share: those of this time, and this many more,
+// so that small customers may send a few together.
+inline constexpr std::chrono::milliseconds kShareWindow{5000};
+inline constexpr double kShareBurst = 20.0;
+// A backlog that the workers of the cell can do in this time is none: it is the time of a planning
+// pass, a request to the policy service and a start.
+inline constexpr std::chrono::milliseconds kMinBacklogWait{500};
+// Shortest and longest Retry-After for want of room. The clients' time for a call is a few seconds,
+// and the backlog may shrink sooner than expected.
+inline constexpr std::chrono::milliseconds kMinRoomRetryAfter{1000};
+inline constexpr std::chrono::milliseconds kMaxRoomRetryAfter{8000};
+// Interval of the report about customers, and how many are named in it.
+inline constexpr std::chrono::milliseconds kCustomerReportPeriod{5000};
 inline constexpr std::size_t kMaxReportedCustomers = 8;
 
 // ---- Ownership
--- a/cell/metrics.cc
+++ b/cell/metrics.cc
@@ -115,6 +115,11 @@
           .Name("citronsill_store_refusals_total")
           .Help("New jobs that were refused for want of the store, by reason.")
           .Register(registry);
+  Family<Counter>& room_refusals =
+      prometheus::BuildCounter()
+          .Name("citronsill_room_refusals_total")
+          .Help("New jobs that were refused for want of room, by reason")
+          .Register(registry);
   Histogram& loop_lag = prometheus::BuildHistogram()
                             .Name("citronsill_loop_lag_seconds")
                             .Help("How late a periodic timer of the event loop fired.")
@@ -128,6 +133,10 @@
                               .Name("citronsill_answers_cut_total")
                               .Help("Connections of callers that ended without a whole answer.")
                               .Register(registry);
+  Family<Counter>& limits = prometheus::BuildCounter()
+                                .Name("citronsill_limits_exceeded_total")
+                                .Help("Times that a connection exceeded a limit.")
+                                .Register(registry);
   Family<Gauge>& held_tasks = prometheus::BuildGauge()
                                   .Name("citronsill_held_tasks")
                                   .Help("Tasks whose turn has come and that wait, by reason.")
@@ -193,6 +202,10 @@
   m_impl->store_refusals.Add({{"reason", reason}}).Increment(static_cast<double>(jobs));
 }
 
+void NodeMetrics::CountRoomRefusal(const char* reason) {
+  m_impl->room_refusals.Add({{"reason", reason}}).Increment();
+}
+
 void NodeMetrics::ObserveLoopLag(milliseconds lag) { m_impl->loop_lag.Observe(Seconds(lag)); }
 
 void NodeMetrics::CountFinal(const char* state) {
@@ -207,6 +220,10 @@
   m_impl->cuts.Add({{"reason", reason}}).Increment();
 }
 
+void NodeMetrics::CountLimit(const char* party, const std::string& limit) {
+  m_impl->limits.Add({{"party", party}, {"limit", limit}}).Increment();
+}
+
 void NodeMetrics::SetHeldTasks(const char* reason, std::uint32_t tasks) {
   m_impl->held_tasks.Add({{"reason", reason}}).Set(tasks);
 }
--- a/cell/metrics.h
+++ b/cell/metrics.h
@@ -41,6 +41,8 @@
   void CountRelay(const char* result);
   /// New jobs were refused for want of the store. @param reason "silent" or "late".
   void CountStoreRefusals(const char* reason, std::size_t jobs);
+  /// A new job was refused for want of room. @param reason see `RoomVerdictName`.
+  void CountRoomRefusal(const char* reason);
   /// A job has reached a final state. @param state one of a fixed set.
   void CountFinal(const char* state);
   /// A periodic timer fired late by this much.
@@ -49,6 +51,8 @@
   void CountHandlerFailure(const std::string& handler);
   /// A caller's connection ended without a complete response. @param reason one of a fixed set.
   void CountAbort(const char* reason);
+  /// A client or a called server exceeded a limit. @param party, limit each one of a fixed set.
+  void CountLimit(const char* party, const std::string& limit);
   /// Sets the number of held tasks (ready but not running for `kHeldAfter`) that one check found
   /// for a reason. @param reason one of a fixed set.
   void SetHeldTasks(const char* reason, std::uint32_t tasks);
--- a/cell/planner.cc
+++ b/cell/planner.cc
@@ -86,6 +86,12 @@
   }
 
  private:
+  // Room that becomes free for a gang, and the workers that hold it.
+  struct RoomAhead {
+    SteadyTime ready;
+    std::vector<std::uint32_t> workers;
+  };
+
   // Lists the workers on which the unit that is examined now may run.
   void ListFits(const PlanUnit& unit) {
     m_known = unit.known;
@@ -327,10 +333,27 @@
       return true;
     }
     AskForTickets(unit, unit.count);
-    SetRoomAside(unit);
+    RenewTickets(unit, SetRoomAside(unit));
     return false;
   }
 
+  // Renews the tickets of a gang shortly before the room that is set aside for it becomes free.
+  //
+  // Matters where an answer of the policy service takes a second: the room of a whole gang would
+  // otherwise stay empty for that long while other work waits.
+  void RenewTickets(const PlanUnit& unit, const std::optional<RoomAhead>& room) {
+    if (!room || unit.ticket_valid <= milliseconds(0) || !CanAsk(unit)) return;
+    if (!m_plan.advice_requests.empty() && m_plan.advice_requests.back().unit == unit.id) return;
+    if (room->ready > m_limits.now + unit.advice_time + unit.ticket_valid / 2) return;
+    const auto has_ticket = [this](std::uint32_t index) {
+      return std::any_of(m_known.begin(), m_known.end(), [index](const KnownFit& known) {
+        return known.worker == index && known.fit == Fit::kReady;
+      });
+    };
+    if (std::all_of(room->workers.begin(), room->workers.end(), has_ticket)) return;
+    AskOnSeveralSlots(unit, room->workers);
+  }
+
   void ReturnRoom(const PlanUnit& unit, const Share& share) {
     for (std::uint32_t i = 0; i < share.count; ++i) {
       m_workers[share.worker].free += unit.size;
@@ -358,7 +381,7 @@
     const std::size_t allowed_count = workers.size();
     if (expected < wanted) {
       add(Unknown(unit), unit.allowed_share);
-      const std::size_t minimum = allowed_count + MinNamedWorkers(unit);
+      const std::size_t minimum = allowed_count + NamesWanted(unit);
       if (workers.size() < minimum) {
         AddFreestWorkers(unit, minimum - workers.size(), &workers);
       }
@@ -400,6 +423,29 @@
     return SlotsPerUnit(unit) > kMinSlotsPerUnit ? kBroadGangAskFactor : kGangAskFactor;
   }
 
+  // Number of unknown workers to name, whether they have room now or not.
+  //
+  // While the cell is full, a gang that knows a few allowed workers has to wait until most of what
+  // runs there has ended. Among many of them enough places become free at any time, so it asks
+  // until the allowed ones could hold it several times.
+  [[nodiscard]] std::size_t NamesWanted(const PlanUnit& unit) const {
+    const std::size_t minimum = MinNamedWorkers(unit);
+    if (!unit.gang || unit.request_kind != AdviceRequestKind::kLong) return minimum;
+    double places = 0.0;
+    double capacity = 0.0;
+    for (const KnownFit& known : m_known) {
+      places += FitCount(m_workers[known.worker].capacity, unit.size, unit.count);
+    }
+    for (const PlanWorker& worker : m_workers) {
+      if (worker.takes_work) capacity += FitCount(worker.capacity, unit.size, unit.count);
+    }
+    const double missing = kGangPlaces * unit.count - places;
+    const double each = unit.allowed_share * capacity / static_cast<double>(m_workers.size());
+    if (missing <= 0.0 || each <= 0.0) return minimum;
+    return std::clamp(static_cast<std::size_t>(missing / each), minimum,
+                      SlotsPerUnit(unit) * kPreferredNamedWorkersLong);
+  }
+
   static std::size_t MinNamedWorkers(const PlanUnit& unit) {
     return unit.request_kind == AdviceRequestKind::kLong ? kMinNamedWorkersLong : kMinNamedWorkers;
   }
@@ -465,8 +511,10 @@
   // soon as they appear, so that a gang never finds enough of them at once. Sets aside the workers
   // on which the gang fits soonest; tasks that are expected to end before that time may still use
   // them.
-  void SetRoomAside(const PlanUnit& unit) {
-    if (m_gangs_set_aside >= kMaxGangsSetAside || m_set_aside_tries >= kMaxSetAsideTries) return;
+  std::optional<RoomAhead> SetRoomAside(const PlanUnit& unit) {
+    if (m_gangs_set_aside >= kMaxGangsSetAside || m_set_aside_tries >= kMaxSetAsideTries) {
+      return std::nullopt;
+    }
     ++m_set_aside_tries;
     struct Change {
       SteadyTime at;
@@ -493,9 +541,9 @@
       fitting += FitCount(room[change.worker], unit.size, unit.count);
       ready = change.at;
     }
-    if (fitting < unit.count) return;
+    if (fitting < unit.count) return std::nullopt;
     ++m_gangs_set_aside;
-    SetAsideUntil(unit, ready, room);
+    return RoomAhead{ready, SetAsideUntil(unit, ready, room)};
   }
 
   const std::vector<ExpectedEnd>& EndsOn(std::uint32_t index) {
@@ -507,21 +555,26 @@
     return worker.ends;
   }
 
-  void SetAsideUntil(const PlanUnit& unit, SteadyTime ready, const std::vector<Resources>& room) {
+  // @returns the workers on which room was set aside.
+  std::vector<std::uint32_t> SetAsideUntil(const PlanUnit& unit, SteadyTime ready,
+                                           const std::vector<Resources>& room) {
     std::vector<std::uint32_t> order = Known(Fit::kAllowed);
     std::sort(order.begin(), order.end());
     std::stable_sort(order.begin(), order.end(), [&](std::uint32_t a, std::uint32_t b) {
       return FitCount(room[a], unit.size, unit.count) > FitCount(room[b], unit.size, unit.count);
     });
     std::uint32_t left = unit.count;
+    std::vector<std::uint32_t> workers;
     for (const std::uint32_t index : order) {
       const std::uint32_t count = std::min(left, FitCount(room[index], unit.size, unit.count));
-      if (count == 0) return;
+      if (count == 0) break;
+      workers.push_back(index);
       for (std::uint32_t i = 0; i < count; ++i) m_set_aside[index] += unit.size;
       m_set_aside_until[index] = ready;
       m_plan.set_aside.push_back({index, m_set_aside[index]});
       left -= count;
     }
+    return workers;
   }
 
   // Tickets are requested for this multiple of the tasks that need one.
@@ -531,6 +584,9 @@
   static constexpr double kGangAskFactor = 3.0;
   // The same while most request slots are idle.
   static constexpr double kBroadGangAskFactor = 6.0;
+  // A gang asks about workers until the allowed ones could hold it this many times while nothing
+  // else runs there.
+  static constexpr double kGangPlaces = 6.0;
   // Number of request slots that one unit uses at a time: at most the first, or one in
   // `kIdleSlotsPerSlot` idle ones, at most the second.
   static constexpr std::size_t kMinSlotsPerUnit = 4;
