Test of a withdrawn key at a new instance: its store answers after its peer's first ping

Cause: the test passed without the wait for the new instance's own read, which came before the ping.

--- a/tests/cell/customers_test.cc
+++ b/tests/cell/customers_test.cc
@@ -257,10 +257,12 @@
   Loop loop;
 
   void Put(const std::string& text) {
-    m_text = text;
     for (const auto& instance : m_all) REQUIRE(Write(instance->store.rows, text));
   }
   void SetSilent(std::size_t number, bool is_silent) { m_all[number]->store.SetSilent(is_silent); }
+  void SetLatency(std::size_t number, milliseconds latency) {
+    m_all[number]->store.latency = latency;
+  }
   // Ends the process and starts another one, which knows nothing.
   void Restart(std::size_t number) { Start(number); }
   [[nodiscard]] std::size_t Count() const { return m_all.size(); }
@@ -275,7 +277,9 @@
   }
   // Called with the number of an instance whose configuration has changed.
   std::function<void(std::size_t)> on_config = [](std::size_t) {};
-  bool scheduler_sends = true;  // Whether the links of the scheduler work.
+  // Whether the links of the scheduler work.
+  void LinkScheduler() { m_is_linked = true; }
+  void CutScheduler() { m_is_linked = false; }
 
  private:
   struct Instance {
@@ -320,7 +324,7 @@
   }
 
   void Ping() {
-    for (std::size_t i = 1; i < m_all.size() && scheduler_sends; ++i) {
+    for (std::size_t i = 1; i < m_all.size() && m_is_linked; ++i) {
       OnPing(0, i);
       OnPing(i, 0);
     }
@@ -344,7 +348,7 @@
   }
 
   std::vector<std::unique_ptr<Instance>> m_all;
-  std::string m_text;
+  bool m_is_linked = true;
 };
 
 // Guards against keys that stay in force, or come back, on instances which the store turns away.
@@ -418,7 +422,7 @@
     instances.loop.RunFor(milliseconds(1500));
     // The scheduler hears of nothing new; its only peer is down while the key is withdrawn.
     instances.SetSilent(0, true);
-    instances.scheduler_sends = false;
+    instances.CutScheduler();
     instances.loop.RunFor(milliseconds(6000));
     instances.Put(ConfigText(2, "", "kb"));
     instances.loop.RunFor(instances.loop.Delay(0, 1000));
@@ -426,8 +430,10 @@
     instances.on_config = [&](std::size_t number) {
       if (number == 1 && instances.Config(1)->version < 2) ++old_ones;
     };
+    // Longer than until the first pings.
+    instances.SetLatency(1, kUnlistedPingPeriod + milliseconds(200));
     instances.Restart(1);
-    instances.scheduler_sends = true;
+    instances.LinkScheduler();
     instances.loop.RunFor(milliseconds(3000));
     CHECK(old_ones == 0);
     CHECK(CallerOf(instances.Config(1), "ka").empty());
