Test of failing HTTP handlers: the handler does not refer to a frame that has ended

The handler read `is_failing`, a parameter of the frame that the answer had let go on and that ended meanwhile, so it sometimes did not throw, and "http-answer: answer" was missing. What is checked is the same.

--- a/tests/cell/guard_test.cc
+++ b/tests/cell/guard_test.cc
@@ -97,14 +97,15 @@
   client_options.max_connections = 1;
   const auto client = std::move(HttpClient::Create(*loop.runtime, client_options).value());
   const auto send = [&](const std::string& target, bool is_failing) {
-    std::promise<bool> answered;
+    // The handler still runs when the answer is known here, so it must not refer to this frame.
+    const auto answered = std::make_shared<std::promise<bool>>();
     HttpRequest request;
     request.target = target;
-    client->Send(request, 2000ms, [&](const Result<HttpResponse>& response) {
-      answered.set_value(response.has_value());
+    client->Send(request, 2000ms, [answered, is_failing](const Result<HttpResponse>& response) {
+      answered->set_value(response.has_value());
       if (is_failing) throw std::runtime_error("answer");
     });
-    return answered.get_future().get();
+    return answered->get_future().get();
   };
   // Without a response, the caller knows that the outcome is unknown.
   CHECK_FALSE(send("/bad", false));
