--- a/tests/cell/cell.h
+++ b/tests/cell/cell.h
@@ -155,9 +155,13 @@
   Store store;
   History history;
   NetworkFaults network;
+  std::map<std::string, int> open_submissions;  // Not refused, by job id.
   std::map<std::string, WorkerNode> nodes;
   milliseconds max_lease = kMaxLease;  // Longest lease that workers started from now on grant.
   bool checks_tickets = false;         // Of workers started from now on.
+  // While a transaction is late, jobs that none has carried are refused, as for callers whose
+  // deadline is near: half of the ids.
+  bool refuses_some = false;
   std::size_t max_entries = 97;  // Of a transaction. With more changed jobs, packs are written.
   bool gives_support = true;     // Whether instances support a scheduler without the store.
   std::uint32_t links = 0;  // Number of other instances that exchange pings with the scheduler.
@@ -233,11 +237,15 @@
       if (!accepted.contains(spec.id()) && !std::exchange(*is_retried, true)) Submit(spec);
     };
     loop.After(milliseconds(3000), retry_once);
+    ++open_submissions[spec.id()];
     leader->scheduler->Submit(spec, milliseconds(0), [this, spec, retry_once](const auto& result) {
       if (result) {
         accepted.insert(spec.id());
         return;
       }
+      // What was refused, and is not submitted otherwise, must not run.
+      const bool is_open = --open_submissions[spec.id()] > 0 || accepted.contains(spec.id());
+      if (!is_open) history.submitted.erase(spec.id());
       loop.After(loop.Delay(10, 600), retry_once);
     });
   }
@@ -446,6 +454,9 @@
     if (loaded) {
       if (commits->FailingFor() > kRefuseAfterStoreSilence) {
         scheduler->RefuseUnsent(Error{schema::CODE_TABLE_UNAVAILABLE, "down"});
+      } else if (m_cell.refuses_some && commits->FailingFor() > milliseconds(0)) {
+        scheduler->RefuseUnsent(Error{schema::CODE_TABLE_UNAVAILABLE, "late"},
+                                [](const std::string& id) { return StableHash(id) % 2 == 0; });
       }
       scheduler->Tick();
       PlanSoon();
--- a/tests/cell/model_test.cc
+++ b/tests/cell/model_test.cc
@@ -358,6 +358,7 @@
   // Several restarts of a worker within seconds, listed late; calls that overtake each other;
   // workers that refuse all calls, or what does not fit.
   bool quick_restarts = false;
+  bool refusals = false;  // Some of the jobs that wait for a late transaction are refused.
 };
 
 // Guards against runs that count as missing while a worker has more ends than one answer holds.
@@ -381,6 +382,7 @@
 // Runs one schedule with random faults at random times.
 void RunSchedule(std::uint64_t seed, const FaultKinds& kinds) {
   Cell cell(seed, 3, 5, Resources{8000, 8000, 0});
+  cell.refuses_some = kinds.refusals;
   // In half of the schedules transactions are so small that changes are stored in packs.
   if (seed % 2 == 0) cell.max_entries = 4 + seed % 5;
   Loop& loop = cell.loop;
@@ -517,6 +519,12 @@
 // Guards against the same where workers start again under their id within seconds.
 TEST_CASE("cell: invariants hold under quick restarts") { RunSchedules({false, true}); }
 
+// Guards against a job that runs although it was refused, and against changes of others that are
+// never stored because their place in the order was between refused ones.
+TEST_CASE("cell: invariants hold while some of the jobs that wait for the store are refused") {
+  RunSchedules({true, false, true});
+}
+
 // Guards against late calls that a later incarnation executes.
 TEST_CASE("cell: invariants hold under quick restarts and late calls") {
   RunSchedules({true, true});
