--- a/cell/limits.h
+++ b/cell/limits.h
@@ -147,8 +147,9 @@
 inline constexpr std::chrono::milliseconds kStalledAfter{4500};
 // The same for several runs on one worker at once: two reports without progress.
 inline constexpr std::chrono::milliseconds kStalledTogetherAfter{3100};
-// A gang whose work would be lost may stand still for as long as it has run before it is stopped,
-// but for no longer than this: most workers that stand still go on after some five seconds.
+// A gang whose work would be lost may stand still for twice as long as the member that does has
+// worked before it is stopped, as the work of all others is lost as well, but for no longer than
+// this: most workers that stand still go on after some five seconds.
 inline constexpr std::chrono::milliseconds kMaxGangPatience{6000};
 // For a longer task, the time in which it is expected to advance by this many percent.
 inline constexpr int kStalledPercent = 3;
--- a/cell/scheduler_speeds.cc
+++ b/cell/scheduler_speeds.cc
@@ -120,8 +120,7 @@
     const GangProgress& gang = ProgressOf(step, gangs);
     progress.waits_for_gang = !gang.is_complete || (order.percent >= 100 && !gang.all_worked);
     began = std::max(began, gang.complete_since);
-    // The other members may have worked all the time.
-    if (order.task->checkpoint.empty()) progress.gang_loss = since(began, now);
+    if (order.task->checkpoint.empty()) progress.gang_loss = since(began, order.advanced);
   }
   progress.still = since(std::max(began, order.advanced), now);
   progress.advanced = since(began, order.percent_changed);
--- a/cell/stalls.cc
+++ b/cell/stalls.cc
@@ -19,6 +19,10 @@
   return time;
 }
 
+milliseconds GangPatience(const RunProgress& run) {
+  return std::min(2 * run.gang_loss, kMaxGangPatience);
+}
+
 milliseconds Doubled(milliseconds time, std::uint32_t stalls) {
   return time * (1 << std::min(stalls, kMaxStallDoublings));
 }
@@ -27,15 +31,14 @@
 milliseconds StalledTogetherAfter(const RunProgress& run) {
   // Declared durations may be far off: a task that was stopped before is judged by itself.
   if (run.stalls > 0) return StalledAfter(run);
-  return std::max(
-      {kStalledTogetherAfter, StepTime(run), std::min(run.gang_loss, kMaxGangPatience)});
+  return std::max({kStalledTogetherAfter, StepTime(run), GangPatience(run)});
 }
 
 }  // namespace
 
 milliseconds StalledAfter(const RunProgress& run) {
   const milliseconds alone = Doubled(std::max(kStalledAfter, StepTime(run)), run.stalls);
-  return std::max(alone, std::min(run.gang_loss, kMaxGangPatience));
+  return std::max(alone, GangPatience(run));
 }
 
 StallVerdict FindStalled(std::span<const RunProgress> runs) {
--- a/cell/stalls.h
+++ b/cell/stalls.h
@@ -20,7 +20,8 @@
   /// Member of a gang that waits for others: some are not there yet, or its own work is done and
   /// that of others is not.
   bool waits_for_gang = false;
-  /// Time for which its gang has run, all of which is lost if it is stopped: none is saved.
+  /// Of a member of a gang of which nothing is saved, the time for which it has worked. It is lost
+  /// if the gang is stopped; without a stop, the gang need not work it again.
   milliseconds gang_loss{0};
 };
 
--- a/tests/cell/stalls_test.cc
+++ b/tests/cell/stalls_test.cc
@@ -48,11 +48,15 @@
 }
 
 // A gang of 50 members that has run for long loses more than a few seconds of waiting.
-TEST_CASE("stalls: a gang without a checkpoint is given as long as it has run, up to a limit") {
+TEST_CASE(
+    "stalls: a gang without a checkpoint is given time for what it would lose, up to a limit") {
   RunProgress run = Still(milliseconds(5000));
   run.gang_loss = seconds(20);
   CHECK(FindStalled(std::vector{run, run}).is_worker_stalled);
   CHECK(FindStalled(std::vector{run, run}).stalled.empty());
+  run.gang_loss = seconds(1);
+  CHECK(FindStalled(std::vector{run, run}).stalled.size() == 2);
+  run.gang_loss = seconds(20);
   run.still = kMaxGangPatience;
   CHECK(FindStalled(std::vector{run, run}).stalled.size() == 2);
 }
