--- a/cell/room_admission.cc
+++ b/cell/room_admission.cc
@@ -15,6 +15,16 @@
 
 }  // namespace
 
+void AddAccepted(const JobNeeds& job, QueuedWork* queued) {
+  if (!job.is_within_share) {
+    queued->beyond_share += job.work;
+  } else if (job.is_interactive) {
+    queued->interactive += job.work;
+  } else {
+    queued->batch += job.work;
+  }
+}
+
 RoomDecision DecideRoom(const QueuedWork& queued, const JobNeeds& job) {
   RoomDecision decision;
   const CellTime wait = WorkBefore(queued, job) + job.work;
--- a/cell/room_admission.h
+++ b/cell/room_admission.h
@@ -32,6 +32,9 @@
   milliseconds late_slack{0};  ///< The same for the limit after which it is of no use.
 };
 
+/// Adds the work of an accepted job, so that jobs that arrive before the next planning pass count.
+void AddAccepted(const JobNeeds& job, QueuedWork* queued);
+
 enum class RoomVerdict {
   kAccepted,
   kCannotBeInTime,  ///< Even its late limit would be missed behind the work before it.
--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -239,9 +239,7 @@
       decision.verdict != RoomVerdict::kAccepted) {
     return RefuseForRoom(spec, needs, decision, done);
   }
-  // Jobs that arrive before the next planning pass count as well.
-  (is_within_share ? is_interactive ? m_load.queued.interactive : m_load.queued.batch
-                   : m_load.queued.beyond_share) += needs.work;
+  AddAccepted(needs, &m_load.queued);
   auto job = std::make_unique<Job>();
   job->spec = std::move(normalized);
   job->accepted_unix_ms =
--- a/cell/scheduler_plan.cc
+++ b/cell/scheduler_plan.cc
@@ -74,8 +74,7 @@
   return CellTime(run) * largest * static_cast<double>(tasks);
 }
 
-// Jobs that last or have times are not bound to a moment of their submission: they need no room
-// now.
+// A job that lasts or has times needs no room at the moment of its submission.
 JobNeeds Scheduler::NeedsOf(const schema::JobSpec& spec, milliseconds waited) {
   const schema::QueueSpec& queue = spec.queue();
   JobNeeds needs;
@@ -98,8 +97,12 @@
     has_lasting |= step.long_running();
     needs.work += WorkOf(RequiredResources(step), step.task_count(), run);
   }
-  if (has_lasting)
-    return {needs.is_interactive, true, CellTime(0), kMaxTaskEstimate, kMaxTaskEstimate};
+  if (has_lasting) {
+    needs.is_within_share = true;
+    needs.work = CellTime(0);
+    needs.objective_slack = needs.late_slack = kMaxTaskEstimate;
+    return needs;
+  }
   const milliseconds objective =
       milliseconds(queue.target_ms()) +
       std::chrono::duration_cast<milliseconds>(critical_path * queue.stretch());
@@ -108,6 +111,7 @@
   return needs;
 }
 
+// Adds the waiting tasks of a unit to the work that new jobs have to wait for.
 void Scheduler::CountQueuedWork(const PlanUnit& unit, milliseconds run) {
   const CellTime work = WorkOf(unit.size, unit.count, run);
   const SteadyTime end = m_hooks.now() + unit.critical_path;
