--- a/tests/cell/customer_limits_test.cc
+++ b/tests/cell/customer_limits_test.cc
@@ -16,6 +16,7 @@
 
 CustomerDirectoryPtr MakeCustomers(int count, double weight, const Resources& limit = {}) {
   std::vector<CustomerDirectory::Entry> entries;
+  entries.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) entries.push_back({{"c" + std::to_string(i), weight, limit}, {}});
   return CustomerDirectory::Create(std::move(entries));
 }
@@ -118,16 +119,17 @@
   };
   for (int round = 0; round < 200; ++round) {
     std::vector<PlanWorker> workers(static_cast<std::size_t>(between(1, 12)),
-                                    MakeWorker(between(4, 64) * 1000));
+                                    MakeWorker(std::int64_t{1000} * between(4, 64)));
     PlanLimits limits{kNow, kSlots};
     for (int i = 0; i < 4; ++i) {
-      limits.customer_room.push_back({between(-20, 100) * 1000, between(0, 3000), kUnlimitedRoom});
+      limits.customer_room.push_back(
+          {std::int64_t{1000} * between(-20, 100), between(0, 3000), kUnlimitedRoom});
     }
     std::vector<PlanUnit> units;
     for (std::uint32_t id = 0; id < 20; ++id) {
       units.push_back(MakeUnit(id, static_cast<CustomerIndex>(between(0, 3)),
-                               static_cast<std::uint32_t>(between(1, 30)), between(1, 9) * 1000,
-                               workers.size()));
+                               static_cast<std::uint32_t>(between(1, 30)),
+                               std::int64_t{1000} * between(1, 9), workers.size()));
       units.back().gang = between(0, 2) == 0;
     }
     const Plan plan = MakePlan(limits, units, &workers);
--- a/tests/cell/customer_model_test.cc
+++ b/tests/cell/customer_model_test.cc
@@ -17,6 +17,7 @@
 
 CustomerDirectoryPtr MakeCustomers(std::int64_t limit_milli) {
   std::vector<CustomerDirectory::Entry> entries;
+  entries.reserve(kCustomers);
   for (int i = 0; i < kCustomers; ++i) {
     entries.push_back({{"c" + std::to_string(i), 5.0, {limit_milli, 0, 0}}, {}});
   }
@@ -106,6 +107,7 @@
   CheckHistory(cell.history);
   CHECK(check.violations == 0);
   std::vector<std::string> jobs;
+  jobs.reserve(60);
   for (int i = 0; i < 60; ++i) {
     jobs.push_back("c" + std::to_string(i % kCustomers) + "-job" + std::to_string(i));
   }
