Logs: what a scheduler took over, and fewer lines about queries that wait

order-void has stored_born and attached, shard-loaded has orders and long_leases, and state-waits is at most one line a second with the number of calls.

--- a/cell/fleet.cc
+++ b/cell/fleet.cc
@@ -597,6 +597,8 @@
       .Field("run", order->run)
       .Field("worker", order->worker->description.id)
       .Field("born", order->worker->description.born_unix_ms)
+      .Field("stored_born", order->worker->earlier_attached_born_unix_ms)
+      .Field("attached", order->worker->attached)
       .Field("reason", VoidReasonName(reason))
       .Field("start", StartEvidenceName(*order))
       .Field("age_ms", std::chrono::duration_cast<milliseconds>(m_hooks.now() - order->created))
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -71,6 +71,8 @@
   SubmissionWaits submissions{BootNow};
   std::size_t refused_since_report = 0;  // Jobs, since the last log line about refusals.
   SteadyTime refusals_reported{};
+  std::size_t state_waits_since_report = 0;  // Calls, since the last log line about them.
+  SteadyTime state_waits_reported{};
   bool lead_paused = false;  // `MayLead` was false at the last tick.
   bool loaded = false;
   bool lost = false;
@@ -258,6 +260,7 @@
     const std::size_t job_count = shard.jobs.size();
     const std::size_t finished_count = shard.finished.size();
     const std::size_t pack_count = shard.packs.size();
+    const std::size_t long_leases = shard.long_leases.size();
     scheduler->Restore(shard, leases_end);
     loaded = true;
     Log(LogLevel::kInfo, "shard-loaded")
@@ -270,6 +273,8 @@
                std::max(milliseconds(0),
                         std::chrono::duration_cast<milliseconds>(earlier_may_lead_until - now)))
         .Field("leases_end_in_ms", std::chrono::duration_cast<milliseconds>(leases_end - now))
+        .Field("orders", scheduler->Workers().OrderCount())
+        .Field("long_leases", long_leases)
         .Field("took_ms", std::chrono::duration_cast<milliseconds>(now - began));
     jobs = {};
     progress = {};
@@ -704,15 +709,24 @@
     const bool store_fails = commits->FailingFor() > milliseconds(0);
     if (!read_gate.Deliver(is_known ? ReadGate::Answer::kState : ReadGate::Answer::kUnknown,
                            store_fails, answer)) {
-      Log(LogLevel::kInfo, "state-waits")
-          .Field("job", id)
-          .Field("known", is_known)
-          .Field("store_fails", store_fails)
-          .Field("confirmed_ms_ago", TimeSinceConfirmed());
+      ReportStateWait(id, is_known, store_fails);
       commits->Wake();
     }
   }
 
+  // Logs that an answer waits for the store, at most once in `kStateWaitLogPeriod`.
+  void ReportStateWait(const std::string& id, bool is_known, bool store_fails) {
+    ++state_waits_since_report;
+    if (BootNow() < state_waits_reported + kStateWaitLogPeriod) return;
+    state_waits_reported = BootNow();
+    Log(LogLevel::kInfo, "state-waits")
+        .Field("job", id)
+        .Field("known", is_known)
+        .Field("store_fails", store_fails)
+        .Field("confirmed_ms_ago", TimeSinceConfirmed())
+        .Field("calls", std::exchange(state_waits_since_report, 0));
+  }
+
   static Scheduler::JobStateCallback ReplyWithState(Reply reply) {
     return [reply = std::move(reply)](const Result<schema::JobState>& result) {
       if (!result) return reply(Failure(result.error()));
--- a/cell/limits.h
+++ b/cell/limits.h
@@ -259,6 +259,8 @@
 inline constexpr std::chrono::milliseconds kRefuseAfterStoreSilence{700};
 // Refusals of new jobs for want of the store are logged in one line in this time.
 inline constexpr std::chrono::milliseconds kRefusalLogPeriod{1000};
+// The same for queries of a job's state that wait for the store.
+inline constexpr std::chrono::milliseconds kStateWaitLogPeriod{1000};
 // Transactions that took longer count as this when the time of the next one is estimated. A store
 // that is slow takes up to 1.1 s for one; after a silence the next one takes a few milliseconds.
 inline constexpr std::chrono::milliseconds kMaxExpectedCommit{1200};
