--- a/tests/cell/cell.h
+++ b/tests/cell/cell.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -41,6 +42,8 @@
   milliseconds answer_delay{0};            // Added to the way of their answers.
   std::shared_ptr<WorkerProcess> process;  // Current incarnation.
   std::set<int> cut_from;                  // Numbers of the instances that cannot reach it.
+  // Start of the incarnation that the list of workers shows; that of the current one if unset.
+  std::optional<std::int64_t> listed_born;
 };
 
 class Cell;
@@ -218,7 +221,7 @@
       description.service = "pool";
       description.address = id;
       description.capacity = m_capacity;
-      description.born_unix_ms = node.process->Born();
+      description.born_unix_ms = node.listed_born.value_or(node.process->Born());
       instance.scheduler->Workers().Put(description);
     }
   }
--- a/tests/cell/restart_test.cc
+++ b/tests/cell/restart_test.cc
@@ -203,6 +203,76 @@
   }
 }
 
+// Guards against TWICE as on jkanu (issue 54): the next incarnation executed a start and granted
+// the longest lease, its worker was cut off, and the scheduler ended before the store told of any
+// of it.
+TEST_CASE(
+    "restart: the next scheduler does not give up a start that a later incarnation executed") {
+  for (const bool is_answered : {true, false}) {
+    for (const int killed_ms : {20140, 20200, 20400, 21000}) {
+      for (const int schedulers_lost : {1, 2}) {
+        CAPTURE(is_answered);
+        CAPTURE(killed_ms);
+        CAPTURE(schedulers_lost);
+        RestartCell cell(3, seconds(9), seconds(20));
+        WorkerNode& node = cell.nodes["w0"];
+        cell.max_lease = seconds(10);
+        cell.RestartWorker("w0");
+        node.process->clock_at_birth = std::chrono::hours(2);
+        node.listed_born = node.process->Born();  // The list shows the restart at the end only.
+        node.answer_delay = is_answered ? milliseconds(0) : seconds(5);
+        cell.At(milliseconds(19990), [&] { node.call_delay = milliseconds(100); });
+        cell.At(milliseconds(20060), [&] {
+          cell.RestartUnlisted("w0");
+          node.process->clock_at_birth = std::chrono::minutes(1);
+        });
+        cell.At(milliseconds(20130), [&] { node.cut_from = {0, 1, 2}; });
+        for (int lost = 0; lost < schedulers_lost; ++lost) {
+          cell.At(milliseconds(killed_ms + 1500 * lost), [&] {
+            if (Instance* leader = cell.Leader(); leader != nullptr) leader->Kill();
+          });
+        }
+        cell.At(seconds(45), [&] {
+          node.cut_from.clear();
+          node.listed_born.reset();
+          cell.ListWorkers();
+        });
+        cell.Run(seconds(70));
+      }
+    }
+  }
+}
+
+// Guards against TWICE (issue 54): the store named an incarnation that no scheduler had attached,
+// and the next scheduler took it for one that rejected calls from before.
+TEST_CASE("restart: an incarnation that nobody has attached may still execute earlier calls") {
+  RestartCell cell(2, seconds(12), seconds(20));
+  WorkerNode& node = cell.nodes["w0"];
+  cell.max_lease = seconds(10);
+  cell.RestartWorker("w0");
+  node.process->clock_at_birth = std::chrono::hours(2);
+  // The assignments of the job are stored again and again, as a worker refuses its starts.
+  cell.At(milliseconds(19990), [&] {
+    node.call_delay = seconds(3);
+    node.hold_call_delay = seconds(4);
+    cell.nodes["w3"].process->is_unhealthy = true;
+  });
+  cell.At(milliseconds(20100), [&] {
+    cell.RestartUnlisted("w0");
+    node.process->clock_at_birth = std::chrono::minutes(1);
+    cell.ListWorkers();
+  });
+  cell.At(milliseconds(20900), [&] { cell.Leader()->Kill(); });
+  cell.At(milliseconds(23050), [&] {
+    node.call_delay = node.hold_call_delay = milliseconds(0);
+    cell.nodes["w3"].process->is_unhealthy = false;
+  });
+  // The next scheduler attaches the worker, which is then cut off.
+  cell.At(milliseconds(23600), [&] { node.cut_from = {0, 1}; });
+  cell.At(seconds(45), [&] { node.cut_from.clear(); });
+  cell.Run(seconds(70));
+}
+
 // Guards against TWICE: a worker was forgotten while it was away, and its next incarnation accepted
 // a start that had been sent before.
 TEST_CASE("restart: a worker that returns after it was forgotten rejects calls from before") {
