Wait for the longest lease of starts that no known incarnation has listed

Cause: a start for the former life of a worker is executed by the next one, with the longest lease. A scheduler knows that such a start may run for that long, while it has no answer (UnansweredStartEnd) or an answer with another clock (SuspectRestart). That knowledge ended with the scheduler: its successor found an assignment with the former life, did not reach the worker, and counted a lease of 5 s from the takeover.

Change: an assignment row says whether the incarnation that it names has listed the run (`listed`). Only then is it certain that no later incarnation runs it, and the usual lease counts. Any other run of an earlier term on a worker that does not answer is given up only when the longest lease has ended, counted from the last moment at which earlier schedulers could send, plus the longest time of a call. Runs of over 4 s are stored as listed, once, so that a worker that is lost with the scheduler still costs them 5 s. Tasks that last are exempt as before, since they have to be back within 9 s. Rows of earlier versions have no `listed` and count as unlisted.

Why it works: the run of a listed start is on the named incarnation and dies with it; for any other, the last call that can grant a lease leaves before earlier schedulers stop leading.

The second failing test turned out to fail by this cause as well; its shape is changed so that it shows its own (the worker is attached before the cut, and the store names the new incarnation before the takeover), and it fails still.

--- a/cell/fleet.cc
+++ b/cell/fleet.cc
@@ -55,6 +55,7 @@
   if (order.state == OrderState::kStoring) return "unsent";
   if (order.listed) return "listed";
   if (order.state == OrderState::kRunning) return "answered";
+  if (order.listed_earlier) return "earlier-listed";
   return order.earlier_term ? "earlier-term" : "unanswered";
 }
 
@@ -217,7 +218,8 @@
   return NewOrder(task, worker, run);
 }
 
-void Fleet::ExpectLongLeases(const std::vector<LongLease>& leases) {
+void Fleet::ExpectLongLeases(const std::vector<LongLease>& leases, SteadyTime unknown_leases_end) {
+  m_unknown_leases_end = unknown_leases_end;
   for (const auto& [worker, end] : leases) {
     SteadyTime& expected = m_expected_leases[worker];
     expected = std::max(expected, end);
@@ -251,6 +253,7 @@
   Order* order = NewOrder(task, worker, row.run());
   SetState(order, OrderState::kUnknown);
   order->earlier_term = true;
+  order->listed_earlier = row.listed();
   order->unknown_since = m_hooks.now();
   return order;
 }
@@ -658,6 +661,7 @@
   m_orders.insert(std::move(node));
   SetState(order, OrderState::kUnknown);
   order->carried_over = true;
+  order->listed_earlier = false;
   order->unknown_since = m_hooks.now();
   order->stop_in_flight = false;
   order->stopped_at.reset();
@@ -704,7 +708,8 @@
 SteadyTime Fleet::UnansweredStartEnd(const Order& order) const {
   const bool is_unanswered =
       order.state == OrderState::kSending || order.state == OrderState::kUnknown;
-  if (!is_unanswered || order.earlier_term || order.task->step->spec->long_running()) return {};
+  if (!is_unanswered || order.task->step->spec->long_running()) return {};
+  if (order.earlier_term) return order.listed_earlier ? SteadyTime{} : m_unknown_leases_end;
   return std::max(order.sent, order.worker->lease_call_sent) + kMaxWorkerCallTimeout +
          LongestLocalTime(m_max_lease);
 }
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -182,14 +182,16 @@
   /// @returns the order with this id, null when it has ended.
   Order* FindOrder(std::uint64_t id);
 
-  /// Sets the long leases that earlier schedulers recorded. To be called before `Adopt`.
-  void ExpectLongLeases(const std::vector<LongLease>& leases);
+  /// Sets the long leases that earlier schedulers recorded, and when all leases have expired that
+  /// incarnations may have granted of which they did not know. To be called before `Adopt`.
+  void ExpectLongLeases(const std::vector<LongLease>& leases, SteadyTime unknown_leases_end);
 
   /// @returns the workers with orders on which leases may last longer than those of holds.
   [[nodiscard]] std::vector<LongLease> LongLeases() const;
 
   /// Takes over an assignment of an earlier scheduler. Whether its run exists is unknown.
-  /// @param leases_end when every lease granted by earlier schedulers has expired.
+  /// @param leases_end when every lease that earlier schedulers granted to a known incarnation has
+  /// expired.
   Order* Adopt(Task* task, const schema::AssignmentRow& row, SteadyTime leases_end);
 
   /// Sends the start of an order. Its assignment must be in the store.
@@ -293,6 +295,7 @@
   std::size_t m_attaching = 0;               // Workers whose first hold has no reply yet.
   std::unordered_set<Worker*> m_unattached;  // Those whose current incarnation is not attached.
   std::unordered_map<std::uint32_t, SteadyTime> m_expected_leases;  // By `LeaseKey`.
+  SteadyTime m_unknown_leases_end{};      // As given to `ExpectLongLeases`.
   SteadyTime m_misdirected_leases_end{};  // The latest one of all workers.
   std::size_t m_unlisted = 0;             // Workers that are not in the list of workers.
   CallTimes m_calls;
--- a/cell/job.h
+++ b/cell/job.h
@@ -42,6 +42,9 @@
   bool stop_in_flight = false;
   bool earlier_term = false;  ///< Given by the scheduler of an earlier term.
   bool listed = false;        ///< The worker has listed the run in the answer to a hold.
+  /// The same, to an earlier scheduler.
+  bool listed_earlier = false;
+  bool listed_recorded = false;  ///< The job was marked as changed since it was listed.
   /// Its worker has started again since, and the next incarnation may execute the start.
   bool carried_over = false;
   bool resumed = false;  ///< Its start carried a checkpoint, so that it takes less time.
--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -103,8 +103,12 @@
   for (const auto& [worker, left] : shard.long_leases) {
     leases.push_back({worker, m_hooks.now() + left});
   }
-  m_fleet.ExpectLongLeases(leases);
-  SteadyTime all_lapsed = lapse;
+  // A start of an earlier scheduler may have been executed by an incarnation that none of them
+  // knew, which grants the longest lease.
+  SteadyTime all_lapsed = lapse + kMaxWorkerCallTimeout +
+                          std::chrono::ceil<milliseconds>((m_options.max_lease - m_options.lease) *
+                                                          (1.0 + kWorkerClockDrift));
+  m_fleet.ExpectLongLeases(leases, all_lapsed);
   for (const LongLease& lease : leases) all_lapsed = std::max(all_lapsed, lease.end);
   for (const std::uint64_t pack : shard.packs) m_packs.Add(pack);
   for (const auto& [id, finished] : shard.finished) {
@@ -147,7 +151,7 @@
   m_hooks.plan_soon();
 }
 
-// @param lapse when the leases on a worker have ended of which nothing else is known.
+// @param lapse when the leases on a known incarnation have ended of which nothing else is known.
 // @param all_lapsed when the leases on all workers have ended.
 void Scheduler::LoadJob(const StoredJob& stored, SteadyTime lapse, SteadyTime all_lapsed) {
   const schema::JobRow& row = stored.job;
@@ -1181,10 +1185,28 @@
   }
   m_live_tasks = live_tasks;
   CheckStalled(now);
+  RecordListed(now);
   ReopenMissing(now);
   UnpackOldJobs(now);
 }
 
+// Stores which of the longer runs their worker has listed. A run of which the store does not tell
+// that is given up later after a takeover. Tasks that last do not wait for that.
+void Scheduler::RecordListed(SteadyTime now) {
+  if (now < m_next_record_listed) return;
+  m_next_record_listed = now + kRecordListedPeriod;
+  for (const auto& [id, worker] : m_fleet.Workers()) {
+    for (Order* order : worker->orders) {
+      const bool is_due = order->listed && !order->listed_recorded && !order->listed_earlier &&
+                          order->running_since + kRecordListedAfter <= now;
+      const Step& step = *order->task->step;
+      if (!is_due || step.spec->long_running() || step.job->IsFinal()) continue;
+      order->listed_recorded = true;
+      MarkDirty(step.job);
+    }
+  }
+}
+
 void Scheduler::BeginDueOccurrences(Job* job) {
   if (job->spec.occurrences() == 0) return;
   RemoveEndedOccurrences(job);
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -73,7 +73,7 @@
   ~Scheduler();
 
   /// Restores what earlier schedulers stored. To be called before anything else.
-  /// @param lapse when every lease granted by earlier schedulers has expired.
+  /// @param lapse when every lease of usual length that earlier schedulers granted has expired.
   void Restore(const StoredShard& shard, SteadyTime lapse);
 
   /// Applies the customers of a configuration. To be called before `Restore` and when they change.
@@ -301,6 +301,7 @@
   void LogSpeed(WorkerSpeeds::WorkerKey key, const WorkerSpeeds::Change& change);
 
   void CheckGang(Step* step, SteadyTime now);
+  void RecordListed(SteadyTime now);
 
   // Planning, in scheduler_plan.cc.
   static AdviceRequestKind RequestKindOf(const schema::QueueSpec& queue);
@@ -410,6 +411,7 @@
   SteadyTime m_speed_lines_since{};  // Start of the second in which...
   std::uint32_t m_speed_lines = 0;   // ...this many lines about speeds were logged.
   SteadyTime m_next_stall_check{};
+  SteadyTime m_next_record_listed{};
   std::size_t m_held_skip = 0;  // Number of jobs that the next check for held tasks skips.
 
   NameIds m_racks;
--- a/tests/cell/restart_test.cc
+++ b/tests/cell/restart_test.cc
@@ -251,24 +251,24 @@
   cell.max_lease = seconds(10);
   cell.RestartWorker("w0");
   node.process->clock_at_birth = std::chrono::hours(2);
-  // The assignments of the job are stored again and again, as a worker refuses its starts.
   cell.At(milliseconds(19990), [&] {
     node.call_delay = seconds(3);
     node.hold_call_delay = seconds(4);
-    cell.nodes["w3"].process->is_unhealthy = true;
   });
   cell.At(milliseconds(20100), [&] {
     cell.RestartUnlisted("w0");
     node.process->clock_at_birth = std::chrono::minutes(1);
     cell.ListWorkers();
   });
+  // Tasks start again elsewhere, so that the assignments of the job are stored anew.
+  cell.At(milliseconds(20300), [&] { cell.RestartWorker("w1"); });
   cell.At(milliseconds(20900), [&] { cell.Leader()->Kill(); });
-  cell.At(milliseconds(23050), [&] {
-    node.call_delay = node.hold_call_delay = milliseconds(0);
-    cell.nodes["w3"].process->is_unhealthy = false;
-  });
+  cell.At(milliseconds(23050), [&] { node.call_delay = node.hold_call_delay = milliseconds(0); });
   // The next scheduler attaches the worker, which is then cut off.
-  cell.At(milliseconds(23600), [&] { node.cut_from = {0, 1}; });
+  cell.At(milliseconds(25500), [&] {
+    CHECK(cell.Leader()->scheduler->Workers().Find("w0")->attached);
+    node.cut_from = {0, 1};
+  });
   cell.At(seconds(45), [&] { node.cut_from.clear(); });
   cell.Run(seconds(70));
 }
