Store whether a scheduler has attached the incarnation that an assignment names

Cause: `worker_born` of a stored assignment follows the list of workers, which shows a restart before any hold has reached the new incarnation. The next scheduler took an equal `born` for an incarnation that its predecessor had fenced off (IsKnownFromEarlierTerm), and did not count the longest lease from its own attach. Calls for the former life that arrived until then had granted leases past the end that it counted.

Change: the row has `attached`, set while the incarnation has answered a hold with the fence of this term, or is known so from an earlier one. Without it the next scheduler counts as for an incarnation that it sees for the first time. So it does for rows of earlier versions.

Evidence: 'restart: an incarnation that nobody has attached may still execute earlier calls' failed before (two runs at once of four tasks) and passes.

--- a/cell/fleet.cc
+++ b/cell/fleet.cc
@@ -242,8 +242,10 @@
   Worker* worker = FindOrAdd(row.worker());
   worker->description.born_unix_ms =
       std::max(worker->description.born_unix_ms, row.worker_born_unix_ms());
-  worker->earlier_attached_born_unix_ms =
-      std::max(worker->earlier_attached_born_unix_ms, row.worker_born_unix_ms());
+  if (row.attached()) {
+    worker->earlier_attached_born_unix_ms =
+        std::max(worker->earlier_attached_born_unix_ms, row.worker_born_unix_ms());
+  }
   if (const auto found = m_expected_leases.find(LeaseKey(row.worker()));
       found != m_expected_leases.end()) {
     worker->misdirected_leases_end = std::max(worker->misdirected_leases_end, found->second);
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -96,6 +96,9 @@
   std::uint32_t times_avoided = 0;
   SteadyTime avoided_until{};
 
+  /// @returns whether this incarnation rejects the calls to earlier ones: some scheduler has
+  /// attached it.
+  [[nodiscard]] bool IsFenced() const { return attached || IsKnownFromEarlierTerm(); }
   /// @returns whether an earlier scheduler attached this incarnation. It fenced off calls to
   /// earlier incarnations then, and recorded the leases that they may have granted before.
   [[nodiscard]] bool IsKnownFromEarlierTerm() const {
