Keep a start without a ticket while a further restart of its worker could execute it

What callers would see: a task without advice runs twice when its worker starts again twice within seconds.

Cause: a start was sent, got no answer, and its worker started again. The next incarnation accepts a higher fence and does not list the run, and the order was given up. The incarnation after that has seen no fence, and executes the start that is still on its way.

Change: such an order is kept, and its task does not start elsewhere, until no call from before can arrive (13 s after it was sent). That holds only for starts without an answer, of queues without advice: a ticket is valid for one incarnation. The assignment row says that the order is of this kind (`carried_over`), for the next scheduler. Tasks that last are exempt, as they have to be back sooner.

'scheduler: another address in the list ...' asserted that the orders end once the next incarnation accepts a higher fence, which is this fault. It now asserts that they are kept then, and 1 ms before 13 s have passed, and that they end after that.

--- a/cell/commit.cc
+++ b/cell/commit.cc
@@ -11,8 +11,7 @@
 namespace citronsill {
 
 SteadyTime EarlierLeasesEnd(SteadyTime now, SteadyTime earlier_may_lead_until, milliseconds lease) {
-  return std::max(now, earlier_may_lead_until) +
-         std::chrono::ceil<milliseconds>(lease * (1.0 + kWorkerClockDrift)) + kLeaseMargin;
+  return std::max(now, earlier_may_lead_until) + LongestLocalTime(lease);
 }
 
 CommitLog::CommitLog(std::string shard, schema::HeadRow head, std::uint64_t head_version,
--- a/cell/fleet.cc
+++ b/cell/fleet.cc
@@ -14,13 +14,6 @@
 // Maximum number of ends in one reply of a worker. A reply with that many may be incomplete.
 constexpr std::size_t kMaxListedEnds = 500;
 
-// Returns the longest duration on this machine's clock that corresponds to a duration on the
-// worker's clock, plus the lease margin.
-milliseconds LongestLocalTime(milliseconds worker_time) {
-  return std::chrono::duration_cast<milliseconds>(worker_time * (1.0 + kWorkerClockDrift)) +
-         kLeaseMargin;
-}
-
 }  // namespace
 
 const char* VoidReasonName(VoidReason reason) {
@@ -218,8 +211,8 @@
   return NewOrder(task, worker, run);
 }
 
-void Fleet::ExpectLongLeases(const std::vector<LongLease>& leases, SteadyTime unknown_leases_end) {
-  m_unknown_leases_end = unknown_leases_end;
+void Fleet::ExpectLongLeases(const std::vector<LongLease>& leases, SteadyTime earlier_calls_end) {
+  m_earlier_calls_end = earlier_calls_end;
   for (const auto& [worker, end] : leases) {
     SteadyTime& expected = m_expected_leases[worker];
     expected = std::max(expected, end);
@@ -256,6 +249,7 @@
   SetState(order, OrderState::kUnknown);
   order->earlier_term = true;
   order->listed_earlier = row.listed();
+  order->carried_over = row.carried_over();
   order->unknown_since = m_hooks.now();
   return order;
 }
@@ -336,6 +330,7 @@
   OnWorkerAnswered(worker, answer.clock);
   switch (answer.verdict) {
     case StartVerdict::kStarted:
+      order->answered = true;
       if (order->state == OrderState::kSending) {
         SetState(order, OrderState::kRunning);
         order->running_since = m_hooks.now();
@@ -561,6 +556,7 @@
     case OrderState::kUnknown:
       break;
   }
+  if (MayBeExecutedLater(*order)) return;
   // The worker has now seen its current fence, and rejects late starts with a lower one.
   const bool is_fenced = order->fence < order->worker->fence;
   const bool is_stopped = order->stopped_at && *order->stopped_at < hold.sent;
@@ -711,9 +707,22 @@
   const bool is_unanswered =
       order.state == OrderState::kSending || order.state == OrderState::kUnknown;
   if (!is_unanswered || order.task->step->spec->long_running()) return {};
-  if (order.earlier_term) return order.listed_earlier ? SteadyTime{} : m_unknown_leases_end;
-  return std::max(order.sent, order.worker->lease_call_sent) + kMaxWorkerCallTimeout +
-         LongestLocalTime(m_max_lease);
+  if (order.earlier_term && order.listed_earlier) return {};
+  const SteadyTime last_call = order.earlier_term
+                                   ? m_earlier_calls_end
+                                   : std::max(order.sent, order.worker->lease_call_sent);
+  return last_call + kMaxWorkerCallTimeout + LongestLocalTime(m_max_lease);
+}
+
+// A start that was sent before its worker started again may still be executed if the worker starts
+// once more: the next incarnation has not seen the fence of this one. A ticket excludes that, as it
+// is valid for one incarnation. Tasks that last have to be back sooner.
+bool Fleet::MayBeExecutedLater(const Order& order) const {
+  const Step& step = *order.task->step;
+  if (!order.carried_over || order.answered) return false;
+  if (step.job->spec.queue().has_advice() || step.spec->long_running()) return false;
+  const SteadyTime sent = order.earlier_term ? m_earlier_calls_end : order.sent;
+  return m_hooks.now() < sent + kMaxLateCall;
 }
 
 // Of the failed calls to an unreachable worker, only the first one is recorded: time-outs of a few
@@ -905,13 +914,15 @@
   for (Order* order : worker->orders) {
     const bool is_sent =
         order->state == OrderState::kRunning || order->state == OrderState::kUnknown;
-    if (is_sent && order->stop_wanted && !order->stop_in_flight && now >= order->stop_retry_at) {
+    const bool is_stopped = order->stopped_at && MayBeExecutedLater(*order);
+    if (is_sent && order->stop_wanted && !order->stop_in_flight && !is_stopped &&
+        now >= order->stop_retry_at) {
       SendStop(order);
     }
     // A run whose start got no reply is queried until the worker reports its state.
     const bool is_query_due = order->state == OrderState::kUnknown && worker->attached &&
                               !worker->status_query_in_flight &&
-                              worker->heard < now - kHoldRetryMax;
+                              worker->heard < now - kHoldRetryMax && !MayBeExecutedLater(*order);
     if (is_query_due) SendHold(worker, true);
   }
 }
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -185,9 +185,9 @@
   /// @returns the order with this id, null when it has ended.
   Order* FindOrder(std::uint64_t id);
 
-  /// Sets the long leases that earlier schedulers recorded, and when all leases have expired that
-  /// incarnations may have granted of which they did not know. To be called before `Adopt`.
-  void ExpectLongLeases(const std::vector<LongLease>& leases, SteadyTime unknown_leases_end);
+  /// Sets the long leases that earlier schedulers recorded, and until when these may have sent
+  /// calls. To be called before `Adopt`.
+  void ExpectLongLeases(const std::vector<LongLease>& leases, SteadyTime earlier_calls_end);
 
   /// @returns the workers with orders on which leases may last longer than those of holds.
   [[nodiscard]] std::vector<LongLease> LongLeases() const;
@@ -266,6 +266,7 @@
   void ExpectMisdirectedLeases(Worker* worker, milliseconds calls_in_flight = milliseconds(0));
   void SuspectRestart(Worker* worker, WorkerTime clock);
   [[nodiscard]] SteadyTime UnansweredStartEnd(const Order& order) const;
+  [[nodiscard]] bool MayBeExecutedLater(const Order& order) const;
   void SetState(Order* order, OrderState state);
   [[nodiscard]] static bool IsInFlight(const Order& order) {
     return order.state == OrderState::kStoring || order.state == OrderState::kSending;
@@ -298,7 +299,7 @@
   std::size_t m_attaching = 0;               // Workers whose first hold has no reply yet.
   std::unordered_set<Worker*> m_unattached;  // Those whose current incarnation is not attached.
   std::unordered_map<std::uint32_t, SteadyTime> m_expected_leases;  // By `LeaseKey`.
-  SteadyTime m_unknown_leases_end{};      // As given to `ExpectLongLeases`.
+  SteadyTime m_earlier_calls_end{};       // Until then, earlier schedulers may have sent calls.
   SteadyTime m_misdirected_leases_end{};  // The latest one of all workers.
   std::size_t m_unlisted = 0;             // Workers that are not in the list of workers.
   CallTimes m_calls;
--- a/cell/job.h
+++ b/cell/job.h
@@ -45,6 +45,7 @@
   /// The same, to an earlier scheduler.
   bool listed_earlier = false;
   bool listed_recorded = false;  ///< The job was marked as changed since it was listed.
+  bool answered = false;         ///< The worker has accepted the start.
   /// Its worker has started again since, and the next incarnation may execute the start.
   bool carried_over = false;
   bool resumed = false;  ///< Its start carried a checkpoint, so that it takes less time.
--- a/cell/long_leases.cc
+++ b/cell/long_leases.cc
@@ -12,6 +12,10 @@
 
 }  // namespace
 
+milliseconds LongestLocalTime(milliseconds worker_time) {
+  return std::chrono::ceil<milliseconds>(worker_time * (1.0 + kWorkerClockDrift)) + kLeaseMargin;
+}
+
 std::uint32_t LeaseKey(const std::string& worker) {
   return static_cast<std::uint32_t>(StableHash(worker));
 }
--- a/cell/long_leases.h
+++ b/cell/long_leases.h
@@ -20,6 +20,10 @@
   SteadyTime end;            ///< When all leases on it have expired.
 };
 
+/// @returns the longest duration on this machine's clock that corresponds to a duration on a
+/// worker's clock, plus the lease margin.
+milliseconds LongestLocalTime(milliseconds worker_time);
+
 /// @returns the key of a worker in the row of long leases.
 std::uint32_t LeaseKey(const std::string& worker);
 
--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -103,12 +103,12 @@
   for (const auto& [worker, left] : shard.long_leases) {
     leases.push_back({worker, m_hooks.now() + left});
   }
+  const SteadyTime earlier_calls_end = lapse - LongestLocalTime(m_options.lease);
+  m_fleet.ExpectLongLeases(leases, earlier_calls_end);
   // A start of an earlier scheduler may have been executed by an incarnation that none of them
   // knew, which grants the longest lease.
-  SteadyTime all_lapsed = lapse + kMaxWorkerCallTimeout +
-                          std::chrono::ceil<milliseconds>((m_options.max_lease - m_options.lease) *
-                                                          (1.0 + kWorkerClockDrift));
-  m_fleet.ExpectLongLeases(leases, all_lapsed);
+  SteadyTime all_lapsed =
+      earlier_calls_end + kMaxWorkerCallTimeout + LongestLocalTime(m_options.max_lease);
   for (const LongLease& lease : leases) all_lapsed = std::max(all_lapsed, lease.end);
   for (const std::uint64_t pack : shard.packs) m_packs.Add(pack);
   for (const auto& [id, finished] : shard.finished) {
--- a/tests/cell/cell.h
+++ b/tests/cell/cell.h
@@ -36,6 +36,7 @@
 struct WorkerNode {
   std::string id;
   bool listed = true;
+  bool draining = false;
   milliseconds hold_delay{0};              // Added to the answer to each hold.
   milliseconds hold_call_delay{0};         // Added to the way of each hold.
   milliseconds call_delay{0};              // Added to the way of each start and stop.
@@ -221,6 +222,7 @@
       description.service = "pool";
       description.address = id;
       description.capacity = m_capacity;
+      description.draining = node.draining;
       description.born_unix_ms = node.listed_born.value_or(node.process->Born());
       instance.scheduler->Workers().Put(description);
     }
--- a/tests/cell/scheduler_test.cc
+++ b/tests/cell/scheduler_test.cc
@@ -36,6 +36,7 @@
     };
     hooks.stop = [](const Worker&, const TaskRef&, std::uint64_t, std::uint64_t) {};
     hooks.hold = [this](const Worker& worker, const HoldOrder&, std::uint64_t id) {
+      last_hold = id;
       if (worker.attached) return;
       holds.push_back(id);
       first_holds.push_back({id, worker.description.id, now});
@@ -100,6 +101,7 @@
     std::string worker;
     SteadyTime sent;
   };
+  std::uint64_t last_hold = 0;         // The hold that was sent last, to any worker.
   std::vector<std::uint64_t> holds;    // Unanswered first holds of workers.
   std::vector<FirstHold> first_holds;  // The same, for tests that answer only some of them.
   std::vector<AdviceRequest> open_requests;
@@ -378,11 +380,18 @@
   fixture.scheduler->Workers().Put(moved[0]);
   fixture.scheduler->Plan();
   CHECK(fixture.scheduler->Workers().OrderCount() == orders);
-  // Once it has accepted a higher fence and does not list them, they have ended.
+  // Nor that it has accepted a higher fence and does not list them: the incarnation after it may
+  // still execute them, as their queue needs no tickets. They end when no call can arrive any more.
   REQUIRE(fixture.holds.size() == 1);
   HoldAnswer answer;
   answer.born_unix_ms = 5000;
   fixture.scheduler->Workers().OnHold(fixture.holds[0], answer);
+  CHECK(fixture.scheduler->Workers().OrderCount() == orders);
+  fixture.now += kMaxLateCall - milliseconds(1);
+  fixture.scheduler->Workers().OnHold(fixture.last_hold, answer);
+  CHECK(fixture.scheduler->Workers().OrderCount() == orders);
+  fixture.now += milliseconds(1);
+  fixture.scheduler->Workers().OnHold(fixture.last_hold, answer);
   CHECK(fixture.scheduler->Workers().OrderCount() == orders - on_first);
 }
 
