Store whether the current run of a gang was counted as failed

Cause: `Step::gang_failures` is stored, and `Step::gang_failed_runs`, which says which runs are in it, was of one term. A run of which a member's failed end was counted in one term was counted again when the next scheduler learned of another member's failed end.

Change: the row of a step has `gang_run_failed` beside `gang_run`. One bit is enough and bounded by construction: a scheduler counts ends of orders that it took over, which are of the current run, and of runs that it gave up itself.

Why it works: the count, the bit and the end of the member are stored by one transaction, before the end is acknowledged. In rows of earlier versions the bit is missing, and the run may be counted twice as before.

--- a/cell/job.cc
+++ b/cell/job.cc
@@ -182,10 +182,16 @@
   std::size_t m_left = kMaxOptionalProgressBytes;
 };
 
+bool HasFailed(const Step& gang, std::uint64_t run) {
+  const auto& failed = gang.gang_failed_runs;
+  return std::find(failed.begin(), failed.end(), run) != failed.end();
+}
+
 void AppendGangRun(const Step& step, schema::StepRow* stored) {
   if (step.IsDone() || step.gang_run == 0) return;
   stored->set_gang_run(step.gang_run);
   stored->set_gang_ending(step.gang_ending);
+  stored->set_gang_run_failed(HasFailed(step, step.gang_run));
 }
 
 void AppendAnswers(const Step& step, OptionalBytes* optional, schema::StepRow* stored) {
@@ -274,6 +280,7 @@
   step->gang_failures = std::max(step->gang_failures, stored.gang_failures());
   step->gang_run = std::max(step->gang_run, stored.gang_run());
   step->gang_ending |= stored.gang_ending();
+  if (stored.gang_run_failed()) step->gang_failed_runs.push_back(stored.gang_run());
   step->has_earlier_answers |= stored.allowed_workers_size() + stored.denied_workers_size() > 0;
   for (const std::uint32_t key : stored.allowed_workers()) step->stored_answers[key] = true;
   for (const std::uint32_t key : stored.denied_workers()) step->stored_answers[key] = false;
--- a/cell/job.h
+++ b/cell/job.h
@@ -128,8 +128,10 @@
   std::uint32_t gang_failures = 0;  ///< Number of counted failures of the gang, in all terms.
   /// Run number of the members that have orders; 0 for none.
   std::uint64_t gang_run = 0;
-  std::vector<std::uint64_t> gang_failed_runs;  ///< Runs that were counted as failed.
-  bool gang_start_sent = false;                 ///< The start of a member was sent.
+  /// Runs that were counted as failed in this term, and the current one if it was in an earlier
+  /// term. Ends of other runs of earlier terms are not counted.
+  std::vector<std::uint64_t> gang_failed_runs;
+  bool gang_start_sent = false;  ///< The start of a member was sent.
   /// When the first start was sent; until then, when the gang was assigned.
   SteadyTime gang_started_at{};
   /// Whether the gang fits on the workers that it may use while nothing else runs there; when that
--- a/tests/cell/rows_test.cc
+++ b/tests/cell/rows_test.cc
@@ -99,6 +99,7 @@
       step->gang_failures = UINT32_MAX;
       step->gang_run = UINT64_MAX;
       step->gang_ending = true;
+      step->gang_failed_runs = {UINT64_MAX};
       for (std::uint32_t key = 0; key < kMaxStoredAnswers; ++key) {
         step->stored_answers[key * 7919] = key % 2 == 0;
       }
@@ -178,6 +179,7 @@
       REQUIRE(restored.steps[i]->gang_failures == UINT32_MAX);
       REQUIRE(restored.steps[i]->gang_run == UINT64_MAX);
       REQUIRE(restored.steps[i]->gang_ending);
+      REQUIRE(restored.steps[i]->gang_failed_runs == std::vector<std::uint64_t>{UINT64_MAX});
       for (const Task& task : restored.steps[i]->tasks) REQUIRE(task.failures == UINT32_MAX);
     }
   }
