Tell a restart by a clock that is earlier than it can be

Cause: a clock within 2 s of the estimate counted as that of the known incarnation. If it was up to 2 s behind, the answer to a start counted as one of that incarnation, and a hold on its way granted a lease that lasted up to 2 s longer than was counted.

Change: the answer to a start is also compared with the least that the clock can have shown when the start was sent, from the last reading and the guaranteed rate. An earlier one is that of another incarnation. A clock that is not earlier grants no more than was meant. The bound of 2 s stays for clocks that are ahead, and for answers to stops, which grant nothing.

--- a/cell/fleet.cc
+++ b/cell/fleet.cc
@@ -271,6 +271,7 @@
   order->resumed = !checkpoint.empty();
   ++m_starts_sent;
   // A start that arrives later is rejected by the worker itself.
+  order->clock_at_send = EarliestClock(*worker);
   order->start_until = EstimateClock(*worker) + std::min(kStartWindow, time_left);
   worker->lease_sent = std::max(worker->lease_sent, order->start_until);
   worker->lease_call_sent = order->sent;
@@ -327,7 +328,7 @@
   }
   const StartAnswer& answer = result.value();
   NodeMetrics::Get().CountStart(answer.verdict);
-  OnWorkerAnswered(worker, answer.clock);
+  OnWorkerAnswered(worker, answer.clock, order->clock_at_send);
   switch (answer.verdict) {
     case StartVerdict::kStarted:
       order->answered = true;
@@ -366,7 +367,7 @@
     return;
   }
   const StopAnswer& answer = result.value();
-  OnWorkerAnswered(worker, answer.clock);
+  OnWorkerAnswered(worker, answer.clock, {});
   if (answer.stale_fence) return m_hooks.on_superseded();
   if (answer.gone) {
     worker->gone = true;
@@ -670,10 +671,13 @@
       .Field("fence", order->worker->fence);
 }
 
-void Fleet::OnWorkerAnswered(Worker* worker, const std::optional<WorkerTime>& clock) {
+// @param clock_at_send the least that the clock of the known incarnation showed when the call was
+// sent. An earlier time is that of another one, whose leases would last longer than is counted.
+void Fleet::OnWorkerAnswered(Worker* worker, const std::optional<WorkerTime>& clock,
+                             WorkerTime clock_at_send) {
   if (clock && worker->clock && !worker->restart_suspected) {
     const auto error = std::chrono::abs(*clock - EstimateClock(*worker));
-    if (error > kMaxClockError) SuspectRestart(worker, *clock);
+    if (error > kMaxClockError || *clock < clock_at_send) SuspectRestart(worker, *clock);
   }
   NoteClock(worker, worker->restart_suspected ? std::nullopt : clock);
 }
@@ -834,6 +838,11 @@
   return *worker.clock + std::chrono::duration_cast<milliseconds>(m_hooks.now() - worker.clock_at);
 }
 
+WorkerTime Fleet::EarliestClock(const Worker& worker) const {
+  const auto since = std::chrono::duration<double, std::milli>(m_hooks.now() - worker.clock_at);
+  return *worker.clock + std::chrono::floor<milliseconds>(since * (1.0 - kWorkerClockDrift));
+}
+
 SteadyTime Fleet::LeaseExpiry(const Worker& worker) const {
   const SteadyTime earlier_end =
       std::max(worker.lease_end_without_clock, worker.misdirected_leases_end);
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -255,7 +255,8 @@
   void VoidOrder(Order* order, VoidReason reason, StartVerdict verdict = StartVerdict::kStarted);
   void EndIncarnation(Worker* worker, IncarnationEnd how, std::int64_t next_born_unix_ms);
   void CarryOver(Order* order);
-  void OnWorkerAnswered(Worker* worker, const std::optional<WorkerTime>& clock);
+  void OnWorkerAnswered(Worker* worker, const std::optional<WorkerTime>& clock,
+                        WorkerTime clock_at_send);
   void NoteClock(Worker* worker, const std::optional<WorkerTime>& clock);
   void OnWorkerCallFailed(Worker* worker);
   void RecordCallTime(const Worker& worker, SteadyTime sent, bool answered);
@@ -281,6 +282,7 @@
   [[nodiscard]] static bool HasUnlistedOrder(const Worker& worker);
   [[nodiscard]] static bool IsHoldDue(const Worker& worker, SteadyTime now);
   [[nodiscard]] WorkerTime EstimateClock(const Worker& worker) const;
+  [[nodiscard]] WorkerTime EarliestClock(const Worker& worker) const;
   [[nodiscard]] SteadyTime LeaseExpiry(const Worker& worker) const;
   static Order* FindOrder(const Worker& worker, const TaskRef& task, std::uint64_t run);
 
--- a/cell/job.h
+++ b/cell/job.h
@@ -51,8 +51,9 @@
   bool resumed = false;  ///< Its start carried a checkpoint, so that it takes less time.
   std::string ticket;    ///< Permit of the policy service; empty if none is needed.
   SteadyTime ticket_until = SteadyTime::max();
-  std::uint64_t fence = 0;  ///< Fencing token of its start; 0 for one of an earlier term.
-  WorkerTime start_until;   ///< The worker rejects the start after this time on its own clock.
+  std::uint64_t fence = 0;   ///< Fencing token of its start; 0 for one of an earlier term.
+  WorkerTime clock_at_send;  ///< The least that the clock of the known incarnation showed then.
+  WorkerTime start_until;    ///< The worker rejects the start after this time on its own clock.
   SteadyTime created;
   SteadyTime sent;           ///< When its start was sent.
   SteadyTime running_since;  ///< When the task was first known to run.
--- a/tests/cell/restart_test.cc
+++ b/tests/cell/restart_test.cc
@@ -411,5 +411,30 @@
   }
 }
 
+// Guards against TWICE: the clock of the next incarnation was less than `kMaxClockError` behind, so
+// that its answer to a start showed no restart, and a hold on its way granted more than counted.
+TEST_CASE("restart: a run is not given up early after a restart to a similar clock") {
+  for (int submitted_ms = 20000; submitted_ms < 21800; submitted_ms += 100) {
+    CAPTURE(submitted_ms);
+    RestartCell cell(1, seconds(9), milliseconds(submitted_ms));
+    WorkerNode& node = cell.nodes["w0"];
+    cell.max_lease = seconds(10);
+    cell.RestartWorker("w0");
+    node.hold_call_delay = milliseconds(200);
+    node.call_delay = milliseconds(100);
+    cell.At(milliseconds(submitted_ms + 60), [&] {
+      const milliseconds clock = node.process->ClockNow().since_start;
+      cell.RestartUnlisted("w0");
+      node.process->clock_at_birth = clock - milliseconds(1900);
+    });
+    cell.At(milliseconds(submitted_ms + 300), [&] { node.cut_from = {0}; });
+    cell.At(seconds(45), [&] {
+      node.cut_from.clear();
+      cell.ListWorkers();
+    });
+    cell.Run(seconds(70));
+  }
+}
+
 }  // namespace
 }  // namespace citronsill::model
