Clear the suspicion of a restart only by an answer to a later hold

What callers would see: a task runs twice after a restart of its worker.

Cause: a restart was suspected from the clock in an answer to a start, and the late answer of the earlier incarnation to a hold that had been sent before was taken to refute it. The next hold extended leases by the clock of the earlier incarnation, and the next one granted the longest lease anew, past what was counted from the suspicion.

Change: only an answer to a hold that was sent since tells which incarnation runs. The clock in an earlier one is not used.

--- a/cell/fleet.cc
+++ b/cell/fleet.cc
@@ -420,8 +420,11 @@
     return AttachNext();
   }
   if (answer.born_unix_ms != 0) worker->description.born_unix_ms = answer.born_unix_ms;
-  if (std::exchange(worker->restart_suspected, false)) worker->clock.reset();
-  NoteClock(worker, answer.clock);
+  if (worker->restart_suspected && hold.sent >= worker->suspected_at) {
+    worker->restart_suspected = false;
+    worker->clock.reset();
+  }
+  NoteClock(worker, worker->restart_suspected ? std::nullopt : std::optional(answer.clock));
   worker->hold_answered = m_hooks.now();
   worker->acknowledged_to_worker = std::max(worker->acknowledged_to_worker, hold.acknowledged);
   // Only the answer to a hold tells that it comes from the same incarnation as before.
@@ -700,6 +703,7 @@
       .Field("clock_ms", clock.since_start)
       .Field("expected_clock_ms", EstimateClock(*worker).since_start);
   worker->restart_suspected = true;
+  worker->suspected_at = m_hooks.now();
   ExpectMisdirectedLeases(worker, kMaxWorkerCallTimeout);
   SendHold(worker, true);
 }
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -69,6 +69,7 @@
   /// An answer shows another clock than before: another incarnation may have sent it. Leases are
   /// not extended until a hold tells which one runs.
   bool restart_suspected = false;
+  SteadyTime suspected_at{};  ///< Since when.
   /// Latest incarnation that an earlier scheduler is known to have attached; 0 for none.
   std::int64_t earlier_attached_born_unix_ms = 0;
   std::uint64_t last_end = 0;                ///< Highest number (`EndedTask`) of a processed end.
--- a/tests/cell/restart_test.cc
+++ b/tests/cell/restart_test.cc
@@ -436,5 +436,36 @@
   }
 }
 
+// Guards against TWICE: the next incarnation had answered a start, so that a restart was suspected,
+// and a late answer to a hold of the earlier one was taken to refute that. Leases were extended by
+// the clock of the earlier one.
+TEST_CASE("restart: a late answer to an earlier hold does not refute a restart") {
+  for (int submitted_ms = 30000; submitted_ms < 32800; submitted_ms += 100) {
+    CAPTURE(submitted_ms);
+    RestartCell cell(1, seconds(13), milliseconds(submitted_ms));
+    WorkerNode& node = cell.nodes["w0"];
+    cell.max_lease = seconds(10);
+    cell.RestartWorker("w0");
+    node.process->clock_at_birth = std::chrono::hours(2);
+    node.listed_born = node.process->Born();
+    cell.At(seconds(10), [&] { node.hold_delay = milliseconds(1200); });
+    cell.At(milliseconds(submitted_ms - 10), [&] { node.call_delay = milliseconds(50); });
+    cell.At(milliseconds(submitted_ms + 40), [&] {
+      cell.RestartUnlisted("w0");
+      node.process->clock_at_birth = std::chrono::minutes(1);
+      node.hold_call_delay = milliseconds(1000);
+      node.hold_delay = seconds(8);
+    });
+    cell.At(milliseconds(submitted_ms + 1300), [&] { node.cut_from = {0}; });
+    cell.At(seconds(60), [&] {
+      node.cut_from.clear();
+      node.hold_call_delay = node.hold_delay = node.call_delay = milliseconds(0);
+      node.listed_born.reset();
+      cell.ListWorkers();
+    });
+    cell.Run(seconds(90));
+  }
+}
+
 }  // namespace
 }  // namespace citronsill::model
