Keep starts of earlier schedulers while they may be on their way

What callers would see: a task without advice runs twice after a hand-over and a restart of its worker.

Cause: the next scheduler attaches a worker, which does not list a run, and gives the order up at once, as the worker rejects calls with earlier fences from then on. If the worker starts again before the start arrives, the new incarnation has seen no fence and executes it, while the task has started elsewhere.

--- a/cell/fleet.cc
+++ b/cell/fleet.cc
@@ -722,15 +722,17 @@
   return last_call + kMaxWorkerCallTimeout + LongestLocalTime(m_max_lease);
 }
 
-// A start that was sent before its worker started again may still be executed if the worker starts
-// once more: the next incarnation has not seen the fence of this one. A ticket excludes that, as it
-// is valid for one incarnation. Tasks that last have to be back sooner.
+// A start that is still on its way may be executed although its worker does not list it and rejects
+// its fence: if the worker starts again, the next incarnation has seen no fence. That is likely
+// where it has just done so. A ticket excludes that, as it is valid for one incarnation. Tasks that
+// last have to be back sooner.
 bool Fleet::MayBeExecutedLater(const Order& order) const {
   const Step& step = *order.task->step;
-  if (!order.carried_over || order.answered) return false;
+  if (order.answered || order.listed_earlier) return false;
   if (step.job->spec.queue().has_advice() || step.spec->long_running()) return false;
   const SteadyTime sent = order.earlier_term ? m_earlier_calls_end : order.sent;
-  return m_hooks.now() < sent + kMaxLateCall;
+  if (order.carried_over) return m_hooks.now() < sent + kMaxLateCall;
+  return order.earlier_term && m_hooks.now() < sent + kMaxWorkerCallTimeout;
 }
 
 // Of the failed calls to an unreachable worker, only the first one is recorded: time-outs of a few
--- a/tests/cell/restart_test.cc
+++ b/tests/cell/restart_test.cc
@@ -301,6 +301,36 @@
   }
 }
 
+// Guards against TWICE: the next scheduler took a start as void because the worker did not list it,
+// and the incarnation after that executed it.
+TEST_CASE("restart: a start that arrives after a hand-over and a restart is no second run") {
+  for (const int restart_ms : {2110, 2130, 2150, 2170, 2190, 2210}) {
+    for (const bool is_killed : {false, true}) {
+      CAPTURE(restart_ms);
+      CAPTURE(is_killed);
+      RestartCell cell(2, seconds(3));
+      // Occupies w0 while the job is placed, so that there is room elsewhere afterwards.
+      cell.At(milliseconds(1900), [&] {
+        TaskBehavior behavior;
+        behavior.duration = milliseconds(110);
+        behavior.size.processors_milli = 8000;
+        cell.Submit(cell.MakeJob("first", 1, behavior));
+      });
+      const milliseconds later(is_killed ? 400 : 0);
+      cell.At(milliseconds(1950),
+              [&, later] { cell.nodes["w1"].call_delay = milliseconds(200) + later; });
+      cell.At(milliseconds(2040), [&] {
+        cell.nodes["w1"].call_delay = milliseconds(0);
+        if (is_killed) return cell.Leader()->Kill();
+        cell.Leader()->Roll(seconds(5));
+      });
+      cell.At(milliseconds(restart_ms) + later, [&] { cell.RestartUnlisted("w1"); });
+      cell.At(seconds(3), [&] { cell.ListWorkers(); });
+      cell.Run(seconds(30));
+    }
+  }
+}
+
 // Guards against TWICE: a worker was forgotten while it was away, and its next incarnation accepted
 // a start that had been sent before.
 TEST_CASE("restart: a worker that returns after it was forgotten rejects calls from before") {
