--- a/tests/cell/restart_test.cc
+++ b/tests/cell/restart_test.cc
@@ -331,6 +331,86 @@
   }
 }
 
+// Guards against TWICE: the next incarnation executed the start of a lasting task and granted the
+// longest lease, and the scheduler or its successor started the task again after the shorter one.
+TEST_CASE("restart: a lasting task is not given up early after a restart that nothing has shown") {
+  for (const bool is_scheduler_lost : {false, true}) {
+    CAPTURE(is_scheduler_lost);
+    RestartCell cell(2, seconds(1), seconds(2));
+    WorkerNode& node = cell.nodes["w0"];
+    cell.max_lease = seconds(10);
+    cell.RestartWorker("w0");
+    node.process->clock_at_birth = std::chrono::hours(2);
+    node.listed_born = node.process->Born();
+    node.answer_delay = seconds(5);
+    TaskBehavior behavior;
+    behavior.duration = std::chrono::hours(1);
+    behavior.size.processors_milli = 2000;
+    schema::JobSpec spec = cell.MakeJob("lasting", kTasks, behavior);
+    spec.mutable_steps(0)->set_long_running(true);
+    cell.At(seconds(20), [&] {
+      node.call_delay = milliseconds(100);
+      cell.Submit(spec);
+    });
+    cell.At(milliseconds(20060), [&] {
+      cell.RestartUnlisted("w0");
+      node.process->clock_at_birth = std::chrono::minutes(1);
+    });
+    cell.At(milliseconds(20130), [&] { node.cut_from = {0, 1}; });
+    if (is_scheduler_lost) cell.At(milliseconds(20200), [&] { cell.Leader()->Kill(); });
+    cell.At(seconds(45), [&] {
+      node.cut_from.clear();
+      node.listed_born.reset();
+      cell.ListWorkers();
+    });
+    cell.Run(seconds(70));
+  }
+}
+
+// Guards against TWICE: a hold to the earlier incarnation got no answer and was executed seconds
+// later by the next one, which was out of reach. It granted the longest lease from then.
+TEST_CASE("restart: a hold that is executed seconds later does not outlast what is counted") {
+  for (int submitted_ms = 20000; submitted_ms < 21600; submitted_ms += 100) {
+    CAPTURE(submitted_ms);
+    RestartCell cell(1, seconds(15), milliseconds(submitted_ms));
+    WorkerNode& node = cell.nodes["w0"];
+    cell.max_lease = seconds(10);
+    cell.RestartWorker("w0");
+    node.process->clock_at_birth = std::chrono::hours(2);
+    cell.At(milliseconds(submitted_ms - 200), [&] {
+      node.call_delay = milliseconds(100);
+      node.hold_call_delay = seconds(6);
+    });
+    cell.At(milliseconds(submitted_ms + 60), [&] {
+      cell.RestartUnlisted("w0");
+      node.process->clock_at_birth = std::chrono::minutes(1);
+    });
+    cell.At(milliseconds(submitted_ms + 150), [&] { node.cut_from = {0}; });
+    cell.At(seconds(45), [&] {
+      node.cut_from.clear();
+      node.hold_call_delay = node.call_delay = milliseconds(0);
+      cell.ListWorkers();
+    });
+    cell.Run(seconds(80));
+  }
+}
+
+// Guards against LOST: the clock of a machine had been set back before its worker started again, so
+// that the next incarnation was taken for an earlier one for as long as the scheduler lasted.
+TEST_CASE("restart: a worker whose clock was set back before its start is used") {
+  RestartCell cell(1, seconds(9), seconds(20));
+  cell.At(seconds(21), [&] {
+    cell.RestartUnlisted("w0");
+    cell.nodes["w0"].process->wall_clock_error = -std::chrono::minutes(1);
+    cell.ListWorkers();
+  });
+  for (int listed_s = 22; listed_s < 70; ++listed_s) {
+    cell.At(seconds(listed_s), [&] { cell.ListWorkers(); });
+  }
+  cell.Run(seconds(70));
+  CHECK(cell.Leader()->scheduler->Workers().Find("w0")->TakesWork());
+}
+
 // Guards against TWICE: a worker was forgotten while it was away, and its next incarnation accepted
 // a start that had been sent before.
 TEST_CASE("restart: a worker that returns after it was forgotten rejects calls from before") {
--- a/tests/cell/worker.h
+++ b/tests/cell/worker.h
@@ -113,20 +113,22 @@
   }
 
   bool dead = false;
-  bool hangs = false;            // Tasks make no progress.
-  double speed = 1.0;            // Of its tasks; at 0.5 they take twice as long.
-  bool checks_tickets = false;   // Tickets are for one incarnation.
-  bool is_unhealthy = false;     // Refuses all calls and does nothing.
-  bool checks_room = false;      // Rejects what does not fit.
-  milliseconds max_lease{6000};  // On its own clock; longer leases are shortened.
-  milliseconds clock_at_birth;   // Differs between incarnations.
+  bool hangs = false;                // Tasks make no progress.
+  double speed = 1.0;                // Of its tasks; at 0.5 they take twice as long.
+  bool checks_tickets = false;       // Tickets are for one incarnation.
+  bool is_unhealthy = false;         // Refuses all calls and does nothing.
+  bool checks_room = false;          // Rejects what does not fit.
+  milliseconds max_lease{6000};      // On its own clock; longer leases are shortened.
+  milliseconds clock_at_birth;       // Differs between incarnations.
+  milliseconds wall_clock_error{0};  // Of its machine when it started.
 
   [[nodiscard]] WorkerTime ClockNow() const {
     const auto since = std::chrono::duration<double, std::milli>(m_loop.Now() - m_born).count();
     return {clock_at_birth + milliseconds(static_cast<std::int64_t>(since * m_rate))};
   }
   [[nodiscard]] std::int64_t Born() const {
-    return std::chrono::duration_cast<milliseconds>(m_born.time_since_epoch()).count();
+    return (std::chrono::duration_cast<milliseconds>(m_born.time_since_epoch()) + wall_clock_error)
+        .count();
   }
 
   [[nodiscard]] std::string Ticket() const { return m_id + "@" + std::to_string(Born()); }
