Store that runs may be unknown until the leases of earlier schedulers have ended

What callers would see: tasks run twice at the same time when a further row of their job's progress is missing and two takeovers follow within seconds.

Cause: `Scheduler::HoldUnknownTasks` kept the wait in `Task::retry_at` only. When that scheduler stored the progress of the job again, all rows were there and counted as complete. Its successor took the tasks for not started, and started them at once.

Change: the first progress row has `runs_unknown`, set while the wait lasts. `ResolveRows` then gives `Completeness::kRunsUnknown`, so that the next scheduler holds the tasks by its own count and treats gangs as with a missing row. `Scheduler::Tick` ends the wait (one comparison for each job) and stores that. A job with the field has progress to store, also if it was never seen to start: after a refusal of several jobs, its job row would be written without progress otherwise, and be newer than the progress. Final jobs do not store the field.

Why it works: a transaction that replaces the incomplete rows writes the field along with them, so that each later scheduler sees either the missing row or the field, until the wait of one of them is over. The next scheduler's own count covers the calls of all earlier ones.

The test of jobs at the limits of rows has the field set; it fits into the overhead that a row already counts.

--- a/cell/job.cc
+++ b/cell/job.cc
@@ -101,6 +101,7 @@
     first.set_state(job.state);
     first.set_occurrences_begun(job.occurrences_begun);
     first.set_ever_started(job.ever_started);
+    first.set_runs_unknown(job.runs_unknown_until.has_value() && !job.IsFinal());
     m_bytes += DoneTasksBytes();
   }
 
--- a/cell/job.h
+++ b/cell/job.h
@@ -219,6 +219,9 @@
   bool is_to_unpack = false;        ///< Its records in packs are to get rows of their own.
   bool stored = false;              ///< Its job row is stored or part of the transaction in flight.
   bool ever_started = false;
+  /// Until then, tasks without an order may have runs that are not known, as a row of its progress
+  /// was missing.
+  std::optional<SteadyTime> runs_unknown_until;
   /// The store refuses its progress. Its final state is stored at once, although it has orders.
   bool is_unstorable = false;
   /// Position in the queue of changes to store; 0 if not queued.
--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -212,8 +212,10 @@
 
 // Tasks about which nothing is known may run on any worker. They are not started before the leases
 // of earlier schedulers have ended: by then, workers have reported the runs that have ended.
+// The next scheduler has to wait as well: the rows that are written now lack these runs, too.
 // @param lapse when these leases have ended.
 void Scheduler::HoldUnknownTasks(Job* job, SteadyTime lapse) {
+  job->runs_unknown_until = lapse;
   std::size_t held = 0;
   for (const auto& step : job->steps) {
     for (Task& task : step->tasks) {
@@ -228,6 +230,13 @@
       .Field("held_ms", std::chrono::duration_cast<milliseconds>(lapse - m_hooks.now()));
 }
 
+// Stores that the wait is over, so that the next scheduler does not hold the tasks again.
+void Scheduler::EndUnknownRuns(Job* job, SteadyTime now) {
+  if (!job->runs_unknown_until || now < *job->runs_unknown_until) return;
+  job->runs_unknown_until.reset();
+  MarkDirty(job);
+}
+
 // ---- Calls
 
 void Scheduler::Submit(const schema::JobSpec& spec, milliseconds waited, JobStateCallback done) {
@@ -596,7 +605,7 @@
 }
 
 bool Scheduler::HasProgress(const Job& job) {
-  return job.ever_started || job.IsFinal() || job.live_orders > 0;
+  return job.ever_started || job.IsFinal() || job.live_orders > 0 || job.runs_unknown_until;
 }
 
 Scheduler::JobChange Scheduler::ChangeOf(const Job& job) {
@@ -1194,7 +1203,10 @@
   m_admission.Update(now, m_fleet.StartsSent(), m_order_window.IsLimiting());
   std::uint64_t live_tasks = 0;
   for (const auto& [id, job] : m_jobs) {
-    if (!job->IsFinal()) BeginDueOccurrences(job.get());
+    if (!job->IsFinal()) {
+      BeginDueOccurrences(job.get());
+      EndUnknownRuns(job.get(), now);
+    }
     for (const auto& step : job->steps) {
       live_tasks += step->tasks.size();
       if (step->gang_run != 0 && !job->IsFinal()) CheckGang(step.get(), now);
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -236,6 +236,7 @@
   void SkipWithdrawn();
   void LoadJob(const StoredJob& stored, SteadyTime lapse, SteadyTime all_lapsed);
   void HoldUnknownTasks(Job* job, SteadyTime lapse);
+  void EndUnknownRuns(Job* job, SteadyTime now);
   void RestoreGang(Step* step, Completeness completeness);
   // What a transaction is to store about a job.
   struct JobChange {
--- a/cell/shard_rows.cc
+++ b/cell/shard_rows.cc
@@ -106,9 +106,10 @@
     LogMissing(id, 0, *job);
     return Completeness::kLost;
   }
-  Completeness completeness = Completeness::kComplete;
   // Progress that is older than the job is that of an earlier job with its id.
-  if (job->progress_version < job->job_version) return completeness;
+  if (job->progress_version < job->job_version) return Completeness::kComplete;
+  Completeness completeness =
+      job->progress.runs_unknown() ? Completeness::kRunsUnknown : Completeness::kComplete;
   for (std::uint32_t part = 1; part <= job->progress.parts(); ++part) {
     const auto found = job->parts.find(part);
     if (found == job->parts.end() || found->second.first != job->progress_version) {
--- a/cell/shard_rows.h
+++ b/cell/shard_rows.h
@@ -54,7 +54,7 @@
 };
 
 /// What was found of the rows of a job's progress. A row that is missing does not mean that nothing
-/// was started.
+/// was started, also for the next scheduler: `ProgressRow::runs_unknown` tells it.
 enum class Completeness {
   kComplete,
   kRunsUnknown,  ///< Which tasks are done is known, but not which others were started.
--- a/tests/cell/rows_test.cc
+++ b/tests/cell/rows_test.cc
@@ -154,8 +154,9 @@
     CAPTURE(size.steps);
     CAPTURE(size.worker_id_bytes);
     CAPTURE(size.checkpoint_bytes);
-    const FullJob full(size.tasks, size.steps, size.occurrences, size.worker_id_bytes,
-                       size.checkpoint_bytes);
+    FullJob full(size.tasks, size.steps, size.occurrences, size.worker_id_bytes,
+                 size.checkpoint_bytes);
+    full.job.runs_unknown_until = SteadyTime();
     if (size.occurrences == 1) CHECK(full.runs == size.tasks);
     RowTransaction transaction = full.MakeTransaction();
     const auto refusal = RefusalOf(transaction);
@@ -171,6 +172,7 @@
     const StoredShard shard = ResolveRows(rows);
     REQUIRE(shard.jobs.size() == 1);
     CHECK(shard.jobs[0].places.progress_parts == rows.progress.size() - 1);
+    CHECK(shard.jobs[0].completeness == Completeness::kRunsUnknown);
     Job restored;
     restored.spec = shard.jobs[0].job.spec();
     CHECK(RestoreProgress(*shard.jobs[0].progress, &restored).size() == full.runs);
@@ -310,6 +312,84 @@
   CheckAllEnd(further.cell, {"job"});
 }
 
+// Guards against TWICE: the scheduler that found the row missing stored the progress of the job
+// anew, and its successor did not know that the tasks had to wait.
+TEST_CASE("rows: tasks of a missing row are not started by the second scheduler after that") {
+  for (const int killed_ms : {6000, 6500, 7000, 8000}) {
+    CAPTURE(killed_ms);
+    Cell cell(3, 3, 6, Resources{32000, 32000, 0}, std::string(150, 'w'));
+    TaskBehavior behavior;
+    behavior.size = {50, 16, 0};
+    behavior.duration = milliseconds(4700);
+    schema::JobSpec spec = cell.MakeJob("job", 500, behavior);
+    schema::StepSpec* const second = spec.add_steps();
+    *second = spec.steps(0);
+    behavior.duration = milliseconds(12000);
+    cell.behaviors["job1"] = behavior;
+    cell.loop.After(milliseconds(1000), [&] { cell.Submit(spec); });
+    cell.loop.After(milliseconds(5000), [&] {
+      cell.Leader()->Kill();
+      std::next(cell.nodes.begin())->second.cut_from = {0, 1, 2};
+      RowTransaction removal;
+      removal.removals = {{kProgressTable, "s0", "job.3"}};
+      const std::size_t before = cell.store.Read(kProgressTable, "s0").rows.size();
+      cell.store.Apply(removal);
+      REQUIRE(cell.store.Read(kProgressTable, "s0").rows.size() == before - 1);
+    });
+    cell.loop.After(milliseconds(killed_ms), [&] {
+      REQUIRE(cell.Leader() != nullptr);
+      cell.Leader()->Kill();
+    });
+    cell.loop.After(seconds(30), [&] { std::next(cell.nodes.begin())->second.cut_from.clear(); });
+    cell.loop.RunFor(seconds(80));
+    CheckHistory(cell.history);
+    CheckAllEnd(cell, {"job"});
+  }
+}
+
+// Guards against a job whose tasks each scheduler holds again, although the wait is long over.
+TEST_CASE("rows: that runs may be unknown is stored until the tasks of a missing row may start") {
+  Cell cell(3, 3, 6, Resources{32000, 32000, 0}, std::string(150, 'w'));
+  TaskBehavior behavior;
+  behavior.size = {50, 16, 0};
+  behavior.duration = milliseconds(4700);
+  schema::JobSpec spec = cell.MakeJob("job", 500, behavior);
+  schema::StepSpec* const second = spec.add_steps();
+  *second = spec.steps(0);
+  behavior.duration = milliseconds(40000);
+  cell.behaviors["job1"] = behavior;
+  const auto stored = [&cell] {
+    const auto rows = [&cell](const char* table) { return cell.store.Read(table, "s0").rows; };
+    const StoredShard shard =
+        ResolveRows({rows(kJobTable), rows(kProgressTable), rows(kFinishedTable), rows(kPackTable),
+                     rows(kLeaseTable)});
+    REQUIRE(shard.jobs.size() == 1);
+    return shard.jobs[0].completeness;
+  };
+  cell.loop.After(milliseconds(1000), [&] { cell.Submit(spec); });
+  cell.loop.After(milliseconds(5000), [&] {
+    CHECK(stored() == Completeness::kComplete);
+    cell.Leader()->Kill();
+    RowTransaction removal;
+    removal.removals = {{kProgressTable, "s0", "job.3"}};
+    cell.store.Apply(removal);
+    CHECK(stored() == Completeness::kRunsUnknown);
+  });
+  cell.loop.RunFor(milliseconds(9000));
+  // The rows have been written again: none is missing.
+  const std::vector<Row> rows = cell.store.Read(kProgressTable, "s0").rows;
+  REQUIRE(rows.size() > 1);
+  schema::ProgressRow first;
+  REQUIRE(first.ParseFromString(rows[0].value));
+  CHECK(first.runs_unknown());
+  CHECK(first.parts() == rows.size() - 1);
+  for (const Row& row : rows) CHECK(row.version == rows[0].version);
+  CHECK(stored() == Completeness::kRunsUnknown);
+  cell.loop.RunFor(seconds(21));
+  CHECK(stored() == Completeness::kComplete);
+  CheckHistory(cell.history);
+}
+
 // What was done is not known then, so that the job cannot go on.
 TEST_CASE("rows: a job fails when the first row of its progress is missing") {
   MissingRow first("job");
--- a/tests/cell/scheduler_test.cc
+++ b/tests/cell/scheduler_test.cc
@@ -167,6 +167,44 @@
   std::size_t named_workers = 0;
 };
 
+// Guards against TWICE: tasks had just been assigned when the row with their assignments was lost,
+// and after a refusal the job was stored as if nothing had been started.
+TEST_CASE("scheduler: that runs may be unknown is stored again after a refusal") {
+  Fixture second(2);
+  StoredJob lost;
+  lost.completeness = Completeness::kRunsUnknown;
+  *lost.job.mutable_spec() = MakeGangJob();
+  lost.job.mutable_spec()->mutable_steps(0)->set_gang(false);
+  lost.job.mutable_spec()->set_occurrences(2);
+  lost.job.mutable_spec()->set_interval_ms(1000);
+  lost.progress.emplace().set_state(schema::JOB_STATE_QUEUED);
+  lost.progress->set_occurrences_begun(1);
+  lost.progress->add_live_occurrences(0);
+  lost.places.has_job_row = lost.places.has_progress_row = true;
+  StoredShard shard;
+  shard.jobs = {lost};
+  second.scheduler->Restore(shard, second.now + milliseconds(20000));
+  schema::JobSpec other = MakeGangJob();
+  other.set_id("00000000000000bb");
+  second.scheduler->Submit(other, milliseconds(0), [](const auto&) {});
+  second.scheduler->Tick();  // The next occurrence begins.
+  const WriteBatch refused = second.scheduler->TakeBatch(97, 600000);
+  CHECK(refused.writes.size() == 2);
+  second.scheduler->OnRefused(refused.position);
+  bool is_unknown = false;
+  for (int batch = 0; batch < 2; ++batch) {
+    const WriteBatch retried = second.scheduler->TakeBatch(97, 600000);
+    for (const Row& row : retried.writes) {
+      if (row.key.table != kProgressTable) continue;
+      schema::ProgressRow progress;
+      REQUIRE(progress.ParseFromString(row.value));
+      is_unknown |= row.key.key == lost.job.spec().id() && progress.runs_unknown();
+    }
+    second.scheduler->OnStored(retried.position);
+  }
+  CHECK(is_unknown);
+}
+
 // A scheduler dies while gangs wait for room. Guards against a successor whose request slots are
 // occupied for seconds by advice requests that were answered before (hobu-sched-grown, scale-2).
 TEST_CASE("scheduler: the next scheduler does not repeat answered advice requests") {
