--- a/tests/cell/gang_test.cc
+++ b/tests/cell/gang_test.cc
@@ -111,7 +111,7 @@
     loop.After(milliseconds(4500), [this] { CutOther(); });
     loop.After(milliseconds(5400), [this, is_release] {
       REQUIRE(history.ends.size() == 1);
-      CHECK(history.acknowledged_failures[kFirst] == 1);
+      CHECK(history.acknowledged_failures[first_member] == 1);
       REQUIRE(Leader() != nullptr);
       if (is_release) return Leader()->Roll(milliseconds(500));
       Leader()->Kill();
@@ -120,15 +120,15 @@
   }
 
   void CutOther() {
-    REQUIRE(history.running.contains(kOther));
-    const History::Run& run = history.running.find(kOther)->second;
+    REQUIRE(history.running.contains(other_member));
+    const History::Run& run = history.running.find(other_member)->second;
     first_run = run.run;
     cut_worker = run.worker;
     for (const auto& instance : instances) nodes[cut_worker].cut_from.insert(instance->number);
   }
 
-  const TaskRef kFirst{"gang", 0, 0, 0};
-  const TaskRef kOther{"gang", 0, 0, 1};
+  const TaskRef first_member{"gang", 0, 0, 0};
+  const TaskRef other_member{"gang", 0, 0, 1};
   std::uint64_t first_run = 0;
   std::string cut_worker;
 };
@@ -165,7 +165,8 @@
       });
       cell.loop.RunFor(seconds(25));
       CheckHistory(cell.history);
-      const int starts_under_first_run = cell.history.starts_of_run[{cell.kFirst, cell.first_run}];
+      const int starts_under_first_run =
+          cell.history.starts_of_run[{cell.first_member, cell.first_run}];
       CHECK(starts_under_first_run == 1);
       CHECK(cell.history.starts == 4);
       CheckAllEnd(cell, {"gang"});
@@ -184,7 +185,7 @@
     EndingGang cell(is_release, other);
     cell.history.max_attempts = 2;
     cell.loop.RunFor(seconds(25));
-    CHECK(cell.history.ends[{cell.kOther, cell.first_run}] == RunEnd::kFailed);
+    CHECK(cell.history.ends[{cell.other_member, cell.first_run}] == RunEnd::kFailed);
     CheckHistory(cell.history);
     CheckAllEnd(cell, {"gang"});
     CHECK(cell.history.starts == 4);
@@ -285,9 +286,10 @@
   ScheduleFaults(cell);
   loop.RunFor(seconds(120));
   CheckHistory(cell.history);
-  for (const auto& [key, starts] : cell.history.starts_of_run) {
-    INFO(key.first.job, ".", key.first.index, " run ", key.second);
-    CHECK(starts == 1);
+  for (const auto& entry : cell.history.starts_of_run) {
+    const TaskRef& task = entry.first.first;
+    INFO(task.job, ".", task.index, " run ", entry.first.second);
+    CHECK(entry.second == 1);
   }
   for (const std::string& job : jobs) {
     INFO(job);
