Start a task elsewhere only after its run without an order has ended

What callers saw: TWICE in the model; two runs of one task at once, on workers that were up.

Cause: a run without an order (Worker::stray_runs) only kept its own worker from taking work. Its task was planned on another worker as soon as there was room, although the scheduler knew of the run and was stopping it.

Change: the fleet counts, by task, the workers with such a run, and tells the scheduler of each listed run and of the end of the last one (on_stray_run, on_stray_runs_over). Task::has_stray_run keeps the task, and a gang with such a member, from being planned; Fleet::Send voids an assignment that was being stored meanwhile. A run is over when its end is reported, when a later list of the same incarnation lacks it and no ends are missing from the answer, when the incarnation has ended, or when the worker is silent and all its leases (Fleet::LeaseExpiry, which includes the longest lease where it may have been granted) have expired. Answers that were overtaken by later ones change nothing. A worker with such a run is called and kept also when it is no longer listed. The work of an answer is linear in the runs that it lists and in those known before. A task that waits for this is reported as held with the existing reason stray-runs.

Why it works: a stray run holds a lease and is on a known incarnation, so each way in which it can end is one of the above, and none of them depends on the worker coming back. Ends are processed before the task is released, so an end 'done' still counts.

What remains: the next scheduler knows of such a run only once it has attached the worker.

--- a/cell/fleet.cc
+++ b/cell/fleet.cc
@@ -263,6 +263,10 @@
   // The worker may have been draining for long, and this process may have been frozen meanwhile.
   const milliseconds time_left = m_hooks.start_time_left ? m_hooks.start_time_left() : kStartWindow;
   if (time_left <= milliseconds(0)) return VoidOrder(order, VoidReason::kNeverSent);
+  // A run of the task was found on a worker while the assignment was being stored.
+  const bool has_stray_run =
+      !m_stray_tasks.empty() && m_stray_tasks.contains(order->task->step->Ref(order->task->index));
+  if (has_stray_run) return VoidOrder(order, VoidReason::kNeverSent);
   // The ticket expired while the assignment was being stored, so the worker would refuse the start.
   if (m_hooks.now() > order->ticket_until) return VoidOrder(order, VoidReason::kNeverSent);
   SetState(order, OrderState::kSending);
@@ -501,13 +505,16 @@
         .Field("known", order != nullptr)
         .Field("percent", order != nullptr ? order->percent : 0)
         .Field("saved", !ended.checkpoint.empty());
-    worker->stray_runs.erase(ended.task);
     if (order == nullptr) {
       m_hooks.on_unclaimed_end(*worker, ended.task, ended.run, ended.end, ended.checkpoint);
-      continue;
+    } else {
+      const std::unique_ptr<Order> ended_order = Detach(order);
+      m_hooks.on_ended(*ended_order, ended.end, ended.checkpoint);
+    }
+    const auto stray = worker->stray_runs.find(ended.task);
+    if (stray != worker->stray_runs.end() && stray->second <= ended.run) {
+      RemoveStrayRun(worker, ended.task);
     }
-    const std::unique_ptr<Order> ended_order = Detach(order);
-    m_hooks.on_ended(*ended_order, ended.end, ended.checkpoint);
   }
   return has_new_ends;
 }
@@ -537,7 +544,7 @@
     order->percent = running.percent;
     if (KeepCheckpoint(running.checkpoint, order->task)) order->advanced = now;
   }
-  worker->stray_runs = std::move(stray_runs);
+  ApplyStrayRuns(worker, std::move(stray_runs), answer, hold);
   StopStrayRuns(worker);
   if (answer.ended.size() >= kMaxListedEnds) return;
   for (Order* order : std::vector<Order*>(worker->orders)) {
@@ -575,6 +582,45 @@
   }
 }
 
+// A list that was overtaken by a later one neither adds a run that has ended since nor removes one
+// that has begun. The clock orders lists only to the millisecond. A run that is not listed may have
+// ended `done`, which has to be known first if not all ends fit into the answer.
+void Fleet::ApplyStrayRuns(Worker* worker, std::map<TaskRef, std::uint64_t> stray_runs,
+                           const HoldAnswer& answer, const Hold& hold) {
+  const bool is_latest =
+      answer.clock > worker->runs_listed_clock || hold.sent >= worker->runs_listed_at;
+  if (!is_latest && answer.clock < worker->runs_listed_clock) return;
+  if (is_latest) {
+    worker->runs_listed_clock = answer.clock;
+    worker->runs_listed_at = m_hooks.now();
+    const bool may_lack_ends = answer.ended.size() >= kMaxListedEnds;
+    std::vector<TaskRef> over;
+    for (const auto& [task, run] : worker->stray_runs) {
+      if (!may_lack_ends && !stray_runs.contains(task)) over.push_back(task);
+    }
+    for (const TaskRef& task : over) RemoveStrayRun(worker, task);
+  }
+  for (const auto& [task, run] : stray_runs) {
+    if (worker->stray_runs.insert_or_assign(task, run).second) ++m_stray_tasks[task];
+    m_hooks.on_stray_run(task);
+  }
+}
+
+void Fleet::RemoveStrayRun(Worker* worker, const TaskRef& task) {
+  if (worker->stray_runs.erase(task) == 0) return;
+  const auto found = m_stray_tasks.find(task);
+  if (--found->second > 0) return;
+  m_stray_tasks.erase(found);
+  m_hooks.on_stray_runs_over(task);
+}
+
+void Fleet::ClearStrayRuns(Worker* worker) {
+  while (!worker->stray_runs.empty()) {
+    const TaskRef task = worker->stray_runs.begin()->first;
+    RemoveStrayRun(worker, task);
+  }
+}
+
 void Fleet::StopStrayRuns(Worker* worker) {
   if (!m_hooks.may_lead()) return;
   for (const auto& [task, run] : worker->stray_runs) {
@@ -642,7 +688,9 @@
   worker->hold_timeout = milliseconds(0);
   worker->status_query_in_flight = false;
   if (std::exchange(worker->attaching, false)) --m_attaching;
-  worker->stray_runs.clear();
+  ClearStrayRuns(worker);
+  worker->runs_listed_clock = {};
+  worker->runs_listed_at = {};
   worker->failures_in_row = 0;
   worker->next_hold = m_hooks.now();
   for (Order* order : std::vector<Order*>(worker->orders)) {
@@ -876,13 +924,13 @@
   if (m_unlisted > 0) EraseUnlisted();
 }
 
-// Forgets workers that have left and have no orders. One that returns under its id must reject
-// calls from before, so the fencing token of workers added later is higher.
+// Forgets workers that have left and run nothing. One that returns under its id must reject calls
+// from before, so the fencing token of workers added later is higher.
 void Fleet::EraseUnlisted() {
   const std::size_t erased = std::erase_if(m_workers, [this](const auto& entry) {
     Worker& worker = *entry.second;
-    const bool is_over = !worker.listed && worker.orders.empty() && !worker.hold_in_flight &&
-                         !worker.status_query_in_flight;
+    const bool is_over = !worker.listed && worker.orders.empty() && worker.stray_runs.empty() &&
+                         !worker.hold_in_flight && !worker.status_query_in_flight;
     if (!is_over) return false;
     m_unattached.erase(&worker);
     m_by_slot[worker.slot] = nullptr;
@@ -894,7 +942,8 @@
 
 bool Fleet::IsHoldDue(const Worker& worker, SteadyTime now) {
   return !worker.hold_in_flight && now >= worker.next_hold && !worker.gone &&
-         (worker.listed || !worker.orders.empty()) && !worker.description.address.empty();
+         (worker.listed || !worker.orders.empty() || !worker.stray_runs.empty()) &&
+         !worker.description.address.empty();
 }
 
 Fleet::HoldBacklog Fleet::OverdueHolds() const {
@@ -914,6 +963,8 @@
 void Fleet::TickWorker(Worker* worker, SteadyTime now) {
   if (worker->attached && IsHoldDue(*worker, now)) SendHold(worker, false);
   if (worker->status_query_wanted && !worker->status_query_in_flight) SendHold(worker, true);
+  const bool has_stray_runs = !worker->stray_runs.empty();
+  if (has_stray_runs && worker->silent && now >= LeaseExpiry(*worker)) ClearStrayRuns(worker);
   if (worker->orders.empty()) return;
   if (worker->silent || !worker->attached) {
     if (now >= LeaseExpiry(*worker)) {
--- a/cell/fleet.h
+++ b/cell/fleet.h
@@ -88,9 +88,12 @@
   bool attaching = false;            ///< The hold in flight is the first one of this incarnation.
   std::vector<Order*> orders;
   Resources used;  ///< Reserved by `orders`.
-  /// Run numbers, by task, of runs on it without an order. They are stopped, and no task is started
-  /// until they have ended.
+  /// Run numbers, by task, of runs on it without an order. They are stopped. Until they have ended,
+  /// no task is started on it, and their tasks are not started on any worker.
   std::map<TaskRef, std::uint64_t> stray_runs;
+  // Answers may overtake each other: the latest list of its runs that was applied.
+  WorkerTime runs_listed_clock;  ///< The worker's clock when it made the list...
+  SteadyTime runs_listed_at{};   ///< ...and when the list arrived.
 
   // Failure history, maintained by the scheduler.
   std::uint32_t failures_in_row = 0;
@@ -144,6 +147,10 @@
   std::function<void(const Worker&, const TaskRef&, std::uint64_t run, RunEnd,
                      const std::string& checkpoint)>
       on_unclaimed_end;
+  /// A worker lists a run of this task that has no order. Called again for each such list.
+  std::function<void(const TaskRef&)> on_stray_run;
+  /// No worker can run this task without an order any more.
+  std::function<void(const TaskRef&)> on_stray_runs_over;
   /// Ends up to `number` were processed; `Acknowledge` has to follow once they are in the store.
   std::function<void(Worker&, std::uint64_t number)> on_ends;
   /// The free resources of some worker may have changed.
@@ -278,7 +285,11 @@
   bool ApplyEnds(Worker* worker, const HoldAnswer& answer);
   void ApplyRunning(Worker* worker, const HoldAnswer& answer, const Hold& hold);
   void ResolveMissing(Order* order, const HoldAnswer& answer, const Hold& hold);
+  void ApplyStrayRuns(Worker* worker, std::map<TaskRef, std::uint64_t> stray_runs,
+                      const HoldAnswer& answer, const Hold& hold);
   void StopStrayRuns(Worker* worker);
+  void RemoveStrayRun(Worker* worker, const TaskRef& task);
+  void ClearStrayRuns(Worker* worker);
   void TickWorker(Worker* worker, SteadyTime now);
   [[nodiscard]] static bool HasUnlistedOrder(const Worker& worker);
   [[nodiscard]] static bool IsHoldDue(const Worker& worker, SteadyTime now);
@@ -305,6 +316,7 @@
   SteadyTime m_earlier_calls_end{};       // Until then, earlier schedulers may have sent calls.
   SteadyTime m_misdirected_leases_end{};  // The latest one of all workers.
   std::size_t m_unlisted = 0;             // Workers that are not in the list of workers.
+  std::map<TaskRef, std::size_t> m_stray_tasks;  // Number of workers with a stray run of the task.
   CallTimes m_calls;
 };
 
--- a/cell/held.cc
+++ b/cell/held.cc
@@ -116,6 +116,7 @@
   if (!facts.may_lead) return HeldReason::kStore;
   if (facts.retry_in > milliseconds(0)) return HeldReason::kRetryBackOff;
   if (facts.gang_ending) return HeldReason::kGangEnding;
+  if (facts.has_stray_run) return HeldReason::kStrayRuns;
   if (facts.room.listed == 0) {
     return IsListStale(facts) ? HeldReason::kWorkerListStale : HeldReason::kNoWorkerListed;
   }
--- a/cell/held.h
+++ b/cell/held.h
@@ -30,8 +30,9 @@
   kNoWorkerListed,    ///< No listed worker of its service has its label.
   kNoWorkerAttached,  ///< The workers with room have not accepted the fencing token of this term.
   kQuarantine,        ///< The workers with room are avoided after failures.
-  kStrayRuns,         ///< On the workers with room there are runs that belong to no order.
-  kReservedRoom,      ///< The room is reserved or set aside for gangs.
+  /// The task, or the workers with room, have runs that belong to no order and are being stopped.
+  kStrayRuns,
+  kReservedRoom,  ///< The room is reserved or set aside for gangs.
   kNoRoom,
   kNotPlanned,  ///< There was no planning pass for some time.
   /// The limit of orders in flight is reached: the scheduler starts as much as it can.
@@ -102,7 +103,8 @@
   bool order_worker_silent = false;
   milliseconds order_worker_silence{0};  ///< Time since the worker was last heard from.
   // The task and its step.
-  milliseconds retry_in{0};  ///< Time until the task may be started again.
+  milliseconds retry_in{0};    ///< Time until the task may be started again.
+  bool has_stray_run = false;  ///< A run of it, or of a member of its gang, has no order.
   bool gang_ending = false;
   /// In the last planning pass the step got no room because it is left to gangs.
   bool yields_to_gangs = false;
--- a/cell/job.h
+++ b/cell/job.h
@@ -103,7 +103,9 @@
   std::vector<std::uint64_t> expired_runs;
   /// Orders that have not ended: none, one, or several copies.
   std::vector<Order*> orders;
-  SteadyTime retry_at{};          ///< The task is not started before this time.
+  SteadyTime retry_at{};  ///< The task is not started before this time.
+  /// A worker may run it without an order (`FleetHooks::on_stray_run`); it is not started then.
+  bool has_stray_run = false;
   SteadyTime last_run_over_at{};  ///< When its last run ended or was lost.
   SteadyTime held_logged_at{};    ///< When it was last logged as held.
   std::uint32_t stalls = 0;       ///< Number of its runs in this term that were stopped as stalled.
--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -85,6 +85,8 @@
                                   RunEnd end, const std::string& checkpoint) {
     OnUnclaimedEnd(worker, ref, run, end, checkpoint);
   };
+  hooks.on_stray_run = [this](const TaskRef& ref) { SetStrayRun(ref, true); };
+  hooks.on_stray_runs_over = [this](const TaskRef& ref) { SetStrayRun(ref, false); };
   hooks.on_ends = [this](Worker& worker, std::uint64_t number) { OnEnds(worker, number); };
   hooks.on_capacity_changed = [this] { m_hooks.plan_soon(); };
   hooks.on_superseded = m_hooks.on_superseded;
@@ -950,6 +952,17 @@
   m_hooks.plan_soon();
 }
 
+// The job may be unknown: what a worker lists may come from anywhere.
+void Scheduler::SetStrayRun(const TaskRef& ref, bool has_stray_run) {
+  Step* step = FindStep(ref);
+  if (step == nullptr || ref.index >= step->tasks.size()) return;
+  Task* task = &step->tasks[ref.index];
+  const bool had_stray_run = std::exchange(task->has_stray_run, has_stray_run);
+  if (!had_stray_run || has_stray_run) return;
+  task->last_run_over_at = m_hooks.now();
+  m_hooks.plan_soon();
+}
+
 void Scheduler::OnTaskFailed(const Order& order) {
   Task* task = order.task;
   Step* step = task->step;
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -264,6 +264,7 @@
   void OnVoid(Order& order, VoidReason reason, StartVerdict verdict);
   void OnUnclaimedEnd(const Worker& worker, const TaskRef& ref, std::uint64_t run, RunEnd end,
                       const std::string& checkpoint);
+  void SetStrayRun(const TaskRef& ref, bool has_stray_run);
   void OnEnds(Worker& worker, std::uint64_t number);
   void OnTaskDone(const Order& order);
   void OnTaskFailed(const Order& order);
--- a/cell/scheduler_held.cc
+++ b/cell/scheduler_held.cc
@@ -104,6 +104,10 @@
     return std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(time - now));
   };
   if (task.retry_at > now) facts.retry_in = until(task.retry_at);
+  facts.has_stray_run = is_whole_gang
+                            ? std::any_of(step.tasks.begin(), step.tasks.end(),
+                                          [](const Task& member) { return member.has_stray_run; })
+                            : task.has_stray_run;
   facts.gang_ending = step.gang_ending;
   facts.yields_to_gangs = step.yields_to_gangs;
   facts.is_over_limit = step.is_over_limit;
--- a/cell/scheduler_plan.cc
+++ b/cell/scheduler_plan.cc
@@ -31,7 +31,7 @@
 }
 
 bool IsWaiting(const Task& task, SteadyTime now) {
-  return !task.is_done && task.orders.empty() && task.retry_at <= now;
+  return !task.is_done && task.orders.empty() && !task.has_stray_run && task.retry_at <= now;
 }
 
 // @returns whether every waiting task of the step avoids the worker.
@@ -254,8 +254,14 @@
     // The runs of a job have to fit into its progress rows.
     if (!step->spec->gang()) waiting = std::min(waiting, static_cast<std::uint32_t>(runs_left));
     if (waiting == 0 || waiting > runs_left) continue;
+    // A gang starts as a whole.
+    const bool is_whole_gang = step->spec->gang() && step->gang_run == 0;
+    if (is_whole_gang && waiting < step->tasks.size()) {
+      step->reserved_room.clear();
+      continue;
+    }
     runs_left -= waiting;
-    if (step->spec->gang() && step->gang_run == 0 && !CanEverFit(step.get(), now)) {
+    if (is_whole_gang && !CanEverFit(step.get(), now)) {
       step->reserved_room.clear();
       continue;
     }
--- a/tests/cell/held_test.cc
+++ b/tests/cell/held_test.cc
@@ -224,6 +224,20 @@
   CHECK(fixture.WaitForReason() == HeldReason::kStrayRuns);
 }
 
+// Guards against a task beside free room that is reported as left out by the planner.
+TEST_CASE("held: a run of the task itself belongs to no order") {
+  Fixture fixture;
+  fixture.AddWorkers(2);
+  fixture.Submit(fixture.MakeJob("a"));
+  fixture.Store();
+  HoldAnswer answer;
+  answer.born_unix_ms = 1000;
+  answer.running.push_back({{"a", 0, 0, 0}, 7, "", 0, 0});
+  fixture.scheduler->Workers().OnHold(fixture.holds.front(), answer);
+  fixture.scheduler->Plan();
+  CHECK(fixture.WaitForReason() == HeldReason::kStrayRuns);
+}
+
 // Guards against log lines on tasks that wait for room: they are not lost, and there may be
 // thousands of them.
 TEST_CASE("held: in a full cell only long-running tasks get a log line") {
--- a/tests/cell/restart_test.cc
+++ b/tests/cell/restart_test.cc
@@ -577,5 +577,47 @@
   }
 }
 
+// Guards against TWICE: a worker had listed a run whose order was given up, and the task, which
+// waited for room, was started elsewhere while that run was being stopped.
+TEST_CASE("restart: a task is not started elsewhere while a given-up run of it is listed") {
+  for (int stop = 0; stop < 10; ++stop) {
+    CAPTURE(stop);
+    constexpr int kRoomMs = 23044;
+    RestartCell cell(1, milliseconds(100), seconds(1));
+    WorkerNode& node = cell.nodes["w0"];
+    // Each draw makes the stop take another time.
+    for (int i = 0; i < stop; ++i) cell.loop.Delay(0, 1);
+    TaskBehavior filler;
+    filler.duration = seconds(60);
+    filler.size.processors_milli = 8000;
+    TaskBehavior late = filler;
+    late.duration = seconds(5);
+    // The other workers are full until one of them gets room.
+    for (const char* id : {"w1", "w2", "w3"}) cell.nodes[id].listed = false;
+    cell.At(milliseconds(1500), [&] {
+      for (const char* id : {"w1", "w2", "w3"}) cell.nodes[id].listed = true;
+      node.listed = false;
+      cell.ListWorkers();
+      cell.Submit(cell.MakeJob("filler", 2, filler));
+      TaskBehavior shorter = filler;
+      shorter.duration = milliseconds(kRoomMs - 1540);
+      cell.Submit(cell.MakeJob("shorter", 1, shorter));
+    });
+    cell.At(milliseconds(19000), [&] {
+      node.listed = true;
+      cell.ListWorkers();
+    });
+    cell.At(milliseconds(20000), [&] {
+      node.call_delay = seconds(3);
+      cell.Submit(cell.MakeJob("late", 1, late));
+    });
+    cell.At(milliseconds(20050), [&] { node.call_delay = milliseconds(0); });
+    cell.At(milliseconds(22950), [&] { cell.RestartUnlisted("w0"); });
+    cell.At(milliseconds(23040), [&] { cell.ListWorkers(); });
+    cell.Run(seconds(100));
+    CheckAllEnd(cell, {"late", "filler", "shorter"});
+  }
+}
+
 }  // namespace
 }  // namespace citronsill::model
--- a/tests/cell/scheduler_test.cc
+++ b/tests/cell/scheduler_test.cc
@@ -30,13 +30,16 @@
     hooks.wall = [this] { return WallTime(now.time_since_epoch()); };
     hooks.may_lead = [] { return true; };
     hooks.start_time_left = [this] { return start_time_left; };
-    hooks.start = [this](const Worker&, const StartOrder& order, std::uint64_t) {
+    hooks.start = [this](const Worker& worker, const StartOrder& order, std::uint64_t id) {
       ++starts;
       last_start = order;
+      last_start_id = id;
+      last_start_worker = worker.description.id;
     };
     hooks.stop = [](const Worker&, const TaskRef&, std::uint64_t, std::uint64_t) {};
     hooks.hold = [this](const Worker& worker, const HoldOrder&, std::uint64_t id) {
       last_hold = id;
+      worker_holds[worker.description.id].push_back(id);
       if (worker.attached) return;
       holds.push_back(id);
       first_holds.push_back({id, worker.description.id, now});
@@ -101,13 +104,16 @@
     std::string worker;
     SteadyTime sent;
   };
-  std::uint64_t last_hold = 0;         // The hold that was sent last, to any worker.
+  std::uint64_t last_hold = 0;  // The hold that was sent last, to any worker.
+  std::map<std::string, std::vector<std::uint64_t>> worker_holds;  // All holds, by worker.
   std::vector<std::uint64_t> holds;    // Unanswered first holds of workers.
   std::vector<FirstHold> first_holds;  // The same, for tests that answer only some of them.
   std::vector<AdviceRequest> open_requests;
   milliseconds start_time_left{3000};
   int starts = 0;
   StartOrder last_start;
+  std::uint64_t last_start_id = 0;
+  std::string last_start_worker;
   std::unique_ptr<Scheduler> scheduler;
 };
 
@@ -547,5 +553,215 @@
   CHECK(fixture.scheduler->Workers().OrderCount() == 1);
 }
 
+// A job whose first task is listed by workers although no order for it exists.
+struct StrayRunFixture : Fixture {
+  explicit StrayRunFixture(bool is_long_running = false, std::uint32_t gang_members = 0)
+      : Fixture(1) {
+    AddWorkers();
+    schema::JobSpec job = MakeSmallJob("a", std::max(1U, gang_members));
+    job.mutable_steps(0)->set_long_running(is_long_running);
+    job.mutable_steps(0)->set_gang(gang_members > 0);
+    scheduler->Submit(job, milliseconds(0), [](const auto&) {});
+    Store();
+  }
+
+  static schema::JobSpec MakeSmallJob(const std::string& id, std::uint32_t tasks) {
+    schema::JobSpec job = MakeGangJob();
+    job.set_id(id);
+    job.mutable_queue()->clear_advice();
+    job.mutable_steps(0)->set_gang(false);
+    job.mutable_steps(0)->set_task_count(tasks);
+    return job;
+  }
+
+  // A worker lists the run, as its next answer or as that to an earlier hold.
+  void ListRun(const std::string& worker) {
+    HoldAnswer answer;
+    answer.running.push_back({task, kRun, "", 0, 0});
+    Answer(worker, answer);
+  }
+  void ListEnd(const std::string& worker, RunEnd end) {
+    HoldAnswer answer;
+    answer.ended.push_back({1, task, kRun, end, ""});
+    Answer(worker, answer);
+  }
+  void Answer(const std::string& worker, HoldAnswer answer) {
+    clock += milliseconds(10);
+    answer.clock.since_start = clock;
+    answer.born_unix_ms = 1000;
+    scheduler->Workers().OnHold(worker_holds.at(worker).back(), answer);
+  }
+
+  // @returns the number of starts so far, after everything that can be started was.
+  int Starts() {
+    scheduler->Plan();
+    Store();
+    return starts;
+  }
+
+  static constexpr std::uint64_t kRun = 5;
+  const TaskRef task{"a", 0, 0, 0};
+  milliseconds clock{1000};
+};
+
+// Guards against TWICE: a task was started while a worker listed a run of it without an order. Also
+// guards against a task that never starts once that run is over.
+TEST_CASE("scheduler: a task waits for the end of a run without an order") {
+  for (const bool is_long_running : {false, true}) {
+    CAPTURE(is_long_running);
+    for (const char* over : {"stopped", "failed", "lapsed", "unlisted", "restart", "other id"}) {
+      CAPTURE(over);
+      StrayRunFixture fixture(is_long_running);
+      Fleet& fleet = fixture.scheduler->Workers();
+      fixture.ListRun("w7");
+      CHECK(fixture.Starts() == 0);
+      fixture.ListRun("w7");
+      CHECK(fixture.Starts() == 0);
+      const std::string how = over;
+      if (how == "stopped") fixture.ListEnd("w7", RunEnd::kStopped);
+      if (how == "failed") fixture.ListEnd("w7", RunEnd::kFailed);
+      if (how == "lapsed") fixture.ListEnd("w7", RunEnd::kLeaseExpired);
+      if (how == "unlisted") fixture.Answer("w7", {});
+      if (how == "other id") {
+        HoldAnswer gone;
+        gone.gone = true;
+        fixture.Answer("w7", gone);
+      }
+      if (how == "restart") {
+        WorkerDescription restarted = fleet.Find("w7")->description;
+        restarted.born_unix_ms = 2000;
+        fleet.Put(restarted);
+      }
+      CHECK(fixture.Starts() == 1);
+    }
+  }
+}
+
+// Guards against a start after `done`.
+TEST_CASE("scheduler: a task whose run without an order is done does not start") {
+  StrayRunFixture fixture;
+  fixture.ListRun("w7");
+  fixture.ListEnd("w7", RunEnd::kDone);
+  CHECK(fixture.Starts() == 0);
+}
+
+// Guards against a start after `done`: the run was not listed any more, and its end did not fit
+// into that answer.
+TEST_CASE("scheduler: a run without an order is over only when all ends of its worker are known") {
+  constexpr std::uint64_t kEndsInAnswer = 500;
+  StrayRunFixture fixture;
+  fixture.ListRun("w7");
+  HoldAnswer answer;
+  for (std::uint64_t number = 1; number <= kEndsInAnswer; ++number) {
+    answer.ended.push_back({number, {"other", 0, 0, 0}, number, RunEnd::kDone, ""});
+  }
+  fixture.Answer("w7", answer);
+  CHECK(fixture.Starts() == 0);
+  answer.ended = {{kEndsInAnswer + 1, fixture.task, StrayRunFixture::kRun, RunEnd::kDone, ""}};
+  fixture.Answer("w7", answer);
+  CHECK(fixture.Starts() == 0);
+}
+
+// Guards against TWICE: the run on one worker had ended, and another worker had one as well.
+TEST_CASE("scheduler: a task waits for the last of its runs without an order") {
+  StrayRunFixture fixture;
+  fixture.ListRun("w7");
+  fixture.ListRun("w8");
+  fixture.ListEnd("w7", RunEnd::kStopped);
+  CHECK(fixture.Starts() == 0);
+  fixture.ListEnd("w8", RunEnd::kStopped);
+  CHECK(fixture.Starts() == 1);
+}
+
+// Guards against TWICE: a run was listed while the assignment of its task was being stored.
+TEST_CASE("scheduler: a start is not sent once a run without an order is listed") {
+  StrayRunFixture fixture;
+  fixture.scheduler->Plan();
+  fixture.ListRun("w7");
+  fixture.Store();
+  CHECK(fixture.Starts() == 0);
+  fixture.ListEnd("w7", RunEnd::kStopped);
+  CHECK(fixture.Starts() == 1);
+}
+
+// Guards against a gang that starts without a member, and ends because that member is missing.
+TEST_CASE("scheduler: a gang waits for the end of a member's run without an order") {
+  StrayRunFixture fixture(false, 3);
+  fixture.ListRun("w7");
+  CHECK(fixture.Starts() == 0);
+  fixture.ListEnd("w7", RunEnd::kStopped);
+  CHECK(fixture.Starts() == 3);
+}
+
+// Guards against TWICE while the worker of a run without an order is silent, and against a task
+// that never starts if that worker does not come back.
+TEST_CASE("scheduler: a task waits for the leases on a lost worker with a run without an order") {
+  for (const bool is_removed : {false, true}) {
+    CAPTURE(is_removed);
+    StrayRunFixture fixture;
+    Fleet& fleet = fixture.scheduler->Workers();
+    fixture.ListRun("w7");
+    const SteadyTime listed = fixture.now;
+    const auto is_over = [&] {
+      // The last hold renews the leases by 5 s of the worker's clock, which may be 2% slow.
+      return fixture.now >= listed + LongestLocalTime(milliseconds(5000));
+    };
+    fixture.now += milliseconds(100);
+    fleet.OnHold(fixture.worker_holds.at("w7").back(),
+                 Error{schema::CODE_WORKER_UNREACHABLE, "cut"});
+    if (is_removed) fleet.Unlist("w7");
+    while (!is_over()) {
+      CHECK(fixture.Starts() == 0);
+      fixture.now += milliseconds(50);
+      fleet.Tick();
+    }
+    for (int i = 0; i < 20; ++i) {
+      fixture.now += milliseconds(50);
+      fleet.Tick();
+      for (const std::uint64_t id : fixture.worker_holds.at("w7")) {
+        fleet.OnHold(id, Error{schema::CODE_WORKER_UNREACHABLE, "cut"});
+      }
+    }
+    CHECK(fixture.Starts() == 1);
+    CHECK((fleet.Find("w7") == nullptr) == is_removed);
+  }
+}
+
+// Guards against TWICE: an answer that was overtaken by a later one did not list the run yet. Also
+// guards against a task that waits for a run that has ended.
+TEST_CASE("scheduler: a list of runs that was overtaken is not applied to runs without orders") {
+  for (const bool is_listed_later : {false, true}) {
+    CAPTURE(is_listed_later);
+    StrayRunFixture fixture;
+    Fleet& fleet = fixture.scheduler->Workers();
+    // A start without an answer makes the scheduler ask its worker beside the hold that waits.
+    fixture.scheduler->Plan();
+    fixture.Store();
+    REQUIRE(fixture.starts == 1);
+    const std::string worker = fixture.last_start_worker;
+    const std::uint64_t waiting_hold = fixture.worker_holds.at(worker).back();
+    fleet.OnStart(fixture.last_start_id, Error{schema::CODE_WORKER_UNREACHABLE, "cut"});
+    const std::uint64_t query = fixture.worker_holds.at(worker).back();
+    REQUIRE(query != waiting_hold);
+    fixture.scheduler->Submit(StrayRunFixture::MakeSmallJob("b", 1), milliseconds(0),
+                              [](const auto&) {});
+    fixture.Store();
+    fixture.now += milliseconds(100);
+    const TaskRef other{"b", 0, 0, 0};
+    HoldAnswer with_run;
+    with_run.born_unix_ms = 1000;
+    with_run.running = {{fixture.last_start.task, fixture.last_start.run, "", 0, 0}};
+    HoldAnswer without_run = with_run;
+    with_run.running.push_back({other, StrayRunFixture::kRun, "", 0, 0});
+    HoldAnswer& later = is_listed_later ? with_run : without_run;
+    HoldAnswer& earlier = is_listed_later ? without_run : with_run;
+    later.clock.since_start = milliseconds(2000);
+    earlier.clock.since_start = milliseconds(1900);
+    fleet.OnHold(query, later);
+    fleet.OnHold(waiting_hold, earlier);
+    CHECK(fixture.Starts() == (is_listed_later ? 1 : 2));
+  }
+}
+
 }  // namespace
 }  // namespace citronsill
