--- a/tests/soak/faults.cc
+++ b/tests/soak/faults.cc
@@ -19,7 +19,7 @@
 // Longest time from the signal that ends a process to its restart, unless the process takes longer
 // to end.
 constexpr std::int64_t kMaxDowntimeMs = 2000;
-constexpr std::size_t kRecutWorkers = 10;
+constexpr std::size_t kRecutWorkers = 6;
 // Share of its processor that a slowed instance gets, in thousandths.
 constexpr std::int64_t kMinShare = 50;
 constexpr std::int64_t kMaxShare = 250;
@@ -542,15 +542,12 @@
 // Some workers start again under their id while calls to them are held back, and are cut off soon
 // after; the scheduler is killed before or after that.
 void Faults::Recut() {
-  // A start that is held back over a takeover and a restart is another fault (issue 28).
-  if (m_platform->loop.Now() < m_recut_until) return;
   std::set<Platform::WorkerHost*> workers;
   while (workers.size() < std::min<std::size_t>(kRecutWorkers, m_platform->workers.size())) {
     workers.insert(RandomWorker());
   }
   const milliseconds cut_at = Random().Delay(1200, 2500);
   const milliseconds cut_time = Random().Delay(kMaxDurationMs, 2 * kMaxDurationMs);
-  m_recut_until = m_platform->loop.Now() + cut_at + cut_time;
   for (Platform::WorkerHost* worker : workers) {
     if (worker->faults.holds_orders || worker->draining) continue;
     LogEvent(fmt::format("restart worker {} while calls are held back, cut it off after {} ms",
@@ -563,7 +560,7 @@
       relay->Reset();
     });
   }
-  After(cut_at - milliseconds(700), [this] { Burst(); });
+  After(cut_at - milliseconds(400), [this] { Burst(); });
   if (Random().Chance(0.25)) return;
   After(cut_at + Random().Delay(-600, 300), [this] {
     Processes::Instance* scheduler = m_processes->Scheduler();
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -107,7 +107,6 @@
   model::Loop m_schedule_random;
   Period m_period = Period::kFaults;
   SteadyTime m_period_end{};
-  SteadyTime m_recut_until{};                        // End of the last `Recut`.
   Disruption m_disruption = Disruption::kUnplanned;  // Of the event whose code is running.
   bool m_is_store_silent = false;                    // By `StoreSilent`.
   std::size_t m_fault_count = 0;
