Soak: workers execute holds late, lose their answers and restart with the same clock

Cause: compared with "Running tasks" and "Service discovery" of the platform's page line by line, the stand-in of the soak was milder in four points. Holds were never executed late without an answer and never lost their answer, although the page says so of every call (the model had both). The clock of each life began at another value, so that an answer always told two lives apart, and half of the late starts were rejected as `late` by the next life. Answers of one worker did not overtake each other. A violation did not say that a late call of an earlier life had caused it.

Change: `late` and `lost` act on holds, too. The clock of every second worker begins at the same value in each life. `delays_answers` delays each answer by up to 400 ms on its own; no fault used it before. A late start that another life than its receiver executes is marked "late call, next incarnation" in violations and written to the fault log.

--- a/tests/soak/platform.cc
+++ b/tests/soak/platform.cc
@@ -30,8 +30,14 @@
 // Time for which the network holds calls to a worker back.
 constexpr std::int64_t kMinHeldMs = 300;
 constexpr std::int64_t kMaxHeldMs = 900;
+// Longer than the time-out of calls to workers.
+constexpr std::int64_t kMaxAnswerDelayMs = 400;
 // Period in which a call that was held back is delivered again while no process listens.
 constexpr milliseconds kRedeliveryPeriod{20};
+// The clock of every second worker has the same value at each start, so that an answer does not
+// tell two incarnations apart that start in quick succession.
+constexpr std::size_t kSameClockPeriod = 2;
+constexpr milliseconds kSameClockAtBirth{1000};
 // Share of the workers that the policy service allows to run a step, in percent.
 constexpr std::size_t kAllowedPercent = 70;
 constexpr Resources kCapacity{8000, 8000, 0};
@@ -353,10 +359,11 @@
   SetListed(*worker, true);
 }
 
-void Platform::RestartWorker(WorkerHost* worker, milliseconds list_delay) {
+void Platform::RestartWorker(WorkerHost* worker, std::optional<milliseconds> list_delay) {
   KillWorker(worker);
   StartIncarnation(worker);
-  loop.After(list_delay, [this, worker, incarnation = worker->incarnation] {
+  if (!list_delay) return;
+  loop.After(*list_delay, [this, worker, incarnation = worker->incarnation] {
     if (worker->incarnation == incarnation && !incarnation->dead) SetListed(*worker, true);
   });
 }
@@ -368,6 +375,9 @@
       loop, history, worker->id, kCapacity,
       1.0 - kWorkerClockDrift * static_cast<double>(loop.Between(0, 100)) / 100.0);
   worker->incarnation->max_lease = m_max_lease;
+  if (worker->number % kSameClockPeriod == 0) {
+    worker->incarnation->clock_at_birth = kSameClockAtBirth;
+  }
   worker->born_unix_ms = static_cast<std::uint64_t>(worker->incarnation->Born());
   worker->incarnation->on_end = [worker] {
     std::vector<std::function<void()>> holds;
@@ -382,35 +392,58 @@
   if (worker.incarnation->dead) return LeaveUnanswered(reply);
   if (request.Header("X-Expect-Instance") != worker.id) return reply(Answer(421));
   const bool is_hold = request.target == "/api/hold";
+  HttpReply answer = reply;
+  if (worker.faults.delays_answers) {
+    answer = [this, reply, delay = loop.Delay(0, kMaxAnswerDelayMs)](HttpResponse response) {
+      loop.After(delay, [reply, response = std::move(response)] { reply(response); });
+    };
+  }
   if (worker.faults.holds_orders && (worker.faults.holds_all || !is_hold)) {
-    return HoldBack(worker, request, reply, loop.Delay(kMinHeldMs, kMaxHeldMs));
+    return HoldBack(worker, request, answer, worker.incarnation,
+                    loop.Delay(kMinHeldMs, kMaxHeldMs));
   }
-  if (is_hold) return HandleHold(worker, request, reply);
-  if (loop.Chance(worker.faults.late)) {
-    // Executed by the incarnation that runs then, which need not be the one that received it.
-    loop.After(loop.Delay(2000, 12000), [this, &worker, request] {
-      if (worker.incarnation->dead || request.Header("X-Expect-Instance") != worker.id) return;
-      Execute(worker, request, true);
-    });
+  // Most holds draw no random numbers, so that earlier seeds keep theirs.
+  const bool draws = !is_hold || worker.faults.late > 0 || worker.faults.lost > 0;
+  if (draws && loop.Chance(worker.faults.late)) {
+    ExecuteLate(worker, request);
     return LeaveUnanswered(reply);
   }
-  HttpResponse response = Execute(worker, request, false);
-  if (loop.Chance(worker.faults.lost)) return LeaveUnanswered(reply);
-  reply(std::move(response));
+  if (draws && loop.Chance(worker.faults.lost)) {
+    LeaveUnanswered(reply);
+    answer = [](const HttpResponse&) {};
+  }
+  if (is_hold) return HandleHold(worker, request, answer);
+  answer(Execute(worker, request, worker.incarnation, false));
+}
+
+// Executed by the incarnation that runs then, which need not be the one that received it.
+void Platform::ExecuteLate(WorkerHost& worker, const HttpRequest& request) {
+  loop.After(loop.Delay(2000, 12000), [this, &worker, request, received_by = worker.incarnation] {
+    if (worker.incarnation->dead || request.Header("X-Expect-Instance") != worker.id) {
+      return;
+    }
+    if (request.target == "/api/hold") {
+      return HandleHold(worker, request, [](const HttpResponse&) {});
+    }
+    Execute(worker, request, received_by, true);
+  });
 }
 
 // Delivers a call after a delay to the process that listens then, or to the next one.
 void Platform::HoldBack(WorkerHost& worker, const HttpRequest& request, const HttpReply& reply,
-                        milliseconds delay) {
-  loop.After(delay, [this, &worker, request, reply] {
+                        const std::shared_ptr<WorkerProcess>& received_by, milliseconds delay) {
+  loop.After(delay, [this, &worker, request, reply, received_by] {
     if (request.Header("X-Expect-Instance") != worker.id) return reply(Answer(421));
-    if (worker.incarnation->dead) return HoldBack(worker, request, reply, kRedeliveryPeriod);
+    if (worker.incarnation->dead) {
+      return HoldBack(worker, request, reply, received_by, kRedeliveryPeriod);
+    }
     if (request.target == "/api/hold") return HandleHold(worker, request, reply);
-    reply(Execute(worker, request, true));
+    reply(Execute(worker, request, received_by, true));
   });
 }
 
-HttpResponse Platform::Execute(WorkerHost& worker, const HttpRequest& request, bool is_late) {
+HttpResponse Platform::Execute(WorkerHost& worker, const HttpRequest& request,
+                               const std::shared_ptr<WorkerProcess>& received_by, bool is_late) {
   WorkerProcess& incarnation = *worker.incarnation;
   const auto document = Document::Parse(request.body);
   if (!document) return Answer(400);
@@ -444,9 +477,16 @@
   }
   const std::uint64_t starts = history.starts;
   m_starts_fail = worker.faults.fails_tasks;
+  history.late_on_next_incarnation = received_by != worker.incarnation;
   const StartAnswer answer = incarnation.Start(order);
+  history.late_on_next_incarnation = false;
   m_starts_fail = false;
   if (history.starts > starts && !is_late && on_start) on_start(*task);
+  if (history.starts > starts && received_by != worker.incarnation) {
+    pending_log_lines.push_back(
+        fmt::format("late call started {} run {} on the next incarnation of {}",
+                    platform::TaskName(*task), run, worker.id));
+  }
   switch (answer.verdict) {
     case StartVerdict::kStarted:
       return Accepted(incarnation);
--- a/tests/soak/platform.h
+++ b/tests/soak/platform.h
@@ -7,6 +7,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -25,11 +26,12 @@
 enum class StoreBehavior { kAvailable, kBusy, kSilent };
 
 struct WorkerFaults {
-  double late = 0.0;  // Share of orders that are executed 2 to 12 s later, without an answer.
-  double lost = 0.0;  // Share of orders whose answer is lost.
-  bool holds_orders = false;  // The network delivers orders only 300 to 900 ms later.
-  bool holds_all = false;     // With `holds_orders`: hold calls as well.
-  bool fails_tasks = false;   // All tasks that the worker starts fail.
+  double late = 0.0;  // Share of calls that are executed 2 to 12 s later, without an answer.
+  double lost = 0.0;  // Share of calls whose answer is lost.
+  bool holds_orders = false;    // The network delivers orders only 300 to 900 ms later.
+  bool holds_all = false;       // With `holds_orders`: hold calls as well.
+  bool delays_answers = false;  // Answers take up to 400 ms and overtake each other.
+  bool fails_tasks = false;     // All tasks that the worker starts fail.
 };
 
 // A server in this process and the relay through which the instances connect to it.
@@ -104,8 +106,9 @@
   // Starts a new incarnation under the previous id or, in half of the cases, a new one.
   void StartWorker(WorkerHost* worker);
   // Starts a new incarnation under the previous id.
-  // @param list_delay time until the worker's row in the store shows it.
-  void RestartWorker(WorkerHost* worker, milliseconds list_delay);
+  // @param list_delay time until the worker's row in the store shows it; without one, the caller
+  // lists it.
+  void RestartWorker(WorkerHost* worker, std::optional<milliseconds> list_delay);
   // @returns whether a worker may run the task: the policy service decides on queues with advice.
   [[nodiscard]] bool IsAllowed(const TaskRef& task, const WorkerHost& worker) const;
   static Resources Capacity();
@@ -128,9 +131,15 @@
   void StartIncarnation(WorkerHost* worker);
   [[nodiscard]] bool IsStepAllowed(const std::string& step, const WorkerHost& worker) const;
   void HandleWorker(WorkerHost& worker, const HttpRequest& request, const HttpReply& reply);
+  // @param received_by the incarnation that the call reached.
   void HoldBack(WorkerHost& worker, const HttpRequest& request, const HttpReply& reply,
-                milliseconds delay);
-  HttpResponse Execute(WorkerHost& worker, const HttpRequest& request, bool is_late);
+                const std::shared_ptr<model::WorkerProcess>& received_by, milliseconds delay);
+  void ExecuteLate(WorkerHost& worker, const HttpRequest& request);
+  // @param received_by the incarnation that the call reached, which need not be the one that
+  // executes it.
+  // @param is_late whether the network held the call back.
+  HttpResponse Execute(WorkerHost& worker, const HttpRequest& request,
+                       const std::shared_ptr<model::WorkerProcess>& received_by, bool is_late);
   void HandleHold(WorkerHost& worker, const HttpRequest& request, const HttpReply& reply);
 
   // Waiting call for the changes of a table since a version.
