Soak: fault restart_cut_kill, starts that the next scheduler does not know of

In `recut` workers are cut off 1.2 s or more after their restart, when the scheduler has mostly attached the new life; the list shows the restart within 0.5 s; and the next scheduler reaches the worker again before the usual lease ends.

Change: a fault that is injected by name only. Up to 12 workers start again under their ids, 30% of them two or three times in quick succession, while starts (and for half of them holds) are held back, so that the next life executes them; each is cut off from 150 ms before to 2.5 s after its last start, until 9 to 14 s after the series began, in 30% of the cases only on the way back, so that calls go on to renew leases. The list shows the start soon, within 3 s or only after the cut; its entry may expire before. In 85% of the series the scheduler is killed or frozen 0.4 to 2.5 s after their beginning, in 40% of these the next one as well.

--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -307,7 +307,7 @@
     actual.duration = is_batch || is_gang ? loop.Delay(500, 3000) : loop.Delay(100, 900);
     const double long_share = m_options.long_share;
     if (long_share > 0 && !is_gang && !always_fails && loop.Chance(long_share)) {
-      actual.duration = loop.Delay(6000, 9000);
+      actual.duration = loop.Delay(6000, m_options.max_long.count());
     }
     // A gang has to fit on a single worker, as only one worker may be allowed to run it.
     actual.size = {loop.Between(500, is_gang ? 2600 : 3000), loop.Between(100, 2000), 0};
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -19,8 +19,9 @@
     bool has_long_running = true;  // Whether to submit long-running and scheduled jobs.
     // Share of jobs after which an unusual one is submitted as well; see `SubmitUnusual`.
     double unusual_share = 0.0;
-    double long_share = 0.0;  // Share of the tasks of short and batch jobs that take 6 to 9 s.
-    std::uint64_t seed = 1;   // Of the unusual jobs, so that the others stay the same.
+    double long_share = 0.0;      // Share of the tasks of short and batch jobs that are long ones.
+    milliseconds max_long{9000};  // Longest time of long tasks; the shortest is 6 s.
+    std::uint64_t seed = 1;       // Of the unusual jobs, so that the others stay the same.
   };
   static Result<std::unique_ptr<Callers>> Create(Runtime& runtime, Platform* platform,
                                                  const Processes& processes, Options options);
--- a/tests/soak/faults.cc
+++ b/tests/soak/faults.cc
@@ -20,6 +20,15 @@
 // to end.
 constexpr std::int64_t kMaxDowntimeMs = 2000;
 constexpr std::size_t kRecutWorkers = 6;
+// Two series of `RestartCutKill` leave a fifth of 30 workers or more for the tasks of the others.
+constexpr std::size_t kSeriesWorkers = 12;
+constexpr std::size_t kMaxSeries = 2;
+// A cut lasts for longer than a takeover and the usual lease, so that the next scheduler gives up
+// what it does not know of.
+constexpr std::int64_t kMinCutMs = 9000;
+constexpr std::int64_t kMaxCutMs = 14000;
+// The platform removes the entry of a worker after this time of silence.
+constexpr milliseconds kEntryTimeout{3000};
 // Share of its processor that a slowed instance gets, in thousandths.
 constexpr std::int64_t kMinShare = 50;
 constexpr std::int64_t kMaxShare = 250;
@@ -68,6 +77,7 @@
       {"held_restart", Disruption::kUnplanned, &Faults::HeldRestart},
       {"scheduler_and_worker", Disruption::kUnplanned, &Faults::LoseSchedulerAndWorker},
       {"recut", Disruption::kUnplanned, &Faults::Recut},
+      {"restart_cut_kill", Disruption::kUnplanned, &Faults::RestartCutKill},
       {"customers", Disruption::kNone, &Faults::ChangeCustomers}};
   return kinds;
 }
@@ -121,8 +131,9 @@
                         kind.begin == &Faults::HeldRestart;
   if (!m_has_periods && m_only.empty() && is_newer) return false;
   // Later ones are only injected by name.
-  const bool is_by_name_only =
-      kind.begin == &Faults::LoseSchedulerAndWorker || kind.begin == &Faults::Recut;
+  const bool is_by_name_only = kind.begin == &Faults::LoseSchedulerAndWorker ||
+                               kind.begin == &Faults::Recut ||
+                               kind.begin == &Faults::RestartCutKill;
   if (m_only.empty() && is_by_name_only) return false;
   return IsFaultPeriod() || kind.disruption == Disruption::kNone ||
          (m_period == Period::kMaintenance && kind.disruption == Disruption::kPlanned);
@@ -570,6 +581,98 @@
   });
 }
 
+// Workers start again under their id, once or in quick succession, while starts and holds are on
+// their way to them, and are cut off around that; then the scheduler is lost, and sometimes the
+// next one (docs/incidents/2026-12-06-unconfirmed-starts-after-takeover.md).
+void Faults::RestartCutKill() {
+  if (m_series == kMaxSeries) return;
+  ++m_series;
+  const milliseconds cut_end = Random().Delay(kMinCutMs, kMaxCutMs);
+  After(cut_end, [this] { --m_series; });
+  Burst();
+  for (std::size_t i = 0; i < kSeriesWorkers; ++i) {
+    Platform::WorkerHost* worker = RandomWorker();
+    if (worker->faults.holds_orders || worker->draining || worker->incarnation->dead) continue;
+    const std::int64_t restarts = Random().Chance(0.3) ? Random().Between(2, 3) : 1;
+    RestartAndCut(worker, restarts, cut_end);
+  }
+  if (Random().Chance(0.15)) return;
+  const milliseconds lost_at = Random().Delay(400, 2500);
+  After(lost_at, [this] { LoseScheduler(); });
+  if (Random().Chance(0.4)) {
+    After(lost_at + Random().Delay(400, 3000), [this] { LoseScheduler(); });
+  }
+}
+
+void Faults::RestartAndCut(Platform::WorkerHost* worker, std::int64_t restarts,
+                           milliseconds cut_end) {
+  const std::shared_ptr<Relay> relay = worker->endpoint.relay;
+  milliseconds start_at{0};
+  for (std::int64_t i = 0; i < restarts; ++i) {
+    const milliseconds held_at = start_at + Random().Delay(0, 400);
+    const milliseconds kill_at = held_at + Random().Delay(150, 600);
+    const bool holds_all = Random().Chance(0.5);
+    start_at = kill_at + Random().Delay(50, 400);
+    After(held_at, [worker, holds_all] {
+      worker->faults.holds_orders = true;
+      worker->faults.holds_all = holds_all;
+      worker->faults.delays_answers = true;
+    });
+    After(kill_at, [this, worker] {
+      worker->faults.holds_orders = false;
+      m_platform->KillWorker(worker);
+    });
+    After(start_at, [this, worker] {
+      if (worker->incarnation->dead) m_platform->RestartWorker(worker, std::nullopt);
+    });
+    ListAfterRestart(worker, start_at, cut_end);
+  }
+  // The scheduler attaches the next incarnation within about 100 ms: most cuts come before.
+  const std::int64_t last_cut_ms = Random().Chance(0.6) ? 100 : 2500;
+  const milliseconds cut_at =
+      std::max(milliseconds(0), start_at + Random().Delay(-150, last_cut_ms));
+  // Of a worker whose answers alone are lost, calls go on to renew the leases.
+  const Loss loss = Random().Chance(0.7) ? Loss::kBoth : Loss::kBackward;
+  LogEvent(fmt::format(
+      "restart worker {} {} times until {} ms from now, cut it off ({}) from {} to {} ms",
+      worker->id, restarts, start_at.count(), loss == Loss::kBoth ? "both ways" : "back",
+      cut_at.count(), cut_end.count()));
+  After(cut_at, [relay, loss] { relay->SetLoss(loss); });
+  After(cut_end, [relay, worker] {
+    worker->faults.delays_answers = false;
+    relay->SetLoss(Loss::kNone);
+    relay->Reset();
+  });
+}
+
+// The entry shows the start soon, late, or only after the cut; then it may expire before.
+void Faults::ListAfterRestart(Platform::WorkerHost* worker, milliseconds start_at,
+                              milliseconds cut_end) {
+  const auto list = [this, worker, id = worker->id](bool is_listed) {
+    if (worker->id == id && !worker->incarnation->dead) m_platform->SetListed(*worker, is_listed);
+  };
+  const std::int64_t drawn = Random().Between(0, 9);
+  if (drawn < 5) {
+    const milliseconds delay = Random().Delay(0, drawn < 2 ? 500 : 3000);
+    return After(start_at + delay, [list] { list(true); });
+  }
+  if (drawn < 7) After(start_at + kEntryTimeout, [list] { list(false); });
+  After(cut_end + Random().Delay(0, 500), [list] { list(true); });
+}
+
+void Faults::LoseScheduler() {
+  Processes::Instance* scheduler = m_processes->Scheduler();
+  if (scheduler == nullptr || scheduler->frozen) return;
+  const milliseconds time = Random().Delay(kMinDurationMs, kMaxDurationMs);
+  if (Random().Chance(0.35)) {
+    LogEvent(fmt::format("freeze n-{} for {} ms", scheduler->number, time.count()));
+    m_processes->Freeze(scheduler);
+    return After(time, [this, scheduler] { m_processes->Thaw(scheduler); });
+  }
+  LogEvent(fmt::format("kill n-{} for {} ms", scheduler->number, time.count()));
+  m_processes->Kill(scheduler, time);
+}
+
 // ---- Operators and callers
 
 void Faults::ChangeConfig() {
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -91,6 +91,12 @@
   void LateOrders();
   void HeldRestart();
   void Recut();
+  void RestartCutKill();
+  // Restarts a worker `restarts` times under its id while calls are held back, then cuts it off.
+  // @param cut_end time from now to the end of the cut.
+  void RestartAndCut(Platform::WorkerHost* worker, std::int64_t restarts, milliseconds cut_end);
+  void ListAfterRestart(Platform::WorkerHost* worker, milliseconds start_at, milliseconds cut_end);
+  void LoseScheduler();
   void RestartWhileHeld(Platform::WorkerHost* worker, std::int64_t restarts);
   void ChangeConfig();
   void ChangeCustomers();
@@ -109,6 +115,7 @@
   SteadyTime m_period_end{};
   Disruption m_disruption = Disruption::kUnplanned;  // Of the event whose code is running.
   bool m_is_store_silent = false;                    // By `StoreSilent`.
+  std::size_t m_series = 0;                          // Of `RestartCutKill`, in progress.
   std::size_t m_fault_count = 0;
   std::vector<std::string> m_log;
   SteadyTime m_start;
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -28,6 +28,8 @@
 // Time to settle after faults that end long after the traffic, such as rolling restarts of large
 // cells.
 constexpr milliseconds kLateFaultSettleTime{14000};
+// Longest time of long tasks for which the settle times are enough.
+constexpr milliseconds kUsualLongTime{9000};
 constexpr milliseconds kCheckPeriod{100};
 // Instances can reach one another again after this time without a disruption.
 constexpr milliseconds kReconnectTime{3000};
@@ -53,7 +55,8 @@
   double share = 1.0;       // Share of its processor that each instance gets.
   int slow = -1;            // Number of slow instances; below 0: one in half of the seeds.
   double unusual = 0.0;     // Share of jobs after which an unusual one is submitted.
-  double long_tasks = 0.0;  // Share of short and batch tasks that take 6 to 9 s.
+  double long_tasks = 0.0;  // Share of short and batch tasks that take 6 s to `max_long_ms`.
+  int max_long_ms = 9000;
   int customers = 0;        // Number of customers; without any, calls need no key.
   int max_lease_ms = 6000;  // Longest lease that workers grant.
   bool plain = false;       // No long-running or scheduled jobs and no calm periods.
@@ -119,7 +122,8 @@
         m_callers,
         Callers::Create(*m_runtime, m_platform.get(), *m_processes,
                         Callers::Options{m_options.callers, !m_options.plain, m_options.unusual,
-                                         m_options.long_tasks, m_options.seed}));
+                                         m_options.long_tasks, milliseconds(m_options.max_long_ms),
+                                         m_options.seed}));
     BOOST_OUTCOME_TRY(m_config_check,
                       ConfigCheck::Create(*m_runtime, m_platform.get(), *m_processes));
     m_waiting = std::make_unique<WaitingCheck>(m_platform.get(), m_callers.get());
@@ -192,8 +196,12 @@
     m_settled = std::chrono::duration_cast<milliseconds>(loop.Now() - m_end);
     // Faults may end after `m_end`; until then the instances need not answer.
     const bool is_reachable = loop.Now() >= m_platform->disruptions.any_until + kReconnectTime;
+    // A batch job may have two steps of long tasks, which start again after a fault.
+    const milliseconds longer =
+        2 * std::max(milliseconds(m_options.max_long_ms) - kUsualLongTime, milliseconds(0));
     const SteadyTime until =
-        std::max(m_end + kSettleTime, m_platform->disruptions.any_until + kLateFaultSettleTime);
+        std::max(m_end + kSettleTime, m_platform->disruptions.any_until + kLateFaultSettleTime) +
+        longer;
     if ((!m_callers->AllServed() || !is_reachable) && loop.Now() < until) {
       loop.After(kCheckPeriod, [this] { Settle(); });
       return;
@@ -283,7 +291,9 @@
   add("unusual", options::value(&soak.unusual)->default_value(0.0),
       "share of jobs after which an unusual one is submitted as well");
   add("long", options::value(&soak.long_tasks)->default_value(0.0),
-      "share of short and batch tasks that take 6 to 9 s");
+      "share of short and batch tasks that take 6 s to the time of --max-long");
+  add("max-long", options::value(&soak.max_long_ms)->default_value(9000),
+      "longest time that long tasks take, in milliseconds");
   add("customers", options::value(&soak.customers)->default_value(0),
       "customers with keys, weights and limits; changed by the fault \"customers\"");
   add("max-lease", options::value(&soak.max_lease_ms)->default_value(6000),
