tests/soak.sh: a seed of restart_cut_kill

Change: seed 54022, 40 s, beside the last group; it draws a freeze of the scheduler and a kill of the next one.

--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -41,6 +41,10 @@
 # Workers that start again under their id and are cut off soon after, while the scheduler changes
 # (docs/incidents/2026-12-06-lease-of-a-reborn-worker.md).
 run 4641 40 19600 --rate 1 --workers 30 --long 0.5 --max-lease 10000 --faults recut
+# Starts that the next incarnation of a worker executes unknown to the next scheduler
+# (docs/incidents/2026-12-06-unconfirmed-starts-after-takeover.md).
+run 54022 40 20400 --rate 1.5 --workers 30 --long 0.5 --max-lease 10000 --max-long 12000 \
+  --faults restart_cut_kill
 wait
 cat "$work"/*.out
 # Keeps the last part of the logs of runs that failed.
