Store that a run is confirmed as soon as its start is accepted

Cause: only runs that their worker had listed, and for over 4 s, were stored as such, so that after a takeover the longest lease counted for all younger ones on a worker that does not answer.

Change: a run is confirmed when its worker has listed it, or has accepted its start by the clock of the known incarnation; an answer by another clock raises the suspicion of a restart instead. The job's row is stored at once when a run is confirmed, with the next transaction; the check every 250 ms goes. So the longest lease counts only for starts that were without an answer, or by another clock, in the last transaction of the earlier scheduler.

--- a/cell/fleet.cc
+++ b/cell/fleet.cc
@@ -48,8 +48,8 @@
   if (order.state == OrderState::kStoring) return "unsent";
   if (order.listed) return "listed";
   if (order.state == OrderState::kRunning) return "answered";
-  if (order.listed_earlier) return "earlier-listed";
-  return order.earlier_term ? "earlier-term" : "unanswered";
+  if (!order.earlier_term) return "unanswered";
+  return order.confirmed ? "earlier-confirmed" : "earlier-term";
 }
 
 const char* StartVerdictName(StartVerdict verdict) {
@@ -248,7 +248,7 @@
   Order* order = NewOrder(task, worker, row.run());
   SetState(order, OrderState::kUnknown);
   order->earlier_term = true;
-  order->listed_earlier = row.listed();
+  order->confirmed = row.confirmed();
   order->unknown_since = m_hooks.now();
   return order;
 }
@@ -335,6 +335,7 @@
   switch (answer.verdict) {
     case StartVerdict::kStarted:
       order->answered = true;
+      order->confirmed |= !worker->restart_suspected;
       if (order->state == OrderState::kSending) {
         SetState(order, OrderState::kRunning);
         order->running_since = m_hooks.now();
@@ -529,7 +530,7 @@
       continue;
     }
     listed.push_back(order);
-    order->listed = true;
+    order->listed = order->confirmed = true;
     order->carried_over = false;
     if (order->state == OrderState::kSending || order->state == OrderState::kUnknown) {
       SetState(order, OrderState::kRunning);
@@ -710,7 +711,7 @@
   m_orders.insert(std::move(node));
   SetState(order, OrderState::kUnknown);
   order->carried_over = true;
-  order->listed_earlier = false;
+  order->confirmed = false;
   order->unknown_since = m_hooks.now();
   order->stop_in_flight = false;
   order->stopped_at.reset();
@@ -762,7 +763,7 @@
   const bool is_unanswered =
       order.state == OrderState::kSending || order.state == OrderState::kUnknown;
   if (!is_unanswered || order.task->step->spec->long_running()) return {};
-  if (order.earlier_term && order.listed_earlier) return {};
+  if (order.earlier_term && order.confirmed) return {};
   const SteadyTime last_call = order.earlier_term
                                    ? m_earlier_calls_end
                                    : std::max(order.sent, order.worker->lease_call_sent);
@@ -775,7 +776,7 @@
 bool Fleet::MayBeExecutedLater(const Order& order) const {
   const Step& step = *order.task->step;
   if (!order.carried_over && !order.earlier_term) return false;
-  if (order.answered || order.listed_earlier) return false;
+  if (order.answered || order.confirmed) return false;
   if (step.job->spec.queue().has_advice() || step.spec->long_running()) return false;
   const SteadyTime sent = order.earlier_term ? order.created : order.sent;
   return m_hooks.now() < sent + kMaxWorkerCallTimeout;
--- a/cell/job.cc
+++ b/cell/job.cc
@@ -229,7 +229,7 @@
     assignment->set_worker(order->worker->description.id);
     assignment->set_worker_born_unix_ms(order->worker->description.born_unix_ms);
     assignment->set_attached(order->worker->IsFenced());
-    assignment->set_listed(order->listed || order->listed_earlier);
+    assignment->set_confirmed(order->confirmed);
   }
   return row;
 }
--- a/cell/job.h
+++ b/cell/job.h
@@ -42,10 +42,10 @@
   bool stop_in_flight = false;
   bool earlier_term = false;  ///< Given by the scheduler of an earlier term.
   bool listed = false;        ///< The worker has listed the run in the answer to a hold.
-  /// The same, to an earlier scheduler.
-  bool listed_earlier = false;
-  bool listed_recorded = false;  ///< The job was marked as changed since it was listed.
-  bool answered = false;         ///< The worker has accepted the start.
+  bool answered = false;      ///< The worker has accepted the start.
+  /// The known incarnation runs it, and no later one can: it has listed the run, or accepted the
+  /// start by its own clock. An earlier scheduler may have seen that.
+  bool confirmed = false;
   /// Its worker has started again since, and the next incarnation may execute the start.
   bool carried_over = false;
   bool resumed = false;  ///< Its start carried a checkpoint, so that it takes less time.
--- a/cell/limits.h
+++ b/cell/limits.h
@@ -155,10 +155,6 @@
 inline constexpr int kStalledPercent = 3;
 inline constexpr std::uint32_t kMaxStallDoublings = 8;
 inline constexpr std::chrono::milliseconds kStallCheckPeriod{250};
-// A run that lasts longer than this is stored as listed, which takes a write. After a takeover, the
-// leases of other runs on a lost worker are waited for longer, by up to the longest lease.
-inline constexpr std::chrono::milliseconds kRecordListedAfter{4000};
-inline constexpr std::chrono::milliseconds kRecordListedPeriod{250};
 // Interval at which the expected end of a gang is worked out from the progress of its members.
 inline constexpr std::chrono::milliseconds kGangEndPeriod{200};
 // Lines about speeds of workers in the log: after a takeover all are learnt within seconds.
--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -861,6 +861,10 @@
   if (!job->ever_started) NodeMetrics::Get().ObserveStage(Stage::kStart, Since(job->arrived));
   job->ever_started = true;
   if (job->state == schema::JOB_STATE_QUEUED) job->state = schema::JOB_STATE_RUNNING;
+  // The next scheduler waits longer for a run that is not known to be confirmed, but for tasks that
+  // last.
+  const bool is_stored = order.confirmed && !order.task->step->spec->long_running();
+  if (is_stored && !job->IsFinal()) MarkDirty(job);
 }
 
 // A worker keeps its ends until they are acknowledged, which must not happen before they are
@@ -1227,28 +1231,10 @@
   }
   m_live_tasks = live_tasks;
   CheckStalled(now);
-  RecordListed(now);
   ReopenMissing(now);
   UnpackOldJobs(now);
 }
 
-// Stores which of the longer runs their worker has listed. A run of which the store does not tell
-// that is given up later after a takeover. Tasks that last do not wait for that.
-void Scheduler::RecordListed(SteadyTime now) {
-  if (now < m_next_record_listed) return;
-  m_next_record_listed = now + kRecordListedPeriod;
-  for (const auto& [id, worker] : m_fleet.Workers()) {
-    for (Order* order : worker->orders) {
-      const bool is_due = order->listed && !order->listed_recorded && !order->listed_earlier &&
-                          order->running_since + kRecordListedAfter <= now;
-      const Step& step = *order->task->step;
-      if (!is_due || step.spec->long_running() || step.job->IsFinal()) continue;
-      order->listed_recorded = true;
-      MarkDirty(step.job);
-    }
-  }
-}
-
 void Scheduler::BeginDueOccurrences(Job* job) {
   if (job->spec.occurrences() == 0) return;
   RemoveEndedOccurrences(job);
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -304,7 +304,6 @@
   void LogSpeed(WorkerSpeeds::WorkerKey key, const WorkerSpeeds::Change& change);
 
   void CheckGang(Step* step, SteadyTime now);
-  void RecordListed(SteadyTime now);
 
   // Planning, in scheduler_plan.cc.
   static AdviceRequestKind RequestKindOf(const schema::QueueSpec& queue);
@@ -414,7 +413,6 @@
   SteadyTime m_speed_lines_since{};  // Start of the second in which...
   std::uint32_t m_speed_lines = 0;   // ...this many lines about speeds were logged.
   SteadyTime m_next_stall_check{};
-  SteadyTime m_next_record_listed{};
   std::size_t m_held_skip = 0;  // Number of jobs that the next check for held tasks skips.
 
   NameIds m_racks;
