Bound what the kernel holds unread on links

Whoever reaches the link address, or instances that send on while this one has no processor time, take the memory of its machine.

Cause: neither the receive buffers of links nor the connections that wait to be accepted at the link address were limited.

Change: links that are accepted or opened ask for a receive buffer of 4 to 16 KiB, by the memory of the machine; at most 64 connections wait to be accepted. The budget of links counts twice the buffer for each that was accepted. HTTP servers and links listen by the same function.

The test of the limits asks for room for 300 links from 160 MB on, and for 100 at 120 MB.

Why it works: number and size of what the kernel holds for links are limited, and both are part of the memory for connections.

--- a/cell/connection_limits.cc
+++ b/cell/connection_limits.cc
@@ -26,6 +26,7 @@
 // Connections that wait to be accepted, at most.
 constexpr std::size_t kMaxPendingCallers = 128;
 constexpr std::size_t kMaxPendingServices = 16;
+constexpr std::size_t kMaxPendingLinks = 64;
 // Addresses with `kMaxPendingServices`: readiness and metrics.
 constexpr std::size_t kServiceAddresses = 2;
 // The receive buffer of a connection is this part of the memory for connections, the reciprocal,
@@ -33,6 +34,9 @@
 constexpr std::size_t kReceiveBufferPart = 6144;
 constexpr std::size_t kMinReceiveBufferBytes = 4U << 10;
 constexpr std::size_t kMaxReceiveBufferBytes = 64U << 10;
+// The same for links, of which a scheduler has one from each instance of a cell.
+constexpr std::size_t kLinkReceiveBufferPart = 12288;
+constexpr std::size_t kMaxLinkReceiveBufferBytes = 16U << 10;
 // Interval of the log lines about limits that were exceeded.
 constexpr std::chrono::milliseconds kReportPeriod{1000};
 
@@ -41,7 +45,8 @@
   const auto of = [](const ListenOptions& listen) {
     return listen.max_pending * listen.MaxUnreadBytes();
   };
-  return of(limits.caller_listen) + kServiceAddresses * of(limits.service_listen);
+  return of(limits.caller_listen) + kServiceAddresses * of(limits.service_listen) +
+         of(limits.link_listen);
 }
 
 std::size_t BytesOf(std::uint32_t mb, std::size_t worked_out) {
@@ -60,6 +65,9 @@
         spare_bytes / kReceiveBufferPart, kMinReceiveBufferBytes, kMaxReceiveBufferBytes);
     limits.caller_listen = {receive_buffer_bytes, kMaxPendingCallers};
     limits.service_listen = {kMinReceiveBufferBytes, kMaxPendingServices};
+    limits.link_listen = {std::clamp(spare_bytes / kLinkReceiveBufferPart, kMinReceiveBufferBytes,
+                                     kMaxLinkReceiveBufferBytes),
+                          kMaxPendingLinks};
     const std::size_t budget_bytes = spare_bytes - std::min(spare_bytes, PendingBytes(limits));
     // What the system holds for callers is part of their budget, so it is the largest.
     limits.connection_bytes = budget_bytes / 32 * 18;
--- a/cell/connection_limits.h
+++ b/cell/connection_limits.h
@@ -45,6 +45,7 @@
   std::size_t max_links = ConnectionBudgetLimits::kUnlimited;
   ListenOptions caller_listen;   ///< Of the address for callers.
   ListenOptions service_listen;  ///< Of the readiness and the metrics address, each.
+  ListenOptions link_listen;
 };
 
 /// Works out the limits that the settings leave open. Those that depend on a figure of the machine
--- a/cell/link.cc
+++ b/cell/link.cc
@@ -70,7 +70,6 @@
   TimerId maintain_timer;
   bool stopping = false;
 
-  Result<void> Listen(const std::string& address);
   void Accept();
   void Add(const std::shared_ptr<Connection>& connection);
   void MaintainAll();
@@ -161,7 +160,8 @@
 
   // Joins the budget, as a link that was accepted. @returns false when there is no room.
   bool JoinBudget(const Impl& service) {
-    m_share = service.limits.budget->Join(service.accepted, kIdleLinkBytes,
+    m_idle_bytes = kIdleLinkBytes + service.limits.listen.MaxUnreadBytes();
+    m_share = service.limits.budget->Join(service.accepted, m_idle_bytes,
                                           std::chrono::steady_clock::now(),
                                           [weak = weak_from_this()](const Eviction&) {
                                             if (const auto evicted = weak.lock(); evicted)
@@ -170,7 +170,11 @@
     return m_share != nullptr;
   }
 
-  void Connect(const Tcp::endpoint& endpoint) {
+  // @param listen options of the links of this instance; those it opens have the same buffer.
+  void Connect(const Tcp::endpoint& endpoint, const ListenOptions& listen) {
+    error_code ignored;
+    m_socket.open(endpoint.protocol(), ignored);
+    SetReceiveBuffer(&m_socket, listen.receive_buffer_bytes);
     m_socket.async_connect(endpoint, [self = shared_from_this()](error_code error) {
       if (self->m_closed) return;
       if (error) return self->Close("cannot connect: " + error.message());
@@ -290,7 +294,7 @@
     const ConnectionState state = is_large     ? ConnectionState::kReading
                                   : m_is_known ? ConnectionState::kAnswering
                                                : ConnectionState::kIdle;
-    if (m_share->Set(state, kIdleLinkBytes + m_in.capacity(), std::chrono::steady_clock::now())) {
+    if (m_share->Set(state, m_idle_bytes + m_in.capacity(), std::chrono::steady_clock::now())) {
       return true;
     }
     OnEvict();
@@ -341,27 +345,14 @@
   std::uint64_t m_last_call = 0;
   SteadyTime m_connected_at{};
   std::unique_ptr<ConnectionBudget::Share> m_share;  // Null for links that this instance opened.
-  bool m_is_large = false;  // The budget knows that the link holds part of a large message.
-  bool m_is_known = false;  // The budget knows that the `Hello` has arrived.
+  std::size_t m_idle_bytes = 0;  // What the budget counts for the link without a message.
+  bool m_is_large = false;       // The budget knows that the link holds part of a large message.
+  bool m_is_known = false;       // The budget knows that the `Hello` has arrived.
   bool m_connected = false;
   bool m_writing = false;
   bool m_closed = false;
 };
 
-Result<void> LinkService::Impl::Listen(const std::string& address) {
-  BOOST_OUTCOME_TRY(auto endpoint, ParseAddress(address));
-  error_code error;
-  acceptor.open(endpoint.protocol(), error);
-  if (!error) acceptor.set_option(asio::socket_base::reuse_address(true), error);
-  if (!error) acceptor.bind(endpoint, error);
-  if (!error) acceptor.listen(asio::socket_base::max_listen_connections, error);
-  if (error) {
-    return Error{schema::CODE_SETTINGS_INVALID,
-                 "cannot listen on " + address + ": " + error.message()};
-  }
-  return Success();
-}
-
 void LinkService::Impl::Accept() {
   acceptor.async_accept([self = shared_from_this()](error_code error, Tcp::socket socket) {
     if (error == asio::error::operation_aborted || self->stopping) return;
@@ -397,7 +388,7 @@
                                                          LinkLimits limits) {
   auto impl =
       std::make_shared<Impl>(runtime, timers, std::move(self), std::move(hooks), std::move(limits));
-  BOOST_OUTCOME_TRY(impl->Listen(address));
+  BOOST_OUTCOME_TRY(Listen(&impl->acceptor, address, impl->limits.listen));
   impl->Accept();
   impl->maintain_timer =
       timers.Every(kLinkMaintenancePeriod, [weak = std::weak_ptr(impl)](SteadyTime) {
@@ -417,7 +408,7 @@
   auto connection = std::make_shared<Impl::Connection>(m_impl, Tcp::socket(m_impl->context));
   m_impl->Add(connection);
   if (auto endpoint = ParseAddress(address); endpoint) {
-    connection->Connect(endpoint.value());
+    connection->Connect(endpoint.value(), m_impl->limits.listen);
   } else {
     asio::post(m_impl->context,
                [connection, reason = endpoint.error().message] { connection->Close(reason); });
--- a/cell/link.h
+++ b/cell/link.h
@@ -10,6 +10,7 @@
 
 #include "cell/types.h"
 #include "citronsill/connection_budget.h"
+#include "citronsill/listen.h"
 #include "citronsill/result.h"
 #include "citronsill/runtime.h"
 #include "citronsill/timer.h"
@@ -57,13 +58,16 @@
   std::function<schema::Ping(const LinkPtr&)> make_ping;
 };
 
-/// Limits on the links that other processes open. Links that this instance opens do not count.
+/// Limits on the links that other processes open. Links that this instance opens do not count, but
+/// have the receive buffer of `listen`.
 struct LinkLimits {
   /// A further link replaces one whose peer has not sent its `Hello`; without one, it is closed.
   std::size_t max_accepted = ConnectionBudgetLimits::kUnlimited;
   /// Budget of what the links have received and not handled; null for one without limit. The link
   /// that holds most is closed.
   std::shared_ptr<ConnectionBudget> budget;
+  /// What the system holds for a link counts towards the budget like the link itself.
+  ListenOptions listen;
   /// Called when a limit is exceeded. @param limit "links", "link-evicted", "link-frame" or
   /// "link-hello". May be empty.
   std::function<void(std::string_view limit)> on_limit;
--- a/src/runtime.cc
+++ b/src/runtime.cc
@@ -131,12 +131,7 @@
   boost::system::error_code error;
   acceptor->open(endpoint.protocol(), error);
   if (!error) acceptor->set_option(asio::socket_base::reuse_address(true), error);
-  // Before `listen`: the window of a connection follows from it at the handshake.
-  if (!error && options.receive_buffer_bytes > 0) {
-    acceptor->set_option(
-        asio::socket_base::receive_buffer_size(static_cast<int>(options.receive_buffer_bytes)),
-        error);
-  }
+  SetReceiveBuffer(acceptor, options.receive_buffer_bytes);
   if (!error) acceptor->bind(endpoint, error);
   const int backlog = options.max_pending > 0 ? static_cast<int>(options.max_pending)
                                               : asio::socket_base::max_listen_connections;
--- a/tests/cell/connection_budget_test.cc
+++ b/tests/cell/connection_budget_test.cc
@@ -182,7 +182,8 @@
     };
     // What the system holds for accepted connections is part of the budgets.
     const std::size_t total = limits.connection_bytes + limits.answer_bytes + limits.link_bytes +
-                              pending(limits.caller_listen) + 2 * pending(limits.service_listen);
+                              pending(limits.caller_listen) + 2 * pending(limits.service_listen) +
+                              pending(limits.link_listen);
     const std::size_t memory = std::size_t{machine.memory_mb} << 20U;
     // The scheduler of a grown cell takes 95 MB, and any instance may become the scheduler.
     CHECK(total + (95U << 20U) <= memory);
@@ -192,6 +193,11 @@
     CHECK(500 * idle_bytes + std::size_t{20} * 262144 <= limits.connection_bytes);
     CHECK(limits.max_caller_connections >= 900);
     CHECK(limits.max_links >= 300);
+    // A link without a message takes 18 KiB. The cell with the smallest machines has 32 instances
+    // without spare ones, the largest cell 147.
+    CHECK(limits.link_listen.receive_buffer_bytes > 0);
+    const std::size_t link_bytes = (18U << 10U) + limits.link_listen.MaxUnreadBytes();
+    CHECK(limits.link_bytes >= (machine.memory_mb >= 160 ? 300 : 100) * link_bytes);
     // Three full pages of the store at a time.
     CHECK(limits.answer_bytes >= std::size_t{3} * (2U << 20U));
     CHECK(limits.max_caller_connections + limits.max_links + 2 * limits.max_service_connections <
--- a/tests/hostile_clients_test.sh
+++ b/tests/hostile_clients_test.sh
@@ -112,6 +112,7 @@
   run "ingress-$crowd" 200 platform "" $crowd "$caller" "$caller" /short/
   run "metrics-$crowd" 200 platform "" $crowd "$metrics" "$metrics" /metrics
   run "readiness-$crowd" 200 platform "" $crowd "$ready" "$ready" /
+  run "link-$crowd" 200 platform "" $crowd "$link" "$caller" /short/
 done
 memory_mb=64
 # A store whose answers do not end cannot be used: 503 promises that nothing runs.
