Limit the memory of connections also without memory_mb

What callers saw: a node whose settings do not say what its machine has lets clients take memory without end; 600 callers that hold back the last bytes of a body take 165 MB, and the process ends when the machine has no more.

Cause: without memory_mb WorkOutLimits left the three budgets, and receive buffers and backlogs, without a limit.

Change: the default of memory_mb is 120, the smallest machine of the platform, in whose limits all callers that keep to the pages have room. Without max_descriptors the numbers of connections follow from their memory.

Why it works: there is no value left that means "no limit" for a budget of the process; an operator who wants more says what the machine has.

--- a/cell/connection_limits.cc
+++ b/cell/connection_limits.cc
@@ -57,23 +57,21 @@
 
 ProcessLimits WorkOutLimits(const LimitSettings& settings) {
   ProcessLimits limits;
-  if (settings.memory_mb > 0) {
-    const std::size_t memory_mb = settings.memory_mb;
-    const std::size_t spare_bytes = kMib * std::max(memory_mb / kMinConnectionsPart,
-                                                    memory_mb - std::min(memory_mb, kProcessMb));
-    const std::size_t receive_buffer_bytes = std::clamp(
-        spare_bytes / kReceiveBufferPart, kMinReceiveBufferBytes, kMaxReceiveBufferBytes);
-    limits.caller_listen = {receive_buffer_bytes, kMaxPendingCallers};
-    limits.service_listen = {kMinReceiveBufferBytes, kMaxPendingServices};
-    limits.link_listen = {std::clamp(spare_bytes / kLinkReceiveBufferPart, kMinReceiveBufferBytes,
-                                     kMaxLinkReceiveBufferBytes),
-                          kMaxPendingLinks};
-    const std::size_t budget_bytes = spare_bytes - std::min(spare_bytes, PendingBytes(limits));
-    // What the system holds for callers is part of their budget, so it is the largest.
-    limits.connection_bytes = budget_bytes / 32 * 18;
-    limits.answer_bytes = budget_bytes / 32 * 9;
-    limits.link_bytes = budget_bytes / 32 * 5;
-  }
+  const std::size_t memory_mb = settings.memory_mb;
+  const std::size_t spare_bytes =
+      kMib * std::max(memory_mb / kMinConnectionsPart, memory_mb - std::min(memory_mb, kProcessMb));
+  const std::size_t receive_buffer_bytes =
+      std::clamp(spare_bytes / kReceiveBufferPart, kMinReceiveBufferBytes, kMaxReceiveBufferBytes);
+  limits.caller_listen = {receive_buffer_bytes, kMaxPendingCallers};
+  limits.service_listen = {kMinReceiveBufferBytes, kMaxPendingServices};
+  limits.link_listen = {std::clamp(spare_bytes / kLinkReceiveBufferPart, kMinReceiveBufferBytes,
+                                   kMaxLinkReceiveBufferBytes),
+                        kMaxPendingLinks};
+  const std::size_t budget_bytes = spare_bytes - std::min(spare_bytes, PendingBytes(limits));
+  // What the system holds for callers is part of their budget, so it is the largest.
+  limits.connection_bytes = budget_bytes / 32 * 18;
+  limits.answer_bytes = budget_bytes / 32 * 9;
+  limits.link_bytes = budget_bytes / 32 * 5;
   limits.connection_bytes = BytesOf(settings.connection_budget_mb, limits.connection_bytes);
   limits.answer_bytes = BytesOf(settings.answer_budget_mb, limits.answer_bytes);
   limits.link_bytes = BytesOf(settings.link_budget_mb, limits.link_bytes);
--- a/cell/connection_limits.h
+++ b/cell/connection_limits.h
@@ -17,9 +17,11 @@
 
 namespace citronsill {
 
-/// Settings of the limits. A value of 0 is worked out from the machine, see `WorkOutLimits`.
+/// Settings of the limits. A value of 0 is worked out from the others, see `WorkOutLimits`.
 struct LimitSettings {
-  std::uint32_t memory_mb = 0;        ///< Memory of the machine; 0 when unknown.
+  /// Memory of the machine; by default that of the smallest one of the platform, whose limits
+  /// leave room for all callers that keep to the pages.
+  std::uint32_t memory_mb = 120;
   std::uint32_t max_descriptors = 0;  ///< Descriptors of the process; 0 when unknown.
   std::uint32_t connection_budget_mb = 0;
   std::uint32_t answer_budget_mb = 0;
@@ -48,8 +50,8 @@
   ListenOptions link_listen;
 };
 
-/// Works out the limits that the settings leave open. Those that depend on a figure of the machine
-/// which is not known are unlimited, or as large as they were without it.
+/// Works out the limits that the settings leave open. Without `max_descriptors`, numbers of
+/// connections are limited by their memory, those of callers also by `kMaxHttpConnections`.
 ProcessLimits WorkOutLimits(const LimitSettings& settings);
 
 /// The budgets of a process and the reports of what exceeds them. For programs with one thread.
