Clients that do not read their answers make room for others

What callers saw: a crowd that requests answers and does not read them, as large as the maximum of connections, shuts out ordinary callers for up to 10 s at a time: their connections are closed before anything is read.

Cause: a connection whose request was read whole was never closed for others, also while its answer was being written, until the time-out of writes. docs/design/hostile-clients.md listed this under "Not covered".

Change: a state kWriting from the moment at which the answer is written. It is protected like kAnswering for slow_connection_ms (2 s); after that its connection is closed when another needs the place or the memory, after idle and slow ones and before unfinished requests.

Evidence: "unread answers: clients that do not read make room for a new one" failed before (no answer in place of 200) and passes; "unread answers: a client that reads its answer slowly gets all of it" passes before and after. New cases of "connection budget" check the order and that a request which is being handled is still never closed.

Why it works: the client has been offered its answer for 2 s; breaking the connection off says that the outcome is unknown, and the pages have callers send the request again under the same id. Nothing that waits for an answer is affected.

--- a/include/citronsill/connection_budget.h
+++ b/include/citronsill/connection_budget.h
@@ -18,6 +18,7 @@
   kIdle,       ///< No byte of a request has arrived since the last answer.
   kReading,    ///< Part of a request or of an answer has arrived.
   kAnswering,  ///< The request was read whole. Such a connection is never evicted.
+  kWriting,    ///< The answer is being written. Evicted only after `slow_after`.
   kRefused,    ///< It was evicted, and its client is being told so.
 };
 
@@ -26,6 +27,7 @@
   kRefused,     ///< Evicted before, and still open.
   kIdle,        ///< Idle for longer than `slow_after`.
   kSlow,        ///< Its request began longer ago than `slow_after`.
+  kUnread,      ///< Its client has not read the answer for longer than `slow_after`.
   kUnfinished,  ///< Its request has not arrived whole.
 };
 
@@ -42,8 +44,8 @@
 struct ConnectionBudgetLimits {
   static constexpr std::size_t kUnlimited = std::numeric_limits<std::size_t>::max();
   std::size_t max_bytes = kUnlimited;  ///< Of all connections together.
-  /// Connections that are idle for longer are closed before those that are not, and requests that
-  /// take longer to arrive before others.
+  /// Connections that are idle for longer are closed before those that are not, requests that take
+  /// longer to arrive before others, and answers that take longer to be read at all.
   std::chrono::milliseconds slow_after{2000};
 };
 
@@ -57,7 +59,8 @@
 ///
 /// While the connections hold more than `max_bytes`, or a group has more than its maximum,
 /// connections are evicted: first those that were refused before, then the idle one that has been
-/// idle longest, then the slow one whose request began first, then the one that holds most bytes.
+/// idle longest, then the slow one whose request began first, then the one whose answer is unread
+/// longest, then the one that holds most bytes.
 class ConnectionBudget : public std::enable_shared_from_this<ConnectionBudget> {
  public:
   using OnEvict = std::function<void(const Eviction&)>;
@@ -81,6 +84,7 @@
     Eviction eviction;
   };
 
+  [[nodiscard]] bool IsProtected(const Share& share, SteadyTime now) const;
   [[nodiscard]] EvictionReason Classify(const Share& share, SteadyTime now) const;
   Share* Select(const ConnectionGroup* group, const Share* except, SteadyTime now);
   Selected Evict(Share* share, bool at_once, SteadyTime now);
@@ -101,7 +105,7 @@
 
   /// Sets what the connection does and the memory that it holds. Other connections may be evicted.
   /// @returns false when the connection itself is evicted, or was before: its request is to be
-  /// refused. A connection is not evicted by becoming `kAnswering`.
+  /// refused. A connection is not evicted by becoming `kAnswering` or `kWriting`.
   [[nodiscard]] bool Set(ConnectionState state, std::size_t bytes, SteadyTime now);
 
  private:
--- a/src/connection_budget.cc
+++ b/src/connection_budget.cc
@@ -13,6 +13,8 @@
       return "idle";
     case EvictionReason::kSlow:
       return "slow";
+    case EvictionReason::kUnread:
+      return "unread";
     case EvictionReason::kUnfinished:
       return "unfinished";
   }
@@ -53,10 +55,17 @@
   return m_bytes;
 }
 
+// @returns whether the connection has to keep its answer, or its client may still be reading it.
+bool ConnectionBudget::IsProtected(const Share& share, SteadyTime now) const {
+  return share.m_state == ConnectionState::kAnswering ||
+         (share.m_state == ConnectionState::kWriting && now - share.m_since < m_limits.slow_after);
+}
+
 EvictionReason ConnectionBudget::Classify(const Share& share, SteadyTime now) const {
   if (share.m_state == ConnectionState::kRefused) return EvictionReason::kRefused;
   // The request of a connection that has just become idle may be on its way.
   if (now - share.m_since < m_limits.slow_after) return EvictionReason::kUnfinished;
+  if (share.m_state == ConnectionState::kWriting) return EvictionReason::kUnread;
   return share.m_state == ConnectionState::kIdle ? EvictionReason::kIdle : EvictionReason::kSlow;
 }
 
@@ -68,7 +77,7 @@
   Share* selected = nullptr;
   EvictionReason selected_reason{};
   for (Share* share : m_shares) {
-    if (share == except || share->m_state == ConnectionState::kAnswering) continue;
+    if (share == except || IsProtected(*share, now)) continue;
     if (group != nullptr && share->m_group.get() != group) continue;
     const EvictionReason reason = Classify(*share, now);
     const auto is_before = [&] {
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -384,6 +384,8 @@
         return "evicted-idle";
       case EvictionReason::kSlow:
         return "evicted-slow";
+      case EvictionReason::kUnread:
+        return "evicted-unread";
       case EvictionReason::kUnfinished:
         return "evicted-unfinished";
     }
@@ -396,13 +398,15 @@
 
   template <class Then>
   void Write(const SessionPtr& session, const HttpResponse& response, Then then) {
+    // A request that was not handled is refused; its connection may be needed at once.
+    const bool is_handled = session->phase == Phase::kHandling;
+    const SteadyTime now = Clock::now();
     session->phase = Phase::kWriting;
-    session->deadline = Clock::now() + kHttpWriteTimeout;
+    session->deadline = now + kHttpWriteTimeout;
     session->out = Serialize(response, session->keep_alive);
-    if (!session->refused && session->out.size() > kReadChunkBytes) {
-      // Never evicts this connection, which is being answered.
-      static_cast<void>(
-          session->share->Set(ConnectionState::kAnswering, HeldBytes(*session), Clock::now()));
+    if (is_handled) {
+      // Never evicts this connection, whose answer has just begun.
+      static_cast<void>(session->share->Set(ConnectionState::kWriting, HeldBytes(*session), now));
     }
     session->stream->Write(asio::buffer(session->out), [self = shared_from_this(), session,
                                                         then = std::move(then)](error_code error) {
--- a/tests/cell/connection_budget_test.cc
+++ b/tests/cell/connection_budget_test.cc
@@ -163,6 +163,32 @@
   }
 }
 
+TEST_CASE("connection budget: an answer that is not read makes room after a while") {
+  Connections connections(1000, 2);
+  for (const char* name : {"unread", "answering"}) REQUIRE(connections.Join(name));
+  REQUIRE(connections.Set("answering", ConnectionState::kAnswering, 60));
+  REQUIRE(connections.Set("unread", ConnectionState::kWriting, 60));
+  connections.now += 1999ms;
+  CHECK_FALSE(connections.Join("early"));
+  connections.now += 1ms;
+  CHECK(connections.Join("new"));
+  CHECK(connections.evicted == Evicted{"unread unread at once"});
+  connections.now += 3s;
+  REQUIRE(connections.Set("new", ConnectionState::kAnswering, 60));
+  CHECK_FALSE(connections.Join("newer"));
+}
+
+TEST_CASE("connection budget: slow requests go before answers that are not read") {
+  Connections connections(1000, 3);
+  for (const char* name : {"unread", "slow", "idle"}) REQUIRE(connections.Join(name));
+  REQUIRE(connections.Set("unread", ConnectionState::kWriting, 60));
+  REQUIRE(connections.Set("slow", ConnectionState::kReading, 60));
+  connections.now += 3s;
+  for (const char* name : {"first", "second", "third"}) REQUIRE(connections.Join(name));
+  CHECK(connections.evicted ==
+        Evicted{"idle idle at once", "slow slow at once", "unread unread at once"});
+}
+
 // Guards against limits that let the connections of a small machine take more than it has, or that
 // refuse callers inside the limits of the pages.
 TEST_CASE("connection limits: what a machine allows leaves room for the process") {
