Bound what the kernel holds of answers that clients do not read

Cause: nothing set the size of a send buffer, which the kernel lets grow to megabytes for each connection.

Change: the listening sockets for callers, readiness and metrics ask for a send buffer of 4 KiB. The budget counts twice that for each connection from the first byte of a request to the end of the answer.

Why it works: the kernel takes at most twice the size asked for; then the answer waits in the process, where it is counted, and its connection makes room for others after slow_connection_ms.

--- a/cell/connection_limits.cc
+++ b/cell/connection_limits.cc
@@ -34,7 +34,9 @@
 constexpr std::size_t kReceiveBufferPart = 6144;
 constexpr std::size_t kMinReceiveBufferBytes = 4U << 10;
 constexpr std::size_t kMaxReceiveBufferBytes = 64U << 10;
-// The same for links, of which a scheduler has one from each instance of a cell.
+// Send buffer of a connection of an HTTP client. Answers to callers are smaller.
+constexpr std::size_t kSendBufferBytes = 4U << 10;
+// The receive buffer of a link, of which a scheduler has one from each instance of a cell.
 constexpr std::size_t kLinkReceiveBufferPart = 12288;
 constexpr std::size_t kMaxLinkReceiveBufferBytes = 16U << 10;
 // Interval of the log lines about limits that were exceeded.
@@ -62,11 +64,11 @@
       kMib * std::max(memory_mb / kMinConnectionsPart, memory_mb - std::min(memory_mb, kProcessMb));
   const std::size_t receive_buffer_bytes =
       std::clamp(spare_bytes / kReceiveBufferPart, kMinReceiveBufferBytes, kMaxReceiveBufferBytes);
-  limits.caller_listen = {receive_buffer_bytes, kMaxPendingCallers};
-  limits.service_listen = {kMinReceiveBufferBytes, kMaxPendingServices};
-  limits.link_listen = {std::clamp(spare_bytes / kLinkReceiveBufferPart, kMinReceiveBufferBytes,
-                                   kMaxLinkReceiveBufferBytes),
-                        kMaxPendingLinks};
+  limits.caller_listen = {receive_buffer_bytes, kSendBufferBytes, kMaxPendingCallers};
+  limits.service_listen = {kMinReceiveBufferBytes, kSendBufferBytes, kMaxPendingServices};
+  limits.link_listen.receive_buffer_bytes = std::clamp(
+      spare_bytes / kLinkReceiveBufferPart, kMinReceiveBufferBytes, kMaxLinkReceiveBufferBytes);
+  limits.link_listen.max_pending = kMaxPendingLinks;
   const std::size_t budget_bytes = spare_bytes - std::min(spare_bytes, PendingBytes(limits));
   // What the system holds for callers is part of their budget, so it is the largest.
   limits.connection_bytes = budget_bytes / 32 * 18;
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -213,6 +213,8 @@
   // @returns memory of a connection, without that of its handler.
   [[nodiscard]] std::size_t HeldBytes(const Session& session) const {
     std::size_t bytes = IdleBytes() + session.out.capacity();
+    // What an idle connection was sent, its client has usually read.
+    if (session.phase != Phase::kIdle) bytes += options.listen.MaxUnsentBytes();
     if (const std::size_t buffer = session.buffer.capacity(); buffer > kReadChunkBytes) {
       bytes += buffer - kReadChunkBytes;
     }
--- a/src/net.h
+++ b/src/net.h
@@ -37,6 +37,14 @@
   socket->set_option(asio::socket_base::receive_buffer_size(static_cast<int>(bytes)), ignored);
 }
 
+/// Asks for a send buffer. @param bytes 0 leaves the size to the system.
+template <class Socket>
+void SetSendBuffer(Socket* socket, std::size_t bytes) {
+  if (bytes == 0) return;
+  boost::system::error_code ignored;  // The socket then keeps the system's size.
+  socket->set_option(asio::socket_base::send_buffer_size(static_cast<int>(bytes)), ignored);
+}
+
 /// @returns a random number from the operating system's generator.
 std::uint64_t RandomId();
 
--- a/src/runtime.cc
+++ b/src/runtime.cc
@@ -132,6 +132,7 @@
   acceptor->open(endpoint.protocol(), error);
   if (!error) acceptor->set_option(asio::socket_base::reuse_address(true), error);
   SetReceiveBuffer(acceptor, options.receive_buffer_bytes);
+  SetSendBuffer(acceptor, options.send_buffer_bytes);
   if (!error) acceptor->bind(endpoint, error);
   const int backlog = options.max_pending > 0 ? static_cast<int>(options.max_pending)
                                               : asio::socket_base::max_listen_connections;
--- a/tests/hostile/crowd.cc
+++ b/tests/hostile/crowd.cc
@@ -43,6 +43,7 @@
   std::string state;
   std::uint64_t inode = 0;  // 0 while the connection has not been accepted.
   std::size_t unread = 0;   // Bytes; of a listening socket, connections to be accepted.
+  std::size_t unsent = 0;   // Bytes; of a listening socket, the maximum of `unread`.
 };
 
 std::vector<TcpRow> ReadTcpRows() {
@@ -58,6 +59,7 @@
     columns >> skipped >> row.local >> skipped >> row.state >> queues;
     columns >> skipped >> skipped >> skipped >> skipped >> row.inode;
     if (const std::size_t colon = queues.find(':'); colon != std::string::npos) {
+      row.unsent = std::strtoull(queues.c_str(), nullptr, 16);
       row.unread = std::strtoull(queues.c_str() + colon + 1, nullptr, 16);
     }
     rows.push_back(std::move(row));
@@ -65,20 +67,24 @@
   return rows;
 }
 
-// @param sockets inodes of the sockets of a process. @returns see `ProcessState::unread_kib`.
-std::size_t ReadUnreadKib(const std::set<std::uint64_t>& sockets) {
+// Reads what the kernel holds for a process. @param sockets inodes of its sockets.
+void ReadQueues(const std::set<std::uint64_t>& sockets, ProcessState* state) {
   const std::vector<TcpRow> rows = ReadTcpRows();
   std::set<std::string> listening;
   for (const TcpRow& row : rows) {
     if (row.state == kListening && sockets.contains(row.inode)) listening.insert(row.local);
   }
-  std::size_t bytes = 0;
+  std::size_t unread_bytes = 0;
+  std::size_t unsent_bytes = 0;
   for (const TcpRow& row : rows) {
     if (row.state == kListening) continue;
     const bool is_accepted = sockets.contains(row.inode);
-    if (is_accepted || (row.inode == 0 && listening.contains(row.local))) bytes += row.unread;
+    const bool is_pending = row.inode == 0 && listening.contains(row.local);
+    if (is_accepted || is_pending) unread_bytes += row.unread;
+    if (is_accepted) unsent_bytes += row.unsent;
   }
-  return bytes / kKib;
+  state->unread_kib = unread_bytes / kKib;
+  state->unsent_kib = unsent_bytes / kKib;
 }
 
 }  // namespace
@@ -102,7 +108,7 @@
     const std::string target = std::filesystem::read_symlink(entry->path(), ignored).string();
     if (const std::uint64_t inode = SocketInode(target); inode != 0) sockets.insert(inode);
   }
-  state.unread_kib = ReadUnreadKib(sockets);
+  ReadQueues(sockets, &state);
   return state;
 }
 
--- a/tests/hostile/crowd.h
+++ b/tests/hostile/crowd.h
@@ -19,6 +19,8 @@
   // Bytes that the kernel has received for the process and the process has not read, now: on its
   // connections, and on those to its listening sockets that it has not accepted.
   std::size_t unread_kib = 0;
+  // Bytes that the process has sent on its connections and its peers have not taken, now.
+  std::size_t unsent_kib = 0;
 };
 
 ProcessState ReadProcess(pid_t pid);
--- a/tests/hostile/main.cc
+++ b/tests/hostile/main.cc
@@ -9,10 +9,11 @@
 //   citronsill_hostile CASE --pid PID --target PORT ...    a crowd of clients
 //
 // A case connects its crowd, and while the crowd stays connected it checks that the process lives,
-// that its resident memory, what the kernel has received for it and it has not read, and its
-// descriptors stayed within the bounds, and that an ordinary request is answered. It checks no
-// times. Cases named "stopped-..." stop the process by a signal meanwhile, as on a machine that
-// gives it no processor time: then it reads nothing, and what the kernel takes is all that counts.
+// that its resident memory, what the kernel has received for it and it has not read, what it has
+// sent and its peers have not taken, and its descriptors stayed within the bounds, and that an
+// ordinary request is answered. It checks no times. Cases named "stopped-..." stop the process by a
+// signal meanwhile, as on a machine that gives it no processor time: then it reads nothing, and
+// what the kernel takes is all that counts.
 #include <fmt/format.h>
 #include <unistd.h>
 
@@ -80,7 +81,7 @@
   std::uint16_t ordinary = 0;       // Port of the ordinary request.
   std::string ordinary_path;        // Its target.
   unsigned expected_status = 200;   // Its answer.
-  std::size_t memory_kib = 0;       // Bound of the resident memory and the unread bytes together.
+  std::size_t memory_kib = 0;       // Bound of resident memory, unread and unsent bytes together.
   std::size_t max_descriptors = 0;  // Bound of the open descriptors.
 };
 
@@ -157,6 +158,7 @@
     m_peak_kib = std::max(m_peak_kib, state.peak_resident_kib);
     m_unread_kib = state.unread_kib;
     m_peak_unread_kib = std::max(m_peak_unread_kib, state.unread_kib);
+    m_peak_unsent_kib = std::max(m_peak_unsent_kib, state.unsent_kib);
     m_peak_descriptors = std::max(m_peak_descriptors, state.descriptors);
   }
 
@@ -175,9 +177,10 @@
     Observe();
     std::vector<std::string> failures;
     if (!m_lives) failures.emplace_back("the process ended");
-    if (m_peak_kib + m_peak_unread_kib > m_options.memory_kib) {
-      failures.push_back(fmt::format("{} KiB resident and {} KiB unread, bound {} together",
-                                     m_peak_kib, m_peak_unread_kib, m_options.memory_kib));
+    if (m_peak_kib + m_peak_unread_kib + m_peak_unsent_kib > m_options.memory_kib) {
+      failures.push_back(fmt::format("{} KiB resident, {} KiB unread and {} KiB unsent, bound {}",
+                                     m_peak_kib, m_peak_unread_kib, m_peak_unsent_kib,
+                                     m_options.memory_kib));
     }
     if (m_peak_descriptors > m_options.max_descriptors) {
       failures.push_back(
@@ -191,8 +194,8 @@
   }
 
   [[nodiscard]] std::string Summary() const {
-    return fmt::format("{} KiB resident, {} KiB unread, {} descriptors", m_peak_kib,
-                       m_peak_unread_kib, m_peak_descriptors);
+    return fmt::format("{} KiB resident, {} KiB unread, {} KiB unsent, {} descriptors", m_peak_kib,
+                       m_peak_unread_kib, m_peak_unsent_kib, m_peak_descriptors);
   }
 
  private:
@@ -206,6 +209,7 @@
   std::size_t m_peak_kib = 0;
   std::size_t m_unread_kib = 0;  // When last observed.
   std::size_t m_peak_unread_kib = 0;
+  std::size_t m_peak_unsent_kib = 0;
   std::size_t m_peak_descriptors = 0;
 };
 
