--- a/cell/connection_limits.cc
+++ b/cell/connection_limits.cc
@@ -15,6 +15,12 @@
 // Part of the memory that connections get on machines on which little or nothing is left beside
 // that, the reciprocal. On the smallest machine of the platform, 120 MB, both come to the same.
 constexpr std::size_t kMinConnectionsPart = 5;
+// Shares of the budgets in the memory for connections. That of HTTP clients has the buffers that
+// the system keeps for them in it, so it is the largest.
+constexpr std::size_t kBudgetParts = 32;
+constexpr std::size_t kConnectionParts = 18;
+constexpr std::size_t kAnswerParts = 9;
+constexpr std::size_t kLinkParts = 5;
 // The platform keeps this many descriptors for files.
 constexpr std::uint32_t kFileDescriptors = 200;
 // Parts of the descriptors for callers and for links, the reciprocals. The rest is for connections
@@ -23,12 +29,11 @@
 constexpr std::uint32_t kCallersPart = 3;
 constexpr std::uint32_t kLinksPart = 8;
 constexpr std::size_t kMinConnections = 16;
-// Connections that wait to be accepted, at most.
+// Connections that wait to be accepted at an address, at most.
 constexpr std::size_t kMaxPendingCallers = 128;
 constexpr std::size_t kMaxPendingServices = 16;
 constexpr std::size_t kMaxPendingLinks = 64;
-// Addresses with `kMaxPendingServices`: readiness and metrics.
-constexpr std::size_t kServiceAddresses = 2;
+constexpr std::size_t kServiceAddresses = 2;  // Readiness and metrics.
 // The receive buffer of a connection is this part of the memory for connections, the reciprocal,
 // within its limits. The smaller it is, the more round trips a large request takes.
 constexpr std::size_t kReceiveBufferPart = 6144;
@@ -70,10 +75,9 @@
       spare_bytes / kLinkReceiveBufferPart, kMinReceiveBufferBytes, kMaxLinkReceiveBufferBytes);
   limits.link_listen.max_pending = kMaxPendingLinks;
   const std::size_t budget_bytes = spare_bytes - std::min(spare_bytes, PendingBytes(limits));
-  // What the system holds for callers is part of their budget, so it is the largest.
-  limits.connection_bytes = budget_bytes / 32 * 18;
-  limits.answer_bytes = budget_bytes / 32 * 9;
-  limits.link_bytes = budget_bytes / 32 * 5;
+  limits.connection_bytes = budget_bytes / kBudgetParts * kConnectionParts;
+  limits.answer_bytes = budget_bytes / kBudgetParts * kAnswerParts;
+  limits.link_bytes = budget_bytes / kBudgetParts * kLinkParts;
   limits.connection_bytes = BytesOf(settings.connection_budget_mb, limits.connection_bytes);
   limits.answer_bytes = BytesOf(settings.answer_budget_mb, limits.answer_bytes);
   limits.link_bytes = BytesOf(settings.link_budget_mb, limits.link_bytes);
--- a/cell/link.cc
+++ b/cell/link.cc
@@ -174,7 +174,7 @@
   void Connect(const Tcp::endpoint& endpoint, const ListenOptions& listen) {
     error_code ignored;
     m_socket.open(endpoint.protocol(), ignored);
-    SetReceiveBuffer(&m_socket, listen.receive_buffer_bytes);
+    SetBufferSize<asio::socket_base::receive_buffer_size>(&m_socket, listen.receive_buffer_bytes);
     m_socket.async_connect(endpoint, [self = shared_from_this()](error_code error) {
       if (self->m_closed) return;
       if (error) return self->Close("cannot connect: " + error.message());
--- a/src/net.h
+++ b/src/net.h
@@ -28,21 +28,15 @@
 Result<void> Listen(Tcp::acceptor* acceptor, const std::string& address,
                     const ListenOptions& options);
 
-/// Asks for a receive buffer; to be called before the socket is connected or listens.
+/// Asks for the size of a socket's buffer. That of a receive buffer takes full effect only before
+/// the socket is connected or listens.
+/// @tparam Option `asio::socket_base::receive_buffer_size` or `send_buffer_size`.
 /// @param bytes 0 leaves the size to the system.
-template <class Socket>
-void SetReceiveBuffer(Socket* socket, std::size_t bytes) {
+template <class Option, class Socket>
+void SetBufferSize(Socket* socket, std::size_t bytes) {
   if (bytes == 0) return;
   boost::system::error_code ignored;  // The socket then keeps the system's size.
-  socket->set_option(asio::socket_base::receive_buffer_size(static_cast<int>(bytes)), ignored);
-}
-
-/// Asks for a send buffer. @param bytes 0 leaves the size to the system.
-template <class Socket>
-void SetSendBuffer(Socket* socket, std::size_t bytes) {
-  if (bytes == 0) return;
-  boost::system::error_code ignored;  // The socket then keeps the system's size.
-  socket->set_option(asio::socket_base::send_buffer_size(static_cast<int>(bytes)), ignored);
+  socket->set_option(Option(static_cast<int>(bytes)), ignored);
 }
 
 /// @returns a random number from the operating system's generator.
--- a/src/runtime.cc
+++ b/src/runtime.cc
@@ -131,11 +131,12 @@
   boost::system::error_code error;
   acceptor->open(endpoint.protocol(), error);
   if (!error) acceptor->set_option(asio::socket_base::reuse_address(true), error);
-  SetReceiveBuffer(acceptor, options.receive_buffer_bytes);
-  SetSendBuffer(acceptor, options.send_buffer_bytes);
+  using SocketBase = asio::socket_base;
+  SetBufferSize<SocketBase::receive_buffer_size>(acceptor, options.receive_buffer_bytes);
+  SetBufferSize<SocketBase::send_buffer_size>(acceptor, options.send_buffer_bytes);
   if (!error) acceptor->bind(endpoint, error);
   const int backlog = options.max_pending > 0 ? static_cast<int>(options.max_pending)
-                                              : asio::socket_base::max_listen_connections;
+                                              : SocketBase::max_listen_connections;
   if (!error) acceptor->listen(backlog, error);
   if (error) {
     return Error{schema::CODE_SETTINGS_INVALID,
--- a/tools/citronsill_node.cc
+++ b/tools/citronsill_node.cc
@@ -62,7 +62,9 @@
         .Field("answer_budget_bytes", m_limits->limits.answer_bytes)
         .Field("link_budget_bytes", m_limits->limits.link_bytes)
         .Field("max_caller_connections", m_limits->limits.max_caller_connections)
-        .Field("max_links", m_limits->limits.max_links);
+        .Field("max_links", m_limits->limits.max_links)
+        .Field("caller_buffer_bytes", m_limits->limits.caller_listen.receive_buffer_bytes)
+        .Field("link_buffer_bytes", m_limits->limits.link_listen.receive_buffer_bytes);
     return Success();
   }
 
