Limit the memory of the jobs that a scheduler keeps

A scheduler that is ended by its memory leaves all its jobs in the store, so that each successor is ended as well, and nobody gets an answer.

Cause: a single job is limited (48 KB), and their number is not. Jobs with times have no tasks until they are due, so the limit of tasks does not see them; 100,000 tasks in jobs of the largest size are 75 MB and more.

Change: JobMemory counts specs, steps, tasks and states of ended jobs. Beyond job_budget_mb (32 MB) a job gets 429; jobs with times have half of it. A job may take a sixteenth of what is left, so that small ones are accepted for longer. The line "load" shows job_bytes.

Evidence: new cases of tests/hostile_clients_test.sh, 2,560 jobs of 44 KB each, bound 64 MB, fixed before the change.

Why it works: a job is counted before it is accepted, and with its tasks; the bound is the same on each instance, so a successor can load what its predecessor has accepted.

--- a/cell/connection_limits.h
+++ b/cell/connection_limits.h
@@ -33,6 +33,8 @@
   /// Of the readiness and the metrics address, each. The platform uses one or two.
   std::uint32_t max_service_connections = 64;
   std::uint32_t max_links = 0;
+  /// Jobs that an instance keeps as the scheduler, see `kMaxJobBytes`.
+  std::uint32_t job_budget_mb = 32;
   /// See `ConnectionBudgetLimits::slow_after`.
   milliseconds slow_connection{2000};
 };
--- a/cell/job.h
+++ b/cell/job.h
@@ -213,6 +213,7 @@
   std::uint32_t occurrences_done = 0;
   std::uint32_t live_orders = 0;     ///< Orders for its tasks that have not ended.
   std::size_t assignment_bytes = 0;  ///< Upper bound of what they take in its progress rows.
+  std::size_t spec_bytes = 0;        ///< Memory of the job without its steps.
   std::uint64_t number = 0;          ///< Sequence number of the job, counted by each scheduler.
   std::uint64_t submission = 0;  ///< Sequence number of the submission, counted by each scheduler.
   RowPlaces places;              ///< Where its records are in the store.
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -153,6 +153,7 @@
     scheduler_options.max_lease = settings.max_lease;
     scheduler_options.gang_time = settings.gang_time;
     scheduler_options.keep_finished = settings.keep_finished;
+    scheduler_options.max_job_bytes = std::size_t{settings.limits.job_budget_mb} << 20U;
     SchedulerHooks scheduler_hooks;
     scheduler_hooks.now = BootNow;
     scheduler_hooks.wall = [] { return std::chrono::system_clock::now(); };
@@ -489,6 +490,7 @@
     LogLine line(LogLevel::kInfo, "load");
     line.Field("shard", options.shard)
         .Field("jobs", scheduler->ActiveJobs())
+        .Field("job_bytes", scheduler->JobBytes())
         .Field("orders", scheduler->Workers().OrderCount())
         .Field("workers", load.workers)
         .Field("free_milli", load.free.processors_milli)
--- a/cell/limits.h
+++ b/cell/limits.h
@@ -29,6 +29,16 @@
 // thousand tasks a second, and its backlog does not count as load that makes the scheduler refuse
 // other jobs.
 inline constexpr std::uint64_t kMaxWaitingOccurrenceTasks = 64;
+// Maximum memory of the jobs of a scheduler in bytes: their specs, steps and tasks, and the states
+// of ended jobs. More jobs are refused. Each instance may become the scheduler and takes all of
+// them over, so it is a third of what a process takes on the smallest machine.
+inline constexpr std::size_t kMaxJobBytes = 32U << 20;
+// Part of it that jobs with times may take, the reciprocal: these may wait for years.
+inline constexpr std::size_t kScheduledJobsPart = 2;
+// A request may take this part of the memory that is left for its kind, the reciprocal.
+inline constexpr std::size_t kMaxPartOfRemaining = 16;
+// Memory of the state of an ended job, at most: its id in two maps, and the name of a customer.
+inline constexpr std::size_t kFinishedJobBytes = 600;
 // Largest amount of a resource that a task may ask for (thousandths of a core, MB, accelerators):
 // beyond any machine, and small enough for sums over all waiting tasks.
 inline constexpr std::int64_t kMaxTaskResource = INT32_MAX;
--- a/cell/node_settings.cc
+++ b/cell/node_settings.cc
@@ -191,6 +191,7 @@
   fields.Whole("connection_budget_mb", 1, kMaxMemoryMb, &node.limits.connection_budget_mb);
   fields.Whole("answer_budget_mb", 1, kMaxMemoryMb, &node.limits.answer_budget_mb);
   fields.Whole("link_budget_mb", 1, kMaxMemoryMb, &node.limits.link_budget_mb);
+  fields.Whole("job_budget_mb", 1, kMaxMemoryMb, &node.limits.job_budget_mb);
   fields.Whole("max_answer_mb", 1, kMaxMemoryMb, &node.limits.max_answer_mb);
   fields.Whole("max_caller_connections", 1, kMaxDescriptors, &node.limits.max_caller_connections);
   fields.Whole("max_service_connections", 1, kMaxDescriptors, &node.limits.max_service_connections);
--- a/cell/scheduler.cc
+++ b/cell/scheduler.cc
@@ -56,6 +56,7 @@
       m_packs(m_options.shard, m_hooks.now),
       m_long_leases(m_options.shard, m_hooks.now),
       m_last_pack(m_options.term << kPackTermBits),
+      m_job_memory(m_options.max_job_bytes, 0),
       m_run_base((m_options.term - 1) * kRunNumbersPerTerm) {}
 
 Scheduler::~Scheduler() = default;
@@ -265,6 +266,9 @@
   if (m_live_tasks >= kMaxLiveTasks) {
     return RefuseOverload(spec, "too many tasks exist", tasks_ahead, done);
   }
+  if (const char* reason = m_job_memory.WhyRefused(normalized); reason != nullptr) {
+    return RefuseOverload(spec, reason, tasks_ahead, done);
+  }
   const JobNeeds needs = NeedsOf(normalized, waited);
   if (const RoomDecision decision = DecideRoom(m_load.queued, needs);
       decision.verdict != RoomVerdict::kAccepted) {
@@ -282,6 +286,7 @@
   if (spec.occurrences() == 0) BeginOccurrence(raw);
   for (const auto& step : raw->steps) {
     m_live_tasks += step->tasks.size();
+    m_job_memory.AddStep(*step);
     for (Task& task : step->tasks) task.last_run = m_run_base;
   }
   RefreshReady(raw, raw->steps);
@@ -366,6 +371,7 @@
       .Field("reason", reason)
       .Field("waiting_tasks", tasks_ahead)
       .Field("live_tasks", m_live_tasks)
+      .Field("job_bytes", m_job_memory.Bytes())
       .Field("starts_per_s", static_cast<std::int64_t>(m_admission.StartsPerSecond()))
       .Field("window", m_order_window.Size())
       .Field("call_ms", m_fleet.Calls().Mean());
@@ -450,6 +456,8 @@
   Job* raw = job.get();
   raw->number = ++m_last_job_number;
   raw->customer = m_customers.IndexOf(raw->spec.customer());
+  raw->spec_bytes = SpecBytes(raw->spec);
+  m_job_memory.AddSpec(*raw);
   m_jobs[raw->spec.id()] = std::move(job);
   Reopen(raw);
   return raw;
@@ -1219,17 +1227,21 @@
   m_order_window.Adjust(now, m_fleet.Calls().Mean(), std::exchange(m_window_was_full, false));
   m_admission.Update(now, m_fleet.StartsSent(), m_order_window.IsLimiting());
   std::uint64_t live_tasks = 0;
+  JobMemory memory(m_options.max_job_bytes, m_finished.size());
   for (const auto& [id, job] : m_jobs) {
     if (!job->IsFinal()) {
       BeginDueOccurrences(job.get());
       EndUnknownRuns(job.get(), now);
     }
+    memory.AddSpec(*job);
     for (const auto& step : job->steps) {
       live_tasks += step->tasks.size();
+      memory.AddStep(*step);
       if (step->gang_run != 0 && !job->IsFinal()) CheckGang(step.get(), now);
     }
   }
   m_live_tasks = live_tasks;
+  m_job_memory = memory;
   CheckStalled(now);
   ReopenMissing(now);
   UnpackOldJobs(now);
@@ -1246,10 +1258,14 @@
   if (!is_due()) return;
   const std::uint64_t count = OccurrencesToBegin(*job);
   std::uint64_t begun = 0;
-  for (; begun < count && is_due() && m_live_tasks < kMaxLiveTasks; ++begun) {
+  const auto has_room = [&] {
+    return m_live_tasks < kMaxLiveTasks && m_job_memory.HasRoomForOccurrences();
+  };
+  for (; begun < count && is_due() && has_room(); ++begun) {
     const auto steps = BeginOccurrence(job);
     for (const auto& step : steps) {
       m_live_tasks += step->tasks.size();
+      m_job_memory.AddStep(*step);
       for (Task& task : step->tasks) task.last_run = m_run_base;
     }
     RefreshReady(job, steps);
--- a/cell/scheduler.h
+++ b/cell/scheduler.h
@@ -19,6 +19,7 @@
 #include "cell/fleet.h"
 #include "cell/held.h"
 #include "cell/job.h"
+#include "cell/job_memory.h"
 #include "cell/limits.h"
 #include "cell/long_leases.h"
 #include "cell/planner.h"
@@ -38,6 +39,7 @@
   milliseconds max_lease{0};      ///< Longest lease that workers grant; at least `lease`.
   milliseconds gang_time{0};      ///< Time in which all members of a gang have to start.
   milliseconds keep_finished{0};  ///< How long the state of a finished job can be queried.
+  std::size_t max_job_bytes = kMaxJobBytes;  ///< Memory of all jobs together.
 };
 
 struct SchedulerHooks {
@@ -188,6 +190,8 @@
   [[nodiscard]] std::size_t ActiveJobs() const { return m_jobs.size(); }
   /// @returns the number of tasks of all jobs and of their occurrences that have begun.
   [[nodiscard]] std::uint64_t LiveTasks() const { return m_live_tasks; }
+  /// @returns memory that the jobs take, in bytes.
+  [[nodiscard]] std::size_t JobBytes() const { return m_job_memory.Bytes(); }
 
   /// Work that waits for the store.
   struct Backlog {
@@ -397,6 +401,7 @@
   std::size_t m_max_batch_jobs = SIZE_MAX;
   std::uint64_t m_refused_until = 0;
   std::uint64_t m_live_tasks = 0;  // Of all jobs, at the last tick, and those added since.
+  JobMemory m_job_memory;          // At the last tick, and what was added since.
   std::uint64_t m_submissions = 0;
   std::uint64_t m_last_position = 0;    // Last position that was assigned.
   std::uint64_t m_stored_position = 0;  // Everything up to this position is stored.
--- a/tests/hostile/main.cc
+++ b/tests/hostile/main.cc
@@ -1,7 +1,7 @@
 // Clients and servers outside the limits of the platform's pages, for
 // tests/hostile_clients_test.sh.
 //
-//   citronsill_hostile platform [--endless-workers PART]   store and policy service of one node;
+//   citronsill_hostile platform [PART|elsewhere]           store and policy service of one node;
 //                                                          prints their addresses
 //   citronsill_hostile endless PART                        a server whose answers do not end
 //   citronsill_hostile requests --count N                  a server and N ordinary requests, whose
@@ -22,9 +22,11 @@
 #include <functional>
 #include <iostream>
 #include <map>
+#include <optional>
 #include <thread>
 
 #include "../soak/platform.h"
+#include "cell/commit.h"
 #include "crowd.h"
 #include "endless_server.h"
 
@@ -38,6 +40,8 @@
 constexpr const char* kConfiguration =
     R"({"version":2,"routes":[{"name":"short","host":"cell.example","prefix":"/short/",)"
     R"("timeoutMs":3000,"service":"pool","attempts":3,"priority":0,"stretch":1.5,)"
+    R"("targetDurationMs":250},{"name":"long","host":"cell.example","prefix":"/long/",)"
+    R"("timeoutMs":120000,"service":"pool","attempts":3,"priority":1,"stretch":1.5,)"
     R"("targetDurationMs":250}],"services":[{"name":"pool","admissionCheck":false}],)"
     R"("limits":{"maxHeaderBytes":8192,"maxBodyBytes":262144,"headerTimeoutMs":120000,)"
     R"("idleTimeoutMs":120000}})";
@@ -74,14 +78,28 @@
 constexpr std::size_t kLinkFrameBytes = 2U << 20;
 // Bytes that a small receive buffer of a client that does not read holds.
 constexpr int kSmallReceiveBuffer = 4096;
+// Jobs within the limits of the pages: 64 steps, each with a label, and a payload of the maximum
+// length. Together they are several times the memory of the machine.
+constexpr int kJobClients = 64;
+constexpr int kJobsOfClient = 40;
+constexpr int kAbandonedJobs = 4000;
+constexpr int kJobSteps = 64;
+constexpr std::size_t kJobLabelBytes = 600;
+constexpr std::size_t kJobPayloadBytes = 4000;
+constexpr int kDecodedClients = 16;
+// Interval at which a scheduler that no instance can reach shows in the store that it lives.
+constexpr std::chrono::milliseconds kSchedulerPeriod{20};
+constexpr std::uint64_t kRepeatedJob = 3'000'000;
 
 struct CaseOptions {
   pid_t pid = 0;
-  std::uint16_t target = 0;         // Port that the crowd connects to.
-  std::uint16_t ordinary = 0;       // Port of the ordinary request.
-  std::string ordinary_path;        // Its target.
-  unsigned expected_status = 200;   // Its answer.
-  std::size_t memory_kib = 0;       // Bound of resident memory, unread and unsent bytes together.
+  std::uint16_t target = 0;        // Port that the crowd connects to.
+  std::uint16_t ordinary = 0;      // Port of the ordinary request.
+  std::string ordinary_path;       // Its target.
+  unsigned expected_status = 200;  // Its answer.
+  std::size_t memory_kib = 0;      // Bound of resident memory, unread and unsent bytes together.
+  // Bound of what resident memory grows by during the case; 0 for none.
+  std::size_t growth_kib = 0;
   std::size_t max_descriptors = 0;  // Bound of the open descriptors.
 };
 
@@ -89,6 +107,31 @@
   return method + " /short/ HTTP/1.1\r\nHost: cell.example\r\n" + fields + "\r\n";
 }
 
+std::string JobRequest(const std::string& prefix, std::uint64_t id, const std::string& body) {
+  return fmt::format(
+      "POST {}{:016x} HTTP/1.1\r\nHost: cell.example\r\nContent-Length: {}\r\n\r\n{}", prefix, id,
+      body.size(), body);
+}
+
+// A job of the largest size. @param fields further fields of the job.
+std::string LargeJob(const std::string& fields) {
+  std::string body = R"({"spec":")" + std::string(kJobPayloadBytes, 'x') + R"(",)" + fields;
+  body += R"("steps":[)";
+  const std::string step = R"({"count":1,"cpu":1,"memMb":1,"requiredLabel":")" +
+                           std::string(kJobLabelBytes, 'x') + R"("})";
+  for (int i = 0; i < kJobSteps; ++i) body += (i > 0 ? "," : "") + step;
+  return body + "]}";
+}
+
+// As many steps without a field as the limit of the body allows.
+std::string EmptySteps() {
+  std::string body = R"({"steps":[{})";
+  while (body.size() + 5 <= kMaxBodyBytes) body += ",{}";
+  return body + "]}";
+}
+
+constexpr const char* kOrdinaryJob = R"({"spec":"x","steps":[{"count":1,"cpu":100,"memMb":16}]})";
+
 class Crowd {
  public:
   explicit Crowd(const CaseOptions& case_options) : m_options(case_options) {}
@@ -148,6 +191,57 @@
     }
   }
 
+  // Submits jobs with `body`, one after the other on each of a few connections, reading each
+  // answer.
+  void SubmitJobs(const std::string& body) {
+    std::uint64_t id = 0;
+    Connect(kJobClients, "");
+    for (int job = 0; job < kJobsOfClient && !IsOverBound(); ++job) {
+      for (Client& client : m_clients) {
+        client.Send(JobRequest("/short/", ++id, body), kSendWaitMs);
+      }
+      for (Client& client : m_clients) client.ReadStatus(kOrdinaryWaitMs);
+      Observe();
+    }
+  }
+
+  // Submits a job on a connection each, and closes it without waiting for the answer.
+  void AbandonJobs(int count, const std::string& body) {
+    for (int job = 0; job < count && !IsOverBound(); ++job) {
+      Client client(m_options.target);
+      client.Send(JobRequest("/long/", 1'000'000U + static_cast<std::uint64_t>(job), body),
+                  kSendWaitMs);
+      if (job % kDecodedClients == 0) Observe();
+    }
+  }
+
+  // Submits a job, and begins to repeat the call: all but the end of its request. Its body is the
+  // largest that is allowed, so that it is the first to make room for others.
+  void BeginRepeatedJob() {
+    Client first(m_options.ordinary);
+    std::string body = kOrdinaryJob;
+    body.resize(kMaxBodyBytes, ' ');
+    const std::string request = JobRequest("/short/", kRepeatedJob, body);
+    first.Send(request, kSendWaitMs);
+    if (const unsigned status = first.ReadStatus(kOrdinaryWaitMs); status != 200) {
+      m_failures.push_back(fmt::format("the job was not accepted: status {}", status));
+    }
+    m_repeated.emplace(m_options.ordinary);
+    m_repeated->Send(std::string_view(request).substr(0, request.size() - 1), kSendWaitMs);
+  }
+
+  // To be called when the crowd has taken the memory of the repeated call: the job was accepted, so
+  // no answer may say that it never runs.
+  void CheckRepeatedJob() {
+    const unsigned status = m_repeated->ReadStatus(kOrdinaryWaitMs);
+    if (status == 429 || status == 503) {
+      m_failures.push_back(fmt::format("a job that was accepted got status {} later", status));
+    }
+  }
+
+  // The case also checks that an ordinary job is accepted while the crowd is connected.
+  void ExpectOrdinaryJob() { m_expects_job = true; }
+
   void DiscardAnswers() {
     for (Client& client : m_clients) client.Discard();
   }
@@ -155,6 +249,7 @@
   void Observe() {
     const ProcessState state = ReadProcess(m_options.pid);
     m_lives = m_lives && state.lives;
+    if (m_first_kib == 0) m_first_kib = state.peak_resident_kib;
     m_peak_kib = std::max(m_peak_kib, state.peak_resident_kib);
     m_unread_kib = state.unread_kib;
     m_peak_unread_kib = std::max(m_peak_unread_kib, state.unread_kib);
@@ -175,13 +270,22 @@
       std::this_thread::sleep_for(std::chrono::milliseconds(500));
     }
     Observe();
-    std::vector<std::string> failures;
+    std::vector<std::string> failures = m_failures;
     if (!m_lives) failures.emplace_back("the process ended");
     if (m_peak_kib + m_peak_unread_kib + m_peak_unsent_kib > m_options.memory_kib) {
       failures.push_back(fmt::format("{} KiB resident, {} KiB unread and {} KiB unsent, bound {}",
                                      m_peak_kib, m_peak_unread_kib, m_peak_unsent_kib,
                                      m_options.memory_kib));
     }
+    if (m_options.growth_kib > 0 && m_peak_kib > m_first_kib + m_options.growth_kib) {
+      failures.push_back(fmt::format("{} KiB resident after {} KiB, bound {} KiB more", m_peak_kib,
+                                     m_first_kib, m_options.growth_kib));
+    }
+    if (m_expects_job) {
+      if (const unsigned job_status = SubmitOrdinaryJob(); job_status != 200) {
+        failures.push_back(fmt::format("an ordinary job got status {}", job_status));
+      }
+    }
     if (m_peak_descriptors > m_options.max_descriptors) {
       failures.push_back(
           fmt::format("{} descriptors, bound {}", m_peak_descriptors, m_options.max_descriptors));
@@ -199,13 +303,31 @@
   }
 
  private:
+  // @returns the status of the answer to an ordinary job.
+  unsigned SubmitOrdinaryJob() {
+    unsigned status = 0;
+    for (std::uint64_t attempt = 0; attempt < kOrdinaryAttempts && m_lives; ++attempt) {
+      Client client(m_options.ordinary);
+      client.Send(JobRequest("/short/", 2'000'000U + attempt, kOrdinaryJob), kSendWaitMs);
+      status = client.ReadStatus(kOrdinaryWaitMs);
+      Observe();
+      if (status == 200) break;
+      std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    }
+    return status;
+  }
+
   [[nodiscard]] bool IsOverBound() const {
     return !m_lives || m_peak_kib + m_unread_kib > kStopFactor * m_options.memory_kib;
   }
 
   CaseOptions m_options;
   std::vector<Client> m_clients;
+  std::optional<Client> m_repeated;
+  std::vector<std::string> m_failures;
   bool m_lives = true;
+  bool m_expects_job = false;
+  std::size_t m_first_kib = 0;  // Resident memory when first observed.
   std::size_t m_peak_kib = 0;
   std::size_t m_unread_kib = 0;  // When last observed.
   std::size_t m_peak_unread_kib = 0;
@@ -311,6 +433,31 @@
          crowd.ContinueProcess();
          crowd.SendInTurn(std::string(kPieceBytes, 'x'), kPieceBytes);
        }},
+      // Jobs within the limits that begin in a year.
+      {"scheduled-jobs",
+       [](Crowd& crowd) {
+         crowd.SubmitJobs(
+             LargeJob(R"("maxRuns":1,"startTimeMs":4102444800000,"intervalMs":1000,)"));
+         crowd.ExpectOrdinaryJob();
+       }},
+      // Jobs within the limits that no worker can run.
+      {"unplaceable-jobs", [](Crowd& crowd) { crowd.SubmitJobs(LargeJob("")); }},
+      // Bodies that take many times their size once they are decoded.
+      {"empty-steps",
+       [](Crowd& crowd) {
+         crowd.Observe();
+         crowd.Connect(kDecodedClients, JobRequest("/short/", 1, EmptySteps()));
+       }},
+      // Jobs whose clients have left while no scheduler answers.
+      {"abandoned-jobs", [](Crowd& crowd) { crowd.AbandonJobs(kAbandonedJobs, LargeJob("")); }},
+      // A call that repeats an accepted job, among bodies that lack their last bytes.
+      {"repeated-job",
+       [](Crowd& crowd) {
+         crowd.BeginRepeatedJob();
+         crowd.Connect(kClients,
+                       Head("POST", "Content-Length: 200000\r\n") + std::string(199000, 'x'));
+         crowd.CheckRepeatedJob();
+       }},
       // No crowd: the process is stopped while answers without end arrive.
       {"stopped-none",
        [](Crowd& crowd) {
@@ -376,7 +523,27 @@
   return RunUntilTerminated(*runtime.value(), *timers.value());
 }
 
-int RunPlatform(const std::string& endless_part) {
+// Writes that an instance which cannot be reached is the scheduler, and that it lives.
+void ShowScheduler(soak::Platform& services, std::uint64_t sequence) {
+  schema::OwnerRow owner;
+  owner.set_instance("n-9");
+  owner.set_incarnation(9);
+  owner.set_address(services.instance_services[0]->advice.Address());
+  owner.set_term(1);
+  schema::HeadRow head;
+  head.set_term(1);
+  head.set_sequence(sequence);
+  head.set_incarnation(9);
+  std::vector<Row> rows{Row{{kHeadTable, "s0", kShardRowKey}, head.SerializeAsString()}};
+  if (sequence == 0) {
+    rows.push_back(Row{{kOwnerTable, "s0", kShardRowKey}, owner.SerializeAsString()});
+  }
+  services.store.Apply(RowTransaction{{}, std::move(rows), {}});
+}
+
+// @param part the part of the answers of some workers that has no end; "elsewhere" if the scheduler
+// is an instance that cannot be reached; else empty.
+int RunPlatform(const std::string& part) {
   auto runtime = Runtime::Create(1);
   if (!runtime) return 2;
   auto timers = TimerService::Create(*runtime.value());
@@ -388,8 +555,15 @@
   services.actual_behavior = [](const TaskRef&) { return model::TaskBehavior{}; };
   services.store.Apply(RowTransaction{{}, {Row{{"op", "", "config"}, kConfiguration}}, {}});
   std::shared_ptr<EndlessServer> endless;
-  if (const auto part = ParsePart(endless_part); part) {
-    endless = std::make_shared<EndlessServer>(runtime.value()->Context(), *part);
+  if (part == "elsewhere") {
+    timers.value()->Every(kSchedulerPeriod,
+                          [&services, sequence = std::uint64_t{1}](SteadyTime) mutable {
+                            ShowScheduler(services, sequence++);
+                          });
+    ShowScheduler(services, 0);
+  }
+  if (const auto endless_part = ParsePart(part); endless_part) {
+    endless = std::make_shared<EndlessServer>(runtime.value()->Context(), *endless_part);
     const std::string address = endless->Listen();
     for (int i = 0; i < kEndlessWorkers; ++i) {
       const std::string text = fmt::format(
@@ -450,8 +624,10 @@
   auto add = description.add_options();
   add("mode", options::value(&mode)->required(), "platform, endless or the name of a case");
   add("part", options::value(&part)->default_value(""),
-      "what does not end: headers, body, extension or trailers");
+      "what does not end: headers, body, extension or trailers; or elsewhere");
   add("pid", options::value(&case_options.pid), "process whose state is checked");
+  add("growth-kib", options::value(&case_options.growth_kib),
+      "bound of the growth of resident memory; 0 for none");
   add("target", options::value(&case_options.target), "port that the crowd connects to");
   add("ordinary", options::value(&case_options.ordinary), "port of the ordinary request");
   add("path", options::value(&case_options.ordinary_path)->default_value("/short/"),
--- a/tests/hostile_clients_test.sh
+++ b/tests/hostile_clients_test.sh
@@ -18,6 +18,8 @@
 descriptors=1000
 # Not empty: the settings do not say what the machine has.
 without_machine=
+# Bound of the growth of resident memory in a case, in KiB; 0 for none.
+growth_kib=0
 ulimit -n 4096 2> /dev/null
 stop() { # PID
   [ -n "$1" ] && kill -KILL "$1" 2> /dev/null && wait "$1" 2> /dev/null
@@ -75,7 +77,8 @@
   start_node
   await answers "$expected" "$ordinary" "$path"
   "$build/citronsill_hostile" "$crowd" --pid $node --target "$target" --ordinary "$ordinary" --path "$path" \
-    --expect "$expected" --memory-kib $((memory_mb * 1024)) --descriptors $descriptors > "$work/case" 2>&1
+    --expect "$expected" --memory-kib $((memory_mb * 1024)) --descriptors $descriptors \
+    --growth-kib $growth_kib > "$work/case" 2>&1
   local status=$?
   sed "s/^# [a-z-]*:/# $name:/" "$work/case"
   if [ $status -eq 0 ]; then
@@ -124,6 +127,10 @@
   run "link-$crowd" 200 platform "" $crowd "$link" "$caller" /short/
 done
 memory_mb=64
+# Requests within the limits, of which the process keeps what it decodes.
+for crowd in scheduled-jobs unplaceable-jobs; do
+  run "ingress-$crowd" 200 platform "" $crowd "$caller" "$caller" /short/
+done
 # A store whose answers do not end cannot be used: 503 promises that nothing runs.
 for part in headers body extension trailers; do
   run "store-$part" 503 endless $part none "$caller" "$caller" /short/
