--- a/tests/hostile_clients_test.sh
+++ b/tests/hostile_clients_test.sh
@@ -131,6 +131,10 @@
 for crowd in scheduled-jobs unplaceable-jobs; do
   run "ingress-$crowd" 200 platform "" $crowd "$caller" "$caller" /short/
 done
+# Beside the 95 MB that a scheduler takes, the smallest machine has 24 MB.
+memory_mb=120 growth_kib=$((24 * 1024))
+run "ingress-empty-steps" 200 platform "" empty-steps "$caller" "$caller" /short/
+memory_mb=64 growth_kib=0
 # A store whose answers do not end cannot be used: 503 promises that nothing runs.
 for part in headers body extension trailers; do
   run "store-$part" 503 endless $part none "$caller" "$caller" /short/
