--- a/include/citronsill/http.h
+++ b/include/citronsill/http.h
@@ -99,6 +99,10 @@
   std::string tls_key_file;                    ///< PEM.
   std::vector<std::string> forwarded_headers;  ///< Headers for `HttpRequest::headers`.
   HttpReject reject;  ///< By default, returns a JSON object with code and message.
+  /// Status of the answer to a request that is refused before it was read whole, because
+  /// connections hold too much memory. 503 where that means that it had no effect and may be
+  /// repeated, and nothing about earlier calls.
+  unsigned refused_status = 503;
   std::function<void(const HttpAbort&)> on_abort;  ///< May be empty.
 };
 
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -345,8 +345,9 @@
     if (std::exchange(session->refused, true)) return;
     session->abort_reported = true;  // Reported as a limit; these may be many.
     HttpResponse response =
-        options.reject(503, Error{schema::CODE_OVERLOADED,
-                                  "too many requests are on their way; this one was not accepted"});
+        options.reject(options.refused_status,
+                       Error{schema::CODE_OVERLOADED,
+                             "too many requests are on their way; this one was not handled"});
     if (!response.retry_after) response.retry_after = kRefusedRetryAfter;
     AnswerAndClose(session, response, is_reading);
   }
--- a/tests/hostile_clients_test.sh
+++ b/tests/hostile_clients_test.sh
@@ -128,7 +128,7 @@
 done
 memory_mb=64
 # Requests within the limits, of which the process keeps what it decodes.
-for crowd in scheduled-jobs unplaceable-jobs; do
+for crowd in scheduled-jobs unplaceable-jobs repeated-job; do
   run "ingress-$crowd" 200 platform "" $crowd "$caller" "$caller" /short/
 done
 # Beside the 95 MB that a scheduler takes, the smallest machine has 24 MB.
