Requests whose clients have left make room, and waiting calls have a limit

Cause: a request that was read whole keeps its place and counts its body until it is answered, also when its client has left; 22 jobs of 44 KB filled the budget of connections of a machine of 64 MB. What the calls themselves keep was limited by that alone.

Change: once its handler has returned, a connection counts without its body; the calls that wait have a limit of their own, 4 MB, of which one may take a sixteenth of what is left, else 504. The same holds in a scheduler that has not loaded its jobs. When there is no room for a new connection, the server looks for requests whose clients have closed their side; these make room first.

Evidence: new case ingress-abandoned-jobs: the store names a scheduler that cannot be reached; 4,000 jobs of 44 KB whose clients leave. New: two cases of unread_answers_test.cc, one of outcome_test.cc, one of connection_budget_test.cc, whose random one now has the new state as well.

--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -88,6 +88,7 @@
   PassPacer pacer;
   // Calls that arrived before the shard was loaded.
   std::vector<std::function<void()>> calls_until_loaded;
+  std::size_t bytes_until_loaded = 0;  // Memory of their messages.
 
   // Rows read while the shard is being loaded.
   RowPage jobs;
@@ -286,6 +287,7 @@
     FollowWorkers();
     std::vector<std::function<void()>> calls;
     calls.swap(calls_until_loaded);
+    bytes_until_loaded = 0;
     for (const auto& call : calls) call();
     commits->Wake();
     PlanSoon();
@@ -663,11 +665,7 @@
 
   void Dispatch(const schema::LinkMessage& message, Reply reply) {
     if (lost || releasing) return reply(Failure({schema::CODE_NOT_OWNER, "the shard has moved"}));
-    if (!loaded) {
-      calls_until_loaded.push_back(
-          [this, message, reply = std::move(reply)] { Dispatch(message, reply); });
-      return;
-    }
+    if (!loaded) return KeepUntilLoaded(message, std::move(reply));
     if (message.has_submit()) return Submit(message.submit(), std::move(reply));
     if (message.has_cancel() && IsOfOther(message.cancel())) return reply(Failure(kOtherCustomer));
     if (message.has_state() && IsOfOther(message.state())) return reply(Failure(kOtherCustomer));
@@ -678,6 +676,17 @@
     reply(std::move(out));
   }
 
+  void KeepUntilLoaded(const schema::LinkMessage& message, Reply reply) {
+    const std::size_t bytes = message.SpaceUsedLong();
+    if (!FitsRemaining(bytes, bytes_until_loaded, kMaxWaitingCallBytes)) {
+      return reply(Failure({schema::CODE_NO_OWNER, "too many calls wait for the scheduler"},
+                           kNoOwnerRetryAfter));
+    }
+    bytes_until_loaded += bytes;
+    calls_until_loaded.push_back(
+        [this, message, reply = std::move(reply)] { Dispatch(message, reply); });
+  }
+
   // @returns whether the job of a call belongs to another customer than the caller.
   template <class Call>
   [[nodiscard]] bool IsOfOther(const Call& call) const {
--- a/cell/limits.h
+++ b/cell/limits.h
@@ -425,6 +425,10 @@
 
 // Interval of the checks for deadlines of waiting calls and for signs of the scheduler.
 inline constexpr std::chrono::milliseconds kShardTick{50};
+// Memory of the calls of an instance that wait for an answer of the scheduler, in bytes, and of
+// those that wait in a new scheduler until it has loaded its jobs. Enough for 4,000 jobs of a
+// kilobyte.
+inline constexpr std::size_t kMaxWaitingCallBytes = 4U << 20;
 // Retry-after time of callers that found no scheduler: about the time of a takeover.
 inline constexpr std::chrono::milliseconds kNoOwnerRetryAfter{1000};
 // A connection attempt that fails within this time was refused, not lost.
--- a/cell/shard.cc
+++ b/cell/shard.cc
@@ -6,6 +6,7 @@
 
 #include "cell/claim.h"
 #include "cell/follower.h"
+#include "cell/job_memory.h"
 #include "cell/limits.h"
 #include "cell/log.h"
 #include "cell/metrics.h"
@@ -35,6 +36,7 @@
     SteadyTime arrived;
     SteadyTime deadline;
     CallDone done;
+    std::size_t bytes = 0;  // Memory of the message.
     bool was_sent = false;  // Sent to a scheduler, which may have carried it out.
     bool in_flight = false;
   };
@@ -61,6 +63,7 @@
   SteadyTime answers_until = SteadyTime::max();
   TimerId tick_timer;
   std::list<PendingPtr> pending;
+  std::size_t pending_bytes = 0;                               // Memory of their messages.
   std::map<const Link*, schema::SupportGrant> support_grants;  // For the next ping on the link.
 
   ClaimHooks MakeHooks() {
@@ -309,13 +312,25 @@
   void Call(schema::LinkMessage message, milliseconds timeout, CallDone done) {
     auto call = std::make_shared<PendingCall>();
     call->message = std::move(message);
+    call->bytes = sizeof(PendingCall) + call->message.SpaceUsedLong();
     call->arrived = BootNow();
     call->deadline = std::min(call->arrived + timeout, answers_until);
     call->done = std::move(done);
+    if (!FitsRemaining(call->bytes, pending_bytes, kMaxWaitingCallBytes)) return RefuseCall(*call);
     pending.push_back(call);
+    pending_bytes += call->bytes;
     SendOne(call);
   }
 
+  // Refuses a call that was not sent. Whether an earlier call has handed in its job is not known.
+  void RefuseCall(const PendingCall& call) {
+    CallOutcome outcome{
+        schema::CODE_NO_OWNER, "too many calls wait for the scheduler", {}, 0, kNoOwnerRetryAfter};
+    outcome.entry_basis = Basis(call);
+    NodeMetrics::Get().CountCall(KindOf(call.message), outcome.code, milliseconds(0));
+    call.done(std::move(outcome));
+  }
+
   void SendPending() {
     const std::list<PendingPtr> calls = pending;
     for (const PendingPtr& call : calls) SendOne(call);
@@ -367,6 +382,7 @@
     const CallDone done = std::move(call->done);
     call->done = nullptr;
     pending.remove(call);
+    pending_bytes -= call->bytes;
     NodeMetrics::Get().CountCall(
         KindOf(call->message), outcome.code,
         std::chrono::duration_cast<milliseconds>(BootNow() - call->arrived));
--- a/include/citronsill/connection_budget.h
+++ b/include/citronsill/connection_budget.h
@@ -18,6 +18,7 @@
   kIdle,       ///< No byte of a request has arrived since the last answer.
   kReading,    ///< Part of a request or of an answer has arrived.
   kAnswering,  ///< The request was read whole. Such a connection is never evicted.
+  kAbandoned,  ///< The same, and its client has closed its side: nobody may read the answer.
   kWriting,    ///< The answer is being written. Evicted only after `slow_after`.
   kRefused,    ///< It was evicted, and its client is being told so.
 };
@@ -25,6 +26,7 @@
 /// Why a connection was evicted, in the order in which connections are selected.
 enum class EvictionReason {
   kRefused,     ///< Evicted before, and still open.
+  kAbandoned,   ///< Its client has closed its side of the connection.
   kIdle,        ///< Idle for longer than `slow_after`.
   kSlow,        ///< Its request began longer ago than `slow_after`.
   kUnread,      ///< Its client has not read the answer for longer than `slow_after`.
@@ -58,7 +60,8 @@
 /// The budget of a process. May be used by several threads.
 ///
 /// While the connections hold more than `max_bytes`, or a group has more than its maximum,
-/// connections are evicted: first those that were refused before, then the idle one that has been
+/// connections are evicted: first those that were refused before, then those whose clients have
+/// left, then the idle one that has been
 /// idle longest, then the slow one whose request began first, then the one whose answer is unread
 /// longest, then the one that holds most bytes.
 class ConnectionBudget : public std::enable_shared_from_this<ConnectionBudget> {
--- a/include/citronsill/http.h
+++ b/include/citronsill/http.h
@@ -81,8 +81,8 @@
 
 /// Called when a client, or a server that is called, exceeds a limit. @param limit one of a fixed
 /// set: "header" (headers, chunk extensions and trailers), "body", "connections",
-/// "evicted-refused", "evicted-idle", "evicted-slow", "evicted-unread", "evicted-unfinished"; of a
-/// client "header", "body", "answers".
+/// "evicted-refused", "evicted-abandoned", "evicted-idle", "evicted-slow", "evicted-unread",
+/// "evicted-unfinished"; of a client "header", "body", "answers".
 using HttpOnLimit = std::function<void(std::string_view limit)>;
 
 struct HttpServerOptions {
--- a/src/connection_budget.cc
+++ b/src/connection_budget.cc
@@ -9,6 +9,8 @@
   switch (reason) {
     case EvictionReason::kRefused:
       return "refused";
+    case EvictionReason::kAbandoned:
+      return "abandoned";
     case EvictionReason::kIdle:
       return "idle";
     case EvictionReason::kSlow:
@@ -63,6 +65,7 @@
 
 EvictionReason ConnectionBudget::Classify(const Share& share, SteadyTime now) const {
   if (share.m_state == ConnectionState::kRefused) return EvictionReason::kRefused;
+  if (share.m_state == ConnectionState::kAbandoned) return EvictionReason::kAbandoned;
   // The request of a connection that has just become idle may be on its way.
   if (now - share.m_since < m_limits.slow_after) return EvictionReason::kUnfinished;
   if (share.m_state == ConnectionState::kWriting) return EvictionReason::kUnread;
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -1,3 +1,5 @@
+#include <poll.h>
+
 #include <atomic>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
@@ -34,6 +36,8 @@
 constexpr std::chrono::milliseconds kSweepPeriod{500};
 // Wait after a failed accept. Without it, accept would spin while out of file descriptors.
 constexpr std::chrono::milliseconds kAcceptRetry{50};
+// How often clients that have left are looked for while there is no room for new connections.
+constexpr std::chrono::milliseconds kAbandonedCheckPeriod{100};
 // After a rejection, at most this many bytes are read and discarded, for at most this long, because
 // closing a connection with unread data discards the response that was just sent.
 constexpr std::chrono::seconds kLingerTimeout{1};
@@ -47,6 +51,12 @@
   return response;
 }
 
+// @returns whether the peer has closed its side of the connection, also when bytes are unread.
+bool HasPeerLeft(Tcp::socket& socket) {
+  pollfd entry{socket.native_handle(), POLLRDHUP, 0};
+  return ::poll(&entry, 1, 0) > 0;
+}
+
 std::string Serialize(const HttpResponse& response, bool keep_alive) {
   std::string text;
   text.reserve(160 + response.body.size());
@@ -123,6 +133,7 @@
   std::atomic<std::size_t> count{0};  // Size of `sessions`, readable without the mutex.
   std::mutex mutex;
   std::unordered_set<SessionPtr> sessions;
+  SteadyTime next_abandoned_check{};
 
   void Accept() {
     acceptor.async_accept(asio::make_strand(context),
@@ -160,6 +171,7 @@
         });
     if (!session->share) {
       ReportLimit("connections");
+      FindAbandoned();
       return ReportAbort(session, HttpAbortReason::kConnections);
     }
     {
@@ -178,6 +190,21 @@
     });
   }
 
+  // Lets the connections make room whose clients have left. Until the answer is written, nothing
+  // else shows that.
+  void FindAbandoned() {
+    const SteadyTime now = Clock::now();
+    if (now < next_abandoned_check) return;
+    next_abandoned_check = now + kAbandonedCheckPeriod;
+    ForEachSession([self = shared_from_this(), now](const SessionPtr& session) {
+      if (session->ended || session->phase != Phase::kHandling) return;
+      if (!HasPeerLeft(session->stream->Socket())) return;
+      if (session->share->Set(ConnectionState::kAbandoned, self->HeldBytes(*session), now)) return;
+      session->abort_reported = true;
+      self->EndSession(session);
+    });
+  }
+
   void StartRequest(const SessionPtr& session, std::chrono::milliseconds timeout) {
     session->phase = Phase::kIdle;
     const SteadyTime now = Clock::now();
@@ -212,7 +239,7 @@
 
   // @returns memory of a connection, without that of its handler.
   [[nodiscard]] std::size_t HeldBytes(const Session& session) const {
-    std::size_t bytes = IdleBytes() + session.out.capacity();
+    std::size_t bytes = IdleBytes() + session.out.capacity() + session.target.capacity();
     // What an idle connection was sent, its client has usually read.
     if (session.phase != Phase::kIdle) bytes += options.listen.MaxUnsentBytes();
     if (const std::size_t buffer = session.buffer.capacity(); buffer > kReadChunkBytes) {
@@ -315,7 +342,11 @@
     // Whether a request that failed has had an effect is not known, so it gets no response.
     const bool is_handled =
         RunGuarded("http-request", [&] { handler(std::move(request), std::move(reply)); });
-    if (!is_handled && session->phase == Phase::kHandling) EndSession(session);
+    if (session->phase != Phase::kHandling || session->ended) return;
+    if (!is_handled) return EndSession(session);
+    // The handler has taken the body, and has limits of its own for what it keeps.
+    static_cast<void>(
+        session->share->Set(ConnectionState::kAnswering, HeldBytes(*session), Clock::now()));
   }
 
   void Reply(const SessionPtr& session, const HttpResponse& response) {
@@ -383,6 +414,8 @@
     switch (reason) {
       case EvictionReason::kRefused:
         return "evicted-refused";
+      case EvictionReason::kAbandoned:
+        return "evicted-abandoned";
       case EvictionReason::kIdle:
         return "evicted-idle";
       case EvictionReason::kSlow:
--- a/tests/cell/connection_budget_test.cc
+++ b/tests/cell/connection_budget_test.cc
@@ -103,6 +103,19 @@
   CHECK(connections.group->connections == 2);
 }
 
+TEST_CASE("connection budget: a request whose client has left makes room") {
+  Connections connections(100, 3);
+  for (const char* name : {"idle", "left", "answering"}) REQUIRE(connections.Join(name));
+  REQUIRE(connections.Set("left", ConnectionState::kAnswering, 20));
+  REQUIRE(connections.Set("answering", ConnectionState::kAnswering, 20));
+  REQUIRE(connections.Set("left", ConnectionState::kAbandoned, 20));
+  connections.now += 100s;
+  REQUIRE(connections.Join("d"));
+  CHECK(connections.evicted == Evicted{"left abandoned at once"});
+  REQUIRE(connections.Join("e"));
+  CHECK(connections.evicted.back() == "idle idle at once");
+}
+
 TEST_CASE("connection budget: a connection above the maximum replaces the longest idle one") {
   Connections connections(ConnectionBudgetLimits::kUnlimited, 3);
   for (const char* name : {"a", "b", "c"}) {
@@ -139,7 +152,7 @@
         connections.shares.erase(name);
         answering.erase(name);
       } else {
-        const auto state = static_cast<ConnectionState>(random() % 3);
+        const auto state = static_cast<ConnectionState>(random() % 4);
         const std::size_t bytes = kIdleBytes + random() % 400;
         answering.erase(name);
         const bool fits = connections.Set(name, state, bytes);
--- a/tests/cell/outcome_test.cc
+++ b/tests/cell/outcome_test.cc
@@ -79,23 +79,28 @@
     done.get_future().wait();
   }
 
+  // To be called on the event loop.
+  void MakeShard() {
+    ShardDeps deps;
+    deps.runtime = runtime.get();
+    deps.timers = timers.get();
+    deps.store = &store;
+    deps.platform = &platform;
+    deps.settings = &settings;
+    deps.self.set_instance("n-0");
+    deps.self.set_incarnation(7);
+    deps.self.set_address("127.0.0.1:1");
+    deps.connect = [](const std::string&) { return LinkPtr(); };
+    deps.for_each_link = [](const std::function<void(const LinkPtr&)>&) {};
+    deps.may_claim = [] { return true; };
+    shard = Shard::Create("s0", std::move(deps));
+  }
+
   // Queries the state of a job that does not exist.
   CallOutcome QueryUnknownJob(milliseconds timeout) {
     std::promise<CallOutcome> answer;
     OnLoop([&] {
-      ShardDeps deps;
-      deps.runtime = runtime.get();
-      deps.timers = timers.get();
-      deps.store = &store;
-      deps.platform = &platform;
-      deps.settings = &settings;
-      deps.self.set_instance("n-0");
-      deps.self.set_incarnation(7);
-      deps.self.set_address("127.0.0.1:1");
-      deps.connect = [](const std::string&) { return LinkPtr(); };
-      deps.for_each_link = [](const std::function<void(const LinkPtr&)>&) {};
-      deps.may_claim = [] { return true; };
-      shard = Shard::Create("s0", std::move(deps));
+      MakeShard();
       schema::LinkMessage message;
       message.mutable_state()->set_id("00000000000000aa");
       shard->Call(message, timeout,
@@ -144,6 +149,36 @@
   CHECK_FALSE(outcome.entry_basis->was_sent);
 }
 
+// Guards against callers that end a process with jobs for which no scheduler can be found.
+TEST_CASE("outcome: calls that wait for a scheduler are limited in memory") {
+  constexpr std::size_t kLargeBytes = 40U << 10;
+  constexpr std::size_t kCalls = 2 * kMaxWaitingCallBytes / kLargeBytes;
+  ShardFixture fixture;
+  fixture.store.refuses = true;
+  std::vector<schema::Code> refused;
+  std::size_t waiting = 0;
+  bool is_small_refused = false;
+  fixture.OnLoop([&] {
+    fixture.MakeShard();
+    schema::LinkMessage message;
+    message.mutable_submit()->mutable_spec()->set_payload(std::string(kLargeBytes, 'x'));
+    for (std::size_t i = 0; i < kCalls; ++i) {
+      fixture.shard->Call(message, seconds(60),
+                          [&](const CallOutcome& outcome) { refused.push_back(outcome.code); });
+    }
+    waiting = fixture.shard->PendingCalls();
+    schema::LinkMessage small;
+    small.mutable_state()->set_id("00000000000000aa");
+    fixture.shard->Call(small, seconds(60), [&](const CallOutcome&) { is_small_refused = true; });
+  });
+  CHECK(waiting > kMaxWaitingCallBytes / kLargeBytes / 2);
+  CHECK(waiting < kMaxWaitingCallBytes / kLargeBytes);
+  CHECK(waiting + refused.size() == kCalls);
+  // An earlier call may have handed in the job, so the answer must not say that it never runs.
+  for (const schema::Code code : refused) CHECK(code == schema::CODE_NO_OWNER);
+  CHECK_FALSE(is_small_refused);
+}
+
 TEST_CASE("outcome: no answer, because the scheduler has not loaded its shard") {
   ShardFixture fixture;
   fixture.store.ignores_job_reads = true;
--- a/tests/cell/unread_answers_test.cc
+++ b/tests/cell/unread_answers_test.cc
@@ -2,6 +2,7 @@
 // callers until the time-out of writes.
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <thread>
@@ -19,8 +20,10 @@
 constexpr std::size_t kLargeAnswerBytes = 64U << 20;
 constexpr std::chrono::milliseconds kSlowAfter{200};
 constexpr const char* kSmallTarget = "/small";
+constexpr const char* kHeldTarget = "/held";
 
-// A server with few connections, whose answers are large except that to `kSmallTarget`.
+// A server with few connections, whose answers are large except that to `kSmallTarget`. A request
+// for `kHeldTarget` gets none.
 struct Server {
   Server() : runtime(std::move(Runtime::Create(1).value())) {
     HttpServerOptions options;
@@ -28,21 +31,27 @@
     options.max_connections = kMaxConnections;
     options.budget = std::make_shared<ConnectionBudget>(
         ConnectionBudgetLimits{ConnectionBudgetLimits::kUnlimited, kSlowAfter});
-    server = std::move(HttpServer::Create(*runtime, options,
-                                          [](const HttpRequest& request, const HttpReply& reply) {
-                                            HttpResponse response;
-                                            const bool is_small = request.target == kSmallTarget;
-                                            response.body =
-                                                std::string(is_small ? 2 : kLargeAnswerBytes, 'x');
-                                            reply(std::move(response));
-                                          })
-                           .value());
+    server =
+        std::move(HttpServer::Create(*runtime, options,
+                                     [this](const HttpRequest& request, const HttpReply& reply) {
+                                       if (request.target == kHeldTarget) {
+                                         ++held;
+                                         return;
+                                       }
+                                       HttpResponse response;
+                                       const bool is_small = request.target == kSmallTarget;
+                                       response.body =
+                                           std::string(is_small ? 2 : kLargeAnswerBytes, 'x');
+                                       reply(std::move(response));
+                                     })
+                      .value());
     runtime->Start();
   }
   ~Server() { runtime->Stop(); }
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
 
+  std::atomic<std::size_t> held = 0;  // Requests for `kHeldTarget`.
   std::unique_ptr<Runtime> runtime;
   std::unique_ptr<HttpServer> server;
 };
@@ -98,5 +107,43 @@
   CHECK(asio::read(slow.socket, asio::buffer(rest), error) == kLargeAnswerBytes);
 }
 
+// Guards against requests that wait for a scheduler and keep their places although nobody reads
+// their answers.
+TEST_CASE("unread answers: requests whose clients have left make room for a new one") {
+  Server server;
+  for (std::size_t i = 0; i < kMaxConnections; ++i) {
+    Client client(server);
+    client.Request(kHeldTarget);
+    while (server.held <= i) std::this_thread::yield();
+  }
+  std::string answer;
+  for (int attempt = 0; attempt < 100 && answer.empty(); ++attempt) {
+    Client client(server);
+    boost::system::error_code ignored;  // The server may have reset the connection by then.
+    asio::write(client.socket, asio::buffer(std::string("GET /small HTTP/1.1\r\n\r\n")), ignored);
+    answer = client.ReadStart();
+    if (answer.empty()) std::this_thread::sleep_for(20ms);
+  }
+  CHECK(answer == "HTTP/1.1 200");
+}
+
+TEST_CASE("unread answers: requests whose clients wait keep their places") {
+  Server server;
+  std::vector<std::unique_ptr<Client>> clients;
+  for (std::size_t i = 0; i < kMaxConnections; ++i) {
+    clients.push_back(std::make_unique<Client>(server));
+    clients.back()->Request(kHeldTarget);
+    while (server.held <= i) std::this_thread::yield();
+  }
+  for (int attempt = 0; attempt < 10; ++attempt) {
+    Client client(server);
+    boost::system::error_code ignored;  // The server may have reset the connection by then.
+    asio::write(client.socket, asio::buffer(std::string("GET /small HTTP/1.1\r\n\r\n")), ignored);
+    CHECK(client.ReadStart().empty());
+    std::this_thread::sleep_for(20ms);
+  }
+  CHECK(server.server->Connections() == kMaxConnections);
+}
+
 }  // namespace
 }  // namespace citronsill
--- a/tests/hostile_clients_test.sh
+++ b/tests/hostile_clients_test.sh
@@ -131,6 +131,8 @@
 for crowd in scheduled-jobs unplaceable-jobs repeated-job; do
   run "ingress-$crowd" 200 platform "" $crowd "$caller" "$caller" /short/
 done
+# No scheduler answers. 504 promises nothing about the job.
+run "ingress-abandoned-jobs" 504 platform elsewhere abandoned-jobs "$caller" "$caller" /short/
 # Beside the 95 MB that a scheduler takes, the smallest machine has 24 MB.
 memory_mb=120 growth_kib=$((24 * 1024))
 run "ingress-empty-steps" 200 platform "" empty-steps "$caller" "$caller" /short/
