Discard what clients have not taken when their connections are evicted

What callers saw: nothing; memory of the machine.

Cause: a connection of a client that does not read was closed in order when it was evicted or missed its deadline. The system keeps what was sent, up to 8 KB and a packet, until it gives up on the client minutes later. The budget no longer counts it, so clients that connect again and again add to it.

Change: such a connection is reset if bytes are unsent or not acknowledged.

Why it works: a reset discards the send queue at once. Connections without such bytes are closed as before.

--- a/cell/limits.h
+++ b/cell/limits.h
@@ -38,7 +38,7 @@
 // A request may take this part of the memory that is left for its kind, the reciprocal.
 inline constexpr std::size_t kMaxPartOfRemaining = 16;
 // Memory of the state of an ended job, at most: its id in two maps, and the name of a customer.
-inline constexpr std::size_t kFinishedJobBytes = 600;
+inline constexpr std::size_t kFinishedJobBytes = 400;
 // Largest amount of a resource that a task may ask for (thousandths of a core, MB, accelerators):
 // beyond any machine, and small enough for sums over all waiting tasks.
 inline constexpr std::int64_t kMaxTaskResource = INT32_MAX;
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -407,6 +407,7 @@
     ReportLimit(EvictionLimitName(eviction.reason));
     if (!eviction.at_once && session->phase == Phase::kReading) return Refuse(session, true);
     session->abort_reported = true;
+    session->stream->Discard();
     EndSession(session);
   }
 
@@ -513,7 +514,7 @@
     ForEachSession([now](const SessionPtr& session) {
       if (session->deadline > now) return;
       session->expired = true;
-      session->stream->Close();
+      session->stream->Discard();
     });
   }
 
--- a/src/http_stream.h
+++ b/src/http_stream.h
@@ -1,6 +1,8 @@
 /// Byte stream under HTTP: a TCP connection with or without TLS. Private to src/.
 #pragma once
 
+#include <sys/ioctl.h>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -33,6 +35,17 @@
     Socket().shutdown(Tcp::socket::shutdown_both, ignored);
     Socket().close(ignored);
   }
+
+  /// Closes the connection and discards what its peer has not taken. The system would keep that for
+  /// minutes after `Close`, while the peer does not read.
+  void Discard() {
+    int unsent_bytes = 0;
+    if (::ioctl(Socket().native_handle(), TIOCOUTQ, &unsent_bytes) == 0 && unsent_bytes > 0) {
+      boost::system::error_code ignored;
+      Socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    }
+    Close();
+  }
 };
 
 /// A connection without TLS.
--- a/tests/hostile/crowd.cc
+++ b/tests/hostile/crowd.cc
@@ -76,15 +76,19 @@
   }
   std::size_t unread_bytes = 0;
   std::size_t unsent_bytes = 0;
+  std::size_t unsent_closed_bytes = 0;
   for (const TcpRow& row : rows) {
     if (row.state == kListening) continue;
     const bool is_accepted = sockets.contains(row.inode);
+    // Not accepted yet, or closed.
     const bool is_pending = row.inode == 0 && listening.contains(row.local);
     if (is_accepted || is_pending) unread_bytes += row.unread;
     if (is_accepted) unsent_bytes += row.unsent;
+    if (is_pending) unsent_closed_bytes += row.unsent;
   }
   state->unread_kib = unread_bytes / kKib;
   state->unsent_kib = unsent_bytes / kKib;
+  state->unsent_closed_kib = unsent_closed_bytes / kKib;
 }
 
 }  // namespace
--- a/tests/hostile/crowd.h
+++ b/tests/hostile/crowd.h
@@ -21,6 +21,8 @@
   std::size_t unread_kib = 0;
   // Bytes that the process has sent on its connections and its peers have not taken, now.
   std::size_t unsent_kib = 0;
+  // The same on connections to its listening sockets that it has closed.
+  std::size_t unsent_closed_kib = 0;
 };
 
 ProcessState ReadProcess(pid_t pid);
