Close links whose peers do not read while too much waits for them

Cause: what waits to be written is limited for each link, at 8 MB, and a machine of 120 MB has 359 links; the system lets the send buffer of each grow to megabytes besides. A peer that makes calls and does not read was closed after 1.5 s only, by its time-out.

While what waits on all links exceeds the budget of links, those whose peers have taken nothing for 200 ms are closed, the one with most first. Large buffers are not kept.

New case in tests/cell/link_limits_test.cc; a peer that reads keeps its link.

Why it works: the memory follows the queues, and a queue that does not shrink is dropped with its link; instances that read connect again by themselves.

--- a/cell/link.cc
+++ b/cell/link.cc
@@ -2,6 +2,7 @@
 
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -31,6 +32,11 @@
 // message that has not arrived whole. It keeps a buffer of up to this size.
 constexpr std::size_t kLargeFrameBytes = 64U << 10;
 
+// While too much waits to be written, a peer that takes nothing for this long does not read.
+constexpr milliseconds kStuckAfter{200};
+// How often such peers are looked for.
+constexpr milliseconds kQueueCheckPeriod{20};
+
 // Limits how long sent data may stay unacknowledged: a machine that lost power does not reset its
 // connections.
 void SetUserTimeout(Tcp::socket* socket, milliseconds timeout) {
@@ -67,12 +73,15 @@
   LinkLimits limits;
   std::shared_ptr<ConnectionGroup> accepted = std::make_shared<ConnectionGroup>();
   std::unordered_set<std::shared_ptr<Connection>> connections;
+  SteadyTime next_queue_check{};
+  std::size_t queued_bytes = 0;  // That wait to be written, on all links.
   TimerId maintain_timer;
   bool stopping = false;
 
   void Accept();
   void Add(const std::shared_ptr<Connection>& connection);
   void MaintainAll();
+  void AddQueued(std::size_t bytes);
   void ReportLimit(std::string_view limit) const {
     if (limits.on_limit) limits.on_limit(limit);
   }
@@ -84,7 +93,7 @@
       : m_service(service), m_socket(std::move(socket)), m_heard(BootNow()) {}
 
   void Send(schema::LinkMessage message) override {
-    if (m_closed) return;
+    if (m_closed || m_is_evicted) return;
     const std::size_t size = message.ByteSizeLong();
     if (size > kMaxLinkFrameBytes) {
       Log(LogLevel::kError, "link-message-too-large")
@@ -100,6 +109,7 @@
     }
     message.AppendToString(&m_out);
     if (m_connected && !m_writing) Flush();
+    if (const auto service = m_service.lock()) service->AddQueued(kFrameHeaderBytes + size);
   }
 
   void Call(schema::LinkMessage message, milliseconds timeout, Reply done) override {
@@ -119,6 +129,7 @@
     if (m_closed) return;
     m_closed = true;
     m_share.reset();
+    TakeFromQueued(QueuedBytes());
     error_code ignored;
     m_socket.close(ignored);
     const std::shared_ptr<Connection> self = shared_from_this();
@@ -138,6 +149,22 @@
   [[nodiscard]] const schema::Hello& Peer() const override { return m_peer; }
   [[nodiscard]] const schema::Ping& LastPing() const override { return m_last_ping; }
 
+  // @returns bytes that wait to be written or are being written.
+  [[nodiscard]] std::size_t QueuedBytes() const { return m_out.size() + m_sending.size(); }
+
+  // @returns whether the peer has taken nothing for a while of what is being written.
+  [[nodiscard]] bool IsStuck(SteadyTime now) const {
+    return m_writing && !m_is_evicted && now - m_progress >= kStuckAfter;
+  }
+
+  // Closes the link, not in the middle of what another one does.
+  void Evict(const char* limit) {
+    m_is_evicted = true;
+    ReportLimit(limit);
+    asio::post(m_socket.get_executor(),
+               [self = shared_from_this()] { self->Close("the limits of links are exceeded"); });
+  }
+
   // To be called when the socket is connected.
   void OnConnected() {
     error_code ignored;
@@ -175,6 +202,7 @@
     error_code ignored;
     m_socket.open(endpoint.protocol(), ignored);
     SetBufferSize<asio::socket_base::receive_buffer_size>(&m_socket, listen.receive_buffer_bytes);
+    SetBufferSize<asio::socket_base::send_buffer_size>(&m_socket, listen.send_buffer_bytes);
     m_socket.async_connect(endpoint, [self = shared_from_this()](error_code error) {
       if (self->m_closed) return;
       if (error) return self->Close("cannot connect: " + error.message());
@@ -222,20 +250,40 @@
   // Writes after the current turn of the event loop, so that messages sent in it are combined.
   void Flush() {
     m_writing = true;
+    m_progress = BootNow();
     asio::post(m_socket.get_executor(), [self = shared_from_this()] {
       if (self->m_closed) return;
       self->m_sending.swap(self->m_out);
       self->m_out.clear();
-      asio::async_write(self->m_socket, asio::buffer(self->m_sending),
-                        [self](error_code error, std::size_t) {
-                          if (self->m_closed) return;
-                          if (error) return self->Close("cannot write: " + error.message());
-                          self->m_writing = false;
-                          if (!self->m_out.empty()) self->Flush();
-                        });
+      self->Write(0);
     });
   }
 
+  // Writes what is left of the bytes that are being sent. @param written the number written so far.
+  void Write(std::size_t written) {
+    m_socket.async_write_some(
+        asio::buffer(m_sending) + written,
+        [self = shared_from_this(), written](error_code error, std::size_t bytes) {
+          if (self->m_closed) return;
+          if (error) return self->Close("cannot write: " + error.message());
+          self->m_progress = BootNow();
+          if (written + bytes < self->m_sending.size()) return self->Write(written + bytes);
+          self->OnWritten();
+        });
+  }
+
+  void OnWritten() {
+    TakeFromQueued(m_sending.size());
+    m_sending.clear();
+    if (m_sending.capacity() > 2 * kLargeFrameBytes) m_sending.shrink_to_fit();
+    m_writing = false;
+    if (!m_out.empty()) Flush();
+  }
+
+  void TakeFromQueued(std::size_t bytes) const {
+    if (const auto service = m_service.lock()) service->queued_bytes -= bytes;
+  }
+
   void Read() {
     const std::size_t filled = m_in.size();
     m_in.resize(filled + kReadBytes);
@@ -301,12 +349,7 @@
     return false;
   }
 
-  void OnEvict() {
-    ReportLimit("link-evicted");
-    // The budget calls this in the middle of what another link does.
-    asio::post(m_socket.get_executor(),
-               [self = shared_from_this()] { self->Close("the limits of links are exceeded"); });
-  }
+  void OnEvict() { Evict("link-evicted"); }
 
   void ReportLimit(std::string_view limit) const {
     if (const auto service = m_service.lock()) service->ReportLimit(limit);
@@ -350,6 +393,8 @@
   bool m_is_known = false;       // The budget knows that the `Hello` has arrived.
   bool m_connected = false;
   bool m_writing = false;
+  SteadyTime m_progress{};    // When the peer last took bytes, or writing began.
+  bool m_is_evicted = false;  // About to be closed.
   bool m_closed = false;
 };
 
@@ -377,6 +422,27 @@
   connections.insert(connection);
 }
 
+// While too much waits to be written, closes the link with most of it whose peer does not read.
+void LinkService::Impl::AddQueued(std::size_t bytes) {
+  queued_bytes += bytes;
+  if (queued_bytes <= limits.max_queued_bytes) return;
+  const SteadyTime now = BootNow();
+  if (now < next_queue_check) return;
+  next_queue_check = now + kQueueCheckPeriod;
+  std::vector<std::shared_ptr<Connection>> stuck;
+  for (const auto& connection : connections) {
+    if (connection->IsStuck(now)) stuck.push_back(connection);
+  }
+  std::sort(stuck.begin(), stuck.end(),
+            [](const auto& a, const auto& b) { return a->QueuedBytes() > b->QueuedBytes(); });
+  std::size_t left = queued_bytes;
+  for (const auto& connection : stuck) {
+    if (left <= limits.max_queued_bytes) return;
+    left -= connection->QueuedBytes();
+    connection->Evict("link-unread");
+  }
+}
+
 void LinkService::Impl::MaintainAll() {
   const std::vector<std::shared_ptr<Connection>> open(connections.begin(), connections.end());
   for (const auto& connection : open) connection->Maintain();
--- a/cell/link.h
+++ b/cell/link.h
@@ -66,10 +66,13 @@
   /// Budget of what the links have received and not handled; null for one without limit. The link
   /// that holds most is closed.
   std::shared_ptr<ConnectionBudget> budget;
+  /// While more than this waits to be written on all links, those whose peers do not read are
+  /// closed, the one with most of it first.
+  std::size_t max_queued_bytes = ConnectionBudgetLimits::kUnlimited;
   /// What the system holds for a link counts towards the budget like the link itself.
   ListenOptions listen;
-  /// Called when a limit is exceeded. @param limit "links", "link-evicted", "link-frame" or
-  /// "link-hello". May be empty.
+  /// Called when a limit is exceeded. @param limit "links", "link-evicted", "link-unread",
+  /// "link-frame" or "link-hello". May be empty.
   std::function<void(std::string_view limit)> on_limit;
 };
 
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -209,6 +209,7 @@
     if (!connection_limits) return limits;
     limits.max_accepted = connection_limits->limits.max_links;
     limits.budget = connection_limits->links;
+    limits.max_queued_bytes = connection_limits->limits.link_bytes;
     limits.listen = connection_limits->limits.link_listen;
     limits.on_limit = connection_limits->Reporter("link");
     return limits;
--- a/tests/cell/link_limits_test.cc
+++ b/tests/cell/link_limits_test.cc
@@ -158,5 +158,43 @@
   CHECK_FALSE(service.Has("closed quiet: the limits of links are exceeded"));
 }
 
+// Guards against peers that call and do not read: what waited for each was limited, at 8 MB, and
+// not what waited for all.
+TEST_CASE("link: too much that waits closes the peer that does not read, and not the others") {
+  constexpr std::size_t kPayloadBytes = 60000;
+  LinkLimits limits;
+  limits.max_queued_bytes = 4 * kPayloadBytes;
+  limits.listen = ListenOptions{4096, 4096, 16};
+  Service service(limits);
+  const auto unread = service.Connect(HelloFrame("unread"));
+  const auto reader = service.Connect(HelloFrame("reader"));
+  REQUIRE(service.Await("open unread"));
+  REQUIRE(service.Await("open reader"));
+  schema::LinkMessage ping;
+  ping.mutable_ping()->set_period_ms(100);
+  const std::string ping_text = ping.SerializeAsString();
+  boost::system::error_code error;
+  std::string received(kPayloadBytes, '\0');
+  reader->non_blocking(true);
+  for (int i = 0; i < 1000 && !service.Has("limit link-unread"); ++i) {
+    service.runtime->Post([&service] {
+      schema::LinkMessage message;
+      message.mutable_submit()->mutable_spec()->set_payload(std::string(kPayloadBytes, 'x'));
+      service.service->ForEach([&message](const LinkPtr& link) { link->Send(message); });
+    });
+    // Neither peer is silent.
+    for (Tcp::socket* socket : {unread.get(), reader.get()}) {
+      asio::write(*socket, asio::buffer(Frame(ping_text, ping_text.size())), error);
+    }
+    for (int read = 0; read < 100; ++read) {
+      if (reader->read_some(asio::buffer(received), error) == 0) {
+        std::this_thread::sleep_for(200us);
+      }
+    }
+  }
+  CHECK(service.Await("closed unread: the limits of links are exceeded"));
+  CHECK_FALSE(service.Has("closed reader: the limits of links are exceeded"));
+}
+
 }  // namespace
 }  // namespace citronsill
--- a/tests/hostile/main.cc
+++ b/tests/hostile/main.cc
@@ -135,6 +135,16 @@
   return body + "]}";
 }
 
+// A whole message between instances.
+std::string LinkFrame(const schema::LinkMessage& message) {
+  const std::string body = message.SerializeAsString();
+  std::string frame;
+  for (int shift = 24; shift >= 0; shift -= 8) {
+    frame.push_back(static_cast<char>(body.size() >> static_cast<unsigned>(shift)));
+  }
+  return frame + body;
+}
+
 constexpr const char* kOrdinaryJob = R"({"spec":"x","steps":[{"count":1,"cpu":100,"memMb":16}]})";
 
 class Crowd {
@@ -441,6 +451,19 @@
          crowd.Connect(kLinkClients, frame);
          crowd.SendInTurn(std::string(kPieceBytes, 'x'), kLinkFrameBytes - kPieceBytes);
        }},
+      // Peers that say who they are, make calls and do not read the answers.
+      {"unread-calls",
+       [](Crowd& crowd) {
+         schema::LinkMessage hello;
+         hello.mutable_hello()->set_instance("n-7");
+         schema::LinkMessage call;
+         call.mutable_state()->set_id("00000000000000aa");
+         call.set_call(1);
+         std::string calls;
+         while (calls.size() < kPieceBytes) calls += LinkFrame(call);
+         crowd.Connect(kLinkClients, LinkFrame(hello), kSmallReceiveBuffer);
+         crowd.SendInTurn(calls, kLinkFrameBytes / 2);
+       }},
       // New connections to a stopped process, each with a trailer line without end.
       {"stopped-new",
        [](Crowd& crowd) {
--- a/tests/hostile_clients_test.sh
+++ b/tests/hostile_clients_test.sh
@@ -108,7 +108,7 @@
 for crowd in trailers extension half-bodies idle; do
   run "readiness-$crowd" 200 platform "" $crowd "$ready" "$ready" /
 done
-for crowd in idle half-frames; do
+for crowd in idle half-frames unread-calls; do
   run "link-$crowd" 200 platform "" $crowd "$link" "$caller" /short/
 done
 # Settings that do not say what the machine has, and the memory of the smallest machine.
