--- a/cell/connection_limits.cc
+++ b/cell/connection_limits.cc
@@ -41,10 +41,11 @@
 constexpr std::size_t kMaxReceiveBufferBytes = 64U << 10;
 // Send buffer of a connection of an HTTP client. Answers to callers are smaller.
 constexpr std::size_t kSendBufferBytes = 4U << 10;
-// The receive buffer of a link, of which a scheduler has one from each instance of a cell. Its send
-// buffer has the largest size of these: more would only wait there for the peer's receive buffer.
+// The receive buffer of a link, of which a scheduler has one from each instance of a cell.
 constexpr std::size_t kLinkReceiveBufferPart = 12288;
 constexpr std::size_t kMaxLinkReceiveBufferBytes = 16U << 10;
+// More than the receive buffer of the peer would only wait there.
+constexpr std::size_t kLinkSendBufferBytes = kMaxLinkReceiveBufferBytes;
 // Interval of the log lines about limits that were exceeded.
 constexpr std::chrono::milliseconds kReportPeriod{1000};
 
@@ -74,7 +75,7 @@
   limits.service_listen = {kMinReceiveBufferBytes, kSendBufferBytes, kMaxPendingServices};
   limits.link_listen.receive_buffer_bytes = std::clamp(
       spare_bytes / kLinkReceiveBufferPart, kMinReceiveBufferBytes, kMaxLinkReceiveBufferBytes);
-  limits.link_listen.send_buffer_bytes = kMaxLinkReceiveBufferBytes;
+  limits.link_listen.send_buffer_bytes = kLinkSendBufferBytes;
   limits.link_listen.max_pending = kMaxPendingLinks;
   const std::size_t budget_bytes = spare_bytes - std::min(spare_bytes, PendingBytes(limits));
   limits.connection_bytes = budget_bytes / kBudgetParts * kConnectionParts;
--- a/include/citronsill/connection_budget.h
+++ b/include/citronsill/connection_budget.h
@@ -61,9 +61,8 @@
 ///
 /// While the connections hold more than `max_bytes`, or a group has more than its maximum,
 /// connections are evicted: first those that were refused before, then those whose clients have
-/// left, then the idle one that has been
-/// idle longest, then the slow one whose request began first, then the one whose answer is unread
-/// longest, then the one that holds most bytes.
+/// left, then the idle one that has been idle longest, then the slow one whose request began first,
+/// then the one whose answer is unread longest, then the one that holds most bytes.
 class ConnectionBudget : public std::enable_shared_from_this<ConnectionBudget> {
  public:
   using OnEvict = std::function<void(const Eviction&)>;
--- a/tests/cell/connection_budget_test.cc
+++ b/tests/cell/connection_budget_test.cc
@@ -268,7 +268,7 @@
       R"("link_address":"127.0.0.1:2","store_address":"127.0.0.1:3")";
   const auto file = ParseNodeSettings(
       text + R"(,"memory_mb":120,"max_descriptors":3075,"connection_budget_mb":7,"max_links":5,)"
-             R"("max_caller_connections":33,"slow_connection_ms":500})",
+             R"("max_caller_connections":33,"slow_connection_ms":500,"job_budget_mb":9})",
       "test");
   REQUIRE(file);
   const ProcessLimits limits = WorkOutLimits(file.value().node.limits);
@@ -276,8 +276,10 @@
   CHECK(limits.max_links == 5);
   CHECK(limits.max_caller_connections == 33);
   CHECK(file.value().node.limits.slow_connection == 500ms);
-  for (const char* wrong : {R"("memory_mb":0)", R"("memory_mb":1.5)", R"("max_descriptors":"many")",
-                            R"("max_answer_mb":-1)", R"("slow_connection_ms":0)"}) {
+  CHECK(file.value().node.limits.job_budget_mb == 9);
+  for (const char* wrong :
+       {R"("memory_mb":0)", R"("memory_mb":1.5)", R"("max_descriptors":"many")",
+        R"("max_answer_mb":-1)", R"("slow_connection_ms":0)", R"("job_budget_mb":0)"}) {
     CAPTURE(wrong);
     CHECK_FALSE(ParseNodeSettings(text + "," + wrong + "}", "test"));
   }
--- a/tests/hostile_clients_test.sh
+++ b/tests/hostile_clients_test.sh
@@ -3,8 +3,8 @@
 # stand-in of the store. Guards against a process that such a client or server ends by memory, or whose callers get no
 # answers any more because of it. Cases run one after the other, each against a process of its own. Checked is only what
 # does not depend on the speed of the machine: the process lives, its resident memory with the bytes that the kernel
-# holds for it, received and unread or sent and not taken, and its open descriptors stayed under the bound, and an ordinary request is answered while the
-# crowd is still connected. Prints "ok NAME" or "not ok NAME" for each case.
+# holds for it, received and unread or sent and not taken, and its open descriptors stayed under the bound, and an
+# ordinary request is answered while the crowd is still connected. Prints "ok NAME" or "not ok NAME" for each case.
 #   tests/hostile_clients_test.sh [CASE...]   only these cases, such as "ingress-trailers"
 set -uo pipefail
 cd "$(dirname "$0")/.."
