Log the size of configurations, copies between instances and cut-off answers

The record shows links that are full for 10 to 30 s after a change, and cannot tell which copies of the configuration fill them. New: size in `config`, `config-sent`, `config-not-needed`, `store-probe-failed`, and the bytes that had arrived in the error of a call that timed out.

--- a/cell/node.cc
+++ b/cell/node.cc
@@ -186,6 +186,7 @@
     Log(LogLevel::kInfo, "config")
         .Field("version", config->version)
         .Field("source", source)
+        .Field("bytes", config->text.size())
         .Field("queues", config->queues.size())
         .Field("customers", config->customers->Customers().size())
         .Field("keys", config->customers->KeyCount())
@@ -274,6 +275,12 @@
       if (config_pushes.IsDue(link.get(), config->version, ping.reaches_store(), may_be_old)) {
         schema::LinkMessage message;
         *message.mutable_config() = MakeConfigPush(*config);
+        Log(LogLevel::kInfo, "config-sent")
+            .Field("peer", link->Peer().instance())
+            .Field("version", config->version)
+            .Field("bytes", message.config().text().size())
+            .Field("peer_version", ping.config_version())
+            .Field("peer_reaches_store", ping.reaches_store());
         link->Send(std::move(message));
       }
     }
@@ -282,7 +289,14 @@
 
   void OnMessage(const LinkPtr& link, const schema::LinkMessage& message) {
     if (message.has_config()) {
-      if (config && message.config().version() <= config->version) return;
+      if (config && message.config().version() <= config->version) {
+        Log(LogLevel::kInfo, "config-not-needed")
+            .Field("peer", link->Peer().instance())
+            .Field("version", message.config().version())
+            .Field("bytes", message.config().text().size())
+            .Field("current", config->version);
+        return;
+      }
       return ApplyConfig(ReadConfigPush(platform.read_config, message.config()),
                          link->Peer().instance());
     }
--- a/cell/relay.cc
+++ b/cell/relay.cc
@@ -130,7 +130,8 @@
     if (!*alive) return;
     m_probing = false;
     m_next_probe = m_now() + kOwnPathRetry;
-    if (result) RecordOwnPathResult(true);
+    if (result) return RecordOwnPathResult(true);
+    Log(LogLevel::kWarn, "store-probe-failed").Field("reason", result.error());
   });
 }
 
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -83,6 +83,7 @@
     std::optional<Call> call;
     bool fresh = true;  // No response was received on it yet.
     bool timed_out = false;
+    std::size_t received_bytes = 0;  // Of the answer to the current call.
     // Bytes of the header, of chunk extensions and of trailers that the parser has taken.
     std::size_t header_bytes = 0;
     std::function<void(std::uint64_t, std::string_view, error_code&)> on_chunk_header;
@@ -175,6 +176,7 @@
     connection->parser.emplace();
     connection->parser->body_limit(options.max_answer_bytes);
     connection->header_bytes = 0;
+    connection->received_bytes = 0;
     connection->stream->Write(asio::buffer(connection->out),
                               [self = shared_from_this(), connection](error_code error) {
                                 if (error) return self->Fail(connection, error, "sending to ");
@@ -199,6 +201,7 @@
     if (connection->evicted) return Fail(connection, {}, kOverBudget);
     if (error) return Fail(connection, error, "no answer from ");
     connection->buffer.commit(bytes);
+    connection->received_bytes += bytes;
     if (!Parse(connection, &error)) {
       if (error == http::error::body_limit) ReportLimit("body");
       if (error == http::error::header_limit) ReportLimit("header");
@@ -308,9 +311,12 @@
     connection->parser.reset();
     if (error == error_code{}) error = http::error::body_limit;
     const auto code = connection->timed_out ? schema::CODE_TIMEOUT : schema::CODE_CONNECTION_CLOSED;
-    Release(connection,
-            Error{code, context + options.address + ": " +
-                            (connection->timed_out ? std::string("timed out") : error.message())});
+    std::string message = context + options.address + ": " +
+                          (connection->timed_out ? std::string("timed out") : error.message());
+    if (connection->received_bytes > 0) {
+      message += " after " + std::to_string(connection->received_bytes) + " bytes of the answer";
+    }
+    Release(connection, Error{code, std::move(message)});
   }
 
   // Completes the call of a connection and starts the next waiting call.
