Do not cut off or repeat an answer of the store that is arriving

Cause: one time-out said both how long the store may stay silent and how long a transfer may take. A change feed had 1.7 s for its whole answer, a repeated read 1 s. Over a link of 10 Mbit/s a configuration of 4,240 routes takes 0.85 s when it is alone; beside one other copy it was cut off, transferred again, and again beside the read that was still going on.

Change: calls "in parts" must begin to be answered within the time-out, and may then go on while parts keep arriving, each within 0.7 s, 30 s in all. A table is not requested again while it is arriving, and a path over which an answer is arriving counts as working. A store that falls silent is noticed as soon as before: before an answer begins the time-outs are the old ones, and one that stops in the middle is given up after 0.7 s.

--- a/cell/follower.cc
+++ b/cell/follower.cc
@@ -1,6 +1,7 @@
 #include "cell/follower.h"
 
 #include <algorithm>
+#include <optional>
 #include <string_view>
 
 #include "cell/limits.h"
@@ -22,8 +23,8 @@
         table(std::move(table_name)),
         part(std::move(part_name)),
         hooks(std::move(follower_hooks)),
-        reader(row_store, RowRange{table, part, "", "", kMaxRowsPerRead}, hooks.after,
-               hooks.random) {}
+        reader(row_store, RowRange{table, part, "", "", kMaxRowsPerRead}, hooks.after, hooks.random,
+               [this] { OnPart(); }) {}
 
   RowStore* store;
   std::string table;
@@ -38,7 +39,9 @@
   const char* call = "none";
   SteadyTime call_began = hooks.now();
   std::uint32_t failures = 0;
-  std::uint64_t pauses = 0;  // Number of the last pause before a read.
+  std::uint64_t pauses = 0;                  // Number of the last pause before a read.
+  std::optional<SteadyTime> arriving_since;  // When the answer to the call began to arrive.
+  SteadyTime last_part{};
   bool loaded = false;
   bool failing = false;
   bool stopped = false;
@@ -46,6 +49,17 @@
   void BeginCall(const char* name) {
     call = name;
     call_began = hooks.now();
+    arriving_since.reset();
+  }
+
+  void OnPart() {
+    last_part = hooks.now();
+    if (!arriving_since) arriving_since = last_part;
+  }
+
+  [[nodiscard]] bool IsArriving() const {
+    return arriving_since && Since(last_part) <= kMaxPartGap &&
+           Since(*arriving_since) <= kMaxArrivalReport;
   }
 
   [[nodiscard]] milliseconds Since(SteadyTime time) const {
@@ -53,7 +67,7 @@
   }
 
   [[nodiscard]] FollowerStatus Status() const {
-    return {version, Since(heard), call, Since(call_began), failures};
+    return {version, Since(heard), call, Since(call_began), failures, IsArriving()};
   }
 
   void Load() {
@@ -88,7 +102,9 @@
   void Follow(milliseconds wait) {
     BeginCall("feed");
     feed_wait = wait;
-    store->Follow(table, version, wait, [self = shared_from_this()](const Result<RowPage>& page) {
+    const auto self = shared_from_this();
+    const auto count_part = [self] { self->OnPart(); };
+    store->FollowInParts(table, version, wait, count_part, [self](const Result<RowPage>& page) {
       if (self->stopped) return;
       if (page) return self->OnChanges(page.value());
       if (page.error().code != schema::CODE_NOT_FOUND) {
--- a/cell/follower.h
+++ b/cell/follower.h
@@ -34,6 +34,8 @@
   const char* call = "";       ///< "read", "feed" or, between two attempts, "none".
   milliseconds call_age{0};    ///< How long this call or the pause has lasted.
   std::uint32_t failures = 0;  ///< Calls that failed since the last one that was answered.
+  /// A large answer to this call is arriving. Not reported for longer than `kMaxArrivalReport`.
+  bool is_arriving = false;
 };
 
 /// Follows the rows of one part of a table.
--- a/cell/limits.h
+++ b/cell/limits.h
@@ -389,6 +389,11 @@
 inline constexpr std::chrono::milliseconds kFeedWait{1000};
 // The same right after a read that took longer than the wait.
 inline constexpr std::chrono::milliseconds kFirstFeedWait{1};
+// An answer that is arriving has stopped when no part of it has come for this long.
+inline constexpr std::chrono::milliseconds kMaxPartGap{700};
+// An answer that takes longer than this is not reported as arriving any more, so that peers send
+// the configuration. It is the shortest time that the platform allows for a change.
+inline constexpr std::chrono::milliseconds kMaxArrivalReport{2000};
 inline constexpr std::chrono::milliseconds kFollowRetryMin{100};
 inline constexpr std::chrono::milliseconds kFollowRetryMax{500};
 // Instances that lost the history of changes read it anew at random times within this period, not
--- a/cell/relay.cc
+++ b/cell/relay.cc
@@ -322,27 +322,44 @@
 }
 
 void RelayedStore::Read(RowRange range, milliseconds timeout, ReadDone done) {
+  ReadInParts(std::move(range), timeout, nullptr, std::move(done));
+}
+
+OnAnswerPart RelayedStore::CountParts(OnAnswerPart on_part) {
+  return [this, alive = m_alive, on_part = std::move(on_part)] {
+    if (!*alive) return;
+    RecordOwnPathResult(true);
+    if (on_part) on_part();
+  };
+}
+
+void RelayedStore::ReadInParts(RowRange range, milliseconds timeout, OnAnswerPart on_part,
+                               ReadDone done) {
   std::vector<LinkPtr> links;
   if (!OwnPathWorks() && IsRelayed(range.table)) links = PickLinks();
-  if (links.empty()) return ReadOwn(std::move(range), timeout, std::move(done));
+  if (links.empty()) {
+    return ReadOwn(std::move(range), timeout, std::move(on_part), std::move(done));
+  }
   const SteadyTime began = m_now();
   ReadRelayed(std::move(links), range, timeout,
-              [this, alive = m_alive, range, timeout, began,
+              [this, alive = m_alive, range, timeout, began, on_part = std::move(on_part),
                done = std::move(done)](const Result<RowPage>& result) {
                 if (!*alive) return;
                 const milliseconds remaining = RemainingAfter(began, timeout);
                 if (!IsRefused(result) || remaining <= milliseconds(0)) return done(result);
-                ReadOwn(range, remaining, done);
+                ReadOwn(range, remaining, on_part, done);
               });
 }
 
-void RelayedStore::ReadOwn(RowRange range, milliseconds timeout, ReadDone done) {
-  m_own->Read(std::move(range), timeout,
-              [this, alive = m_alive, done = std::move(done)](const Result<RowPage>& result) {
-                if (!*alive) return;
-                RecordOwnPathResult(result.has_value());
-                done(result);
-              });
+void RelayedStore::ReadOwn(RowRange range, milliseconds timeout, OnAnswerPart on_part,
+                           ReadDone done) {
+  auto finish = [this, alive = m_alive, done = std::move(done)](const Result<RowPage>& result) {
+    if (!*alive) return;
+    RecordOwnPathResult(result.has_value());
+    done(result);
+  };
+  if (!on_part) return m_own->Read(std::move(range), timeout, std::move(finish));
+  m_own->ReadInParts(std::move(range), timeout, CountParts(std::move(on_part)), std::move(finish));
 }
 
 void RelayedStore::ReadRelayed(std::vector<LinkPtr> links, const RowRange& range,
@@ -359,13 +376,19 @@
 
 void RelayedStore::Follow(std::string table, std::uint64_t after, milliseconds wait,
                           std::function<void(Result<RowPage>)> done) {
-  m_own->Follow(std::move(table), after, wait,
-                [this, alive = m_alive, done = std::move(done)](const Result<RowPage>& result) {
-                  if (!*alive) return;
-                  const bool served = result || result.error().code == schema::CODE_NOT_FOUND;
-                  RecordOwnPathResult(served);
-                  done(result);
-                });
+  FollowInParts(std::move(table), after, wait, nullptr, std::move(done));
+}
+
+void RelayedStore::FollowInParts(std::string table, std::uint64_t after, milliseconds wait,
+                                 OnAnswerPart on_part, std::function<void(Result<RowPage>)> done) {
+  m_own->FollowInParts(
+      std::move(table), after, wait, CountParts(std::move(on_part)),
+      [this, alive = m_alive, done = std::move(done)](const Result<RowPage>& result) {
+        if (!*alive) return;
+        const bool served = result || result.error().code == schema::CODE_NOT_FOUND;
+        RecordOwnPathResult(served);
+        done(result);
+      });
 }
 
 void RelayedStore::Serve(const LinkPtr& link, const schema::LinkMessage& message) {
--- a/cell/relay.h
+++ b/cell/relay.h
@@ -39,6 +39,11 @@
   void Follow(std::string table, std::uint64_t after, milliseconds wait,
               std::function<void(Result<RowPage>)> done) override;
 
+  void ReadInParts(RowRange range, milliseconds timeout, OnAnswerPart on_part,
+                   std::function<void(Result<RowPage>)> done) override;
+  void FollowInParts(std::string table, std::uint64_t after, milliseconds wait,
+                     OnAnswerPart on_part, std::function<void(Result<RowPage>)> done) override;
+
   /// Checks whether the own connection works again. To be called periodically.
   void Tick();
 
@@ -75,7 +80,9 @@
                      std::size_t max_copies, milliseconds timeout, CommitDone done);
   void CommitBoth(std::vector<LinkPtr> links, RowTransaction transaction, milliseconds timeout,
                   CommitDone done);
-  void ReadOwn(RowRange range, milliseconds timeout, ReadDone done);
+  void ReadOwn(RowRange range, milliseconds timeout, OnAnswerPart on_part, ReadDone done);
+  // An answer that is arriving shows that the own path works.
+  OnAnswerPart CountParts(OnAnswerPart on_part);
   void ReadRelayed(std::vector<LinkPtr> links, const RowRange& range, milliseconds timeout,
                    ReadDone done);
   void LogFirstPeer(const LinkPtr& link);
--- a/cell/store.h
+++ b/cell/store.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cell/types.h"
@@ -62,7 +63,11 @@
   std::uint64_t version = 0;  ///< Latest version of the store at the time of the read.
 };
 
-/// Asynchronous row store. Every call completes within its timeout.
+/// Called when a part of an answer has arrived which is no error, and more of it follows.
+using OnAnswerPart = std::function<void()>;
+
+/// Asynchronous row store. Every call completes within its timeout; one "in parts" begins to be
+/// answered within it, and goes on while its answer keeps arriving.
 class RowStore {
  public:
   virtual ~RowStore() = default;
@@ -85,6 +90,20 @@
   /// the store does not go back to `after`; CODE_TABLE_UNAVAILABLE; CODE_MALFORMED as for `Read`.
   virtual void Follow(std::string table, std::uint64_t after, milliseconds wait,
                       std::function<void(Result<RowPage>)> done) = 0;
+
+  /// As `Read`, for rows that may take long to arrive over a slow link.
+  /// @param on_part may be called while the answer arrives; not after `done`.
+  virtual void ReadInParts(RowRange range, milliseconds timeout, OnAnswerPart /*on_part*/,
+                           std::function<void(Result<RowPage>)> done) {
+    Read(std::move(range), timeout, std::move(done));
+  }
+
+  /// As `Follow`, for changes that may take long to arrive over a slow link.
+  /// @param on_part as for `ReadInParts`.
+  virtual void FollowInParts(std::string table, std::uint64_t after, milliseconds wait,
+                             OnAnswerPart /*on_part*/, std::function<void(Result<RowPage>)> done) {
+    Follow(std::move(table), after, wait, std::move(done));
+  }
 };
 
 }  // namespace citronsill
--- a/cell/table_reader.h
+++ b/cell/table_reader.h
@@ -8,14 +8,17 @@
 
 namespace citronsill {
 
-/// Reads all rows of a range, page by page. The request for a page may take up to
-/// `kMaxTableReadTimeout`, because the store or the network may be slow. Meanwhile the page is
-/// requested again, at the latest after `kMaxReadRepeat`, because the request may be lost: the
-/// first answer counts, and a store that answers again is noticed within that time.
+/// Reads all rows of a range, page by page. The answer to the request for a page may take up to
+/// `kMaxTableReadTimeout` to begin, because the store may be slow. Meanwhile the page is requested
+/// again, at the latest after `kMaxReadRepeat`, because the request may be lost: the first answer
+/// counts, and a store that answers again is noticed within that time. While an answer is arriving,
+/// the page is not requested again: that would only slow the transfer down.
 class TableReader {
  public:
   /// @param store must outlive the reader.
-  TableReader(RowStore* store, RowRange range, DelayHook after, RandomHook random);
+  /// @param on_part called when a part of an answer has arrived; may be empty.
+  TableReader(RowStore* store, RowRange range, DelayHook after, RandomHook random,
+              OnAnswerPart on_part = nullptr);
   ~TableReader();
   TableReader(const TableReader&) = delete;
   TableReader& operator=(const TableReader&) = delete;
@@ -26,7 +29,8 @@
   /// failed, the last error of `RowStore::Read`.
   void Read(std::function<void(Result<RowPage>)> done);
 
-  /// Requests the current page of a read in progress again at once: the store is known to answer.
+  /// Requests the current page of a read in progress again at once, unless it is arriving: the
+  /// store is known to answer.
   void RepeatNow();
 
  private:
--- a/include/citronsill/config.h
+++ b/include/citronsill/config.h
@@ -12,6 +12,8 @@
 inline constexpr std::size_t kMaxHttpHeaderBytes = 8U << 10;
 // Responses of the table service may contain many rows.
 inline constexpr std::size_t kMaxHttpAnswerBytes = 64U << 20;
+// An answer that keeps arriving may take this long.
+inline constexpr std::chrono::milliseconds kMaxHttpAnswerTime{30000};
 inline constexpr std::size_t kMaxPeerFrameBytes = 1U << 20;
 inline constexpr int kMaxJsonDepth = 32;
 
--- a/include/citronsill/http.h
+++ b/include/citronsill/http.h
@@ -163,6 +163,16 @@
   HttpOnLimit on_limit;  ///< May be empty.
 };
 
+/// How long a call with a large answer may take: how long the server may stay silent does not say
+/// how long a transfer lasts that goes on. All in all, an answer has `kMaxHttpAnswerTime`.
+struct HttpCallTime {
+  std::chrono::milliseconds first{0};  ///< From the call until the answer begins to arrive.
+  std::chrono::milliseconds pause{0};  ///< Then between two parts of it.
+  /// Called when a part of an answer with a status of success has arrived, and more of it follows.
+  /// May be empty.
+  std::function<void()> on_part;
+};
+
 /// A pool of connections to one address. Every call has a deadline; a connection whose call missed
 /// it is closed and not reused, and neither are those that have not been used since that call was
 /// made: they may have fallen silent together.
@@ -179,6 +189,8 @@
   /// CODE_PEER_UNREACHABLE: then nothing was sent.
   void Send(HttpRequest request, std::chrono::milliseconds timeout,
             std::function<void(Result<HttpResponse>)> done);
+  /// The same for a call whose answer may take longer than the server may stay silent.
+  void Send(HttpRequest request, HttpCallTime time, std::function<void(Result<HttpResponse>)> done);
 
  private:
   struct Impl;
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -34,6 +34,9 @@
   SteadyTime made;
   SteadyTime deadline;
   std::function<void(Result<HttpResponse>)> done;
+  // Extends the deadline with each part of the answer; 0 if the whole answer is due by it.
+  std::chrono::milliseconds pause{0};
+  std::function<void()> on_part;
 };
 
 std::string Serialize(const HttpRequest& request, const std::string& address) {
@@ -209,11 +212,25 @@
     }
     if (!connection->parser->is_done()) {
       if (!Hold(connection)) return Fail(connection, {}, kOverBudget);
+      OnPart(connection);
       return Read(connection);
     }
     FinishCall(connection, connection->parser->get().keep_alive());
   }
 
+  // A part of an answer has arrived, and more of it follows.
+  void OnPart(const ConnectionPtr& connection) {
+    Call& call = *connection->call;
+    if (call.pause == std::chrono::milliseconds(0)) return;
+    call.deadline =
+        std::min(std::chrono::steady_clock::now() + call.pause, call.made + kMaxHttpAnswerTime);
+    ScheduleTimer(call.deadline);
+    const auto& parser = *connection->parser;
+    if (!call.on_part || !parser.is_header_done()) return;
+    if (http::to_status_class(parser.get().result()) != http::status_class::successful) return;
+    RunGuarded("http-part", call.on_part);
+  }
+
   // @returns false when the answer is not to be read further; `error` then says why.
   static bool Parse(const ConnectionPtr& connection, error_code* error) {
     auto& parser = *connection->parser;
@@ -414,8 +431,14 @@
 
 void HttpClient::Send(HttpRequest request, std::chrono::milliseconds timeout,
                       std::function<void(Result<HttpResponse>)> done) {
+  Send(std::move(request), HttpCallTime{timeout, {}, {}}, std::move(done));
+}
+
+void HttpClient::Send(HttpRequest request, HttpCallTime time,
+                      std::function<void(Result<HttpResponse>)> done) {
   const SteadyTime now = std::chrono::steady_clock::now();
-  Call call{std::move(request), now, now + timeout, std::move(done)};
+  Call call{std::move(request), now,        now + time.first,
+            std::move(done),    time.pause, std::move(time.on_part)};
   asio::dispatch(m_impl->strand, [impl = m_impl, call = std::move(call)]() mutable {
     impl->Send(std::move(call));
   });
