Send a configuration over a link once, and not beside an answer of the store

Cause: an instance that had a new version sent it to each peer whose ping named an older one, 0.2 s after the change and then once a second, although the peer was receiving it from the store, or the copy before was still on its way over the same link.

Change: a ping says whether an answer of the store about the configuration is arriving, for 2 s at most; such a peer gets no copy. Each version goes over a link once: a link delivers in order or is closed, and a new link starts anew.

The case in 'config push: a peer that reaches the store is left time ...' that demanded a repetition after 1 s was wrong: it is replaced by 'config push: each version goes over a link once ...', which demands the copy on each link and on each new one. Pings of earlier versions lack the field, which reads as not receiving: they get a copy as before, once.

--- a/cell/limits.h
+++ b/cell/limits.h
@@ -484,9 +484,8 @@
 // themselves.
 inline constexpr std::size_t kMaxSuccessors = 16;
 // An instance that reaches the store gets a new configuration from a peer after this time, in which
-// it usually reads it itself, and again after the second time.
+// the store usually begins to send it.
 inline constexpr std::chrono::milliseconds kConfigPushAfter{200};
-inline constexpr std::chrono::milliseconds kConfigPushRepeat{1000};
 // An instance without a configuration gets one that may be old only after this time, in which it
 // reads the store twice if that answers.
 inline constexpr std::chrono::milliseconds kOldConfigPushAfter{1000};
--- a/cell/node.cc
+++ b/cell/node.cc
@@ -239,6 +239,7 @@
     schema::Ping ping;
     if (config) ping.set_config_version(config->version);
     ping.set_reaches_store(store->OwnPathWorks());
+    ping.set_receives_config(ConfigStatus().is_arriving);
     ping.set_may_lead(MayLead());
     for (const auto& shard : shards) {
       shard->AddToPing(link, &ping);
@@ -272,7 +273,8 @@
     if (config && ping.config_version() < config->version) {
       // To a peer that has none yet, an old configuration would bring withdrawn keys back.
       const bool may_be_old = ping.config_version() == 0 && !store->OwnPathWorks();
-      if (config_pushes.IsDue(link.get(), config->version, ping.reaches_store(), may_be_old)) {
+      const ConfigPushes::Peer peer{ping.reaches_store(), ping.receives_config(), may_be_old};
+      if (config_pushes.IsDue(link.get(), config->version, peer)) {
         schema::LinkMessage message;
         *message.mutable_config() = MakeConfigPush(*config);
         Log(LogLevel::kInfo, "config-sent")
--- a/cell/succession.cc
+++ b/cell/succession.cc
@@ -62,18 +62,15 @@
   return is_successor ? kPingPeriod : kUnlistedPingPeriod;
 }
 
-bool ConfigPushes::IsDue(const void* peer, std::uint64_t version, bool peer_reaches_store,
-                         bool may_be_old) {
+bool ConfigPushes::IsDue(const void* link, std::uint64_t version, const Peer& peer) {
+  if (peer.is_receiving) return false;
   const SteadyTime now = m_now();
-  if (peer_reaches_store && now < m_changed_at + kConfigPushAfter) return false;
-  if (peer_reaches_store && may_be_old) {
-    const SteadyTime since = m_reading.try_emplace(peer, now).first->second;
+  if (peer.reaches_store && now < m_changed_at + kConfigPushAfter) return false;
+  if (peer.reaches_store && peer.may_be_old) {
+    const SteadyTime since = m_reading.try_emplace(link, now).first->second;
     if (now < since + kOldConfigPushAfter) return false;
   }
-  Push& push = m_pushed[peer];
-  if (push.version == version && now < push.at + kConfigPushRepeat) return false;
-  push = {version, now};
-  return true;
+  return std::exchange(m_pushed[link], version) != version;
 }
 
 }  // namespace citronsill
--- a/cell/succession.h
+++ b/cell/succession.h
@@ -59,38 +59,40 @@
 /// Decides when a peer that has an older configuration is sent the current one.
 ///
 /// All instances read changes from the store at about the same time. A push helps those that do not
-/// reach it; for the others it would only fill the sender's link, with a large configuration for
-/// more than a second.
+/// reach it; for the others it would only fill both links, with a large configuration for more than
+/// a second. A link delivers what it was given, so each version goes over it once.
 class ConfigPushes {
  public:
+  /// What a peer with an older configuration says in its ping.
+  struct Peer {
+    bool reaches_store = false;
+    bool is_receiving = false;  ///< An answer of the store about the configuration is arriving.
+    /// The store may have a newer one than this instance: a peer that reaches the store is left
+    /// more time to read that.
+    bool may_be_old = false;
+  };
+
   explicit ConfigPushes(Clock now) : m_now(std::move(now)) {}
 
   /// To be called when the configuration of this instance has changed.
   void OnChange() { m_changed_at = m_now(); }
 
   /// A ping of a peer with an older configuration has arrived.
+  /// @param link identifies the link to the peer.
   /// @param version current configuration of this instance.
-  /// @param may_be_old whether the store may have a newer one: a peer that reaches the store is
-  /// left more time to read that.
   /// @returns whether to send it to the peer now.
-  bool IsDue(const void* peer, std::uint64_t version, bool peer_reaches_store,
-             bool may_be_old = false);
+  bool IsDue(const void* link, std::uint64_t version, const Peer& peer);
 
   /// The link to a peer was closed.
-  void Forget(const void* peer) {
-    m_pushed.erase(peer);
-    m_reading.erase(peer);
+  void Forget(const void* link) {
+    m_pushed.erase(link);
+    m_reading.erase(link);
   }
 
  private:
-  struct Push {
-    std::uint64_t version = 0;
-    SteadyTime at;
-  };
-
   Clock m_now;
   SteadyTime m_changed_at{};
-  std::unordered_map<const void*, Push> m_pushed;
+  std::unordered_map<const void*, std::uint64_t> m_pushed;  // Last version sent over a link.
   // When peers that were left time to read the store first asked.
   std::unordered_map<const void*, SteadyTime> m_reading;
 };
--- a/tests/cell/control_cost_test.cc
+++ b/tests/cell/control_cost_test.cc
@@ -95,14 +95,36 @@
   int peer = 0;
   int cut_off = 0;
   pushes.OnChange();
-  CHECK_FALSE(pushes.IsDue(&peer, 7, true));
-  CHECK(pushes.IsDue(&cut_off, 7, false));
-  CHECK_FALSE(pushes.IsDue(&cut_off, 7, false));
+  CHECK_FALSE(pushes.IsDue(&peer, 7, {true}));
+  CHECK(pushes.IsDue(&cut_off, 7, {false}));
   now += kConfigPushAfter;
-  CHECK(pushes.IsDue(&peer, 7, true));
-  CHECK_FALSE(pushes.IsDue(&peer, 7, true));
-  now += kConfigPushRepeat;
-  CHECK(pushes.IsDue(&peer, 7, true));
+  CHECK(pushes.IsDue(&peer, 7, {true}));
+}
+
+// Guards against copies that fill the link of a peer which is receiving the configuration, or has
+// it on its way over the same link (issue 62).
+TEST_CASE(
+    "config push: each version goes over a link once, and not beside an answer of the store") {
+  SteadyTime now{std::chrono::hours(1)};
+  ConfigPushes pushes([&now] { return now; });
+  int link = 0;
+  int other = 0;
+  pushes.OnChange();
+  now += kConfigPushAfter;
+  for (int ping = 0; ping < 100; ++ping, now += kPingPeriod) {
+    CHECK_FALSE(pushes.IsDue(&link, 7, {true, true}));
+    CHECK_FALSE(pushes.IsDue(&link, 7, {false, true}));
+  }
+  CHECK(pushes.IsDue(&link, 7, {true}));
+  for (int ping = 0; ping < 100; ++ping, now += kPingPeriod) {
+    CHECK_FALSE(pushes.IsDue(&link, 7, {true}));
+    CHECK_FALSE(pushes.IsDue(&link, 7, {false}));
+  }
+  // Each link gets it, and so does a link that takes the place of a closed one.
+  CHECK(pushes.IsDue(&other, 7, {true}));
+  CHECK(pushes.IsDue(&link, 8, {true}));
+  pushes.Forget(&link);
+  CHECK(pushes.IsDue(&link, 8, {true}));
 }
 
 WorkerDescription MakeWorker(int number) {
--- a/tests/cell/customers_test.cc
+++ b/tests/cell/customers_test.cc
@@ -339,7 +339,9 @@
     const std::uint64_t version = peer.config ? peer.config->version : 0;
     if (!own.config || version >= own.config->version) return;
     const bool may_be_old = version == 0 && !own.relayed->OwnPathWorks();
-    if (!own.pushes->IsDue(&peer, own.config->version, peer.relayed->OwnPathWorks(), may_be_old)) {
+    const bool is_receiving = peer.follower->Status().is_arriving;
+    if (!own.pushes->IsDue(&peer, own.config->version,
+                           {peer.relayed->OwnPathWorks(), is_receiving, may_be_old})) {
       return;
     }
     const schema::ConfigPush push = MakeConfigPush(*own.config);
--- a/tests/cell/large_config_test.cc
+++ b/tests/cell/large_config_test.cc
@@ -90,7 +90,8 @@
   void Ping() {
     m_loop.After(kUnlistedPingPeriod, [this] { Ping(); });
     if (version >= m_scheduler_version) return;
-    if (!m_pushes.IsDue(this, m_scheduler_version, relayed.OwnPathWorks())) return;
+    const bool is_receiving = follower->Status().is_arriving;
+    if (!m_pushes.IsDue(this, m_scheduler_version, {relayed.OwnPathWorks(), is_receiving})) return;
     link.Transfer(m_scheduler_bytes, nullptr,
                   [this, pushed = m_scheduler_version] { Apply(pushed); });
   }
--- a/tests/cell/steady_answers_test.cc
+++ b/tests/cell/steady_answers_test.cc
@@ -22,7 +22,7 @@
 class SlowConnection {
  public:
   // @param parts number of parts, each sent `gap` after the one before. @param sent those sent.
-  SlowConnection(int parts, int sent, milliseconds gap)
+  SlowConnection(std::size_t parts, std::size_t sent, milliseconds gap)
       : m_acceptor(m_context, {asio::ip::make_address("127.0.0.1"), 0}),
         m_thread([this, parts, sent, gap] { Serve(parts, sent, gap); }) {}
   ~SlowConnection() {
@@ -37,19 +37,19 @@
   }
 
  private:
-  void Serve(int parts, int sent, milliseconds gap) {
+  void Serve(std::size_t parts, std::size_t sent, milliseconds gap) {
     boost::system::error_code error;
     Tcp::socket socket = m_acceptor.accept(error);
     std::string request;
     asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", error);
-    constexpr int kPartBytes = 30000;
+    constexpr std::size_t kPartBytes = 30000;
     std::string body = R"({"ver":5,"rows":[],"text":")";
-    body.append(static_cast<std::size_t>(parts * kPartBytes) - body.size() - 2, 'x').append("\"}");
+    body.append(parts * kPartBytes - body.size() - 2, 'x').append("\"}");
     const std::string header =
         "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
     asio::write(socket, asio::buffer(header), error);
-    for (int i = 0; i < sent && !error; ++i) {
-      const std::string part = body.substr(static_cast<std::size_t>(i * kPartBytes), kPartBytes);
+    for (std::size_t i = 0; i < sent && !error; ++i) {
+      const std::string part = body.substr(i * kPartBytes, kPartBytes);
       asio::write(socket, asio::buffer(part), error);
       std::this_thread::sleep_for(gap);
     }
