Check the path to the store with a read that brings no rows

Cause: an instance whose calls to the store had failed twice checked every 0.5 s whether it answers again by reading one row of the configuration's table. That row is the configuration: 1.06 MB with 4,240 routes, 0.85 s over 10 Mbit/s, with 0.5 s for it. The check could not succeed, and filled the link.

Change: the check reads the range right after the row of the configuration, which is always empty.

Test: 'config: a check of the path to the store does not read the configuration' failed before (not regained within 1 s, 500,000 bytes), and passes.

--- a/cell/node.cc
+++ b/cell/node.cc
@@ -59,10 +59,9 @@
   std::function<void()> on_drained;
 
   Result<void> Begin() {
-    const RowRange store_probe{platform.config_row.table, platform.config_row.part, "", "", 1};
     store = std::make_unique<RelayedStore>(
-        platform.store.get(), BootNow, store_probe, [this] { return OpenLinks(); },
-        DelayThrough(timers));
+        platform.store.get(), BootNow, StoreProbe(platform.config_row),
+        [this] { return OpenLinks(); }, DelayThrough(timers));
     BOOST_OUTCOME_TRY(links, LinkService::Create(runtime, timers, settings.link_address,
                                                  MakeHello(), MakeHooks(), MakeLinkLimits()));
     FollowConfig();
--- a/cell/relay.cc
+++ b/cell/relay.cc
@@ -100,6 +100,11 @@
   std::optional<Error> unknown;
 };
 
+RowRange StoreProbe(const RowKey& config_row) {
+  const std::string from = config_row.key + '\0';
+  return {config_row.table, config_row.part, from, from + '\0', 1};
+}
+
 RelayedStore::RelayedStore(RowStore* own, Clock now, RowRange probe,
                            std::function<std::vector<LinkPtr>()> links, DelayHook after)
     : m_own(own),
--- a/cell/relay.h
+++ b/cell/relay.h
@@ -14,6 +14,10 @@
 
 namespace citronsill {
 
+/// @returns the range that a check of the own path reads: it lies right after the row of the
+/// configuration and has no rows, so that a check takes the time of an answer, not of a transfer.
+RowRange StoreProbe(const RowKey& config_row);
+
 /// A row store that uses the own connection (the "own path") or, while that fails, relays calls
 /// through the links to other instances (`StorePaths` says which). A relayed call that fails, or is
 /// not answered soon, goes on to the next instance; the first successful answer counts. When all of
--- a/tests/cell/large_config_test.cc
+++ b/tests/cell/large_config_test.cc
@@ -73,7 +73,7 @@
   Store rows{m_loop};
   NarrowLink link;
   NarrowStore store{m_loop, rows, link};
-  RelayedStore relayed{&store, [this] { return m_loop.Now(); }, RowRange{"op", "", "", "", 1},
+  RelayedStore relayed{&store, [this] { return m_loop.Now(); }, StoreProbe({"op", "", "config"}),
                        [] { return std::vector<LinkPtr>{}; }};
   std::unique_ptr<TableFollower> follower;
   std::uint64_t version = 0;
@@ -146,6 +146,27 @@
 
 // Guards against checks of the path to the store that read the whole configuration, twice a second
 // and in vain, as they have half a second for it.
+TEST_CASE("config: a check of the path to the store does not read the configuration") {
+  Loop loop(1);
+  WeakInstance instance(loop, 0);
+  instance.Put(1, 4240);
+  loop.RunFor(milliseconds(5000));
+  instance.follower.reset();
+  instance.store.SetSilent(true);
+  for (std::uint32_t i = 0; i < kOwnPathFailures; ++i) {
+    instance.relayed.Read(RowRange{"owner", "", "", "", 1}, milliseconds(100),
+                          [](const Result<RowPage>&) {});
+  }
+  loop.RunFor(milliseconds(3000));
+  REQUIRE_FALSE(instance.relayed.OwnPathWorks());
+  instance.store.SetSilent(false);
+  const std::size_t before = instance.link.TransferredBytes();
+  loop.RunFor(2 * kOwnPathRetry);
+  CHECK(instance.relayed.OwnPathWorks());
+  CHECK(instance.link.TransferredBytes() - before < 2000);
+}
+
+// Guards against an outage that goes on over a weak link after the store is back.
 TEST_CASE("config: the path to the store is regained over a weak link soon after an outage") {
   for (int outage_ms = 4500; outage_ms <= 10500; outage_ms += 500) {
     CAPTURE(outage_ms);
