Do not request a relayed page again while it is arriving

What would be seen: an instance that the store turns away and that takes over a shard reads its tables through other instances; over 10 Mbit/s a page of 1 MB takes 0.8 s. A copy was requested through another instance after 80 to 600 ms, and the page again each 0.5 to 1 s with a copy of its own; all of them arrive over the same link. Test 'relay: a page that is arriving over a weak link is not requested again' failed: the first page took 4.0 s, 12.5 MB had arrived within 10 s, and the second page had not.

Change: a link says whether part of a message has arrived and the rest is arriving. Meanwhile a relayed read sends no copy, and the page counts as arriving. A peer that stays silent is left as soon as before. Commits are not affected.

--- a/cell/limits.h
+++ b/cell/limits.h
@@ -412,6 +412,9 @@
 inline constexpr std::chrono::milliseconds kMinRelayHedge{30};
 inline constexpr std::chrono::milliseconds kMaxRelayHedge{600};
 inline constexpr std::chrono::milliseconds kUnknownRelayHedge{80};
+// How often a relayed read looks whether its answer is still arriving: well within the time after
+// which a page is requested again.
+inline constexpr std::chrono::milliseconds kArrivalCheck{100};
 // What a relayed call is taken to need through an instance of full strength of which nothing is
 // known; weaker ones take longer in proportion.
 inline constexpr std::chrono::milliseconds kAssumedRelayLatency{20};
--- a/cell/link.cc
+++ b/cell/link.cc
@@ -146,6 +146,9 @@
 
   [[nodiscard]] SteadyTime Heard() const override { return m_heard; }
   [[nodiscard]] bool IsOpen() const override { return !m_closed && !m_peer.instance().empty(); }
+  [[nodiscard]] bool IsReceiving() const override {
+    return m_unparsed_bytes > 0 && BootNow() <= m_heard + kMaxPartGap;
+  }
   [[nodiscard]] const schema::Hello& Peer() const override { return m_peer; }
   [[nodiscard]] const schema::Ping& LastPing() const override { return m_last_ping; }
 
@@ -325,6 +328,7 @@
       if (m_closed) return false;
     }
     m_in.erase(0, offset);
+    m_unparsed_bytes = m_in.size();
     if (m_in.size() <= kLargeFrameBytes && m_in.capacity() > 2 * kLargeFrameBytes) {
       m_in.shrink_to_fit();
     }
@@ -382,6 +386,7 @@
   SteadyTime m_last_ping_sent{};
   milliseconds m_ping_period{0};
   std::string m_in;
+  std::size_t m_unparsed_bytes = 0;  // Of a message that has not arrived whole.
   std::string m_out;
   std::string m_sending;
   std::unordered_map<std::uint64_t, PendingCall> m_calls;
--- a/cell/link.h
+++ b/cell/link.h
@@ -39,6 +39,9 @@
   /// @returns when the last message arrived, by `BootNow`.
   [[nodiscard]] virtual SteadyTime Heard() const = 0;
   [[nodiscard]] virtual bool IsOpen() const = 0;
+  /// @returns whether part of a message has arrived and the rest was arriving within the last
+  /// `kMaxPartGap`.
+  [[nodiscard]] virtual bool IsReceiving() const { return false; }
   /// @returns the `Hello` of the peer; empty until it has arrived.
   [[nodiscard]] virtual const schema::Hello& Peer() const = 0;
   /// @returns the last ping of the peer; empty until one has arrived.
--- a/cell/relay.cc
+++ b/cell/relay.cc
@@ -91,7 +91,8 @@
 struct RelayedStore::Relay {
   using Done = std::function<void(Result<Outcome>)>;
   std::function<void(const LinkPtr&, milliseconds timeout, Done)> send;
-  Done done;  // Empty once the call has ended.
+  Done done;             // Empty once the call has ended.
+  OnAnswerPart on_part;  // Only of reads whose answer may take long to arrive.
   std::vector<LinkPtr> links;
   std::size_t next = 0;     // Next of `links` to try.
   std::size_t pending = 0;  // Copies without an answer.
@@ -164,7 +165,7 @@
   const auto time_left = std::chrono::ceil<milliseconds>(relay->deadline - sent);
   const std::uint64_t incarnation = link->Peer().incarnation();
   ++relay->pending;
-  HedgeLater(relay, incarnation);
+  HedgeLater(relay, link);
   relay->send(link, std::max(time_left, milliseconds(1)),
               [this, alive = m_alive, relay, incarnation, sent](const Result<Outcome>& result) {
                 if (*alive) OnRelayed(relay, incarnation, sent, result);
@@ -174,11 +175,13 @@
 // Calls can be repeated: reads change nothing, and of several copies of a transaction only one can
 // take effect, because each is conditional on a version that the first one changes.
 template <class Outcome>
-void RelayedStore::HedgeLater(const RelayPtr<Outcome>& relay, std::uint64_t incarnation) {
+void RelayedStore::HedgeLater(const RelayPtr<Outcome>& relay, const LinkPtr& link) {
   if (!m_after) return;
+  const std::uint64_t incarnation = link->Peer().incarnation();
   m_after(m_paths.HedgeAfter(incarnation),
-          [this, alive = m_alive, relay, incarnation, number = relay->next] {
+          [this, alive = m_alive, relay, link, incarnation, number = relay->next] {
             if (!*alive || !relay->done || relay->next != number) return;
+            if (relay->on_part && link->IsReceiving()) return AwaitArrival(relay, link);
             m_paths.OnOverdue(incarnation);
             NodeMetrics::Get().CountRelay("overdue");
             if (relay->next == relay->links.size() || relay->pending >= relay->max_copies) return;
@@ -186,6 +189,18 @@
           });
 }
 
+// The message that is arriving may be another one, but a copy of the answer would be no sooner here
+// over the same connection to the network.
+template <class Outcome>
+void RelayedStore::AwaitArrival(const RelayPtr<Outcome>& relay, const LinkPtr& link) {
+  relay->on_part();
+  m_after(kArrivalCheck, [this, alive = m_alive, relay, link, number = relay->next] {
+    if (!*alive || !relay->done || relay->next != number) return;
+    if (link->IsReceiving()) return AwaitArrival(relay, link);
+    HedgeLater(relay, link);
+  });
+}
+
 template <class Outcome>
 void RelayedStore::OnRelayed(const RelayPtr<Outcome>& relay, std::uint64_t incarnation,
                              SteadyTime sent, const Result<Outcome>& result) {
@@ -346,8 +361,8 @@
     return ReadOwn(std::move(range), timeout, std::move(on_part), std::move(done));
   }
   const SteadyTime began = m_now();
-  ReadRelayed(std::move(links), range, timeout,
-              [this, alive = m_alive, range, timeout, began, on_part = std::move(on_part),
+  ReadRelayed(std::move(links), range, timeout, on_part,
+              [this, alive = m_alive, range, timeout, began, on_part,
                done = std::move(done)](const Result<RowPage>& result) {
                 if (!*alive) return;
                 const milliseconds remaining = RemainingAfter(began, timeout);
@@ -368,12 +383,13 @@
 }
 
 void RelayedStore::ReadRelayed(std::vector<LinkPtr> links, const RowRange& range,
-                               milliseconds timeout, ReadDone done) {
+                               milliseconds timeout, OnAnswerPart on_part, ReadDone done) {
   auto relay = std::make_shared<Relay<RowPage>>();
   relay->send = [range](const LinkPtr& link, milliseconds time_left, ReadDone on_result) {
     ReadThrough(link, range, time_left, std::move(on_result));
   };
   relay->done = std::move(done);
+  relay->on_part = std::move(on_part);
   relay->links = std::move(links);
   relay->deadline = m_now() + timeout;
   RelayOnce(relay);
--- a/cell/relay.h
+++ b/cell/relay.h
@@ -73,8 +73,12 @@
   // Sends the call, or a copy of it, to the next instance.
   template <class Outcome>
   void RelayOnce(const RelayPtr<Outcome>& relay);
+  // Sends a copy when the call to `link` has no answer after a while and none is arriving.
   template <class Outcome>
-  void HedgeLater(const RelayPtr<Outcome>& relay, std::uint64_t incarnation);
+  void HedgeLater(const RelayPtr<Outcome>& relay, const LinkPtr& link);
+  // Waits with copies while the answer may be arriving over `link`.
+  template <class Outcome>
+  void AwaitArrival(const RelayPtr<Outcome>& relay, const LinkPtr& link);
   template <class Outcome>
   void OnRelayed(const RelayPtr<Outcome>& relay, std::uint64_t incarnation, SteadyTime sent,
                  const Result<Outcome>& result);
@@ -88,7 +92,7 @@
   // An answer that is arriving shows that the own path works.
   OnAnswerPart CountParts(OnAnswerPart on_part);
   void ReadRelayed(std::vector<LinkPtr> links, const RowRange& range, milliseconds timeout,
-                   ReadDone done);
+                   OnAnswerPart on_part, ReadDone done);
   void LogFirstPeer(const LinkPtr& link);
   [[nodiscard]] milliseconds RemainingAfter(SteadyTime began, milliseconds timeout) const;
 
