--- a/tests/cell/steady_answers_test.cc
+++ b/tests/cell/steady_answers_test.cc
@@ -1,17 +1,19 @@
 // Tests answers of the store that take longer to arrive than the store may stay silent.
 #include <doctest/doctest.h>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <future>
 #include <thread>
 
-#include "net.h"
 #include "platform/platform.h"
 
 namespace citronsill {
 namespace {
 
+namespace asio = boost::asio;
 using namespace std::chrono_literals;
 
 // The store's client allows the wait and 700 ms for the answer to begin.
@@ -39,7 +41,7 @@
  private:
   void Serve(std::size_t parts, std::size_t sent, milliseconds gap) {
     boost::system::error_code error;
-    Tcp::socket socket = m_acceptor.accept(error);
+    asio::ip::tcp::socket socket = m_acceptor.accept(error);
     std::string request;
     asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", error);
     constexpr std::size_t kPartBytes = 30000;
@@ -57,7 +59,7 @@
   }
 
   asio::io_context m_context;
-  Tcp::acceptor m_acceptor;
+  asio::ip::tcp::acceptor m_acceptor;
   std::promise<void> m_ends;
   std::thread m_thread;
 };
