--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -58,6 +58,7 @@
   double long_tasks = 0.0;  // Share of short and batch tasks that take 6 s to `max_long_ms`.
   int max_long_ms = 9000;
   int customers = 0;        // Number of customers; without any, calls need no key.
+  int routes = 0;           // Queues that no caller uses.
   int max_lease_ms = 6000;  // Longest lease that workers grant.
   bool plain = false;       // No long-running or scheduled jobs and no calm periods.
   std::string program;
@@ -114,6 +115,7 @@
                       Platform::Create(*m_runtime, *m_timers, m_options.seed, m_options.instances,
                                        m_options.workers, milliseconds(m_options.max_lease_ms),
                                        m_options.customers));
+    m_platform->idle_routes = m_options.routes;
     ProcessOptions processes{m_options.program, m_options.directory, m_options.base_port,
                              m_options.share, milliseconds(m_options.max_lease_ms)};
     BOOST_OUTCOME_TRY(m_processes,
@@ -296,6 +298,8 @@
       "longest time that long tasks take, in milliseconds");
   add("customers", options::value(&soak.customers)->default_value(0),
       "customers with keys, weights and limits; changed by the fault \"customers\"");
+  add("routes", options::value(&soak.routes)->default_value(0),
+      "queues that no caller uses, in each changed configuration");
   add("max-lease", options::value(&soak.max_lease_ms)->default_value(6000),
       "longest lease that workers grant, in milliseconds");
   add("plain", options::bool_switch(&soak.plain),
--- a/tests/soak/platform.cc
+++ b/tests/soak/platform.cc
@@ -316,7 +316,7 @@
   routes.append(",").append(route(WithoutAdvice("gang"), 1, 2.2, 1000, ""));
   routes.append(",").append(route(WithoutAdvice("serving"), 1, 4.0, 1000, ""));
   routes.append(",").append(queue(NewestQueue(m_config_version), 2, 4.0, 1000, 1.0, 0.1));
-  for (int i = 0; i < idle_queues; ++i) {
+  for (int i = 0; i < idle_routes + idle_queues; ++i) {
     routes.append(",").append(queue(fmt::format("idle{}", i), 2, 4.0, 1000, 1.0, 0.1));
   }
   const std::string text = fmt::format(
--- a/tests/soak/platform.h
+++ b/tests/soak/platform.h
@@ -73,6 +73,7 @@
   model::Store store;
   model::History history;
   std::unique_ptr<Customers> customers;  // Null if the configuration has none.
+  int idle_routes = 0;  // Queues that no caller uses, in each configuration but the first one.
   std::vector<std::unique_ptr<InstanceServices>> instance_services;  // Indexed by instance number.
   std::vector<std::unique_ptr<WorkerHost>> workers;
   std::function<model::TaskBehavior(const TaskRef&)> actual_behavior;  // Actual behavior of a task.
