Give a transaction the time that the own link needs for it

What would be seen: jobs that are accepted late or refused for want of the store while a weak instance is the scheduler. A transaction that had no answer within 60 ms to 1 s was sent again, after a read had shown that it had no effect yet, although the first copy was still being sent: a full one takes 0.65 s over 10 Mbit/s. Each attempt ended after 1.5 s, whatever had been sent.

Change: the time that the own link needs for the transaction, by the bandwidth in the settings, is added to the time-out of an attempt and of the call. A transaction of 5 KB over 200 Mbit/s gets nothing, over 10 Mbit/s 4 ms. Reads between two attempts keep their time-outs. Without a bandwidth in the settings nothing changes.

--- a/cell/commit.cc
+++ b/cell/commit.cc
@@ -129,9 +129,19 @@
   }
 }
 
-// Time-out of one attempt. Adapts to the usual latency: a slow store gets enough time, and a lost
+// Time that a copy of the transaction takes to leave this instance. An attempt that is still being
+// sent is not lost, and another one would only slow it down.
+milliseconds CommitLog::TransferTime() const {
+  if (!m_hooks.transfer_time) return milliseconds(0);
+  constexpr std::size_t kEntryBytes = 100;  // Keys and punctuation.
+  std::size_t bytes = 0;
+  for (const Row& row : m_transaction.writes) bytes += row.value.size() * 4 / 3 + kEntryBytes;
+  return m_hooks.transfer_time(bytes);
+}
+
+// Time-out of an answer. Adapts to the usual latency: a slow store gets enough time, and a lost
 // reply is detected early.
-milliseconds CommitLog::Timeout() const {
+milliseconds CommitLog::AnswerTimeout() const {
   const milliseconds base_timeout =
       std::max(kCommitTimeoutMin, m_latency * kCommitLatencyPercent / 100);
   return std::min(base_timeout * (1 << std::min(m_failures, kMaxTimeoutDoublings)),
@@ -145,13 +155,14 @@
   ++m_unanswered;
   const std::uint32_t attempt = ++m_attempts;
   const std::uint64_t sequence = m_head.sequence();
-  m_hooks.after(Timeout(), [this, alive = m_alive, attempt, sequence] {
+  const milliseconds transfer_time = TransferTime();
+  m_hooks.after(transfer_time + AnswerTimeout(), [this, alive = m_alive, attempt, sequence] {
     if (!*alive || !IsCurrent(sequence) || attempt != m_attempts || m_unanswered == 0) return;
     NoteFailure({schema::CODE_COMMIT_UNKNOWN, "no answer in time"});
     Probe();
   });
   m_store->Commit(
-      m_transaction, kCommitTimeoutMax,
+      m_transaction, transfer_time + kCommitTimeoutMax,
       [this, alive = m_alive, sequence, sent = m_last_write](const Result<CommitOutcome>& result) {
         if (*alive) OnResult(sequence, sent, result);
       });
@@ -166,7 +177,7 @@
   const std::uint32_t attempt = m_attempts;
   const std::uint64_t sequence = m_head.sequence();
   const SteadyTime sent = m_hooks.now();
-  m_hooks.after(Timeout(), [this, alive = m_alive, attempt, sequence] {
+  m_hooks.after(AnswerTimeout(), [this, alive = m_alive, attempt, sequence] {
     if (*alive && IsCurrent(sequence) && attempt == m_attempts && !m_resend_deferred) Send();
   });
   m_resend_deferred = false;
@@ -193,7 +204,7 @@
   const auto took = std::chrono::duration_cast<milliseconds>(m_hooks.now() - sent);
   if (took < kCommitTimeoutMin) return Send();
   m_resend_deferred = true;
-  m_hooks.after(Timeout(), [this, alive = m_alive, attempt, sequence = m_head.sequence()] {
+  m_hooks.after(AnswerTimeout(), [this, alive = m_alive, attempt, sequence = m_head.sequence()] {
     if (*alive && IsCurrent(sequence) && attempt == m_attempts) Probe();
   });
 }
--- a/cell/commit.h
+++ b/cell/commit.h
@@ -41,6 +41,8 @@
   std::function<std::vector<std::uint64_t>()> supporters = nullptr;
   /// @returns whether all of these instances support this scheduler now.
   std::function<bool(const std::set<std::uint64_t>& incarnations)> is_supported_by = nullptr;
+  /// @returns how long the own link takes to carry so many bytes. May be empty.
+  std::function<milliseconds(std::size_t bytes)> transfer_time = nullptr;
 };
 
 /// @returns when all leases have expired that earlier schedulers of a shard may have granted.
@@ -102,7 +104,8 @@
   void Schedule();
   void StartTransaction();
   void NameSupporters();
-  [[nodiscard]] milliseconds Timeout() const;
+  [[nodiscard]] milliseconds AnswerTimeout() const;
+  [[nodiscard]] milliseconds TransferTime() const;
   void Send();
   void Probe();
   void OnResult(std::uint64_t sequence, SteadyTime sent, const Result<CommitOutcome>& result);
--- a/cell/leader.cc
+++ b/cell/leader.cc
@@ -212,6 +212,9 @@
     commit_hooks.is_supported_by = [this](const std::set<std::uint64_t>& incarnations) {
       return support.IsSupportedBy(incarnations);
     };
+    commit_hooks.transfer_time = [this](std::size_t bytes) {
+      return TransferTime(bytes, settings.link_mbps);
+    };
     // The claim was stored before `began`.
     earlier_may_lead_until = began + TimePassedOn(options.owner);
     commits = std::make_unique<CommitLog>(options.shard, options.head, options.version, store,
--- a/cell/types.cc
+++ b/cell/types.cc
@@ -21,6 +21,12 @@
   return hash;
 }
 
+milliseconds TransferTime(std::size_t bytes, std::uint32_t link_mbps) {
+  constexpr std::size_t kBytesPerMsAndMbps = 125;
+  if (link_mbps == 0) return milliseconds(0);
+  return milliseconds(bytes / (kBytesPerMsAndMbps * link_mbps));
+}
+
 const char* RunEndName(RunEnd end) {
   switch (end) {
     case RunEnd::kDone:
--- a/cell/types.h
+++ b/cell/types.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -49,6 +50,10 @@
 /// @returns a hash that is the same on every instance and in every version.
 std::uint64_t StableHash(std::string_view text);
 
+/// @param link_mbps bandwidth in Mbit/s; 0 when unknown.
+/// @returns how long a link takes to carry so many bytes; 0 when its bandwidth is unknown.
+milliseconds TransferTime(std::size_t bytes, std::uint32_t link_mbps);
+
 /// Source of the current time; a hook, so that tests can use model time.
 using Clock = std::function<SteadyTime()>;
 
