--- a/cell/commit.cc
+++ b/cell/commit.cc
@@ -131,7 +131,7 @@
 
 // Time that a copy of the transaction takes to leave this instance. An attempt that is still being
 // sent is not lost, and another one would only slow it down.
-milliseconds CommitLog::TransferTime() const {
+milliseconds CommitLog::SendingTime() const {
   if (!m_hooks.transfer_time) return milliseconds(0);
   constexpr std::size_t kEntryBytes = 100;  // Keys and punctuation.
   std::size_t bytes = 0;
@@ -155,14 +155,14 @@
   ++m_unanswered;
   const std::uint32_t attempt = ++m_attempts;
   const std::uint64_t sequence = m_head.sequence();
-  const milliseconds transfer_time = TransferTime();
-  m_hooks.after(transfer_time + AnswerTimeout(), [this, alive = m_alive, attempt, sequence] {
+  const milliseconds sending_time = SendingTime();
+  m_hooks.after(sending_time + AnswerTimeout(), [this, alive = m_alive, attempt, sequence] {
     if (!*alive || !IsCurrent(sequence) || attempt != m_attempts || m_unanswered == 0) return;
     NoteFailure({schema::CODE_COMMIT_UNKNOWN, "no answer in time"});
     Probe();
   });
   m_store->Commit(
-      m_transaction, transfer_time + kCommitTimeoutMax,
+      m_transaction, sending_time + kCommitTimeoutMax,
       [this, alive = m_alive, sequence, sent = m_last_write](const Result<CommitOutcome>& result) {
         if (*alive) OnResult(sequence, sent, result);
       });
--- a/cell/commit.h
+++ b/cell/commit.h
@@ -105,7 +105,7 @@
   void StartTransaction();
   void NameSupporters();
   [[nodiscard]] milliseconds AnswerTimeout() const;
-  [[nodiscard]] milliseconds TransferTime() const;
+  [[nodiscard]] milliseconds SendingTime() const;
   void Send();
   void Probe();
   void OnResult(std::uint64_t sequence, SteadyTime sent, const Result<CommitOutcome>& result);
--- a/cell/link.h
+++ b/cell/link.h
@@ -39,8 +39,8 @@
   /// @returns when the last message arrived, by `BootNow`.
   [[nodiscard]] virtual SteadyTime Heard() const = 0;
   [[nodiscard]] virtual bool IsOpen() const = 0;
-  /// @returns whether part of a message has arrived and the rest was arriving within the last
-  /// `kMaxPartGap`.
+  /// @returns whether part of a message has arrived, and bytes of it within the last `kMaxPartGap`.
+  /// False for links that cannot tell.
   [[nodiscard]] virtual bool IsReceiving() const { return false; }
   /// @returns the `Hello` of the peer; empty until it has arrived.
   [[nodiscard]] virtual const schema::Hello& Peer() const = 0;
